--- /dev/null
+++ b/crates/address/src/code.rs
@@ -0,0 +1,129 @@
+//! The numbered result codes. docs/codes.md holds the same table; a test keeps the two alike.
+
+use std::fmt;
+
+/// What a code says about the work that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It ran, and the verdict is whole.
+    Ran,
+    /// It did not run and will not: it may be sent again.
+    NotRun,
+    /// Nobody can tell: it must not be sent again blindly.
+    Unknown,
+}
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $status:literal, $kind:ident, $text:literal;)*) => {
+        /// A numbered result code.
+        ///
+        /// ```
+        /// use address::{Code, Kind};
+        /// assert_eq!(Code::Busy.number(), 1201);
+        /// assert_eq!(Code::Busy.status(), 503);
+        /// assert_eq!(Code::Busy.kind(), Kind::NotRun);
+        /// assert_eq!(Code::from_number(1201), Some(Code::Busy));
+        /// ```
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Code { $($name),* }
+
+        impl Code {
+            /// Every code, in the order of the table.
+            ///
+            /// ```
+            /// assert!(address::Code::all().contains(&address::Code::Fine));
+            /// ```
+            pub fn all() -> &'static [Code] { &[$(Code::$name),*] }
+
+            /// The number that callers see.
+            ///
+            /// ```
+            /// assert_eq!(address::Code::Fine.number(), 1000);
+            /// ```
+            pub fn number(self) -> u32 { match self { $(Code::$name => $number),* } }
+
+            /// The HTTP status that goes with it.
+            ///
+            /// ```
+            /// assert_eq!(address::Code::Fine.status(), 200);
+            /// ```
+            pub fn status(self) -> u16 { match self { $(Code::$name => $status),* } }
+
+            /// What it says about the work.
+            ///
+            /// ```
+            /// assert_eq!(address::Code::Fine.kind(), address::Kind::Ran);
+            /// ```
+            pub fn kind(self) -> Kind { match self { $(Code::$name => Kind::$kind),* } }
+
+            /// One sentence for people.
+            ///
+            /// ```
+            /// assert!(address::Code::Fine.text().starts_with("Done"));
+            /// ```
+            pub fn text(self) -> &'static str { match self { $(Code::$name => $text),* } }
+
+            /// The code with this number.
+            ///
+            /// ```
+            /// assert_eq!(address::Code::from_number(7), None);
+            /// ```
+            pub fn from_number(number: u32) -> Option<Code> {
+                Code::all().iter().copied().find(|code| code.number() == number)
+            }
+        }
+    };
+}
+
+codes! {
+    Fine = 1000, 200, Ran, "Done; the verdict is whole and sealed.";
+    Malformed = 1101, 400, NotRun, "The request cannot be read.";
+    MissingTry = 1102, 400, NotRun, "The try id is missing or is not an id.";
+    MissingRemaining = 1103, 400, NotRun, "The remaining time is missing or absurd.";
+    MissingKey = 1104, 400, NotRun, "The service is keyed and the key is missing.";
+    TooLarge = 1105, 413, NotRun, "The request is larger than allowed.";
+    TooSlow = 1106, 408, NotRun, "The request came in too slowly.";
+    NoSuchName = 1107, 404, NotRun, "No route has this name, path and method.";
+    NoSuchPage = 1108, 404, NotRun, "There is no such endpoint.";
+    Duplicate = 1109, 409, NotRun, "A try with this id is already being served here.";
+    Busy = 1201, 503, NotRun, "No upstream has room; come back later.";
+    Stale = 1202, 503, NotRun, "This node has not heard from a majority lately; try another.";
+    NoOwner = 1203, 503, NotRun, "No locality owns the name at present.";
+    Closing = 1204, 503, NotRun, "This node is closing; try another.";
+    Expired = 1205, 504, NotRun, "The time ran out before the request was sent.";
+    ResendsSpent = 1206, 503, NotRun, "A first try failed unsent and no resend is allowed now.";
+    NotMine = 1207, 421, NotRun, "The name lives elsewhere and the request was forwarded once already.";
+    Lost = 1301, 502, Unknown, "The upstream was sent the request and its verdict was lost.";
+    Garbage = 1302, 502, Unknown, "The upstream's verdict was partial, unsealed or foreign.";
+    TimedOut = 1303, 504, Unknown, "The upstream did not answer in time.";
+    SetupBad = 1401, 422, NotRun, "The setup breaks the rules; every complaint is listed.";
+    SetupBehind = 1402, 409, NotRun, "The setup was based on an older edition.";
+    SetupUnknown = 1403, 503, Unknown, "The outcome is unknown; ask again with the same submission id.";
+    SetupCrowded = 1404, 429, NotRun, "Too many submissions wait; come back later.";
+    NoWord = 1405, 404, NotRun, "No setup has been accepted yet.";
+    NoPostmaster = 1406, 503, NotRun, "No postmaster can be reached from here.";
+    IdReused = 1407, 409, NotRun, "The submission id was used for something else.";
+    NoSuchTrace = 1501, 404, NotRun, "The try id is unknown here or its trace has expired.";
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.text())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Code;
+
+    #[test]
+    fn the_table_in_the_docs_is_this_one() {
+        let row = |code: &Code| {
+            let (number, status, kind, text) = (code.number(), code.status(), code.kind(), code.text());
+            format!("| {number} | {code:?} | {status} | {kind:?} | {text} |")
+        };
+        let docs = include_str!("../../../docs/codes.md");
+        let told: Vec<&str> = docs.lines().filter(|line| line.starts_with("| 1")).collect();
+        assert_eq!(told, Code::all().iter().map(row).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/crates/address/src/lib.rs
@@ -0,0 +1,129 @@
+//! Ids, localities and numbered result codes: the words every other package shares.
+
+mod code;
+
+pub use code::{Code, Kind};
+
+use std::fmt;
+
+/// Where a process, a back end or an origin stands: a region and a locality (zone) inside it.
+///
+/// ```
+/// use address::Locality;
+/// let east: Locality = "north/n1".parse().unwrap();
+/// assert_eq!(east.region, "north");
+/// assert_eq!(east.to_string(), "north/n1");
+/// assert!("north".parse::<Locality>().is_err());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Locality {
+    pub region: String,
+    pub zone: String,
+}
+
+impl fmt::Display for Locality {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.region, self.zone)
+    }
+}
+
+impl std::str::FromStr for Locality {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        text.split_once('/')
+            .filter(|(region, zone)| is_id(region) && is_id(zone))
+            .map(|(region, zone)| Locality { region: region.into(), zone: zone.into() })
+            .ok_or_else(|| format!("'{text}' is not a locality; write region/zone"))
+    }
+}
+
+/// True for the ids that setups, nodes and tries may carry: 1 to 64 of `a-z A-Z 0-9 - _ .`.
+///
+/// ```
+/// assert!(address::is_id("exam-slot.7"));
+/// assert!(!address::is_id(""));
+/// assert!(!address::is_id("two words"));
+/// ```
+pub fn is_id(text: &str) -> bool {
+    (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+}
+
+/// How many of `count` voters make a majority.
+///
+/// ```
+/// assert_eq!(address::majority(6), 4);
+/// assert_eq!(address::majority(3), 2);
+/// ```
+pub fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// Into how many slots a keyed service's keys are divided.
+pub const SLOTS: u32 = 64;
+
+/// The slot of a key.
+///
+/// ```
+/// assert_eq!(address::slot("learner-7"), address::slot("learner-7"));
+/// assert!(address::slot("x") < address::SLOTS);
+/// ```
+pub fn slot(key: &str) -> u32 {
+    (spread(key) % u64::from(SLOTS)) as u32
+}
+
+/// A number that spreads texts evenly and is the same on every node.
+///
+/// ```
+/// assert_ne!(address::spread("a"), address::spread("b"));
+/// ```
+pub fn spread(text: &str) -> u64 {
+    let folded = text
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
+    Dice::new(folded).roll()
+}
+
+/// A small seeded source of random numbers (splitmix64), so that a core's choices can be replayed.
+///
+/// ```
+/// let mut a = address::Dice::new(7);
+/// let mut b = address::Dice::new(7);
+/// assert_eq!(a.roll(), b.roll());
+/// assert!(a.below(10) < 10);
+/// ```
+pub struct Dice(u64);
+
+impl Dice {
+    /// A source that always yields the same numbers for the same seed.
+    ///
+    /// ```
+    /// assert_ne!(address::Dice::new(1).roll(), address::Dice::new(2).roll());
+    /// ```
+    pub fn new(seed: u64) -> Self {
+        Dice(seed)
+    }
+
+    /// The next number.
+    ///
+    /// ```
+    /// let mut dice = address::Dice::new(3);
+    /// assert_ne!(dice.roll(), dice.roll());
+    /// ```
+    pub fn roll(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// A number below `bound` (0 when `bound` is 0).
+    ///
+    /// ```
+    /// assert_eq!(address::Dice::new(3).below(1), 0);
+    /// ```
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.roll().checked_rem(bound).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/core.rs
@@ -0,0 +1,299 @@
+//! What a carrier decides away from the path of requests: whom it follows and how old its view is.
+
+use address::{Dice, Locality};
+use gazetteer::{Proxy, View};
+use parcel::{Body, Fresh, Member, News, NewsAsk, NewsKept};
+use rounds::Rounds;
+use std::time::Duration;
+
+/// A carrier's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub rounds: rounds::Times,
+    pub askEvery: Duration,
+    /// An answer that takes longer means another postmaster.
+    pub answerWithin: Duration,
+}
+
+/// What a carrier starts from.
+pub struct Start {
+    pub me: Member,
+    pub seeds: Vec<String>,
+    pub seed: u64,
+    pub times: Times,
+}
+
+/// What happens to a carrier.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    Parcel { from: String, body: Body },
+    Datagram { address: String, body: Body },
+    Close,
+}
+
+/// What a carrier wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        to: String,
+        body: Body,
+    },
+    Datagram {
+        address: String,
+        body: Body,
+    },
+    Addresses(Vec<(String, String)>),
+    /// The view changed: publish it.
+    Publish,
+    Note(String),
+}
+
+/// Whom the carrier follows.
+enum Following {
+    Nobody,
+    /// Asked, and waits for the answer.
+    Asked {
+        source: String,
+        nonce: u64,
+        askedAt: Duration,
+    },
+    /// Answered; asks again in time.
+    Content {
+        source: String,
+    },
+}
+
+/// The core of one carrier.
+pub struct Carrier {
+    me: Member,
+    times: Times,
+    dice: Dice,
+    rounds: Rounds,
+    view: View,
+    following: Following,
+    /// The stream and number of the last news kept; stream 0 wants an image.
+    stream: u64,
+    number: u64,
+    nextAsk: Duration,
+    /// How many sources in a row were of no use.
+    misses: usize,
+    postmasters: Vec<Member>,
+    effects: Vec<Effect>,
+}
+
+impl Carrier {
+    /// A carrier that knows nothing yet.
+    ///
+    /// ```
+    /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// assert_eq!(carrier::Carrier::new(start).view().edition, 0);
+    /// ```
+    pub fn new(start: Start) -> Self {
+        let Start { me, seeds, seed, times } = start;
+        let mut dice = Dice::new(seed);
+        let rounds = Rounds::new(me.clone(), seeds, times.rounds, dice.roll());
+        let mut carrier = Carrier {
+            me,
+            times,
+            dice,
+            rounds,
+            view: View::default(),
+            following: Following::Nobody,
+            stream: 0,
+            number: 0,
+            nextAsk: Duration::ZERO,
+            misses: 0,
+            postmasters: Vec::new(),
+            effects: Vec::new(),
+        };
+        carrier.learn_members();
+        carrier.effects.clear();
+        carrier
+    }
+
+    /// The view to publish.
+    ///
+    /// ```
+    /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// assert_eq!(carrier::Carrier::new(start).view().asOf, None);
+    /// ```
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Postmasters that membership knows, the one followed first.
+    ///
+    /// ```
+    /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// assert!(carrier::Carrier::new(start).postmasters().is_empty());
+    /// ```
+    pub fn postmasters(&self) -> Vec<String> {
+        let first = self.source().map(str::to_owned);
+        let mut known: Vec<&Member> = self.postmasters.iter().collect();
+        known.sort_by_key(|member| Some(&member.node) != first.as_ref());
+        known.into_iter().map(|member| member.httpAddress.clone()).collect()
+    }
+
+    /// The one reducer: takes an event in, gives effects out.
+    ///
+    /// ```
+    /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// let mut carrier = carrier::Carrier::new(start);
+    /// assert!(carrier.step(Default::default(), carrier::Event::Tick).is_empty(), "nobody to ask");
+    /// ```
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => {
+                let effects = self.rounds.step(now, rounds::Event::Tick);
+                self.run_rounds(effects);
+                self.tick(now);
+            }
+            Event::Datagram { address, body } => {
+                let effects = self.rounds.step(now, rounds::Event::Parcel { address, body });
+                self.run_rounds(effects);
+            }
+            Event::Parcel { from, body: Body::News(news) } => self.news(now, from, news),
+            Event::Parcel { from, body: Body::Fresh(fresh) } => self.fresh(now, from, fresh),
+            Event::Parcel { .. } => {}
+            Event::Close => {
+                let effects = self.rounds.step(now, rounds::Event::Leave);
+                self.run_rounds(effects);
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn run_rounds(&mut self, effects: Vec<rounds::Effect>) {
+        let changed = effects.contains(&rounds::Effect::Changed);
+        effects.into_iter().for_each(|effect| {
+            if let rounds::Effect::Send { address, body } = effect {
+                self.effects.push(Effect::Datagram { address, body });
+            }
+        });
+        if changed {
+            self.learn_members();
+        }
+    }
+
+    fn learn_members(&mut self) {
+        let members: Vec<Member> = self.rounds.members().cloned().collect();
+        let here: Locality = self.me.locality.parse().unwrap_or_default();
+        let book = members.iter().map(|member| (member.node.clone(), member.linkAddress.clone()));
+        self.effects.push(Effect::Addresses(book.collect()));
+        let proxies = members.iter().filter(|member| member.roles.contains("proxy"));
+        self.view.proxies = proxies
+            .filter_map(|member| {
+                let locality = member.locality.parse().ok()?;
+                Some(Proxy { node: member.node.clone(), locality, address: member.httpAddress.clone() })
+            })
+            .collect();
+        self.postmasters = members.into_iter().filter(|member| member.roles == "postmaster").collect();
+        // The nearest first, and carriers of one place spread over what is equally near.
+        let me = self.me.node.clone();
+        self.postmasters.sort_by_key(|member| {
+            let place: Locality = member.locality.parse().unwrap_or_default();
+            (place.region != here.region, address::spread(&format!("{me}{}", member.node)))
+        });
+        self.effects.push(Effect::Publish);
+    }
+
+    /// The one place where it changes whom the carrier follows.
+    fn follow(&mut self, following: Following) {
+        self.following = following;
+    }
+
+    fn source(&self) -> Option<&str> {
+        match &self.following {
+            Following::Nobody => None,
+            Following::Asked { source, .. } | Following::Content { source } => Some(source),
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let late = match &self.following {
+            Following::Asked { askedAt, .. } => now >= *askedAt + self.times.answerWithin,
+            _ => false,
+        };
+        if late {
+            self.misses += 1;
+            self.stream = 0;
+            self.follow(Following::Nobody);
+            self.nextAsk = now;
+        }
+        let asking = matches!(self.following, Following::Asked { .. });
+        if !asking && now >= self.nextAsk {
+            self.ask(now);
+        }
+    }
+
+    fn ask(&mut self, now: Duration) {
+        let known = self.source().map(str::to_owned);
+        let known = known.filter(|source| self.postmasters.iter().any(|member| member.node == *source));
+        let next = || {
+            let at = self.misses.checked_rem(self.postmasters.len())?;
+            self.postmasters.get(at).map(|member| member.node.clone())
+        };
+        let fresh = known.is_none();
+        let Some(source) = known.or_else(next) else {
+            return self.follow(Following::Nobody);
+        };
+        if fresh {
+            self.stream = 0;
+        }
+        let nonce = self.dice.roll();
+        self.nextAsk = now + self.times.askEvery;
+        let ask = NewsAsk { nonce, stream: self.stream, number: self.number };
+        self.effects.push(Effect::Send { to: source.clone(), body: Body::NewsAsk(ask) });
+        self.follow(Following::Asked { source, nonce, askedAt: now });
+    }
+
+    fn news(&mut self, now: Duration, from: String, news: News) {
+        if self.source() != Some(from.as_str()) {
+            return;
+        }
+        let (stream, number, image) = (news.stream, news.number, news.number == 0);
+        if !image && (stream != self.stream || number != self.number + 1) {
+            self.want_image(now);
+            return;
+        }
+        let before = self.view.edition;
+        if let Err(text) = self.view.take(news, image) {
+            self.effects.push(Effect::Note(format!("news denied: {text}")));
+            return self.want_image(now);
+        }
+        (self.stream, self.number) = (stream, number);
+        let edition = self.view.edition;
+        if edition != before {
+            self.effects.push(Effect::Note(format!("edition {edition} is in force")));
+        }
+        let kept = NewsKept { stream, number, edition };
+        self.effects.push(Effect::Send { to: from, body: Body::NewsKept(kept) });
+        self.effects.push(Effect::Publish);
+    }
+
+    fn want_image(&mut self, now: Duration) {
+        self.stream = 0;
+        self.nextAsk = now + self.times.askEvery / 10;
+    }
+
+    fn fresh(&mut self, now: Duration, from: String, fresh: Fresh) {
+        let askedAt = match &self.following {
+            Following::Asked { source, nonce, askedAt } if *source == from && *nonce == fresh.nonce => *askedAt,
+            _ => return,
+        };
+        self.follow(Following::Content { source: from });
+        let whole = (fresh.stream, fresh.number) == (self.stream, self.number) && self.view.edition >= fresh.edition;
+        if !whole {
+            return self.want_image(now);
+        }
+        self.misses = 0;
+        let asOf = askedAt.checked_sub(Duration::from_millis(fresh.ageMs));
+        self.view.asOf = asOf.max(self.view.asOf);
+        self.effects.push(Effect::Publish);
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/lib.rs
@@ -0,0 +1,12 @@
+//! The data plane. [`Carrier`] is the pure core that follows the news; `shell` serves requests from the
+//! view it publishes.
+
+mod core;
+mod relay;
+mod serve;
+pub mod shell;
+mod traces;
+
+pub use core::{Carrier, Effect, Event, Start, Times};
+pub use serve::{judge, service_headers};
+pub use traces::Traces;
--- /dev/null
+++ b/crates/carrier/src/relay.rs
@@ -0,0 +1,53 @@
+//! Operators and upstreams may call any node: a carrier passes what is not its own on to a postmaster.
+
+use crate::shell::Node;
+use address::Code;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use std::time::Duration;
+use wicket::{Called, Enquiry};
+
+const RELAY_WITHIN: Duration = Duration::from_secs(9);
+
+impl Node {
+    /// Tries the postmasters in turn while surely none took it; otherwise the outcome is unknown.
+    pub(crate) async fn relay(&self, enquiry: Enquiry) -> Response<Full<Bytes>> {
+        let query: Vec<String> = enquiry.query.iter().map(|(name, value)| format!("{name}={}", coded(value))).collect();
+        let path = format!("{}?{}", enquiry.path, query.join("&"));
+        let postmasters = self.postmasters.load();
+        let (read, mut last) = (enquiry.method == "GET", None);
+        for address in postmasters.iter() {
+            let body = enquiry.body.clone();
+            let called =
+                self.caller.call(address, enquiry.method.as_str(), &path, &[], body, RELAY_WITHIN, false).await;
+            match called {
+                Ok(reply) => {
+                    let code = reply.header("x-code").parse().ok().and_then(Code::from_number).unwrap_or(Code::Garbage);
+                    let mut response = wicket::answer(code, "application/json", reply.body.clone());
+                    ["x-edition", "retry-after"].into_iter().for_each(|name| {
+                        let value = reply.headers.get(name).cloned();
+                        value.into_iter().for_each(|value| {
+                            response.headers_mut().insert(name, value);
+                        });
+                    });
+                    // A postmaster that is cut off, blank or closing surely did nothing: ask another.
+                    if code != Code::Stale {
+                        return response;
+                    }
+                    last = Some(response);
+                }
+                Err(Called::NotConnected) => {}
+                Err(_) if read => {}
+                Err(_) => return wicket::verdict(Code::SetupUnknown, None),
+            }
+        }
+        last.unwrap_or_else(|| wicket::verdict(Code::NoPostmaster, Some(Duration::from_secs(1))))
+    }
+}
+
+/// Writes a query value with percent signs where it needs them.
+fn coded(value: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    value.bytes().map(|byte| if plain(byte) { (byte as char).to_string() } else { format!("%{byte:02X}") }).collect()
+}
--- /dev/null
+++ b/crates/carrier/src/serve.rs
@@ -0,0 +1,211 @@
+//! One request through a proxy: enrol, resolve, choose, send, check, answer.
+
+use crate::shell::Node;
+use address::Code;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use sorting::{Journey, Move, Order, Outcome};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use wicket::{Called, Enquiry, Reply};
+
+/// No origin waits longer than this.
+const MOST_REMAINING_MS: u64 = 60_000;
+
+/// Headers that a verdict carries from the upstream to the origin.
+///
+/// ```
+/// assert!(carrier::service_headers().contains(&"x-seal"));
+/// ```
+pub fn service_headers() -> [&'static str; 6] {
+    ["content-type", "x-instance", "x-seal", "x-try-id", "x-code", "retry-after"]
+}
+
+/// What a reply is worth: only a whole verdict with the right try, instance and seal is one. A sealed 503
+/// says that the upstream did not and will not run it.
+///
+/// ```
+/// use sorting::Outcome;
+/// use wicket::{Called, Reply};
+/// let seal = parcel::seal("t", "a", 200, b"fine");
+/// let reply = |seal: &str, body: &'static str| {
+///     let mut headers = hyper::HeaderMap::new();
+///     headers.insert("x-try-id", "t".parse().unwrap());
+///     headers.insert("x-instance", "a".parse().unwrap());
+///     headers.insert("x-seal", seal.parse().unwrap());
+///     Ok(Reply { status: 200, headers, body: body.into() })
+/// };
+/// assert_eq!(carrier::judge(&reply(&seal, "fine"), "t", Some("a")), Outcome::Sealed);
+/// assert_eq!(carrier::judge(&reply(&seal, "fin"), "t", Some("a")), Outcome::Garbage);
+/// assert_eq!(carrier::judge(&reply(&seal, "fine"), "t", Some("b")), Outcome::Garbage);
+/// assert_eq!(carrier::judge(&reply(&seal, "fine"), "u", Some("a")), Outcome::Garbage);
+/// assert_eq!(carrier::judge(&Err(Called::Lost), "t", Some("a")), Outcome::Lost);
+/// ```
+pub fn judge(called: &Result<Reply, Called>, tryId: &str, instance: Option<&str>) -> Outcome {
+    match called {
+        Err(Called::NotConnected) => Outcome::NotConnected,
+        Err(Called::Lost) => Outcome::Lost,
+        Err(Called::TimedOut) => Outcome::TimedOut,
+        Err(Called::Garbage) => Outcome::Garbage,
+        Ok(reply) => {
+            let answered = reply.header("x-instance");
+            let whole = reply.header("x-try-id") == tryId
+                && instance.is_none_or(|instance| instance == answered)
+                && reply.header("x-seal") == parcel::seal(tryId, answered, reply.status, &reply.body);
+            match (whole, reply.status) {
+                (false, _) => Outcome::Garbage,
+                (true, 503) => Outcome::SealedNotRun,
+                (true, _) => Outcome::Sealed,
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Serves `/r/{name}{path}`.
+    pub(crate) async fn carry(&self, enquiry: Enquiry) -> Response<Full<Bytes>> {
+        let order = match self.enrol(&enquiry) {
+            Ok(order) => order,
+            Err(code) => {
+                self.count(code);
+                return self.stamp(wicket::verdict(code, retry(code)), enquiry.header("x-try-id"));
+            }
+        };
+        let tryId = order.tryId.clone();
+        let mut journey = Journey::new(order.clone(), self.site.clone());
+        let mut next = journey.start(self.clock.now(), &self.view.load(), &self.board);
+        let response = loop {
+            let (called, instance) = match next {
+                Move::Call { upstream, share, within } => {
+                    let epoch = share.map(|share| share.epoch.to_string());
+                    let called = self.send(&enquiry, &order, &upstream.address, &order.path, within, epoch).await;
+                    (called, Some(upstream.instance))
+                }
+                Move::Forward { proxies, within, .. } => (self.forward(&enquiry, &order, &proxies, within).await, None),
+                Move::Answer { code, retryAfter } => {
+                    self.count(code);
+                    break wicket::verdict(code, retryAfter);
+                }
+                // Only an outcome passes a verdict, and that is dealt with below.
+                Move::Pass => break wicket::verdict(Code::Lost, None),
+            };
+            if let (None, Ok(reply)) = (&instance, &called)
+                && self.is_final(reply, &tryId)
+            {
+                journey.after(self.clock.now(), &self.view.load(), &self.board, Outcome::Sealed);
+                self.counters.forwarded.fetch_add(1, Ordering::Relaxed);
+                break pass(reply);
+            }
+            let outcome = judge(&called, &tryId, instance.as_deref());
+            next = journey.after(self.clock.now(), &self.view.load(), &self.board, outcome);
+            if let (Move::Pass, Ok(reply)) = (&next, &called) {
+                self.count(Code::Fine);
+                break pass(reply);
+            }
+        };
+        self.traces.keep(tryId.clone(), journey.notes().to_vec());
+        self.stamp(response, &tryId)
+    }
+
+    /// A forwarded request's answer is final: sealed by an upstream, or denied by the other proxy.
+    fn is_final(&self, reply: &Reply, tryId: &str) -> bool {
+        let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
+        let denied = reply.header("x-seal").is_empty() && code.is_some_and(|code| code != Code::Fine);
+        let sealed = judge(&Ok(reply.clone()), tryId, None) != Outcome::Garbage;
+        reply.header("x-try-id") == tryId && (denied || sealed)
+    }
+
+    fn enrol(&self, enquiry: &Enquiry) -> Result<Order, Code> {
+        let (name, path) = enquiry
+            .path
+            .strip_prefix("/r/")
+            .and_then(|rest| rest.find('/').map(|at| rest.split_at(at)))
+            .ok_or(Code::NoSuchName)?;
+        let tryId = Some(enquiry.header("x-try-id")).filter(|tryId| address::is_id(tryId)).ok_or(Code::MissingTry)?;
+        let remaining = enquiry
+            .header("x-remaining-ms")
+            .parse::<u64>()
+            .ok()
+            .filter(|remaining| (1..=MOST_REMAINING_MS).contains(remaining))
+            .ok_or(Code::MissingRemaining)?;
+        if self.is_closing() {
+            return Err(Code::Closing);
+        }
+        Ok(Order {
+            tryId: tryId.to_owned(),
+            name: name.to_owned(),
+            path: path.to_owned(),
+            key: Some(enquiry.header("x-key")).filter(|key| !key.is_empty()).map(str::to_owned),
+            arrivedAt: self.clock.now(),
+            remaining: Duration::from_millis(remaining),
+            bodyBytes: enquiry.body.len() as u64,
+            forwarded: !enquiry.header("x-forwarded-hop").is_empty(),
+        })
+    }
+
+    async fn send(
+        &self,
+        enquiry: &Enquiry,
+        order: &Order,
+        address: &str,
+        path: &str,
+        within: Duration,
+        epoch: Option<String>,
+    ) -> Result<Reply, Called> {
+        let remaining = (within.as_millis() as u64).to_string();
+        let mut headers = vec![("x-try-id", order.tryId.as_str()), ("x-remaining-ms", remaining.as_str())];
+        headers.extend(order.key.as_deref().map(|key| ("x-key", key)));
+        headers.extend(epoch.as_deref().map(|epoch| ("x-share-epoch", epoch)));
+        if path != order.path {
+            headers.push(("x-forwarded-hop", "1"));
+        }
+        let method = enquiry.method.as_str();
+        // A connection that dies after a write can't be told from a lost verdict: each request has its own.
+        self.caller.call(address, method, path, &headers, enquiry.body.clone(), within, false).await
+    }
+
+    /// One hop to the locality that owns the name. The next proxy is tried only where none can have been reached.
+    async fn forward(
+        &self,
+        enquiry: &Enquiry,
+        order: &Order,
+        proxies: &[String],
+        within: Duration,
+    ) -> Result<Reply, Called> {
+        let mut last = Err(Called::NotConnected);
+        for proxy in proxies {
+            last = self.send(enquiry, order, proxy, &enquiry.path, within, None).await;
+            if !matches!(last, Err(Called::NotConnected)) {
+                break;
+            }
+        }
+        last
+    }
+
+    fn stamp(&self, mut response: Response<Full<Bytes>>, tryId: &str) -> Response<Full<Bytes>> {
+        let headers = response.headers_mut();
+        if let (true, Ok(value)) = (!tryId.is_empty(), tryId.parse()) {
+            headers.insert("x-try-id", value);
+        }
+        response
+    }
+}
+
+fn retry(code: Code) -> Option<Duration> {
+    Some(Duration::from_secs(1)).filter(|_| code == Code::Closing)
+}
+
+fn pass(reply: &Reply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(reply.body.clone()));
+    *response.status_mut() = hyper::StatusCode::from_u16(reply.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    headers.insert("x-code", Code::Fine.number().into());
+    service_headers().into_iter().for_each(|name| {
+        let value = reply.headers.get(name).cloned();
+        value.into_iter().for_each(|value| {
+            headers.insert(name, value);
+        });
+    });
+    response
+}
--- /dev/null
+++ b/crates/carrier/src/shell.rs
@@ -0,0 +1,293 @@
+//! The thin shell of a carrier: sockets and timers, and the published view that requests read.
+
+use crate::core::{Carrier, Effect, Event, Start, Times};
+use crate::traces::Traces;
+use address::{Code, Locality};
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use dashmap::DashMap;
+use gazetteer::View;
+use http_body_util::Full;
+use hyper::Response;
+use parcel::{Member, Message, Parcel};
+use sorting::{Board, Site};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tariff::{Setting, Settings, Shape, Sheet};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use wicket::{Caller, Clock, Enquiry, Links, Program};
+
+const TICK: Duration = Duration::from_millis(20);
+const MOST_ARRIVALS: usize = 1024;
+/// A closing process ends by then, whatever is still under way.
+const CLOSE_BY: Duration = Duration::from_millis(5500);
+
+/// Settings of a carrier, beside the time values.
+pub const SETTINGS: &[Setting] = &[
+    setting("node", Shape::Id, None, "this process's id, unlike all others"),
+    setting("locality", Shape::Locality, None, "where it stands"),
+    setting("http", Shape::Address, None, "where origins, upstreams and operators call (HTTP)"),
+    setting("link", Shape::Address, None, "where other processes connect (TCP) and probe (UDP)"),
+    setting("seeds", Shape::Addresses, Some(""), "link addresses of other processes"),
+    setting("serve", Shape::SomeOf(&["proxy", "directory"]), Some("proxy,directory"), "its roles"),
+];
+
+const fn setting(name: &'static str, shape: Shape, fallback: Option<&'static str>, help: &'static str) -> Setting {
+    Setting { name, shape, fallback, help }
+}
+
+/// What the carrier says of itself.
+pub const PROGRAM: Program = Program {
+    name: "carrier",
+    about: "The data plane of mothspindle: answers where names live and carries requests.",
+    tables: &[SETTINGS, tariff::TIMES],
+    check: |_| Vec::new(),
+};
+
+/// The time values in the settings.
+///
+/// ```
+/// let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap();
+/// assert_eq!(carrier::shell::times(&settings).askEvery.as_millis(), 500);
+/// ```
+pub fn times(settings: &Settings) -> Times {
+    let askEvery = settings.span("confirm-every-ms");
+    let rounds =
+        rounds::Times { probeEvery: settings.span("probe-every-ms"), suspectFor: settings.span("suspect-for-ms") };
+    Times { rounds, askEvery, answerWithin: askEvery.max(Duration::from_millis(200)) }
+}
+
+#[derive(Default)]
+pub(crate) struct Counters {
+    pub forwarded: AtomicU64,
+    listings: AtomicU64,
+    codes: DashMap<u32, u64>,
+}
+
+/// What requests share.
+pub(crate) struct Node {
+    pub site: Site,
+    pub clock: Clock,
+    pub view: ArcSwap<View>,
+    pub postmasters: ArcSwap<Vec<String>>,
+    pub board: Board,
+    pub caller: Caller,
+    pub traces: Traces,
+    pub counters: Counters,
+    roles: String,
+    lifetime: Duration,
+    closing: AtomicBool,
+    denying: AtomicBool,
+}
+
+/// Runs a carrier until it is told to close. An error is why it could not start.
+///
+/// ```no_run
+/// # async fn run(settings: tariff::Settings) {
+/// carrier::shell::run(settings).await.unwrap();
+/// # }
+/// ```
+pub async fn run(settings: Settings) -> Result<(), String> {
+    let clock = Clock::default();
+    let bind = |name: &str| settings.get(name).to_owned();
+    let failed = |what: &str, failure: std::io::Error| format!("{what}: {failure}");
+    let http = TcpListener::bind(bind("http")).await.map_err(|e| failed("http", e))?;
+    let link = TcpListener::bind(bind("link")).await.map_err(|e| failed("link", e))?;
+    let probe = UdpSocket::bind(bind("link")).await.map_err(|e| failed("link (UDP)", e))?;
+    let locality: Locality = settings.get("locality").parse()?;
+    let me = Member {
+        node: settings.get("node").into(),
+        locality: locality.to_string(),
+        roles: settings.get("serve").into(),
+        probeAddress: settings.get("link").into(),
+        linkAddress: settings.get("link").into(),
+        httpAddress: settings.get("http").into(),
+        ..Member::default()
+    };
+    log::info!("start: carrier {} in {locality}, serving {}", me.node, me.roles);
+    let lifetime = settings.span("address-lifetime-ms");
+    let node = Arc::new(Node {
+        site: Site { node: me.node.clone(), locality, staleAfter: settings.span("stale-after-ms") },
+        clock,
+        view: ArcSwap::default(),
+        postmasters: ArcSwap::default(),
+        board: Board::default(),
+        caller: Caller::default(),
+        traces: Traces::default(),
+        counters: Counters::default(),
+        roles: me.roles.clone(),
+        lifetime,
+        closing: AtomicBool::new(false),
+        denying: AtomicBool::new(false),
+    });
+    let (arrivals, mut arrived) = mpsc::channel(MOST_ARRIVALS);
+    let links = Links::open(me.node.clone(), Some(link), arrivals);
+    let mut carrier =
+        Carrier::new(Start { me, seeds: settings.list("seeds"), seed: wicket::chance(), times: times(&settings) });
+    let (close, closing) = watch::channel(false);
+    let handler = node.clone();
+    let server = tokio::spawn(wicket::serve(http, closing, move |enquiry| serve(handler.clone(), enquiry)));
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = std::pin::pin!(wicket::stop_signal());
+    let mut datagram = vec![0u8; 65_536];
+    let mut nextSweep = Duration::ZERO;
+    let mut closeAt: Option<Duration> = None;
+    loop {
+        let event = tokio::select! {
+            _ = tick.tick() => Event::Tick,
+            Some((from, body)) = arrived.recv() => Event::Parcel { from, body },
+            Ok((count, address)) = probe.recv_from(&mut datagram) => {
+                match Parcel::decode(&datagram[..count]).ok().and_then(|parcel| parcel.body) {
+                    Some(body) => Event::Datagram { address: address.to_string(), body },
+                    None => continue,
+                }
+            }
+            _ = &mut stop, if closeAt.is_none() => {
+                log::info!("close: not ready any more, serving on while addresses live");
+                node.closing.store(true, Ordering::Release);
+                closeAt = Some(clock.now() + lifetime);
+                Event::Close
+            }
+        };
+        let now = clock.now();
+        let effects = carrier.step(now, event);
+        effects.into_iter().for_each(|effect| match effect {
+            Effect::Send { to, body } => links.send(&to, body),
+            Effect::Datagram { address, body } => wicket::send_datagram(&probe, &address, body),
+            Effect::Addresses(book) => {
+                links.learn(book);
+                node.postmasters.store(Arc::new(carrier.postmasters()));
+            }
+            Effect::Publish => node.view.store(Arc::new(carrier.view().clone())),
+            Effect::Note(text) => log::info!("news: {text}"),
+        });
+        if now >= nextSweep {
+            nextSweep = now + Duration::from_secs(1);
+            let view = node.view.load();
+            node.board.sweep(now, |instance| view.upstreams.values().any(|known| known.contains_key(instance)));
+        }
+        if closeAt.is_some_and(|closeAt| now >= closeAt) {
+            break;
+        }
+    }
+    log::info!("close: enrolling no more, finishing what is under way");
+    node.denying.store(true, Ordering::Release);
+    let _ = close.send(true);
+    let _ = tokio::time::timeout(CLOSE_BY.saturating_sub(lifetime), server).await;
+    Ok(())
+}
+
+impl Node {
+    pub(crate) fn is_closing(&self) -> bool {
+        self.denying.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn count(&self, code: Code) {
+        *self.counters.codes.entry(code.number()).or_insert(0) += 1;
+    }
+
+    fn ready(&self) -> Code {
+        let fresh = self.view.load().is_fresh(self.clock.now(), self.site.staleAfter);
+        match (self.closing.load(Ordering::Acquire), fresh) {
+            (true, _) => Code::Closing,
+            (false, false) => Code::Stale,
+            (false, true) => Code::Fine,
+        }
+    }
+
+    fn list(&self, enquiry: &Enquiry) -> Response<Full<Bytes>> {
+        self.counters.listings.fetch_add(1, Ordering::Relaxed);
+        let origin = format!("{}/{}", enquiry.query("region"), enquiry.query("zone")).parse::<Locality>();
+        let view = self.view.load();
+        let soon = Some(Duration::from_secs(1));
+        let Ok(origin) = origin else { return wicket::verdict(Code::Malformed, None) };
+        if !view.is_fresh(self.clock.now(), self.site.staleAfter) {
+            return wicket::verdict(Code::Stale, soon);
+        }
+        match gazetteer::list(&view, enquiry.query("name"), &origin, self.lifetime) {
+            Err(code) => wicket::verdict(code, soon.filter(|_| code.status() == 503)),
+            Ok(listing) => {
+                let proxies = listing.proxies.iter().map(|address| Sheet::from(address.as_str())).collect();
+                let sheet = Sheet::fields([
+                    ("code", u64::from(Code::Fine.number()).into()),
+                    ("name", listing.name.into()),
+                    ("locality", listing.locality.into()),
+                    ("epoch", listing.epoch.into()),
+                    ("proxies", proxies),
+                    ("lifetimeMs", (listing.lifetime.as_millis() as u64).into()),
+                ]);
+                wicket::json(Code::Fine, &sheet)
+            }
+        }
+    }
+
+    fn show_counters(&self) -> Response<Full<Bytes>> {
+        let count = |counter: &AtomicU64| Sheet::from(counter.load(Ordering::Relaxed));
+        let mut codes: Vec<(String, Sheet)> =
+            self.counters.codes.iter().map(|entry| (entry.key().to_string(), (*entry.value()).into())).collect();
+        codes.sort_by(|a, b| a.0.cmp(&b.0));
+        let sheet = Sheet::fields([
+            ("listings", count(&self.counters.listings)),
+            ("forwarded", count(&self.counters.forwarded)),
+            ("codes", Sheet::Fields(codes)),
+        ]);
+        wicket::json(Code::Fine, &sheet)
+    }
+
+    fn show_node(&self) -> Response<Full<Bytes>> {
+        let view = self.view.load();
+        let now = self.clock.now();
+        let ageMs = view.asOf.map(|asOf| (now.saturating_sub(asOf).as_millis() as u64).into());
+        let proxies = view.proxies.iter().map(|proxy| Sheet::from(proxy.node.as_str()));
+        let sheet = Sheet::fields([
+            ("node", self.site.node.as_str().into()),
+            ("locality", self.site.locality.to_string().into()),
+            ("roles", self.roles.as_str().into()),
+            ("edition", view.edition.into()),
+            ("ageMs", ageMs.unwrap_or(Sheet::Null)),
+            ("ready", (self.ready() == Code::Fine).into()),
+            ("proxies", proxies.collect()),
+        ]);
+        wicket::json(Code::Fine, &sheet)
+    }
+
+    fn show_trace(&self, tryId: &str) -> Response<Full<Bytes>> {
+        let notes = self.traces.find(tryId);
+        notes.map_or_else(
+            || wicket::verdict(Code::NoSuchTrace, None),
+            |notes| {
+                let sheet = Sheet::fields([
+                    ("code", u64::from(Code::Fine.number()).into()),
+                    ("node", self.site.node.as_str().into()),
+                    ("tryId", tryId.into()),
+                    ("notes", notes.into_iter().map(Sheet::from).collect()),
+                ]);
+                wicket::json(Code::Fine, &sheet)
+            },
+        )
+    }
+}
+
+async fn serve(node: Arc<Node>, enquiry: Enquiry) -> Response<Full<Bytes>> {
+    let retry = Some(Duration::from_secs(1));
+    let serves = |role: &str| node.roles.contains(role);
+    match (enquiry.method.as_str(), enquiry.path.as_str()) {
+        (_, path) if path.starts_with("/r/") && serves("proxy") => node.carry(enquiry).await,
+        ("GET", "/directory") if serves("directory") => node.list(&enquiry),
+        ("GET", "/live") => wicket::verdict(Code::Fine, None),
+        ("GET", "/ready") => {
+            let code = node.ready();
+            wicket::verdict(code, retry.filter(|_| code != Code::Fine))
+        }
+        ("GET", "/counters") => node.show_counters(),
+        ("GET", "/node") => node.show_node(),
+        ("GET", "/trace") => node.show_trace(enquiry.query("try")),
+        ("GET", "/setup" | "/status" | "/upstreams" | "/reservations" | "/marks")
+        | ("PUT", "/setup")
+        | ("POST", "/evacuations" | "/beats") => node.relay(enquiry).await,
+        _ => wicket::verdict(Code::NoSuchPage, None),
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/traces.rs
@@ -0,0 +1,45 @@
+//! Why requests went where they went: a bounded memory of the latest.
+
+use dashmap::DashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const MOST_TRACES: u64 = 4096;
+
+/// The latest requests' notes, by try id.
+#[derive(Default)]
+pub struct Traces {
+    notes: DashMap<String, (u64, Vec<String>)>,
+    /// Which try took which place; a newer one takes the oldest's.
+    places: DashMap<u64, String>,
+    next: AtomicU64,
+}
+
+impl Traces {
+    /// Keeps a request's notes, and forgets the oldest beyond the bound.
+    ///
+    /// ```
+    /// let traces = carrier::Traces::default();
+    /// (0..5000).for_each(|at| traces.keep(format!("t{at}"), vec![]));
+    /// assert!(traces.find("t0").is_none());
+    /// assert!(traces.find("t4999").is_some());
+    /// ```
+    pub fn keep(&self, tryId: String, notes: Vec<String>) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let oldest = self.places.insert(number % MOST_TRACES, tryId.clone());
+        oldest.into_iter().for_each(|oldest| {
+            self.notes.remove_if(&oldest, |_, (kept, _)| *kept + MOST_TRACES <= number);
+        });
+        self.notes.insert(tryId, (number, notes));
+    }
+
+    /// The notes of a try.
+    ///
+    /// ```
+    /// let traces = carrier::Traces::default();
+    /// traces.keep("t".into(), vec!["sent".into()]);
+    /// assert_eq!(traces.find("t").unwrap(), ["sent"]);
+    /// ```
+    pub fn find(&self, tryId: &str) -> Option<Vec<String>> {
+        self.notes.get(tryId).map(|kept| kept.1.clone())
+    }
+}
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,316 @@
+//! Claims: a duty that one node does at a time, under a majority's grant.
+//!
+//! The holder counts from the moment it asked and stops a margin before the end; a voter counts from the
+//! moment it granted. So the holder always stops first, whatever the network or a freeze does. A restarted
+//! voter grants nothing for one whole span, since it has forgotten whom it granted.
+
+use address::{Dice, majority};
+use parcel::{Body, ClaimAsk, ClaimDrop, ClaimGrant};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The claim's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub span: Duration,
+    /// How long before the end the holder stops.
+    pub margin: Duration,
+}
+
+/// What happens to a claim.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    Parcel {
+        from: String,
+        body: Body,
+    },
+    /// The voters, and the highest epoch safe on this disk.
+    Roster {
+        roster: Vec<String>,
+        epoch: u64,
+    },
+    /// The epoch asked for with this token is synced.
+    EpochKept {
+        token: u64,
+    },
+    /// This node is closing: let go.
+    Close,
+}
+
+/// What a claim wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        to: String,
+        body: Body,
+    },
+    /// Sync this epoch, then tell `EpochKept`.
+    RaiseEpoch {
+        epoch: u64,
+        token: u64,
+    },
+}
+
+struct Granted {
+    epoch: u64,
+    holder: String,
+    until: Duration,
+}
+
+/// Where the candidate stands.
+#[derive(Debug, PartialEq)]
+enum Stand {
+    Resting,
+    Asking { epoch: u64, nonce: u64, askedAt: Duration, grants: BTreeSet<String> },
+    Holding { epoch: u64, until: Duration },
+    Renewing { epoch: u64, until: Duration, nonce: u64, askedAt: Duration, grants: BTreeSet<String> },
+    Closed,
+}
+
+/// One voter's and candidate's state for one duty.
+pub struct Claims {
+    me: String,
+    roster: Vec<String>,
+    times: Times,
+    dice: Dice,
+    granted: Option<Granted>,
+    /// Grants that wait for their epoch's sync.
+    pending: BTreeMap<u64, (String, ClaimAsk)>,
+    /// The highest epoch heard of: a new claim asks for one more.
+    seenEpoch: u64,
+    /// The highest epoch granted by this voter: it grants no epoch twice.
+    grantedEpoch: u64,
+    stand: Stand,
+    nextAsk: Duration,
+    effects: Vec<Effect>,
+}
+
+impl Claims {
+    /// A node that holds nothing and has granted nothing it remembers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let times = claims::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// assert_eq!(claims::Claims::new("a".into(), times, 1).holds(Duration::ZERO), None);
+    /// ```
+    pub fn new(me: String, times: Times, seed: u64) -> Self {
+        Claims {
+            me,
+            roster: Vec::new(),
+            times,
+            dice: Dice::new(seed),
+            granted: None,
+            pending: BTreeMap::new(),
+            seenEpoch: 0,
+            grantedEpoch: 0,
+            stand: Stand::Resting,
+            nextAsk: Duration::ZERO,
+            effects: Vec::new(),
+        }
+    }
+
+    /// The epoch under which this node holds the duty at this moment.
+    ///
+    /// ```
+    /// use claims::{Claims, Effect, Event, Times};
+    /// use std::time::Duration;
+    /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// let mut alone = Claims::new("a".into(), times, 1);
+    /// alone.step(Duration::ZERO, Event::Roster { roster: vec!["a".into()], epoch: 4 });
+    /// let now = Duration::from_secs(4);
+    /// let effects = alone.step(now, Event::Tick);
+    /// let [Effect::RaiseEpoch { epoch: 5, token }] = effects[..] else { panic!("{effects:?}") };
+    /// alone.step(now, Event::EpochKept { token });
+    /// assert_eq!(alone.holds(now), Some(5));
+    /// assert_eq!(alone.holds(now + Duration::from_millis(2500)), None);
+    /// ```
+    pub fn holds(&self, now: Duration) -> Option<u64> {
+        match &self.stand {
+            Stand::Holding { epoch, until } | Stand::Renewing { epoch, until, .. } if now < *until => Some(*epoch),
+            _ => None,
+        }
+    }
+
+    /// The one reducer: takes an event in, gives effects out.
+    ///
+    /// ```
+    /// use claims::{Claims, Event, Times};
+    /// use std::time::Duration;
+    /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// let mut claims = Claims::new("a".into(), times, 1);
+    /// assert!(claims.step(Duration::ZERO, Event::Tick).is_empty());
+    /// ```
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Roster { roster, epoch } => {
+                self.roster = roster;
+                self.seenEpoch = self.seenEpoch.max(epoch);
+                self.grantedEpoch = self.grantedEpoch.max(epoch);
+            }
+            Event::Parcel { from, body } => self.take(now, &from, body),
+            Event::EpochKept { token } => {
+                let ask = self.pending.remove(&token);
+                ask.into_iter().for_each(|(from, ask)| self.grant(now, &from, &ask));
+            }
+            Event::Close => {
+                self.drop_claim();
+                self.turn(Stand::Closed);
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The one place where the candidate's state changes.
+    fn turn(&mut self, stand: Stand) {
+        self.stand = stand;
+    }
+
+    fn tick(&mut self, now: Duration) {
+        if self.roster.is_empty() {
+            return;
+        }
+        let phase = self.times.span / 6;
+        match &self.stand {
+            Stand::Resting if now >= self.nextAsk && now >= self.times.span => self.ask(now),
+            Stand::Asking { askedAt, .. } if now >= *askedAt + phase => self.give_up(now, Duration::ZERO),
+            Stand::Holding { until, .. } | Stand::Renewing { until, .. } if now >= *until => {
+                self.give_up(now, Duration::ZERO)
+            }
+            Stand::Holding { .. } if now >= self.nextAsk => self.renew(now),
+            Stand::Renewing { askedAt, .. } if now >= *askedAt + phase => self.renew(now),
+            _ => {}
+        }
+    }
+
+    fn ask(&mut self, now: Duration) {
+        self.seenEpoch += 1;
+        let (epoch, nonce) = (self.seenEpoch, self.dice.roll());
+        self.turn(Stand::Asking { epoch, nonce, askedAt: now, grants: BTreeSet::new() });
+        self.ask_all(now, ClaimAsk { epoch, nonce });
+    }
+
+    fn renew(&mut self, now: Duration) {
+        let held = match &self.stand {
+            Stand::Holding { epoch, until } | Stand::Renewing { epoch, until, .. } => Some((*epoch, *until)),
+            _ => None,
+        };
+        held.into_iter().for_each(|(epoch, until)| {
+            let nonce = self.dice.roll();
+            self.turn(Stand::Renewing { epoch, until, nonce, askedAt: now, grants: BTreeSet::new() });
+            self.ask_all(now, ClaimAsk { epoch, nonce });
+        });
+    }
+
+    fn ask_all(&mut self, now: Duration, ask: ClaimAsk) {
+        let (me, roster) = (self.me.clone(), self.roster.clone());
+        roster.iter().filter(|voter| **voter != me).for_each(|voter| {
+            self.effects.push(Effect::Send { to: voter.clone(), body: Body::ClaimAsk(ask.clone()) });
+        });
+        if roster.contains(&me) {
+            self.asked(now, &me, ask);
+        }
+    }
+
+    fn give_up(&mut self, now: Duration, wait: Duration) {
+        self.drop_claim();
+        self.nextAsk = now + wait + Duration::from_millis(100 + self.dice.below(700));
+        self.turn(Stand::Resting);
+    }
+
+    fn drop_claim(&mut self) {
+        let epoch = match &self.stand {
+            Stand::Asking { epoch, .. } | Stand::Holding { epoch, .. } | Stand::Renewing { epoch, .. } => Some(*epoch),
+            _ => None,
+        };
+        epoch.into_iter().for_each(|epoch| {
+            let me = self.me.clone();
+            self.dropped(&me, epoch);
+            let drop = Body::ClaimDrop(ClaimDrop { epoch });
+            let others = self.roster.iter().filter(|voter| **voter != me);
+            self.effects.extend(others.map(|voter| Effect::Send { to: voter.clone(), body: drop.clone() }));
+        });
+    }
+
+    fn take(&mut self, now: Duration, from: &str, body: Body) {
+        match body {
+            Body::ClaimAsk(ask) => self.asked(now, from, ask),
+            Body::ClaimGrant(grant) => self.answered(now, from, grant),
+            Body::ClaimDrop(drop) => self.dropped(from, drop.epoch),
+            _ => {}
+        }
+    }
+
+    fn dropped(&mut self, from: &str, epoch: u64) {
+        self.granted.take_if(|granted| granted.holder == from && granted.epoch <= epoch);
+        self.pending.retain(|_, (holder, ask)| holder != from || ask.epoch > epoch);
+    }
+
+    /// The voter's side.
+    fn asked(&mut self, now: Duration, from: &str, ask: ClaimAsk) {
+        let busy = self.granted.as_ref().filter(|granted| now < granted.until);
+        let renewal = busy.is_some_and(|granted| granted.holder == from && granted.epoch == ask.epoch);
+        let wait = match busy {
+            _ if now < self.times.span => Some(self.times.span - now),
+            Some(granted) if granted.holder != from => Some(granted.until - now),
+            _ => None,
+        };
+        let stale = ask.epoch <= self.grantedEpoch;
+        let known = self.seenEpoch;
+        if wait.is_none() && renewal {
+            self.grant(now, from, &ask);
+        } else if wait.is_none() && !stale && self.pending.is_empty() {
+            let token = self.dice.roll();
+            self.seenEpoch = self.seenEpoch.max(ask.epoch);
+            self.grantedEpoch = ask.epoch;
+            self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
+            self.pending.insert(token, (from.to_owned(), ask));
+        } else {
+            let waitMs = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
+            let ClaimAsk { epoch, nonce } = ask;
+            let deny = ClaimGrant { epoch, nonce, granted: false, highestEpoch: known, waitMs };
+            self.answer(now, from, deny);
+        }
+    }
+
+    fn grant(&mut self, now: Duration, from: &str, ask: &ClaimAsk) {
+        let until = now + self.times.span;
+        self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until });
+        let ClaimAsk { epoch, nonce } = *ask;
+        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highestEpoch: epoch, waitMs: 0 });
+    }
+
+    fn answer(&mut self, now: Duration, to: &str, grant: ClaimGrant) {
+        if to == self.me {
+            self.answered(now, to, grant);
+        } else {
+            self.effects.push(Effect::Send { to: to.to_owned(), body: Body::ClaimGrant(grant) });
+        }
+    }
+
+    /// The candidate's side.
+    fn answered(&mut self, now: Duration, from: &str, grant: ClaimGrant) {
+        self.seenEpoch = self.seenEpoch.max(grant.highestEpoch);
+        let voters = majority(self.roster.len());
+        let (nonce, askedAt, epoch, grants) = match &mut self.stand {
+            Stand::Asking { nonce, askedAt, epoch, grants } | Stand::Renewing { nonce, askedAt, epoch, grants, .. } => {
+                (*nonce, *askedAt, *epoch, grants)
+            }
+            _ => return,
+        };
+        if nonce != grant.nonce {
+            return;
+        }
+        if grant.granted && self.roster.iter().any(|voter| voter == from) {
+            grants.insert(from.to_owned());
+            if grants.len() >= voters {
+                self.nextAsk = askedAt + self.times.span / 3;
+                self.turn(Stand::Holding { epoch, until: askedAt + self.times.span - self.times.margin });
+            }
+        } else if matches!(self.stand, Stand::Asking { .. }) {
+            let wait = Duration::from_millis(grant.waitMs.min(self.times.span.as_millis() as u64));
+            self.give_up(now, wait);
+        }
+    }
+}
--- /dev/null
+++ b/crates/clerk/src/main.rs
@@ -0,0 +1,175 @@
+//! The operator's tool: drives any node.
+
+use address::Code;
+use std::time::Duration;
+use tariff::{Setup, Sheet};
+use wicket::{Called, Caller, Reply, exit};
+
+/// Nobody can tell whether it was done: ask again with the same id.
+const UNKNOWN: i32 = 4;
+/// No node could be reached.
+const UNREACHED: i32 = 3;
+const WITHIN: Duration = Duration::from_secs(10);
+
+const HELP: &str = "clerk drives any mothspindle node.
+
+usage: clerk --node IP:PORT VERB [ARGUMENTS]
+
+  submit FILE [--id ID] [--base EDITION] [--wait]   put a setup in force; --wait until it is everywhere
+  read                                              print the setup in force (its edition goes to stderr)
+  evacuate LOCALITY [--id ID] [--wait]              take all work away from a locality (region/zone)
+  take-back LOCALITY [--id ID] [--wait]             let work go there again
+  status | node | upstreams | reservations | marks | counters | ready
+  lookup NAME LOCALITY                              ask a directory node as an origin there would
+  trace TRY                                         why a request went where it went (ask the proxy it went to)
+  check FILE                                        check a setup here, without a node
+
+  --node may be given several times: the next is tried where one can't be reached.
+  --help, --version
+
+exit codes: 0 fine, 1 denied, 2 flags denied, 3 no node reached, 4 unknown outcome (ask again with the same id)";
+
+#[derive(Default)]
+struct Flags {
+    nodes: Vec<String>,
+    words: Vec<String>,
+    id: Option<String>,
+    base: Option<String>,
+    wait: bool,
+}
+
+struct Call {
+    method: &'static str,
+    path: String,
+    body: Vec<u8>,
+}
+
+fn get(path: impl Into<String>) -> Call {
+    Call { method: "GET", path: path.into(), body: Vec::new() }
+}
+
+#[tokio::main]
+async fn main() {
+    let code = match read_flags().and_then(|flags| read_call(&flags).map(|call| (flags, call))) {
+        Ok((flags, call)) => drive(&flags, call).await,
+        Err((code, text)) => {
+            let quiet = code == exit::FINE;
+            if quiet {
+                println!("{text}")
+            } else {
+                eprintln!("clerk: {text}")
+            }
+            code
+        }
+    };
+    std::process::exit(code);
+}
+
+fn read_flags() -> Result<Flags, (i32, String)> {
+    let wrong = |text: String| (exit::USAGE, format!("{text}; see --help"));
+    let mut flags = Flags::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next().map_err(|failure| wrong(failure.to_string()))? {
+        use lexopt::Arg::{Long, Short, Value};
+        let value = |parser: &mut lexopt::Parser| {
+            parser
+                .value()
+                .map(|value| value.to_string_lossy().into_owned())
+                .map_err(|failure| wrong(failure.to_string()))
+        };
+        match arg {
+            Long("help") | Short('h') => return Err((exit::FINE, HELP.to_owned())),
+            Long("version") | Short('V') => {
+                return Err((exit::FINE, format!("clerk {}", env!("CARGO_PKG_VERSION"))));
+            }
+            Long("node") => {
+                let node = value(&mut parser)?;
+                node.parse::<std::net::SocketAddr>().map_err(|_| wrong(format!("--node '{node}': must be IP:port")))?;
+                flags.nodes.push(node);
+            }
+            Long("id") => flags.id = Some(value(&mut parser)?),
+            Long("base") => flags.base = Some(value(&mut parser)?),
+            Long("wait") => flags.wait = true,
+            Value(word) => flags.words.push(word.to_string_lossy().into_owned()),
+            other => return Err(wrong(other.unexpected().to_string())),
+        }
+    }
+    Ok(flags)
+}
+
+fn read_call(flags: &Flags) -> Result<Call, (i32, String)> {
+    let words: Vec<&str> = flags.words.iter().map(String::as_str).collect();
+    let id = flags.id.clone().unwrap_or_else(|| format!("clerk-{:016x}", wicket::chance()));
+    let wait = if flags.wait { "&wait=force" } else { "" };
+    let read = |file: &str| std::fs::read(file).map_err(|failure| (exit::USAGE, format!("{file}: {failure}")));
+    let evacuate = |place: &str, back: &str| Call {
+        method: "POST",
+        path: format!("/evacuations?id={id}&locality={place}{back}{wait}"),
+        body: Vec::new(),
+    };
+    let call = match words.as_slice() {
+        ["check", file] => {
+            let complaints = Setup::read(&read(file)?).err().unwrap_or_default();
+            let fine = complaints.is_empty();
+            let text = complaints.iter().map(|complaint| complaint.to_string()).collect::<Vec<_>>().join("\n");
+            return Err(if fine { (exit::FINE, "the setup is fine".into()) } else { (exit::FAILED, text) });
+        }
+        ["submit", file] => {
+            let base = flags.base.as_ref().map(|base| format!("&base={base}")).unwrap_or_default();
+            eprintln!("submission {id}");
+            Call { method: "PUT", path: format!("/setup?id={id}{base}{wait}"), body: read(file)? }
+        }
+        ["read"] => get("/setup"),
+        ["evacuate", place] => evacuate(place, ""),
+        ["take-back", place] => evacuate(place, "&back=true"),
+        [page @ ("status" | "node" | "upstreams" | "reservations" | "marks" | "counters" | "ready")] => {
+            get(format!("/{page}"))
+        }
+        ["lookup", name, place] => {
+            let (region, zone) = place.split_once('/').unwrap_or((place, ""));
+            get(format!("/directory?name={name}&region={region}&zone={zone}"))
+        }
+        ["trace", tryId] => get(format!("/trace?try={tryId}")),
+        [] => return Err((exit::USAGE, HELP.to_owned())),
+        _ => return Err((exit::USAGE, format!("'{}' is no verb of mine; see --help", words.join(" ")))),
+    };
+    if flags.nodes.is_empty() {
+        return Err((exit::USAGE, "--node is missing; see --help".into()));
+    }
+    Ok(call)
+}
+
+async fn drive(flags: &Flags, call: Call) -> i32 {
+    let caller = Caller::default();
+    for node in &flags.nodes {
+        let body = call.body.clone().into();
+        match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
+            Ok(reply) => return show(&reply),
+            Err(Called::NotConnected) => eprintln!("clerk: {node} can't be reached"),
+            Err(failure) => {
+                eprintln!("clerk: {node}: {failure:?}; the outcome is unknown, ask again with the same id");
+                return UNKNOWN;
+            }
+        }
+    }
+    UNREACHED
+}
+
+fn show(reply: &Reply) -> i32 {
+    let text = String::from_utf8_lossy(&reply.body);
+    let edition = reply.header("x-edition");
+    if !edition.is_empty() {
+        eprintln!("edition {edition}");
+    }
+    println!("{text}");
+    let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
+    Sheet::read(&text).ok().iter().flat_map(|sheet| sheet.list("complaints").to_vec()).for_each(|complaint| {
+        let told = complaint.text("path").zip(complaint.text("text"));
+        told.into_iter().for_each(|(path, text)| eprintln!("clerk: {path}: {text}"));
+    });
+    match code {
+        Some(Code::Fine) => exit::FINE,
+        Some(Code::SetupUnknown) => UNKNOWN,
+        _ => exit::FAILED,
+    }
+}
--- /dev/null
+++ b/crates/drill/src/breaches.rs
@@ -0,0 +1,121 @@
+//! Each checker must catch a deliberate breach, and pass its lawful twin.
+
+use crate::facts::{Fact, Seen};
+use crate::rules::{CHECKERS, Terms, judge};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn at(ms: u64, fact: Fact) -> Seen {
+    (Duration::from_millis(ms), fact)
+}
+
+fn arrived(tryId: &str, locality: &str, cold: bool) -> Fact {
+    Fact::Arrived {
+        tryId: tryId.into(),
+        service: "booking".into(),
+        instance: "unit-1".into(),
+        locality: locality.into(),
+        cold,
+    }
+}
+
+fn ran(work: &str, tryId: &str) -> Fact {
+    Fact::Ran { work: work.into(), tryId: tryId.into(), once: true }
+}
+
+fn answered(success: bool, whole: bool, notRun: bool) -> Fact {
+    Fact::Answered { tryId: "t1".into(), code: 1000, success, whole, notRun }
+}
+
+fn holds(instance: &str, untilMs: u64) -> Fact {
+    let until = Duration::from_millis(untilMs);
+    Fact::Holds { service: "payment".into(), slot: 3, instance: instance.into(), until }
+}
+
+fn read_back(edition: u64, digest: &str) -> Fact {
+    Fact::ReadBack { node: "pm-1".into(), edition, digest: digest.into() }
+}
+
+fn in_force(edition: u64) -> Fact {
+    Fact::InForce { node: "c-1".into(), edition }
+}
+
+fn evacuated(back: bool) -> Fact {
+    Fact::Evacuated { locality: "north/n1".into(), back }
+}
+
+fn terms() -> Terms {
+    let homes = BTreeSet::from(["north".to_owned()]);
+    Terms { homes: [("booking".to_owned(), homes)].into_iter().collect(), warmUpPerSecond: 1 }
+}
+
+/// For each rule: what breaks it, and what just doesn't.
+fn cases() -> Vec<(u32, Vec<Seen>, Vec<Seen>)> {
+    let leaving = || at(0, Fact::Leaving { instance: "unit-1".into() });
+    let submitted = || at(0, Fact::Submitted { edition: 2, digest: "d".into() });
+    let resent = |count: u64| (0..count).map(|ms| at(ms, arrived("t1", "north/n1", false))).collect::<Vec<_>>();
+    let cold =
+        |count: u64| (0..count).map(|ms| at(ms, arrived(&format!("t{ms}"), "north/n1", true))).collect::<Vec<_>>();
+    let accepted = || at(0, Fact::Accepted { edition: 2 });
+    let let_go = Fact::LetGo { service: "payment".into(), slot: 3, instance: "a".into() };
+    vec![
+        (1, vec![at(0, ran("w", "t1")), at(1, ran("w", "t2"))], vec![at(0, ran("w", "t1")), at(1, ran("x", "t2"))]),
+        (
+            2,
+            vec![at(0, answered(false, false, true)), at(9, ran("w", "t1"))],
+            vec![at(0, answered(false, false, true))],
+        ),
+        (3, vec![at(0, answered(true, false, false))], vec![at(0, answered(true, true, false))]),
+        (
+            4,
+            vec![at(0, Fact::AddressUsed { age: Duration::from_millis(5001) })],
+            vec![at(0, Fact::AddressUsed { age: Duration::from_millis(5000) })],
+        ),
+        (
+            5,
+            vec![leaving(), at(3001, arrived("t", "north/n1", false))],
+            vec![leaving(), at(3000, arrived("t", "north/n1", false))],
+        ),
+        (
+            6,
+            vec![at(0, evacuated(false)), at(5001, arrived("t", "north/n1", false))],
+            vec![at(0, evacuated(false)), at(1, evacuated(true)), at(5001, arrived("t", "north/n1", false))],
+        ),
+        (7, vec![at(0, in_force(2)), at(1, in_force(1))], vec![at(0, in_force(1)), at(1, in_force(2))]),
+        (7, vec![accepted(), at(3001, in_force(1))], vec![accepted(), at(3000, in_force(1))]),
+        (8, vec![submitted(), at(1, read_back(2, "e"))], vec![submitted(), at(1, read_back(2, "d"))]),
+        (
+            8,
+            vec![at(0, Fact::Accepted { edition: 3 }), at(1, read_back(1, "d"))],
+            vec![accepted(), at(1, read_back(2, "d"))],
+        ),
+        (9, resent(12), resent(11)),
+        (10, cold(9), cold(8)),
+        (
+            11,
+            vec![at(0, holds("a", 100)), at(99, holds("b", 200))],
+            vec![at(0, holds("a", 100)), at(100, holds("b", 200))],
+        ),
+        (
+            11,
+            vec![at(0, holds("a", 100)), at(9, holds("b", 200))],
+            vec![at(0, holds("a", 100)), at(8, let_go), at(9, holds("b", 200))],
+        ),
+        (12, vec![at(0, arrived("t", "south/s1", false))], vec![at(0, arrived("t", "north/n1", false))]),
+    ]
+}
+
+#[test]
+fn every_checker_catches_its_breach_and_passes_what_is_lawful() {
+    cases().into_iter().for_each(|(rule, breach, lawful)| {
+        let caught = judge(&breach, &terms());
+        assert!(caught.iter().any(|violation| violation.rule == rule), "rule {rule} missed {breach:?}");
+        assert_eq!(judge(&lawful, &terms()), vec![], "rule {rule} blames {lawful:?}");
+    });
+}
+
+#[test]
+fn every_checker_has_a_breach() {
+    let broken: BTreeSet<u32> = cases().into_iter().map(|(rule, ..)| rule).collect();
+    CHECKERS.iter().for_each(|(rule, name, _)| assert!(broken.contains(rule), "no breach for '{name}'"));
+}
--- /dev/null
+++ b/crates/drill/src/facts.rs
@@ -0,0 +1,117 @@
+//! What was seen from outside the system, in the order it was seen. Checkers know nothing else.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// One thing seen, by a stand-in or an operator.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    /// An upstream was handed a try.
+    Arrived {
+        tryId: String,
+        service: String,
+        instance: String,
+        locality: String,
+        cold: bool,
+    },
+    /// An upstream did a piece of work.
+    Ran {
+        work: String,
+        tryId: String,
+        once: bool,
+    },
+    /// An origin made a try.
+    Tried {
+        work: String,
+        tryId: String,
+    },
+    /// An origin got the final answer of a try. `whole`: a success whose seal, try and work are right.
+    Answered {
+        tryId: String,
+        code: u32,
+        success: bool,
+        whole: bool,
+        notRun: bool,
+    },
+    /// An origin used an address this long after the directory gave it.
+    AddressUsed {
+        age: Duration,
+    },
+    /// An upstream told that it leaves.
+    Leaving {
+        instance: String,
+    },
+    /// The system said yes to an evacuation (or to taking back).
+    Evacuated {
+        locality: String,
+        back: bool,
+    },
+    /// The system said yes to an edition.
+    Accepted {
+        edition: u64,
+    },
+    /// A node that says it serves has this edition in force.
+    InForce {
+        node: String,
+        edition: u64,
+    },
+    /// An operator read the setup back from a node.
+    ReadBack {
+        node: String,
+        edition: u64,
+        digest: String,
+    },
+    /// An operator's setup, accepted under an edition.
+    Submitted {
+        edition: u64,
+        digest: String,
+    },
+    /// An upstream holds a slot of a keyed service until a moment, unless it lets go.
+    Holds {
+        service: String,
+        slot: u32,
+        instance: String,
+        until: Duration,
+    },
+    LetGo {
+        service: String,
+        slot: u32,
+        instance: String,
+    },
+    /// A fault was brought about, or healed.
+    Fault {
+        what: String,
+    },
+}
+
+/// A fact and when it was seen.
+pub type Seen = (Duration, Fact);
+
+/// A shared record of facts.
+#[derive(Clone, Default)]
+pub struct Record(Arc<Mutex<Vec<Seen>>>);
+
+impl Record {
+    /// Notes a fact.
+    ///
+    /// ```
+    /// use drill::facts::{Fact, Record};
+    /// let record = Record::default();
+    /// record.note(std::time::Duration::ZERO, Fact::Fault { what: "none".into() });
+    /// assert_eq!(record.all().len(), 1);
+    /// ```
+    pub fn note(&self, at: Duration, fact: Fact) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((at, fact));
+    }
+
+    /// All facts, in the order of their moments.
+    ///
+    /// ```
+    /// assert!(drill::facts::Record::default().all().is_empty());
+    /// ```
+    pub fn all(&self) -> Vec<Seen> {
+        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        all.sort_by_key(|(at, _)| *at);
+        all
+    }
+}
--- /dev/null
+++ b/crates/drill/src/fleet.rs
@@ -0,0 +1,168 @@
+//! A site's processes on this one machine: real daemons on loopback addresses.
+
+use crate::shapes::Shape;
+use std::io;
+use std::net::{TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use wicket::Caller;
+
+/// One daemon, running or not.
+pub struct Process {
+    pub node: String,
+    pub machine: usize,
+    pub http: String,
+    program: PathBuf,
+    flags: Vec<String>,
+    log: PathBuf,
+    pub data: Option<PathBuf>,
+    child: Option<Child>,
+}
+
+/// All daemons of a site.
+pub struct Fleet {
+    pub postmasters: Vec<Process>,
+    pub carriers: Vec<Process>,
+    folder: PathBuf,
+}
+
+impl Process {
+    /// Starts it, or starts it again.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = std::fs::File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(&self.flags)
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills it without warning, as a power cut would.
+    pub fn kill(&mut self) {
+        self.child.take().into_iter().for_each(|mut child| {
+            let _ = child.kill();
+            let _ = child.wait();
+        });
+    }
+
+    /// Sends it a signal by name (TERM, STOP, CONT).
+    pub fn signal(&self, name: &str) {
+        self.child.iter().for_each(|child| {
+            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+        });
+    }
+
+    /// Waits until it has ended by itself; its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.take().and_then(|mut child| child.wait().ok()).and_then(|status| status.code())
+    }
+
+    /// Empties its data folder. Only while it does not run.
+    pub fn wipe(&self) {
+        self.data.iter().for_each(|data| {
+            let _ = std::fs::remove_dir_all(data);
+        });
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An address on this machine whose port the kernel just gave, free for TCP and UDP.
+fn free_address(ip: &str) -> io::Result<String> {
+    let found = (0..50).find_map(|_| {
+        let tcp = TcpListener::bind((ip, 0)).ok()?;
+        let address = tcp.local_addr().ok()?;
+        UdpSocket::bind(address).ok().map(|_| address.to_string())
+    });
+    found.ok_or_else(|| io::Error::other("no free port"))
+}
+
+impl Fleet {
+    /// Lays a site out in a folder; nothing runs yet. `programs` holds the daemons.
+    pub fn new(shape: &Shape, programs: &Path, folder: &Path) -> io::Result<Fleet> {
+        std::fs::create_dir_all(folder)?;
+        // A loopback number for each machine keeps its ports its own.
+        let ip = |machine: usize| format!("127.0.{}.{}", 1 + std::process::id() % 200, 1 + machine);
+        let mut links: Vec<(String, String)> = Vec::new();
+        for machine in 0..shape.machines {
+            links.push((free_address(&ip(machine))?, free_address(&ip(machine))?));
+        }
+        let seeds = [0, 1, 2].map(|at| links[at].0.clone()).join(",");
+        let process = |kind: &str, machine: usize, link: &str, more: &[String], data: Option<PathBuf>| {
+            let http = free_address(&ip(machine))?;
+            let node = format!("{kind}-{machine}");
+            let flags = [
+                ("--node", node.as_str()),
+                ("--locality", &shape.locality(machine)),
+                ("--http", &http),
+                ("--link", link),
+                ("--seeds", &seeds),
+            ];
+            let flags = flags.iter().flat_map(|(name, value)| [(*name).to_owned(), (*value).to_owned()]);
+            let flags = flags.chain(more.iter().cloned()).collect();
+            let (program, log) = (programs.join(kind), folder.join(format!("{node}.log")));
+            io::Result::Ok(Process { node, machine, http, program, flags, log, data, child: None })
+        };
+        let mut fleet = Fleet { postmasters: Vec::new(), carriers: Vec::new(), folder: folder.to_owned() };
+        for (machine, (first, second)) in links.iter().enumerate() {
+            if machine < shape.disks {
+                let data = folder.join(format!("data-{machine}"));
+                let more = ["--roster-size", &shape.disks.to_string(), "--data", &data.to_string_lossy()];
+                let more: Vec<String> = more.iter().map(|flag| (*flag).to_owned()).collect();
+                fleet.postmasters.push(process("postmaster", machine, first, &more, Some(data))?);
+            }
+            let link = if machine < shape.disks { second } else { first };
+            fleet.carriers.push(process("carrier", machine, link, &[], None)?);
+        }
+        Ok(fleet)
+    }
+
+    /// Starts everything.
+    pub fn start(&mut self) -> io::Result<()> {
+        self.all().try_for_each(Process::start)
+    }
+
+    /// Every process.
+    pub fn all(&mut self) -> impl Iterator<Item = &mut Process> {
+        self.postmasters.iter_mut().chain(self.carriers.iter_mut())
+    }
+
+    /// Every node's HTTP address, carriers first.
+    pub fn nodes(&self) -> Vec<String> {
+        self.carriers.iter().chain(&self.postmasters).map(|process| process.http.clone()).collect()
+    }
+
+    /// Waits until all these answer that they are ready. False where that took longer than `within`.
+    pub async fn ready(addresses: &[String], within: Duration) -> bool {
+        let caller = Caller::default();
+        let until = tokio::time::Instant::now() + within;
+        for address in addresses {
+            loop {
+                let called =
+                    caller.call(address, "GET", "/ready", &[], bytes::Bytes::new(), Duration::from_secs(2), false);
+                if called.await.is_ok_and(|reply| reply.status == 200) {
+                    break;
+                }
+                if tokio::time::Instant::now() > until {
+                    return false;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        true
+    }
+
+    /// Ends everything and removes the folder.
+    pub fn remove(mut self) {
+        self.all().for_each(Process::kill);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/crates/drill/src/lib.rs
@@ -0,0 +1,12 @@
+//! Proof: rule checkers, stand-in back ends and origins, a simulator and a local fleet of real processes.
+
+pub mod facts;
+pub mod fleet;
+pub mod origins;
+pub mod report;
+pub mod rules;
+pub mod shapes;
+pub mod upstreams;
+
+#[cfg(test)]
+mod breaches;
--- /dev/null
+++ b/crates/drill/src/main.rs
@@ -0,0 +1,81 @@
+//! Brings a site up on this machine, loads it, breaks it, and judges what was seen.
+
+mod runs;
+
+use drill::shapes::Shape;
+use std::time::Duration;
+
+const HELP: &str = "drill proves mothspindle on this one machine.
+
+usage: drill fleet [--shape roadwise|kalam] [--seconds N] [--rate N] [--plan PLAN] [--keep FOLDER]
+
+  --shape    the site to lay out (default roadwise)
+  --seconds  how long to load it (default 20)
+  --rate     requests a second (default: the site's own)
+  --plan     what to break while it is loaded (default quiet):
+             quiet   nothing
+             wipe    kill one disk machine, wipe its disk, start it again
+  --keep     lay data and logs out here and leave them; otherwise in a folder that is removed
+  --help, --version
+
+exit codes: 0 no rule broken, 1 a rule broken or the fleet not ready, 2 flags denied";
+
+#[tokio::main]
+async fn main() {
+    let code = match read_flags() {
+        Ok(None) => {
+            println!("{HELP}");
+            0
+        }
+        Ok(Some(run)) => i32::from(!runs::fleet(run).await),
+        Err(text) => {
+            eprintln!("drill: {text}; see --help");
+            2
+        }
+    };
+    std::process::exit(code);
+}
+
+fn read_flags() -> Result<Option<runs::Run>, String> {
+    let mut run = runs::Run {
+        shape: drill::shapes::ROADWISE,
+        load: Duration::from_secs(20),
+        perSecond: None,
+        plan: runs::Plan::Quiet,
+        keep: None,
+    };
+    let mut verb = None;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next().map_err(|failure| failure.to_string())? {
+        use lexopt::Arg::{Long, Value};
+        let name = match arg {
+            Long("help") => return Ok(None),
+            Long("version") => {
+                println!("drill {}", env!("CARGO_PKG_VERSION"));
+                std::process::exit(0)
+            }
+            Long(name) => name.to_owned(),
+            Value(word) if verb.is_none() => {
+                verb = Some(word.to_string_lossy().into_owned());
+                continue;
+            }
+            other => return Err(other.unexpected().to_string()),
+        };
+        let value = parser.value().map_err(|failure| failure.to_string())?.to_string_lossy().into_owned();
+        let number =
+            || value.parse::<u64>().ok().filter(|n| (1..=100_000).contains(n)).ok_or(format!("--{name} '{value}'"));
+        match name.as_str() {
+            "shape" => run.shape = Shape::named(&value).ok_or(format!("--shape '{value}': roadwise or kalam"))?,
+            "seconds" => run.load = Duration::from_secs(number()?),
+            "rate" => run.perSecond = Some(number()?),
+            "plan" => run.plan = runs::Plan::named(&value).ok_or(format!("--plan '{value}' is unknown"))?,
+            "keep" => run.keep = Some(value.into()),
+            _ => return Err(format!("--{name} is unknown")),
+        }
+    }
+    match verb.as_deref() {
+        Some("fleet") => Ok(Some(run)),
+        Some(other) => Err(format!("'{other}' is no verb of mine")),
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/drill/src/origins.rs
@@ -0,0 +1,191 @@
+//! Stand-in origins: they ask a directory node, keep its answer for its lifetime, and try through a proxy.
+
+use crate::facts::{Fact, Record};
+use crate::shapes::Shape;
+use address::{Code, Dice, Kind};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tariff::Sheet;
+use wicket::{Caller, Clock};
+
+const WITHIN: Duration = Duration::from_millis(3000);
+const MOST_TRIES: u32 = 4;
+const KEYS: u64 = 400;
+
+/// What a directory node told, and when it was asked.
+#[derive(Clone)]
+struct Known {
+    proxies: Vec<String>,
+    askedAt: Duration,
+    lifetime: Duration,
+}
+
+/// How one piece of work ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub at: Duration,
+    pub took: Duration,
+    pub service: &'static str,
+    /// The last code, 0 where no node could be reached.
+    pub code: u32,
+    pub tries: u32,
+}
+
+/// All origins of a site.
+pub struct Origins {
+    pub shape: Shape,
+    pub directories: Vec<String>,
+    pub clock: Clock,
+    pub record: Record,
+    caller: Caller,
+    known: Mutex<HashMap<(String, &'static str), Known>>,
+    ended: Mutex<Vec<Ended>>,
+    next: AtomicU64,
+}
+
+impl Origins {
+    /// Origins that ask these directory nodes.
+    pub fn new(shape: Shape, directories: Vec<String>, clock: Clock, record: Record) -> Arc<Origins> {
+        Arc::new(Origins {
+            shape,
+            directories,
+            clock,
+            record,
+            caller: Caller::default(),
+            known: Mutex::default(),
+            ended: Mutex::default(),
+            next: AtomicU64::new(1),
+        })
+    }
+
+    /// Makes `perSecond` requests for a while, each on its own, whatever became of those before.
+    pub async fn load(self: &Arc<Self>, perSecond: u64, span: Duration) {
+        let until = self.clock.now() + span;
+        let mut tick = tokio::time::interval(Duration::from_micros(1_000_000 / perSecond.max(1)));
+        let mut under_way = tokio::task::JoinSet::new();
+        while self.clock.now() < until {
+            tick.tick().await;
+            let origins = self.clone();
+            under_way.spawn(async move { origins.one().await });
+            while under_way.try_join_next().is_some() {}
+        }
+        while under_way.join_next().await.is_some() {}
+    }
+
+    /// How all work ended so far.
+    pub fn ended(&self) -> Vec<Ended> {
+        self.ended.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// One piece of work, tried until it is done, surely lost, or out of time.
+    pub async fn one(&self) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut dice = Dice::new(number);
+        let part = dice.below(100);
+        let mut upTo = 0;
+        let at = self.shape.services.iter().position(|work| {
+            upTo += work.percent;
+            part < upTo
+        });
+        let work = self.shape.services[at.unwrap_or(0)];
+        let place = self.shape.locality(dice.below(6) as usize);
+        let key = format!("key-{}", dice.below(KEYS));
+        let (name, id) = (format!("work-{number}"), work.service);
+        let startedAt = self.clock.now();
+        let (mut last, mut tries) = (0, 0);
+        while tries < MOST_TRIES && self.clock.now() < startedAt + WITHIN {
+            tries += 1;
+            let left = (startedAt + WITHIN).saturating_sub(self.clock.now());
+            let tryId = format!("try-{number}-{tries}");
+            let (code, wait) = self.attempt(&mut dice, id, &place, &key, &name, &tryId, left).await;
+            last = code.map(Code::number).unwrap_or(0);
+            if code.is_some_and(|code| code.kind() != Kind::NotRun) {
+                break;
+            }
+            let left = (startedAt + WITHIN).saturating_sub(self.clock.now());
+            if wait >= left {
+                break;
+            }
+            tokio::time::sleep(wait).await;
+        }
+        let now = self.clock.now();
+        let ended = Ended { at: now, took: now - startedAt, service: work.service, code: last, tries };
+        self.ended.lock().unwrap_or_else(PoisonError::into_inner).push(ended);
+    }
+
+    /// One try: its code (none where surely nothing was reached) and when to come back.
+    #[allow(clippy::too_many_arguments)]
+    async fn attempt(
+        &self,
+        dice: &mut Dice,
+        service: &'static str,
+        place: &str,
+        key: &str,
+        work: &str,
+        tryId: &str,
+        left: Duration,
+    ) -> (Option<Code>, Duration) {
+        let soon = Duration::from_millis(200);
+        let Some(known) = self.ask(dice, service, place).await else { return (None, soon) };
+        let at = dice.below(known.proxies.len() as u64) as usize;
+        self.record.note(self.clock.now(), Fact::AddressUsed { age: self.clock.now() - known.askedAt });
+        self.record.note(self.clock.now(), Fact::Tried { work: work.into(), tryId: tryId.into() });
+        let remaining = left.as_millis().max(1).to_string();
+        let headers = [("x-try-id", tryId), ("x-remaining-ms", remaining.as_str()), ("x-key", key)];
+        let path = format!("/r/{service}.{}.example/{service}", self.shape.name);
+        let patience = left + Duration::from_millis(500);
+        let body = bytes::Bytes::from(work.to_owned());
+        let called = self.caller.call(&known.proxies[at], "POST", &path, &headers, body, patience, false).await;
+        match called {
+            Err(wicket::Called::NotConnected) => {
+                self.known.lock().unwrap_or_else(PoisonError::into_inner).clear();
+                (None, soon)
+            }
+            Err(_) => (Some(Code::Lost), soon),
+            Ok(reply) => {
+                let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
+                let success = reply.status == 200;
+                let seal = parcel::seal(tryId, reply.header("x-instance"), reply.status, &reply.body);
+                let whole = reply.header("x-seal") == seal
+                    && reply.header("x-try-id") == tryId
+                    && reply.body == work.as_bytes();
+                let code = code.unwrap_or(Code::Garbage);
+                let notRun = !success && code.kind() == Kind::NotRun;
+                let answered = Fact::Answered { tryId: tryId.into(), code: code.number(), success, whole, notRun };
+                self.record.note(self.clock.now(), answered);
+                let wait = reply.header("retry-after").parse().map(Duration::from_secs).unwrap_or(soon);
+                (Some(code), wait)
+            }
+        }
+    }
+
+    async fn ask(&self, dice: &mut Dice, service: &'static str, place: &str) -> Option<Known> {
+        let id = (place.to_owned(), service);
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned();
+        let live = known.filter(|known| self.clock.now() < known.askedAt + known.lifetime);
+        if live.is_some() {
+            return live;
+        }
+        let (region, zone) = place.split_once('/')?;
+        let path = format!("/directory?name={service}.{}.example&region={region}&zone={zone}", self.shape.name);
+        let askedAt = self.clock.now();
+        let node = &self.directories[dice.below(self.directories.len() as u64) as usize];
+        let called = self.caller.call(node, "GET", &path, &[], bytes::Bytes::new(), Duration::from_secs(1), true).await;
+        let reply = called.ok().filter(|reply| reply.status == 200)?;
+        let sheet = Sheet::read(std::str::from_utf8(&reply.body).ok()?).ok()?;
+        let proxies: Vec<String> = sheet
+            .list("proxies")
+            .iter()
+            .filter_map(|proxy| match proxy {
+                Sheet::Text(address) => Some(address.clone()),
+                _ => None,
+            })
+            .collect();
+        let lifetime = Duration::from_millis(sheet.count("lifetimeMs")?);
+        let known = Some(Known { proxies, askedAt, lifetime }).filter(|known| !known.proxies.is_empty())?;
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).insert(id, known.clone());
+        Some(known)
+    }
+}
--- /dev/null
+++ b/crates/drill/src/rules.rs
@@ -0,0 +1,269 @@
+//! One checker per 'must never happen'. They judge recorded facts and know nothing of the system.
+
+use crate::facts::{Fact, Seen};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What was agreed with operators and may not be guessed from facts.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// Home regions by service; a service that is missing may go anywhere.
+    pub homes: BTreeMap<String, BTreeSet<String>>,
+    /// First sends a second that one cold upstream may get.
+    pub warmUpPerSecond: u64,
+}
+
+/// A rule that was broken, and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    pub rule: u32,
+    pub at: Duration,
+    pub text: String,
+}
+
+/// A checker: its rule's number, its name, and what it finds.
+pub type Checker = (u32, &'static str, fn(&[Seen], &Terms) -> Vec<Violation>);
+
+/// All checkers.
+pub const CHECKERS: &[Checker] = &[
+    (1, "once-work runs once", runs_once),
+    (2, "'busy' only for what did not run", busy_did_not_run),
+    (3, "no partial, unsealed or foreign success", successes_are_whole),
+    (4, "no address held over 5 s", addresses_are_fresh),
+    (5, "nothing to a leaving upstream after 3 s", leaving_is_left_alone),
+    (6, "nothing to an evacuated zone after 5 s", evacuated_is_empty),
+    (7, "an edition is in force within 3 s and never goes back", editions_only_rise),
+    (8, "an accepted setup is not lost and reads back alike", accepted_is_kept),
+    (9, "resends within a fifth and the allowance", resends_are_few),
+    (10, "a cold upstream stays within its warm-up rate", warm_up_is_kept),
+    (11, "no two upstreams hold a key", keys_have_one_holder),
+    (12, "region-bound work stays inside", homes_are_kept),
+];
+
+/// Runs every checker.
+///
+/// ```
+/// assert!(drill::rules::judge(&[], &Default::default()).is_empty());
+/// ```
+pub fn judge(seen: &[Seen], terms: &Terms) -> Vec<Violation> {
+    CHECKERS.iter().flat_map(|(_, _, check)| check(seen, terms)).collect()
+}
+
+fn violation(rule: u32, at: Duration, text: String) -> Violation {
+    Violation { rule, at, text }
+}
+
+fn runs_once(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut ran = BTreeSet::new();
+    let again = |(at, fact): &Seen| match fact {
+        Fact::Ran { work, once: true, tryId } if !ran.insert(work.clone()) => {
+            Some(violation(1, *at, format!("{work} ran again as {tryId}")))
+        }
+        _ => None,
+    };
+    seen.iter().filter_map(again).collect()
+}
+
+fn busy_did_not_run(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let ran: BTreeSet<&str> = seen
+        .iter()
+        .filter_map(|(_, fact)| match fact {
+            Fact::Ran { tryId, .. } => Some(tryId.as_str()),
+            _ => None,
+        })
+        .collect();
+    let lied = |(at, fact): &Seen| match fact {
+        Fact::Answered { tryId, code, notRun: true, .. } if ran.contains(tryId.as_str()) => {
+            Some(violation(2, *at, format!("{tryId} was answered {code}, but ran")))
+        }
+        _ => None,
+    };
+    seen.iter().filter_map(lied).collect()
+}
+
+fn successes_are_whole(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let bad = |(at, fact): &Seen| match fact {
+        Fact::Answered { tryId, success: true, whole: false, .. } => {
+            Some(violation(3, *at, format!("{tryId} got a success that is not its own whole one")))
+        }
+        _ => None,
+    };
+    seen.iter().filter_map(bad).collect()
+}
+
+fn addresses_are_fresh(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let old = |(at, fact): &Seen| match fact {
+        Fact::AddressUsed { age } if *age > Duration::from_secs(5) => {
+            Some(violation(4, *at, format!("an address was used after {age:?}")))
+        }
+        _ => None,
+    };
+    seen.iter().filter_map(old).collect()
+}
+
+fn leaving_is_left_alone(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut noticed: BTreeMap<String, Duration> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Leaving { instance } => {
+            noticed.entry(instance.clone()).or_insert(*at);
+        }
+        Fact::Arrived { instance, tryId, .. } => {
+            let late = noticed.get(instance).filter(|noticed| *at > **noticed + Duration::from_secs(3));
+            found.extend(late.map(|_| violation(5, *at, format!("{tryId} reached {instance}, which is leaving"))));
+        }
+        _ => {}
+    });
+    found
+}
+
+fn evacuated_is_empty(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut empty: BTreeMap<String, Duration> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Evacuated { locality, back: false } => {
+            empty.insert(locality.clone(), *at);
+        }
+        Fact::Evacuated { locality, back: true } => {
+            empty.remove(locality);
+        }
+        Fact::Arrived { locality, tryId, .. } => {
+            let late = empty.get(locality).filter(|told| *at > **told + Duration::from_secs(5));
+            found.extend(late.map(|_| violation(6, *at, format!("{tryId} reached evacuated {locality}"))));
+        }
+        _ => {}
+    });
+    found
+}
+
+fn editions_only_rise(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut accepted: Vec<(Duration, u64)> = Vec::new();
+    let mut highest: BTreeMap<String, u64> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Accepted { edition } => accepted.push((*at, *edition)),
+        Fact::InForce { node, edition } => {
+            let known = highest.entry(node.clone()).or_insert(0);
+            if edition < known {
+                found.push(violation(7, *at, format!("{node} went back from {known} to {edition}")));
+            }
+            *known = (*known).max(*edition);
+            let due = accepted.iter().filter(|(told, _)| *at > *told + Duration::from_secs(3));
+            let due = due.map(|(_, edition)| *edition).max().unwrap_or(0);
+            if *edition < due {
+                found.push(violation(7, *at, format!("{node} serves {edition}, but {due} was due")));
+            }
+        }
+        _ => {}
+    });
+    found
+}
+
+fn accepted_is_kept(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut submitted: BTreeMap<u64, String> = BTreeMap::new();
+    let mut newest = 0;
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Accepted { edition } => newest = newest.max(*edition),
+        Fact::Submitted { edition, digest } => {
+            let other = submitted.insert(*edition, digest.clone()).filter(|other| other != digest);
+            found.extend(other.map(|_| violation(8, *at, format!("edition {edition} was given twice"))));
+        }
+        Fact::ReadBack { node, edition, digest } => {
+            if *edition + 1 < newest {
+                found.push(violation(8, *at, format!("{node} reads back {edition}, {newest} was accepted")));
+            }
+            let other = submitted.get(edition).filter(|known| *known != digest);
+            found.extend(other.map(|_| violation(8, *at, format!("{node} reads back another edition {edition}"))));
+        }
+        _ => {}
+    });
+    found
+}
+
+/// Over any 10 s and per service: arrivals of a try beyond its first, against a fifth of the first ones and 10.
+fn resends_are_few(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let window = Duration::from_secs(10);
+    let mut known: BTreeSet<&str> = BTreeSet::new();
+    let mut sends: BTreeMap<&str, Vec<(Duration, bool)>> = BTreeMap::new();
+    seen.iter().for_each(|(at, fact)| {
+        if let Fact::Arrived { tryId, service, .. } = fact {
+            sends.entry(service.as_str()).or_default().push((*at, !known.insert(tryId.as_str())));
+        }
+    });
+    let mut found = Vec::new();
+    sends.into_iter().for_each(|(service, sends)| {
+        let (mut start, mut firsts, mut again) = (0usize, 0u64, 0u64);
+        sends.iter().for_each(|(at, resend)| {
+            if *resend {
+                again += 1
+            } else {
+                firsts += 1
+            }
+            while sends[start].0 + window < *at {
+                if sends[start].1 {
+                    again -= 1
+                } else {
+                    firsts -= 1
+                }
+                start += 1;
+            }
+            if again > firsts / 5 + 10 {
+                found.push(violation(9, *at, format!("{service}: {again} resends on {firsts} sends in 10 s")));
+            }
+        });
+    });
+    found
+}
+
+/// A cold upstream gets at most twice its rate, and a handful, over any 2 s.
+fn warm_up_is_kept(seen: &[Seen], terms: &Terms) -> Vec<Violation> {
+    let window = Duration::from_secs(2);
+    let most = terms.warmUpPerSecond * 4 + 4;
+    let mut arrived: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| {
+        if let Fact::Arrived { instance, cold: true, .. } = fact {
+            let times = arrived.entry(instance.as_str()).or_default();
+            times.retain(|time| *time + window > *at);
+            times.push(*at);
+            if times.len() as u64 > most {
+                found.push(violation(10, *at, format!("cold {instance} got {} in 2 s", times.len())));
+            }
+        }
+    });
+    found
+}
+
+fn keys_have_one_holder(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut held: BTreeMap<(String, u32), BTreeMap<String, Duration>> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Holds { service, slot, instance, until } => {
+            let holders = held.entry((service.clone(), *slot)).or_default();
+            holders.retain(|_, until| *until > *at);
+            holders.insert(instance.clone(), *until);
+            if holders.len() > 1 {
+                let names = holders.keys().cloned().collect::<Vec<_>>().join(", ");
+                found.push(violation(11, *at, format!("slot {slot} of {service} is held by {names}")));
+            }
+        }
+        Fact::LetGo { service, slot, instance } => {
+            held.entry((service.clone(), *slot)).or_default().remove(instance);
+        }
+        _ => {}
+    });
+    found
+}
+
+fn homes_are_kept(seen: &[Seen], terms: &Terms) -> Vec<Violation> {
+    let outside = |(at, fact): &Seen| match fact {
+        Fact::Arrived { service, locality, tryId, .. } => {
+            let region = locality.split('/').next().unwrap_or_default();
+            let homes = terms.homes.get(service).filter(|homes| !homes.contains(region));
+            homes.map(|_| violation(12, *at, format!("{tryId} of {service} went to {locality}")))
+        }
+        _ => None,
+    };
+    seen.iter().filter_map(outside).collect()
+}
--- /dev/null
+++ b/crates/drill/src/runs.rs
@@ -0,0 +1,205 @@
+//! A run of a real fleet: start, set up, load, break, heal, judge.
+
+use address::Code;
+use bytes::Bytes;
+use drill::facts::{Fact, Record};
+use drill::fleet::Fleet;
+use drill::origins::Origins;
+use drill::shapes::Shape;
+use drill::upstreams::Unit;
+use drill::{report, rules};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tariff::Sheet;
+use wicket::{Caller, Clock};
+
+const READY_WITHIN: Duration = Duration::from_secs(60);
+
+/// What to break.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Plan {
+    Quiet,
+    Wipe,
+}
+
+impl Plan {
+    pub fn named(name: &str) -> Option<Plan> {
+        [("quiet", Plan::Quiet), ("wipe", Plan::Wipe)]
+            .into_iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, plan)| plan)
+    }
+}
+
+/// One run.
+pub struct Run {
+    pub shape: Shape,
+    pub load: Duration,
+    pub perSecond: Option<u64>,
+    pub plan: Plan,
+    pub keep: Option<PathBuf>,
+}
+
+/// Runs it; true where the fleet came up and no rule was broken.
+pub async fn fleet(run: Run) -> bool {
+    match bring_up(run).await {
+        Ok(fine) => fine,
+        Err(text) => {
+            eprintln!("drill: {text}");
+            false
+        }
+    }
+}
+
+async fn bring_up(run: Run) -> Result<bool, String> {
+    let clock = Clock::default();
+    let record = Record::default();
+    let programs = std::env::current_exe().map_err(|e| e.to_string())?.parent().map(PathBuf::from).unwrap_or_default();
+    let folder = run.keep.clone().unwrap_or_else(|| std::env::temp_dir().join(format!("drill-{}", std::process::id())));
+    let mut fleet = Fleet::new(&run.shape, &programs, &folder).map_err(|e| e.to_string())?;
+    fleet.start().map_err(|e| format!("cannot start the daemons beside drill: {e}"))?;
+    let nodes = Arc::new(fleet.nodes());
+    if !Fleet::ready(&nodes, READY_WITHIN).await {
+        return Err(format!("the fleet was not ready within {READY_WITHIN:?}"));
+    }
+    println!("{} processes ready after {:?}", nodes.len(), clock.now());
+    let caller = Caller::default();
+    submit(&caller, &record, &clock, &nodes[0], "first", run.shape.setup(0)).await?;
+    println!("first setup in force after {:?}", clock.now());
+    let mut units = Vec::new();
+    for work in run.shape.services {
+        for at in 0..run.shape.perService {
+            let unit = Unit::start(
+                work,
+                format!("{}-{at}", work.service),
+                run.shape.locality(at),
+                nodes.clone(),
+                clock,
+                record.clone(),
+            );
+            units.push(unit.await.map_err(|e| e.to_string())?);
+        }
+    }
+    let directories: Vec<String> = fleet.carriers.iter().map(|carrier| carrier.http.clone()).collect();
+    let origins = Origins::new(run.shape.clone(), directories.clone(), clock, record.clone());
+    served_once(&origins).await?;
+    println!("every service served after {:?}", clock.now());
+    let warmUp = origins.ended().len();
+    let watcher = tokio::spawn(watch_editions(directories, record.clone(), clock));
+    let loading = origins.clone();
+    let (perSecond, span) = (run.perSecond.unwrap_or(run.shape.perSecond), run.load);
+    let load = tokio::spawn(async move { loading.load(perSecond, span).await });
+    if run.plan == Plan::Wipe {
+        wipe(&mut fleet, &record, &clock, span).await?;
+    }
+    load.await.map_err(|e| e.to_string())?;
+    watcher.abort();
+    let alike = read_back_all(&caller, &record, &clock, &fleet).await;
+    let seen = record.all();
+    let violations = rules::judge(&seen, &run.shape.terms());
+    let ended: Vec<_> = origins.ended().into_iter().skip(warmUp).collect();
+    let title = format!("{} at {perSecond}/s for {span:?}", run.shape.name);
+    let fine = report::print(&title, &seen, &ended, &violations);
+    println!("postmasters that read the same setup back: {alike} of {}", fleet.postmasters.len());
+    let whole = alike == fleet.postmasters.len();
+    units.iter().for_each(|unit| unit.crash());
+    if run.keep.is_none() {
+        fleet.remove();
+    }
+    Ok(fine && whole && !ended.is_empty())
+}
+
+/// Submits a setup and waits until it is in force.
+async fn submit(
+    caller: &Caller,
+    record: &Record,
+    clock: &Clock,
+    node: &str,
+    id: &str,
+    setup: String,
+) -> Result<u64, String> {
+    let digest = parcel::digest(setup.as_bytes());
+    let path = format!("/setup?id={id}");
+    // Unknown or not yet possible: the same id is asked again, and is decided once.
+    for _ in 0..40 {
+        let called = caller.call(node, "PUT", &path, &[], Bytes::from(setup.clone()), Duration::from_secs(10), false);
+        let reply = called.await.ok();
+        let sheet = reply.and_then(|reply| Sheet::read(&String::from_utf8_lossy(&reply.body)).ok());
+        let code = sheet.as_ref().and_then(|sheet| sheet.count("code"));
+        if code == Some(u64::from(Code::Fine.number())) {
+            let edition = sheet.and_then(|sheet| sheet.count("edition")).unwrap_or(0);
+            record.note(clock.now(), Fact::Submitted { edition, digest });
+            record.note(clock.now(), Fact::Accepted { edition });
+            return Ok(edition);
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    Err("the setup was not accepted".into())
+}
+
+/// Waits until each service was served once, so that the load meets a site that is up.
+async fn served_once(origins: &Arc<Origins>) -> Result<(), String> {
+    for _ in 0..400 {
+        origins.one().await;
+        let ended = origins.ended();
+        let served = |service: &str| ended.iter().any(|ended| ended.service == service && ended.code == 1000);
+        if origins.shape.services.iter().all(|work| served(work.service)) {
+            return Ok(());
+        }
+    }
+    Err("not every service was served".into())
+}
+
+/// Notes the edition in force at each carrier that says it serves.
+async fn watch_editions(nodes: Vec<String>, record: Record, clock: Clock) {
+    let caller = Caller::default();
+    loop {
+        for node in &nodes {
+            let called = caller.call(node, "GET", "/node", &[], Bytes::new(), Duration::from_secs(1), true).await;
+            let sheet = called.ok().and_then(|reply| Sheet::read(&String::from_utf8_lossy(&reply.body)).ok());
+            let serving = sheet.filter(|sheet| sheet.get("ready") == Some(&Sheet::Truth(true)));
+            serving.and_then(|sheet| sheet.count("edition")).into_iter().for_each(|edition| {
+                record.note(clock.now(), Fact::InForce { node: node.clone(), edition });
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// One disk machine loses power and disk under load, and comes back blank.
+async fn wipe(fleet: &mut Fleet, record: &Record, clock: &Clock, span: Duration) -> Result<(), String> {
+    let note = |what: &str| record.note(clock.now(), Fact::Fault { what: what.into() });
+    tokio::time::sleep(span / 4).await;
+    note("disk machine 2 killed, its disk wiped");
+    fleet.postmasters[2].kill();
+    fleet.carriers[2].kill();
+    fleet.postmasters[2].wipe();
+    tokio::time::sleep(span / 4).await;
+    note("disk machine 2 started again, blank");
+    fleet.postmasters[2].start().map_err(|e| e.to_string())?;
+    fleet.carriers[2].start().map_err(|e| e.to_string())?;
+    let back = [fleet.postmasters[2].http.clone(), fleet.carriers[2].http.clone()];
+    let startedAt = clock.now();
+    if !Fleet::ready(&back, READY_WITHIN).await {
+        return Err("the wiped machine did not come back".into());
+    }
+    println!("the wiped machine was ready after {:?}", clock.now() - startedAt);
+    Ok(())
+}
+
+/// How many postmasters read the same setup back as the first.
+async fn read_back_all(caller: &Caller, record: &Record, clock: &Clock, fleet: &Fleet) -> usize {
+    let mut read = Vec::new();
+    for process in &fleet.postmasters {
+        let called = caller.call(&process.http, "GET", "/setup", &[], Bytes::new(), Duration::from_secs(5), false);
+        if let Some(reply) = called.await.ok().filter(|reply| reply.status == 200) {
+            let edition = reply.header("x-edition").parse().unwrap_or(0);
+            let digest = parcel::digest(&reply.body);
+            let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone() };
+            record.note(clock.now(), back);
+            read.push((edition, digest));
+        }
+    }
+    read.iter().filter(|other| Some(*other) == read.first()).count()
+}
--- /dev/null
+++ b/crates/drill/src/shapes.rs
@@ -0,0 +1,148 @@
+//! The two sites' shapes: places, machines, upstreams and traffic.
+
+use crate::rules::Terms;
+use std::collections::BTreeSet;
+
+/// One site.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub name: &'static str,
+    pub regions: [&'static str; 3],
+    /// Machines; the first six have a disk and run a postmaster beside their carrier.
+    pub machines: usize,
+    pub disks: usize,
+    pub perService: usize,
+    pub perSecond: u64,
+    pub services: [Work; 3],
+}
+
+/// One service and its part of the traffic.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub service: &'static str,
+    pub once: bool,
+    pub keyed: bool,
+    /// How many of the three regions are its home, from the first; 0 for anywhere.
+    pub homes: usize,
+    pub percent: u64,
+}
+
+const fn work(service: &'static str, once: bool, keyed: bool, homes: usize, percent: u64) -> Work {
+    Work { service, once, keyed, homes, percent }
+}
+
+/// Roadwise: 13 machines, 36 upstreams, about 120 requests a second, half of them practice reads.
+pub const ROADWISE: Shape = Shape {
+    name: "roadwise",
+    regions: ["north", "middle", "south"],
+    machines: 13,
+    disks: 6,
+    perService: 12,
+    perSecond: 120,
+    services: [
+        work("practice", false, false, 0, 50),
+        work("booking", true, false, 2, 30),
+        work("payment", true, true, 0, 20),
+    ],
+};
+
+/// Kalam: 15 machines, 39 upstreams, about 680 requests a second, half of them clause reads.
+pub const KALAM: Shape = Shape {
+    name: "kalam",
+    regions: ["gandhinagar", "vadodara", "bhavnagar"],
+    machines: 15,
+    disks: 6,
+    perService: 13,
+    perSecond: 680,
+    services: [
+        work("clause", false, false, 0, 50),
+        work("posting", true, true, 0, 30),
+        work("renewal", true, false, 2, 20),
+    ],
+};
+
+pub const WARM_UP_PER_SECOND: u64 = 5;
+
+impl Shape {
+    /// The shape with this name.
+    ///
+    /// ```
+    /// assert_eq!(drill::shapes::Shape::named("kalam").unwrap().machines, 15);
+    /// assert!(drill::shapes::Shape::named("moon").is_none());
+    /// ```
+    pub fn named(name: &str) -> Option<Shape> {
+        [ROADWISE, KALAM].into_iter().find(|shape| shape.name == name)
+    }
+
+    /// Where machine or upstream number `at` stands.
+    ///
+    /// ```
+    /// assert_eq!(drill::shapes::ROADWISE.locality(0), "north/north-1");
+    /// assert_eq!(drill::shapes::ROADWISE.locality(4), "middle/middle-2");
+    /// ```
+    pub fn locality(&self, at: usize) -> String {
+        let region = self.regions[at % 3];
+        format!("{region}/{region}-{}", 1 + at / 3 % 2)
+    }
+
+    /// The regions where a service's work may go.
+    ///
+    /// ```
+    /// let shape = drill::shapes::ROADWISE;
+    /// assert_eq!(shape.homes(&shape.services[1]), ["north", "middle"]);
+    /// ```
+    pub fn homes(&self, work: &Work) -> &[&'static str] {
+        &self.regions[..work.homes]
+    }
+
+    /// The site's setup. `extra` adds that many further routes, for larger ones.
+    ///
+    /// ```
+    /// assert!(tariff::Setup::read(drill::shapes::KALAM.setup(3).as_bytes()).is_ok());
+    /// ```
+    pub fn setup(&self, extra: usize) -> String {
+        let services = self.services.iter().map(|work| {
+            let homes = self.homes(work).iter().map(|home| format!("\"{home}\"")).collect::<Vec<_>>().join(", ");
+            format!(
+                r#"    {{"name": "{}", "work": "{}", "keyed": {}, "warmUpPerSecond": {WARM_UP_PER_SECOND}, "homeRegions": [{homes}]}}"#,
+                work.service,
+                if work.once { "once" } else { "repeatable" },
+                work.keyed
+            )
+        });
+        let route = |id: String, name: &str, path: String, service: &str| {
+            format!(r#"    {{"id": "{id}", "name": "{name}", "path": "{path}", "service": "{service}"}}"#)
+        };
+        let routes = self
+            .services
+            .iter()
+            .enumerate()
+            .map(|(at, work)| route(format!("r{at}"), work.service, format!("/{}", work.service), work.service));
+        let extras = (0..extra).map(|at| route(format!("x{at}"), "extra", format!("/x{at}"), self.services[0].service));
+        let aliases =
+            self.services.iter().enumerate().map(|(at, work)| {
+                format!(r#"    {{"alias": "{}.{}.example", "to": "r{at}"}}"#, work.service, self.name)
+            });
+        let list = |items: Vec<String>| items.join(",\n");
+        format!(
+            "{{\n  \"services\": [\n{}\n  ],\n  \"routes\": [\n{}\n  ],\n  \"aliases\": [\n{}\n  ]\n}}\n",
+            list(services.collect()),
+            list(routes.chain(extras).collect()),
+            list(aliases.collect())
+        )
+    }
+
+    /// What the checkers hold the system to.
+    ///
+    /// ```
+    /// assert_eq!(drill::shapes::KALAM.terms().homes.len(), 1);
+    /// ```
+    pub fn terms(&self) -> Terms {
+        let bound = self.services.iter().filter(|work| work.homes > 0);
+        let homes = bound.map(|work| {
+            let homes: BTreeSet<String> = self.homes(work).iter().map(|home| (*home).to_owned()).collect();
+            (work.service.to_owned(), homes)
+        });
+        Terms { homes: homes.collect(), warmUpPerSecond: WARM_UP_PER_SECOND }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/upstreams.rs
@@ -0,0 +1,228 @@
+//! Stand-in back ends: they beat, do work, seal verdicts, and hold key shares by the rules of the interface.
+
+use crate::facts::{Fact, Record};
+use crate::shapes::Work;
+use address::Dice;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use parcel::Share;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tariff::Sheet;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wicket::{Caller, Clock, Enquiry};
+
+const BEAT_EVERY: Duration = Duration::from_millis(500);
+const BEAT_WITHIN: Duration = Duration::from_millis(1500);
+const SLOTS: u32 = 16;
+const WORK_TAKES: Duration = Duration::from_millis(4);
+
+/// One running stand-in.
+pub struct Unit {
+    pub work: Work,
+    pub instance: String,
+    pub locality: String,
+    pub address: String,
+    clock: Clock,
+    record: Record,
+    busy: AtomicU32,
+    warm: AtomicBool,
+    /// 0 ready, 1 leaving, 2 gone.
+    condition: AtomicU32,
+    beat: AtomicU64,
+    holds: Mutex<BTreeMap<u32, (u64, Duration)>>,
+    close: watch::Sender<bool>,
+}
+
+impl Unit {
+    /// Starts a stand-in on a port the kernel gives; it beats to the nodes in turn.
+    pub async fn start(
+        work: Work,
+        instance: String,
+        locality: String,
+        nodes: Arc<Vec<String>>,
+        clock: Clock,
+        record: Record,
+    ) -> std::io::Result<Arc<Unit>> {
+        let socket = TcpListener::bind("127.0.0.1:0").await?;
+        let (close, closing) = watch::channel(false);
+        let unit = Arc::new(Unit {
+            work,
+            instance,
+            locality,
+            address: socket.local_addr()?.to_string(),
+            clock,
+            record,
+            busy: AtomicU32::new(0),
+            warm: AtomicBool::new(true),
+            condition: AtomicU32::new(0),
+            beat: AtomicU64::new(0),
+            holds: Mutex::default(),
+            close,
+        });
+        let handler = unit.clone();
+        tokio::spawn(wicket::serve(socket, closing.clone(), move |enquiry| {
+            let unit = handler.clone();
+            async move { unit.serve(enquiry).await }
+        }));
+        tokio::spawn(unit.clone().keep_beating(nodes, closing));
+        Ok(unit)
+    }
+
+    /// Starts cold, or grows warm.
+    pub fn set_warm(&self, warm: bool) {
+        self.warm.store(warm, Ordering::Release);
+    }
+
+    /// Tells that it leaves; its next beat, sent at once by the caller of this, says so.
+    pub fn leave(&self) {
+        self.condition.store(1, Ordering::Release);
+        self.record.note(self.clock.now(), Fact::Leaving { instance: self.instance.clone() });
+    }
+
+    /// Dies without a word.
+    pub fn crash(&self) {
+        let _ = self.close.send(true);
+    }
+
+    async fn keep_beating(self: Arc<Self>, nodes: Arc<Vec<String>>, mut closing: watch::Receiver<bool>) {
+        let caller = Caller::default();
+        let mut dice = Dice::new(address::spread(&self.instance));
+        loop {
+            let node = nodes[dice.below(nodes.len() as u64) as usize].clone();
+            self.beat_once(&caller, &node).await;
+            let closed = async {
+                let _ = closing.wait_for(|closing| *closing).await;
+            };
+            tokio::select! {
+                _ = tokio::time::sleep(BEAT_EVERY) => {}
+                () = closed => return,
+            }
+        }
+    }
+
+    /// Sends one beat; true where the node took it.
+    pub async fn beat_once(&self, caller: &Caller, node: &str) -> bool {
+        let sentAt = self.clock.now();
+        let body = self.describe(sentAt).to_string();
+        let called = caller.call(node, "POST", "/beats", &[], body.into(), BEAT_WITHIN, false).await;
+        let reply = called.ok().filter(|reply| reply.status == 200);
+        let sheet = reply
+            .as_ref()
+            .and_then(|reply| std::str::from_utf8(&reply.body).ok())
+            .and_then(|text| Sheet::read(text).ok());
+        sheet.iter().for_each(|sheet| self.take_shares(sentAt, sheet));
+        reply.is_some()
+    }
+
+    fn describe(&self, now: Duration) -> Sheet {
+        let condition = ["ready", "leaving", "gone"][self.condition.load(Ordering::Acquire) as usize % 3];
+        let mut fields = vec![
+            ("service".to_owned(), Sheet::from(self.work.service)),
+            ("instance".to_owned(), self.instance.as_str().into()),
+            ("address".to_owned(), self.address.as_str().into()),
+            ("locality".to_owned(), self.locality.as_str().into()),
+            ("freeSlots".to_owned(), u64::from(SLOTS.saturating_sub(self.busy.load(Ordering::Acquire))).into()),
+            ("warm".to_owned(), self.warm.load(Ordering::Acquire).into()),
+            ("condition".to_owned(), condition.into()),
+            ("beat".to_owned(), (self.beat.fetch_add(1, Ordering::AcqRel) + 1).into()),
+        ];
+        let runs = self.held(now).into_iter().map(|share| {
+            Sheet::fields([
+                ("from", u64::from(share.from).into()),
+                ("until", u64::from(share.until).into()),
+                ("epoch", share.epoch.into()),
+            ])
+        });
+        fields.push(("holds".to_owned(), runs.collect()));
+        Sheet::Fields(fields)
+    }
+
+    fn held(&self, now: Duration) -> Vec<Share> {
+        let holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let live = holds.iter().filter(|(_, (_, until))| now < *until);
+        live.map(|(slot, (epoch, _))| Share { from: *slot, until: slot + 1, epoch: *epoch, ..Share::default() })
+            .collect()
+    }
+
+    /// An answer that names shares says all that it holds from now on, counted from when the beat was sent.
+    fn take_shares(&self, sentAt: Duration, sheet: &Sheet) {
+        let Some(spanMs) = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some()) else { return };
+        let until = sentAt + Duration::from_millis(spanMs);
+        let now = self.clock.now();
+        let given: BTreeMap<u32, u64> = sheet
+            .list("shares")
+            .iter()
+            .filter_map(|run| Some((run.count("from")?, run.count("until")?, run.count("epoch")?)))
+            .flat_map(|(from, until, epoch)| (from..until).map(move |slot| (slot as u32, epoch)))
+            .collect();
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let service = self.work.service.to_owned();
+        holds.retain(|slot, _| {
+            let kept = given.contains_key(slot);
+            if !kept {
+                let (service, instance) = (service.clone(), self.instance.clone());
+                self.record.note(now, Fact::LetGo { service, slot: *slot, instance });
+            }
+            kept
+        });
+        if now < until {
+            given.into_iter().for_each(|(slot, epoch)| {
+                holds.insert(slot, (epoch, until));
+                let (service, instance) = (service.clone(), self.instance.clone());
+                self.record.note(now, Fact::Holds { service, slot, instance, until });
+            });
+        }
+    }
+
+    /// Keyed work runs only under a share that is held at this moment, in the epoch that the proxy names.
+    fn may_run(&self, enquiry: &Enquiry) -> bool {
+        let now = self.clock.now();
+        let slot = address::slot(enquiry.header("x-key"));
+        let epoch = enquiry.header("x-share-epoch").parse::<u64>().ok();
+        let held = self.held(now).into_iter().find(|share| share.from == slot).map(|share| share.epoch);
+        !self.work.keyed || (held.is_some() && held == epoch)
+    }
+
+    async fn serve(&self, enquiry: Enquiry) -> Response<Full<Bytes>> {
+        let tryId = enquiry.header("x-try-id").to_owned();
+        let arrived = Fact::Arrived {
+            tryId: tryId.clone(),
+            service: self.work.service.into(),
+            instance: self.instance.clone(),
+            locality: self.locality.clone(),
+            cold: !self.warm.load(Ordering::Acquire),
+        };
+        self.record.note(self.clock.now(), arrived);
+        let busy = self.busy.fetch_add(1, Ordering::AcqRel);
+        let runs = busy < SLOTS && self.may_run(&enquiry);
+        let body = if runs {
+            let work = String::from_utf8_lossy(&enquiry.body).into_owned();
+            let ran = Fact::Ran { work: work.clone(), tryId: tryId.clone(), once: self.work.once };
+            self.record.note(self.clock.now(), ran);
+            tokio::time::sleep(WORK_TAKES).await;
+            work
+        } else {
+            "not run".to_owned()
+        };
+        self.busy.fetch_sub(1, Ordering::AcqRel);
+        self.sealed(&tryId, if runs { 200 } else { 503 }, body)
+    }
+
+    fn sealed(&self, tryId: &str, status: u16, body: String) -> Response<Full<Bytes>> {
+        let seal = parcel::seal(tryId, &self.instance, status, body.as_bytes());
+        let mut response = Response::new(Full::new(Bytes::from(body)));
+        *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+        let named = [("x-try-id", tryId.to_owned()), ("x-instance", self.instance.clone()), ("x-seal", seal)];
+        named.into_iter().for_each(|(name, value)| {
+            value.parse().into_iter().for_each(|value: hyper::header::HeaderValue| {
+                response.headers_mut().insert(name, value);
+            });
+        });
+        response
+    }
+}
--- /dev/null
+++ b/crates/enrolment/src/roll.rs
@@ -0,0 +1,176 @@
+//! The roll of upstreams. Soft state: every beat tells it again.
+
+use parcel::Upstream;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Takes work.
+pub const READY: u32 = 0;
+/// Said that it will go: no new work.
+pub const LEAVING: u32 = 1;
+/// Signed off, or its address was taken over.
+pub const GONE: u32 = 2;
+
+/// How long a gone instance is remembered, so that a late beat does not bring it back.
+const REMEMBERED: Duration = Duration::from_secs(60);
+/// Most upstreams kept.
+const MOST_UPSTREAMS: usize = 20_000;
+
+type Id = (String, String);
+
+struct Entry {
+    upstream: Upstream,
+    heardAt: Duration,
+    bornAt: Duration,
+}
+
+/// All upstreams known here.
+#[derive(Default)]
+pub struct Roll {
+    entries: BTreeMap<Id, Entry>,
+    /// Who holds an address at present.
+    addresses: BTreeMap<String, Id>,
+    changed: BTreeSet<Id>,
+}
+
+impl Roll {
+    /// Takes in a beat, direct or told on; true where it was news.
+    ///
+    /// ```
+    /// use enrolment::{GONE, LEAVING, READY, Roll};
+    /// use parcel::Upstream;
+    /// use std::time::Duration;
+    /// let beat = |instance: &str, beat, condition| Upstream {
+    ///     service: "slots".into(), instance: instance.into(), address: "127.0.0.1:9".into(),
+    ///     beat, condition, ..Default::default()
+    /// };
+    /// let (mut roll, now) = (Roll::default(), Duration::from_secs(9));
+    /// assert!(roll.take(now, beat("a", 1, READY)));
+    /// assert!(roll.take(now, beat("a", 2, LEAVING)));
+    /// assert!(!roll.take(now, beat("a", 1, READY)), "an older beat changes nothing");
+    /// roll.take(now, beat("a", 3, READY));
+    /// assert_eq!(roll.all(now)[0].condition, LEAVING, "leaving is for good");
+    /// roll.take(now + Duration::from_secs(1), beat("b", 1, READY));
+    /// assert_eq!(roll.all(now)[0].condition, GONE, "its address has a new tenant");
+    /// ```
+    pub fn take(&mut self, now: Duration, told: Upstream) -> bool {
+        let id = (told.service.clone(), told.instance.clone());
+        let bornAt = now.saturating_sub(Duration::from_millis(told.bornMs));
+        let heardAt = now.saturating_sub(Duration::from_millis(told.ageMs));
+        let known = self.entries.get(&id);
+        if known.is_some_and(|entry| entry.upstream.condition == GONE || told.beat <= entry.upstream.beat)
+            || (known.is_none() && self.entries.len() >= MOST_UPSTREAMS)
+        {
+            return false;
+        }
+        let condition = told.condition.max(known.map(|entry| entry.upstream.condition).unwrap_or(READY));
+        let bornAt = known.map(|entry| entry.bornAt.min(bornAt)).unwrap_or(bornAt);
+        let upstream = Upstream { condition, ageMs: 0, bornMs: 0, ..told };
+        let same = known.is_some_and(|entry| Self::news(&entry.upstream) == Self::news(&upstream));
+        self.settle_address(&id, &upstream, bornAt).into_iter().for_each(|loser| {
+            self.end(&loser);
+        });
+        let lost = self.addresses.get(&upstream.address).is_some_and(|tenant| *tenant != id);
+        let condition = if lost { GONE } else { condition };
+        self.entries.insert(id.clone(), Entry { upstream: Upstream { condition, ..upstream }, heardAt, bornAt });
+        if !same || lost {
+            self.changed.insert(id);
+        }
+        true
+    }
+
+    /// Which part of a beat is worth telling the data plane.
+    fn news(upstream: &Upstream) -> Upstream {
+        Upstream { beat: 0, holds: Vec::new(), ..upstream.clone() }
+    }
+
+    /// An address belongs to its youngest registration; gives the one that lost it.
+    fn settle_address(&mut self, id: &Id, upstream: &Upstream, bornAt: Duration) -> Option<Id> {
+        let tenant = self.addresses.get(&upstream.address).filter(|tenant| *tenant != id).cloned();
+        let older = tenant.as_ref().and_then(|tenant| self.entries.get(tenant)).is_none_or(|entry| {
+            entry.upstream.condition == GONE || (entry.bornAt, entry.upstream.instance.as_str()) < (bornAt, &id.1)
+        });
+        if older {
+            self.addresses.insert(upstream.address.clone(), id.clone());
+        }
+        tenant.filter(|_| older)
+    }
+
+    fn end(&mut self, id: &Id) {
+        if let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.upstream.condition != GONE) {
+            entry.upstream.condition = GONE;
+            self.changed.insert(id.clone());
+        }
+    }
+
+    /// Drops the silent, and forgets those long gone.
+    ///
+    /// ```
+    /// use enrolment::Roll;
+    /// use std::time::Duration;
+    /// let mut roll = Roll::default();
+    /// roll.take(Duration::ZERO, parcel::Upstream { instance: "a".into(), beat: 1, ..Default::default() });
+    /// roll.sweep(Duration::from_secs(4), Duration::from_secs(3));
+    /// assert!(roll.all(Duration::from_secs(4)).is_empty());
+    /// assert_eq!(roll.changes(Duration::from_secs(4))[0].condition, enrolment::GONE);
+    /// ```
+    pub fn sweep(&mut self, now: Duration, silentFor: Duration) {
+        let over = |entry: &Entry| {
+            let patience = if entry.upstream.condition == GONE { REMEMBERED } else { silentFor };
+            now >= entry.heardAt + patience
+        };
+        let due: Vec<Id> = self.entries.iter().filter(|(_, entry)| over(entry)).map(|(id, _)| id.clone()).collect();
+        due.into_iter().for_each(|id| {
+            if let Some(entry) = self.entries.remove(&id) {
+                self.addresses.retain(|_, tenant| *tenant != id);
+                if entry.upstream.condition != GONE {
+                    self.changed.insert(id);
+                }
+            }
+        });
+    }
+
+    /// What changed since the last call; a dropped upstream comes as gone.
+    ///
+    /// ```
+    /// let mut roll = enrolment::Roll::default();
+    /// assert!(roll.changes(std::time::Duration::ZERO).is_empty());
+    /// ```
+    pub fn changes(&mut self, now: Duration) -> Vec<Upstream> {
+        std::mem::take(&mut self.changed)
+            .into_iter()
+            .map(|id| {
+                self.entries.get(&id).map(|entry| Self::aged(entry, now)).unwrap_or_else(|| Upstream {
+                    service: id.0,
+                    instance: id.1,
+                    condition: GONE,
+                    ..Upstream::default()
+                })
+            })
+            .collect()
+    }
+
+    /// Everything known, with ages.
+    ///
+    /// ```
+    /// assert!(enrolment::Roll::default().all(std::time::Duration::ZERO).is_empty());
+    /// ```
+    pub fn all(&self, now: Duration) -> Vec<Upstream> {
+        self.entries.values().map(|entry| Self::aged(entry, now)).collect()
+    }
+
+    /// Those that will not come back, heard of lately: told again, since they tell themselves no more.
+    ///
+    /// ```
+    /// assert!(enrolment::Roll::default().farewells(std::time::Duration::ZERO).is_empty());
+    /// ```
+    pub fn farewells(&self, now: Duration) -> Vec<Upstream> {
+        let fresh = |entry: &&Entry| entry.upstream.condition == GONE && now < entry.heardAt + Duration::from_secs(8);
+        self.entries.values().filter(fresh).map(|entry| Self::aged(entry, now)).collect()
+    }
+
+    fn aged(entry: &Entry, now: Duration) -> Upstream {
+        let ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        Upstream { ageMs: ms(entry.heardAt), bornMs: ms(entry.bornAt), ..entry.upstream.clone() }
+    }
+}
--- /dev/null
+++ b/crates/enrolment/src/shares.rs
@@ -0,0 +1,124 @@
+//! Key shares of one keyed service, as the placement duty gives them out.
+//!
+//! A slot has one owner. It moves only once the owner's beat no longer names it, or its span, counted here
+//! from the moment of giving plus a margin, has run out; the upstream counts from the moment it sent the
+//! beat, which was earlier.
+
+use address::SLOTS;
+use parcel::{Share, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+#[derive(Clone)]
+struct Slot {
+    owner: String,
+    epoch: u64,
+    until: Duration,
+}
+
+/// Who holds which slots of one service.
+pub struct Shares {
+    /// Nothing is given before this: what an earlier holder of the duty gave must have run out.
+    quietUntil: Duration,
+    span: Duration,
+    epoch: u64,
+    slots: BTreeMap<u32, Slot>,
+}
+
+impl Shares {
+    /// A new holder of the duty, at `now`, under its claim's epoch.
+    ///
+    /// ```
+    /// use enrolment::Shares;
+    /// use parcel::Upstream;
+    /// use std::time::Duration;
+    /// let span = Duration::from_secs(3);
+    /// let mut shares = Shares::new(Duration::ZERO, span, 1);
+    /// let unit = |name: &str| Upstream { instance: name.into(), ..Default::default() };
+    /// let ready = ["a".to_owned(), "b".to_owned()].into_iter().collect();
+    /// assert!(shares.beat(Duration::from_secs(1), &unit("a"), &ready).is_empty(), "quiet at first");
+    /// let now = Duration::from_secs(4);
+    /// let given = shares.beat(now, &unit("a"), &ready);
+    /// assert_eq!(given.iter().map(|share| share.until - share.from).sum::<u32>(), address::SLOTS / 2);
+    /// ```
+    pub fn new(now: Duration, span: Duration, claimEpoch: u64) -> Self {
+        Shares { quietUntil: now + span + span / 6, span, epoch: claimEpoch << 32, slots: BTreeMap::new() }
+    }
+
+    /// Answers a beat of one upstream with the slots it holds from now on; `ready` are all that may hold any.
+    ///
+    /// ```
+    /// use enrolment::Shares;
+    /// use parcel::{Share, Upstream};
+    /// use std::time::Duration;
+    /// let (span, now) = (Duration::from_secs(3), Duration::from_secs(4));
+    /// let mut shares = Shares::new(Duration::ZERO, span, 1);
+    /// let unit = |name: &str, holds: &[Share]| Upstream {
+    ///     instance: name.into(), holds: holds.to_vec(), ..Default::default()
+    /// };
+    /// let one = ["a".to_owned()].into_iter().collect();
+    /// let both = ["a".to_owned(), "b".to_owned()].into_iter().collect();
+    /// let first = shares.beat(now, &unit("a", &[]), &one);
+    /// assert!(shares.beat(now, &unit("b", &[]), &both).is_empty(), "all are taken");
+    /// let less = shares.beat(now, &unit("a", &first), &both);
+    /// assert!(shares.beat(now, &unit("b", &[]), &both).is_empty(), "asked back, not let go yet");
+    /// shares.beat(now, &unit("a", &less), &both);
+    /// assert!(!shares.beat(now, &unit("b", &[]), &both).is_empty(), "let go");
+    /// ```
+    pub fn beat(&mut self, now: Duration, upstream: &Upstream, ready: &BTreeSet<String>) -> Vec<Share> {
+        let me = &upstream.instance;
+        let holds = |slot: u32, epoch: u64| {
+            upstream.holds.iter().any(|share| share.epoch == epoch && (share.from..share.until).contains(&slot))
+        };
+        // What it no longer names, it has let go; what ran out is free.
+        self.slots.retain(|slot, owned| now < owned.until && (owned.owner != *me || holds(*slot, owned.epoch)));
+        if now < self.quietUntil || !ready.contains(me) {
+            return Vec::new();
+        }
+        let fair = (SLOTS as usize).div_ceil(ready.len().max(1));
+        let mine: Vec<u32> = self.slots.iter().filter(|(_, owned)| owned.owner == *me).map(|(slot, _)| *slot).collect();
+        let until = now + self.span + self.span / 6;
+        let kept: Vec<u32> = mine.iter().copied().take(fair).collect();
+        kept.iter().for_each(|slot| {
+            self.slots.entry(*slot).and_modify(|owned| owned.until = until);
+        });
+        let room = fair - kept.len();
+        let free: Vec<u32> = (0..SLOTS).filter(|slot| !self.slots.contains_key(slot)).take(room).collect();
+        if !free.is_empty() {
+            self.epoch += 1;
+        }
+        let given = Slot { owner: me.clone(), epoch: self.epoch, until };
+        free.iter().for_each(|slot| {
+            self.slots.insert(*slot, given.clone());
+        });
+        // Slots over the fair count are not renewed: left out of the answer, they are let go.
+        let told: BTreeSet<u32> = kept.into_iter().chain(free).collect();
+        self.runs(|slot, _| told.contains(&slot))
+    }
+
+    /// Everything that is given out and not run out.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// assert!(enrolment::Shares::new(Duration::ZERO, Duration::from_secs(3), 1).all(Duration::ZERO).is_empty());
+    /// ```
+    pub fn all(&self, now: Duration) -> Vec<Share> {
+        self.runs(|_, owned| now < owned.until)
+    }
+
+    /// Chosen slots as runs of one owner and epoch.
+    fn runs(&self, chosen: impl Fn(u32, &Slot) -> bool) -> Vec<Share> {
+        let picked = self.slots.iter().filter(|(slot, owned)| chosen(**slot, owned));
+        picked.fold(Vec::new(), |mut runs: Vec<Share>, (slot, owned)| {
+            match runs.last_mut() {
+                Some(run) if run.until == *slot && run.epoch == owned.epoch && run.instance == owned.owner => {
+                    run.until += 1;
+                }
+                _ => {
+                    runs.push(Share { from: *slot, until: slot + 1, epoch: owned.epoch, instance: owned.owner.clone() })
+                }
+            }
+            runs
+        })
+    }
+}
--- /dev/null
+++ b/crates/gazetteer/src/lib.rs
@@ -0,0 +1,9 @@
+//! Names: which locality owns each, the marks left behind, and what a directory node answers.
+
+mod answer;
+mod placement;
+mod view;
+
+pub use answer::{Listing, list};
+pub use placement::{Needs, Placer, Times};
+pub use view::{Proxy, View, is_home};
--- /dev/null
+++ b/crates/gazetteer/src/placement.rs
@@ -0,0 +1,224 @@
+//! The placement duty: which locality owns each name, derived from beats, evacuations and editions.
+
+use crate::view::is_home;
+use parcel::{Mark, Placement, Reservation, ServiceShares, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tariff::Setup;
+
+/// Placement's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub leastStay: Duration,
+    pub markLifetime: Duration,
+}
+
+/// What placement decides from.
+pub struct Needs<'a> {
+    pub setup: &'a Setup,
+    pub evacuated: &'a [String],
+    pub upstreams: &'a [Upstream],
+    /// Localities where a proxy is alive.
+    pub served: &'a BTreeSet<String>,
+}
+
+struct Owned {
+    locality: String,
+    epoch: u64,
+    since: Duration,
+}
+
+struct Left {
+    to: String,
+    epoch: u64,
+    since: Duration,
+}
+
+/// The holder's working state.
+pub struct Placer {
+    claimEpoch: u64,
+    number: u64,
+    epoch: u64,
+    times: Times,
+    owned: BTreeMap<String, Owned>,
+    /// By name and the locality left.
+    left: BTreeMap<(String, String), Left>,
+}
+
+impl Placer {
+    /// Takes the duty over under a claim, from the last placement heard of.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let times = gazetteer::Times { leastStay: Duration::from_secs(4), markLifetime: Duration::from_secs(60) };
+    /// let placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
+    /// assert!(placer.placement(Duration::ZERO, vec![]).reservations.is_empty());
+    /// ```
+    pub fn new(now: Duration, claimEpoch: u64, last: &Placement, times: Times) -> Self {
+        let at = |ageMs: u64| now.saturating_sub(Duration::from_millis(ageMs));
+        let owned = last.reservations.iter().map(|known| {
+            let Reservation { name, locality, epoch, ageMs } = known.clone();
+            (name, Owned { locality, epoch, since: at(ageMs) })
+        });
+        let left = last.marks.iter().map(|known| {
+            let Mark { name, from, to, epoch, ageMs } = known.clone();
+            ((name, from), Left { to, epoch, since: at(ageMs) })
+        });
+        let (owned, left): (BTreeMap<_, _>, BTreeMap<_, _>) = (owned.collect(), left.collect());
+        Placer { claimEpoch, number: 0, epoch: claimEpoch << 32, times, owned, left }
+    }
+
+    /// Decides anew; true where something moved.
+    ///
+    /// ```
+    /// use gazetteer::{Needs, Placer, Times};
+    /// use parcel::Upstream;
+    /// use std::time::Duration;
+    /// let times = Times { leastStay: Duration::from_secs(4), markLifetime: Duration::from_secs(60) };
+    /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "homeRegions": ["n"]}],
+    ///     "routes": [{"id": "r", "name": "book", "path": "/", "service": "s"}]}"#).unwrap();
+    /// let unit = |name: &str, place: &str| Upstream { service: "s".into(), instance: name.into(),
+    ///     locality: place.into(), freeSlots: 4, warm: true, ..Default::default() };
+    /// let upstreams = [unit("a", "n/1"), unit("b", "n/1"), unit("c", "n/2"), unit("d", "s/1"), unit("e", "s/1"),
+    ///     unit("f", "s/1")];
+    /// let served = ["n/1".to_owned(), "n/2".to_owned(), "s/1".to_owned()].into_iter().collect();
+    /// let mut placer = Placer::new(Duration::ZERO, 1, &Default::default(), times);
+    /// let needs = |evacuated| Needs { setup: &setup, evacuated, upstreams: &upstreams, served: &served };
+    /// assert!(placer.decide(Duration::ZERO, &needs(&[])));
+    /// assert_eq!(placer.placement(Duration::ZERO, vec![]).reservations[0].locality, "n/1");
+    /// let (one, both) = (["n/1".to_owned()], ["n/1".to_owned(), "n/2".to_owned()]);
+    /// placer.decide(Duration::ZERO, &needs(&one));
+    /// let after = placer.placement(Duration::ZERO, vec![]);
+    /// assert_eq!(after.reservations[0].locality, "n/2");
+    /// assert_eq!((after.marks[0].from.as_str(), after.marks[0].to.as_str()), ("n/1", "n/2"));
+    /// placer.decide(Duration::ZERO, &needs(&both));
+    /// assert!(placer.placement(Duration::ZERO, vec![]).reservations.is_empty(), "never outside the home regions");
+    /// ```
+    pub fn decide(&mut self, now: Duration, needs: &Needs) -> bool {
+        let names = needs.setup.names();
+        let before = self.owned.len() + self.left.len();
+        self.owned.retain(|name, _| names.contains_key(name.as_str()));
+        let lifetime = self.times.markLifetime;
+        self.left.retain(|(name, _), left| names.contains_key(name.as_str()) && now < left.since + lifetime);
+        let capacity = Self::capacity(needs);
+        let dropped = before != self.owned.len() + self.left.len();
+        let moved = names.iter().fold(false, |moved, (name, services)| {
+            let scores = Self::scores(needs, &capacity, services);
+            self.settle(now, name, &scores) || moved
+        });
+        moved || dropped
+    }
+
+    /// Ready upstreams by service and locality: warm ones count for much, cold ones for little.
+    fn capacity<'a>(needs: &Needs<'a>) -> BTreeMap<(&'a str, &'a str), u64> {
+        needs.upstreams.iter().filter(|upstream| upstream.condition == 0).fold(BTreeMap::new(), |mut sums, up| {
+            *sums.entry((up.service.as_str(), up.locality.as_str())).or_insert(0) += if up.warm { 100 } else { 1 };
+            sums
+        })
+    }
+
+    /// The localities that may own a name of these services, with what they weigh. One that has no proxy
+    /// alive counts only where no other is left.
+    fn scores(
+        needs: &Needs,
+        capacity: &BTreeMap<(&str, &str), u64>,
+        services: &BTreeSet<&str>,
+    ) -> BTreeMap<String, u64> {
+        let homes = services.iter().filter_map(|service| needs.setup.services.get(*service));
+        let homes: Vec<_> = homes.collect();
+        let all = capacity
+            .iter()
+            .filter(|((service, locality), _)| {
+                services.contains(service)
+                    && !needs.evacuated.iter().any(|evacuated| evacuated == locality)
+                    && homes.iter().all(|home| is_home(home, locality))
+            })
+            .fold(BTreeMap::new(), |mut scores: BTreeMap<String, u64>, ((_, locality), weight)| {
+                *scores.entry((*locality).to_owned()).or_insert(0) += weight;
+                scores
+            });
+        let served = all.iter().filter(|(locality, _)| needs.served.contains(*locality));
+        let served: BTreeMap<String, u64> = served.map(|(locality, weight)| (locality.clone(), *weight)).collect();
+        if served.is_empty() { all } else { served }
+    }
+
+    /// Keeps or moves one name; the one place where a reservation changes.
+    fn settle(&mut self, now: Duration, name: &str, scores: &BTreeMap<String, u64>) -> bool {
+        let tie = |locality: &str| address::spread(&format!("{name} {locality}"));
+        let best = scores.iter().max_by_key(|(locality, weight)| (**weight, tie(locality)));
+        let owned = self.owned.get(name);
+        let stays = owned.is_some_and(|owned| {
+            let here = scores.get(&owned.locality).copied().unwrap_or(0);
+            let most = best.map(|(_, weight)| *weight).unwrap_or(0);
+            let forced = here == 0;
+            let worth = now >= owned.since + self.times.leastStay && most > here + here / 2;
+            !forced && !worth
+        });
+        if stays || (owned.is_none() && best.is_none()) {
+            return false;
+        }
+        let from = self.owned.remove(name).map(|owned| owned.locality);
+        best.into_iter().for_each(|(to, _)| {
+            self.epoch += 1;
+            let epoch = self.epoch;
+            let ours = self.left.iter_mut().filter(|((left, _), _)| left == name);
+            ours.for_each(|(_, left)| {
+                left.to = to.clone();
+                left.epoch = epoch;
+            });
+            from.iter().for_each(|from| {
+                self.left.insert((name.to_owned(), from.clone()), Left { to: to.clone(), epoch, since: now });
+            });
+            self.left.remove(&(name.to_owned(), to.clone()));
+            self.owned.insert(name.to_owned(), Owned { locality: to.clone(), epoch, since: now });
+        });
+        true
+    }
+
+    /// Everything decided, to be told on.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # let times = gazetteer::Times { leastStay: Duration::ZERO, markLifetime: Duration::ZERO };
+    /// let mut placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
+    /// placer.count();
+    /// assert_eq!(placer.placement(Duration::ZERO, vec![]).number, 1);
+    /// ```
+    pub fn placement(&self, now: Duration, shares: Vec<ServiceShares>) -> Placement {
+        let age = |since: Duration| now.saturating_sub(since).as_millis() as u64;
+        let reservations = self.owned.iter().map(|(name, owned)| Reservation {
+            name: name.clone(),
+            locality: owned.locality.clone(),
+            epoch: owned.epoch,
+            ageMs: age(owned.since),
+        });
+        let marks = self.left.iter().map(|((name, from), left)| Mark {
+            name: name.clone(),
+            from: from.clone(),
+            to: left.to.clone(),
+            epoch: left.epoch,
+            ageMs: age(left.since),
+        });
+        Placement {
+            epoch: self.claimEpoch,
+            number: self.number,
+            reservations: reservations.collect(),
+            marks: marks.collect(),
+            shares,
+        }
+    }
+
+    /// Numbers the next placement.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # let times = gazetteer::Times { leastStay: Duration::ZERO, markLifetime: Duration::ZERO };
+    /// let mut placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
+    /// assert_eq!(placer.placement(Duration::ZERO, vec![]).number, 0);
+    /// placer.count();
+    /// assert_eq!(placer.placement(Duration::ZERO, vec![]).number, 1);
+    /// ```
+    pub fn count(&mut self) {
+        self.number += 1;
+    }
+}
--- /dev/null
+++ b/crates/gazetteer/src/view.rs
@@ -0,0 +1,118 @@
+//! What a data node knows, as one immutable value.
+
+use address::Locality;
+use parcel::{Mark, News, Placement, Reservation, Share, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tariff::{Service, Setup};
+
+/// A proxy that membership holds for present.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proxy {
+    pub node: String,
+    pub locality: Locality,
+    pub address: String,
+}
+
+/// One edition of the world, as requests read it.
+#[derive(Clone, Default)]
+pub struct View {
+    pub edition: u64,
+    pub digest: String,
+    pub setup: Arc<Setup>,
+    pub evacuated: BTreeSet<String>,
+    /// By service, then by instance; only those that are not gone.
+    pub upstreams: BTreeMap<String, BTreeMap<String, Upstream>>,
+    pub reservations: BTreeMap<String, Reservation>,
+    /// By name and the locality left.
+    pub marks: BTreeMap<(String, String), Mark>,
+    /// By service.
+    pub shares: BTreeMap<String, Vec<Share>>,
+    pub placementAt: (u64, u64),
+    pub proxies: Vec<Proxy>,
+    /// The moment that this view is surely no older than: its own ask, less the age it was told.
+    pub asOf: Option<Duration>,
+}
+
+impl View {
+    /// True while the view may be acted on. Ask at the moment of acting.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let view = gazetteer::View { asOf: Some(Duration::from_secs(1)), ..Default::default() };
+    /// assert!(view.is_fresh(Duration::from_secs(2), Duration::from_secs(2)));
+    /// assert!(!view.is_fresh(Duration::from_secs(3), Duration::from_secs(2)));
+    /// assert!(!gazetteer::View::default().is_fresh(Duration::ZERO, Duration::from_secs(2)));
+    /// ```
+    pub fn is_fresh(&self, now: Duration, staleAfter: Duration) -> bool {
+        self.asOf.is_some_and(|asOf| now < asOf + staleAfter)
+    }
+
+    /// Takes in a piece of news. An image replaces all that control tells; membership stays. A setup that
+    /// cannot be read is a failure of the sender, and nothing is taken in.
+    ///
+    /// ```
+    /// use parcel::{News, Upstream};
+    /// let mut view = gazetteer::View::default();
+    /// let ready = Upstream { service: "s".into(), instance: "a".into(), ..Default::default() };
+    /// view.take(News { upstreams: vec![ready.clone()], ..Default::default() }, true).unwrap();
+    /// assert_eq!(view.upstreams["s"].len(), 1);
+    /// view.take(News { upstreams: vec![Upstream { condition: 2, ..ready }], ..Default::default() }, false).unwrap();
+    /// assert!(view.upstreams["s"].is_empty());
+    /// ```
+    pub fn take(&mut self, news: News, image: bool) -> Result<(), String> {
+        let setup = news
+            .setup
+            .map(|bytes| Setup::read(&bytes).map(Arc::new))
+            .transpose()
+            .map_err(|complaints| complaints.into_iter().map(|c| c.to_string()).collect::<Vec<_>>().join("; "))?;
+        if image {
+            self.upstreams.clear();
+        }
+        // An older edition never follows a newer one.
+        let word = news.word.filter(|word| word.edition >= self.edition);
+        if let Some(word) = word {
+            self.edition = word.edition;
+            self.digest = word.digest;
+            self.evacuated = word.evacuated.into_iter().collect();
+            self.setup = setup.unwrap_or_else(|| self.setup.clone());
+        }
+        news.upstreams.into_iter().for_each(|upstream| {
+            let service = self.upstreams.entry(upstream.service.clone()).or_default();
+            if upstream.condition >= 2 {
+                service.remove(&upstream.instance);
+            } else {
+                service.insert(upstream.instance.clone(), upstream);
+            }
+        });
+        news.placement.into_iter().for_each(|placement| self.place(placement));
+        Ok(())
+    }
+
+    /// A placement of a lower claim epoch, or an earlier one of the same, is dropped.
+    fn place(&mut self, placement: Placement) {
+        let at = (placement.epoch, placement.number);
+        if at < self.placementAt {
+            return;
+        }
+        self.placementAt = at;
+        self.reservations = placement.reservations.into_iter().map(|r| (r.name.clone(), r)).collect();
+        self.marks = placement.marks.into_iter().map(|m| ((m.name.clone(), m.from.clone()), m)).collect();
+        self.shares = placement.shares.into_iter().map(|s| (s.service, s.shares)).collect();
+    }
+}
+
+/// True where a service's work may go to a locality (text form: region/zone).
+///
+/// ```
+/// use tariff::Service;
+/// let service = Service { name: "s".into(), repeatable: true, keyed: false, warmUpPerSecond: 1,
+///     homeRegions: vec!["north".into()], mostBytes: 1, concurrency: 1 };
+/// assert!(gazetteer::is_home(&service, "north/n1"));
+/// assert!(!gazetteer::is_home(&service, "south/s1"));
+/// ```
+pub fn is_home(service: &Service, locality: &str) -> bool {
+    let region = locality.split('/').next().unwrap_or_default();
+    service.homeRegions.is_empty() || service.homeRegions.iter().any(|home| home == region)
+}
--- /dev/null
+++ b/crates/parcel/src/frames.rs
@@ -0,0 +1,62 @@
+//! Length-prefixed frames of one `Parcel` each.
+
+use crate::Parcel;
+use bytes::{Buf, BufMut, BytesMut};
+use prost::Message;
+use std::io;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Splits a byte stream into parcels; a frame over `mostBytes` ends the connection.
+///
+/// ```
+/// use bytes::BytesMut;
+/// use parcel::{Frames, Parcel};
+/// use tokio_util::codec::{Decoder, Encoder};
+/// let mut frames = Frames { mostBytes: 1024 };
+/// let mut wire = BytesMut::new();
+/// let sent = Parcel { from: "pm-1".into(), ..Parcel::default() };
+/// frames.encode(sent.clone(), &mut wire).unwrap();
+/// assert_eq!(frames.decode(&mut wire).unwrap(), Some(sent));
+/// let mut absurd = BytesMut::from(&[255u8; 8][..]);
+/// assert!(frames.decode(&mut absurd).is_err());
+/// ```
+pub struct Frames {
+    pub mostBytes: usize,
+}
+
+impl Decoder for Frames {
+    type Item = Parcel;
+    type Error = io::Error;
+
+    fn decode(&mut self, wire: &mut BytesMut) -> io::Result<Option<Parcel>> {
+        if wire.len() < 4 {
+            return Ok(None);
+        }
+        let length = (&wire[..4]).get_u32() as usize;
+        if length > self.mostBytes {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
+        }
+        if wire.len() < 4 + length {
+            wire.reserve(4 + length - wire.len());
+            return Ok(None);
+        }
+        wire.advance(4);
+        Parcel::decode(wire.split_to(length))
+            .map(Some)
+            .map_err(|failure| io::Error::new(io::ErrorKind::InvalidData, failure))
+    }
+}
+
+impl Encoder<Parcel> for Frames {
+    type Error = io::Error;
+
+    fn encode(&mut self, parcel: Parcel, wire: &mut BytesMut) -> io::Result<()> {
+        let length = parcel.encoded_len();
+        if length > self.mostBytes {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "frame too large"));
+        }
+        wire.reserve(4 + length);
+        wire.put_u32(length as u32);
+        parcel.encode(wire).map_err(io::Error::other)
+    }
+}
--- /dev/null
+++ b/crates/parcel/src/messages.rs
@@ -0,0 +1,511 @@
+//! The messages. Spans and ages travel in milliseconds; no message carries an instant.
+
+use prost::{Message, Oneof};
+
+/// One message with its sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct Parcel {
+    #[prost(string, tag = "1")]
+    pub from: String,
+    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26")]
+    pub body: Option<Body>,
+}
+
+/// What a parcel may hold.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    #[prost(message, tag = "2")]
+    Prepare(Prepare),
+    #[prost(message, tag = "3")]
+    Promise(Promise),
+    #[prost(message, tag = "4")]
+    Accept(Accept),
+    #[prost(message, tag = "5")]
+    Accepted(Accepted),
+    #[prost(message, tag = "6")]
+    Read(Read),
+    #[prost(message, tag = "7")]
+    ReadBack(ReadBack),
+    #[prost(message, tag = "8")]
+    Chosen(Chosen),
+    #[prost(message, tag = "9")]
+    SetupBytes(SetupBytes),
+    #[prost(message, tag = "10")]
+    SetupAsk(SetupAsk),
+    #[prost(message, tag = "11")]
+    Endorse(Endorse),
+    #[prost(message, tag = "12")]
+    Founded(Founded),
+    #[prost(message, tag = "13")]
+    Probe(Probe),
+    #[prost(message, tag = "14")]
+    ProbeFor(ProbeFor),
+    #[prost(message, tag = "15")]
+    Heard(Heard),
+    #[prost(message, tag = "16")]
+    ClaimAsk(ClaimAsk),
+    #[prost(message, tag = "17")]
+    ClaimGrant(ClaimGrant),
+    #[prost(message, tag = "18")]
+    Beats(Beats),
+    #[prost(message, tag = "19")]
+    SharesAsk(SharesAsk),
+    #[prost(message, tag = "20")]
+    SharesGiven(SharesGiven),
+    #[prost(message, tag = "21")]
+    Placement(Placement),
+    #[prost(message, tag = "22")]
+    NewsAsk(NewsAsk),
+    #[prost(message, tag = "23")]
+    Fresh(Fresh),
+    #[prost(message, tag = "24")]
+    News(News),
+    #[prost(message, tag = "25")]
+    NewsKept(NewsKept),
+    #[prost(message, tag = "26")]
+    ClaimDrop(ClaimDrop),
+}
+
+/// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
+/// ballot is never used twice.
+///
+/// ```
+/// use parcel::Ballot;
+/// let low = Ballot { round: 1, voter: "b".into(), stamp: 9 };
+/// let high = Ballot { round: 2, voter: "a".into(), stamp: 1 };
+/// assert!(low < high);
+/// ```
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct Ballot {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(string, tag = "2")]
+    pub voter: String,
+    #[prost(uint64, tag = "3")]
+    pub stamp: u64,
+}
+
+/// The operator's word: all that the register keeps.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Word {
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The digest of the setup's bytes; empty before the first.
+    #[prost(string, tag = "2")]
+    pub digest: String,
+    /// Localities that are evacuated.
+    #[prost(string, repeated, tag = "3")]
+    pub evacuated: Vec<String>,
+    /// The latest submissions with their verdicts, oldest first.
+    #[prost(message, repeated, tag = "4")]
+    pub submissions: Vec<Submission>,
+}
+
+/// A submission that was decided.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Submission {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// What was asked for, by digest, so that an id cannot be used for two things.
+    #[prost(string, tag = "2")]
+    pub asked: String,
+    /// The edition it made, or the present one where it was denied.
+    #[prost(uint64, tag = "3")]
+    pub edition: u64,
+    #[prost(uint32, tag = "4")]
+    pub code: u32,
+}
+
+/// What a voter keeps on disk and answers from.
+#[derive(Clone, PartialEq, Message)]
+pub struct Durable {
+    /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
+    #[prost(uint64, tag = "1")]
+    pub disk: u64,
+    /// The voters, once founded.
+    #[prost(string, repeated, tag = "2")]
+    pub roster: Vec<String>,
+    /// The one roster this voter endorsed while founding.
+    #[prost(string, repeated, tag = "3")]
+    pub endorsed: Vec<String>,
+    #[prost(message, required, tag = "4")]
+    pub promised: Ballot,
+    #[prost(message, required, tag = "5")]
+    pub acceptedAt: Ballot,
+    #[prost(message, required, tag = "6")]
+    pub accepted: Word,
+    /// The highest claim epoch this voter ever granted.
+    #[prost(uint64, tag = "7")]
+    pub claimEpoch: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Prepare {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Promise {
+    /// The ballot asked about.
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    /// The highest ballot promised: equal to `ballot` where the promise was given.
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub acceptedAt: Ballot,
+    #[prost(message, required, tag = "4")]
+    pub accepted: Word,
+    #[prost(uint64, tag = "5")]
+    pub disk: u64,
+    #[prost(uint64, tag = "6")]
+    pub claimEpoch: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Accept {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub word: Word,
+    /// The disk whose promise was counted: another disk must deny.
+    #[prost(uint64, tag = "3")]
+    pub disk: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Accepted {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+    #[prost(bool, tag = "3")]
+    pub done: bool,
+    /// The voter lacks the setup's bytes.
+    #[prost(bool, tag = "4")]
+    pub wantsBytes: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Read {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    /// What the reader knows already: a word accepted at this ballot is left out of the answer.
+    #[prost(message, required, tag = "2")]
+    pub known: Ballot,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ReadBack {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, required, tag = "2")]
+    pub acceptedAt: Ballot,
+    #[prost(message, optional, tag = "3")]
+    pub accepted: Option<Word>,
+}
+
+/// A word known to be accepted by a majority.
+#[derive(Clone, PartialEq, Message)]
+pub struct Chosen {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub word: Word,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct SetupBytes {
+    #[prost(string, tag = "1")]
+    pub digest: String,
+    #[prost(bytes = "vec", tag = "2")]
+    pub bytes: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct SetupAsk {
+    #[prost(string, tag = "1")]
+    pub digest: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Endorse {
+    /// The roster that the sender endorsed; empty while it endorsed none.
+    #[prost(string, repeated, tag = "1")]
+    pub roster: Vec<String>,
+    /// Drawn anew at each start of the sender; wants to be echoed.
+    #[prost(uint64, tag = "2")]
+    pub stamp: u64,
+    /// The receiver's stamp, where this is an answer.
+    #[prost(uint64, tag = "3")]
+    pub echo: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Founded {
+    #[prost(string, repeated, tag = "1")]
+    pub roster: Vec<String>,
+}
+
+/// What is known of one node, as membership tells it on.
+#[derive(Clone, PartialEq, Message)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// 0 alive, 1 suspect, 2 gone, 3 left.
+    #[prost(uint32, tag = "3")]
+    pub condition: u32,
+    #[prost(string, tag = "4")]
+    pub locality: String,
+    /// `postmaster`, or the carrier's roles with commas.
+    #[prost(string, tag = "5")]
+    pub roles: String,
+    /// Where UDP probes go.
+    #[prost(string, tag = "6")]
+    pub probeAddress: String,
+    /// Where other processes connect.
+    #[prost(string, tag = "7")]
+    pub linkAddress: String,
+    /// Where HTTP is served.
+    #[prost(string, tag = "8")]
+    pub httpAddress: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Probe {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub members: Vec<Member>,
+}
+
+/// Asks a third party for its opinion of `target`.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProbeFor {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(string, tag = "2")]
+    pub target: String,
+    #[prost(message, repeated, tag = "3")]
+    pub members: Vec<Member>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Heard {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub members: Vec<Member>,
+    /// Who was heard: the sender, or the target of a `ProbeFor`.
+    #[prost(string, tag = "3")]
+    pub node: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimAsk {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimGrant {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    #[prost(bool, tag = "3")]
+    pub granted: bool,
+    #[prost(uint64, tag = "4")]
+    pub highestEpoch: u64,
+    /// Where denied: how long until asking again may help.
+    #[prost(uint64, tag = "5")]
+    pub waitMs: u64,
+}
+
+/// Gives a claim, or a candidate's votes, back before the end.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimDrop {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+}
+
+/// One upstream as its beats describe it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Upstream {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    #[prost(string, tag = "3")]
+    pub address: String,
+    #[prost(string, tag = "4")]
+    pub locality: String,
+    #[prost(uint32, tag = "5")]
+    pub freeSlots: u32,
+    #[prost(bool, tag = "6")]
+    pub warm: bool,
+    /// 0 ready, 1 leaving, 2 gone (signed off, replaced or silent too long).
+    #[prost(uint32, tag = "7")]
+    pub condition: u32,
+    #[prost(uint64, tag = "8")]
+    pub beat: u64,
+    /// How old this beat is at its sender.
+    #[prost(uint64, tag = "9")]
+    pub ageMs: u64,
+    /// Key shares the upstream says it holds.
+    #[prost(message, repeated, tag = "10")]
+    pub holds: Vec<Share>,
+    /// How long ago the sender first heard of it: of two registrations of one address the younger counts.
+    #[prost(uint64, tag = "11")]
+    pub bornMs: u64,
+}
+
+/// A range of key slots (`from` up to, not including, `until`) held under `epoch`.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Message)]
+pub struct Share {
+    #[prost(uint32, tag = "1")]
+    pub from: u32,
+    #[prost(uint32, tag = "2")]
+    pub until: u32,
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    #[prost(string, tag = "4")]
+    pub instance: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Beats {
+    #[prost(message, repeated, tag = "1")]
+    pub upstreams: Vec<Upstream>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct SharesAsk {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, required, tag = "2")]
+    pub upstream: Upstream,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct SharesGiven {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub shares: Vec<Share>,
+    #[prost(uint64, tag = "3")]
+    pub spanMs: u64,
+}
+
+/// Which locality owns a name.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Reservation {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub locality: String,
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// How long ago the span began, at the sender.
+    #[prost(uint64, tag = "4")]
+    pub ageMs: u64,
+}
+
+/// Left where a name used to live: it lives at `to` now.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Mark {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub from: String,
+    #[prost(string, tag = "3")]
+    pub to: String,
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
+    /// How long ago the name left, at the sender.
+    #[prost(uint64, tag = "5")]
+    pub ageMs: u64,
+}
+
+/// All that the placement duty decided, under its claim.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Placement {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub reservations: Vec<Reservation>,
+    #[prost(message, repeated, tag = "4")]
+    pub marks: Vec<Mark>,
+    #[prost(message, repeated, tag = "5")]
+    pub shares: Vec<ServiceShares>,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServiceShares {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(message, repeated, tag = "2")]
+    pub shares: Vec<Share>,
+}
+
+/// A carrier asks how current it is, naming the last news it kept.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsAsk {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(uint64, tag = "2")]
+    pub stream: u64,
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Fresh {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    /// How long ago a majority confirmed the edition.
+    #[prost(uint64, tag = "2")]
+    pub ageMs: u64,
+    #[prost(uint64, tag = "3")]
+    pub stream: u64,
+    /// The last number sent on this stream: a carrier that kept less is behind.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    #[prost(uint64, tag = "5")]
+    pub edition: u64,
+}
+
+/// News to a carrier: an image (number 0 of a new stream), or the change after the last.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(message, optional, tag = "3")]
+    pub word: Option<Word>,
+    #[prost(bytes = "vec", optional, tag = "4")]
+    pub setup: Option<Vec<u8>>,
+    #[prost(message, repeated, tag = "5")]
+    pub upstreams: Vec<Upstream>,
+    #[prost(message, optional, tag = "6")]
+    pub placement: Option<Placement>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsKept {
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The edition in force at the carrier.
+    #[prost(uint64, tag = "3")]
+    pub edition: u64,
+}
--- /dev/null
+++ b/crates/postmaster/src/desk.rs
@@ -0,0 +1,226 @@
+//! What operators and upstreams ask.
+
+use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office};
+use address::Code;
+use parcel::{Beats, Body, SharesAsk, SharesGiven, Upstream};
+use registered::{Change, Standing, Verdict};
+use std::time::Duration;
+use tariff::{Setup, Sheet};
+
+const MOST_BEAT_WAITS: usize = 4096;
+const BEAT_PATIENCE: Duration = Duration::from_millis(700);
+
+impl Office {
+    pub(crate) fn ask(&mut self, now: Duration, token: u64, ask: Ask) {
+        match ask {
+            Ask::Submit { id, base, bytes, inForce } => match Setup::read(&bytes) {
+                Err(complaints) => self.answer(token, Answer::Denied { code: Code::SetupBad, complaints }),
+                Ok(_) => {
+                    let digest = parcel::digest(&bytes);
+                    self.wait_for_force(now, token, inForce);
+                    self.change(now, token, Change::Setup { id, base, digest }, Some(bytes));
+                }
+            },
+            Ask::Evacuate { id, locality, back, inForce } => {
+                self.wait_for_force(now, token, inForce);
+                self.change(now, token, Change::Evacuate { id, locality, back }, None);
+            }
+            Ask::ReadSetup => {
+                let edition = self.register.word().edition;
+                let bytes = self.register.setup().map(<[u8]>::to_vec);
+                let answer = match bytes {
+                    _ if !self.is_current(now) => Answer::Verdict { code: Code::Stale, edition },
+                    None => Answer::Verdict { code: Code::NoWord, edition },
+                    Some(bytes) => Answer::Setup { edition, bytes },
+                };
+                self.answer(token, answer);
+            }
+            Ask::Status => {
+                let sheet = self.status(now);
+                self.answer(token, Answer::Sheet(sheet));
+            }
+            Ask::Upstreams => {
+                let sheet = self.roll.all(now).iter().map(upstream_sheet).collect();
+                self.answer(token, Answer::Sheet(sheet));
+            }
+            Ask::Reservations => {
+                let sheet = self.placement.reservations.iter().map(|owned| {
+                    Sheet::fields([
+                        ("name", owned.name.as_str().into()),
+                        ("locality", owned.locality.as_str().into()),
+                        ("epoch", owned.epoch.into()),
+                        ("ageMs", owned.ageMs.into()),
+                    ])
+                });
+                let sheet = sheet.collect();
+                self.answer(token, Answer::Sheet(sheet));
+            }
+            Ask::Marks => {
+                let sheet = self.placement.marks.iter().map(|mark| {
+                    Sheet::fields([
+                        ("name", mark.name.as_str().into()),
+                        ("from", mark.from.as_str().into()),
+                        ("to", mark.to.as_str().into()),
+                        ("epoch", mark.epoch.into()),
+                    ])
+                });
+                let sheet = sheet.collect();
+                self.answer(token, Answer::Sheet(sheet));
+            }
+            Ask::Beat(upstream) => self.beat(now, token, upstream),
+        }
+    }
+
+    pub(crate) fn answer(&mut self, token: u64, answer: Answer) {
+        self.effects.push_back(Effect::Answer { token, answer });
+    }
+
+    /// The operator wants to hear only once the change is in force everywhere that still serves.
+    fn wait_for_force(&mut self, now: Duration, token: u64, inForce: bool) {
+        if inForce {
+            let answer = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
+            let until = now + self.times.register.patience * 2;
+            self.waitingForce.push(InForce { token, answer, edition: u64::MAX, until });
+        }
+    }
+
+    pub(crate) fn decided(&mut self, now: Duration, token: u64, verdict: Verdict) {
+        let Verdict { code, edition } = verdict;
+        let answer = Answer::Verdict { code, edition };
+        let waiting = self.waitingForce.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
+        match waiting {
+            Some(waiting) => {
+                // Every view that was not told has aged out by then.
+                *waiting = InForce { token, answer, edition, until: now + self.times.staleAfter };
+            }
+            None => {
+                self.waitingForce.retain(|waiting| waiting.token != token);
+                self.answer(token, answer);
+            }
+        }
+    }
+
+    pub(crate) fn tick_waits(&mut self, now: Duration) {
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waitingForce)
+            .into_iter()
+            .partition(|waiting| now >= waiting.until || self.all_kept(waiting.edition));
+        self.waitingForce = waiting;
+        done.into_iter().for_each(|done| self.answer(done.token, done.answer));
+        let late: Vec<u64> =
+            self.beatWaits.iter().filter(|(_, wait)| now >= wait.until).map(|(nonce, _)| *nonce).collect();
+        late.into_iter().for_each(|nonce| {
+            let wait = self.beatWaits.remove(&nonce);
+            wait.into_iter().for_each(|wait| self.answer_beat(wait.token, None));
+        });
+    }
+
+    fn beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
+        if self.roll.take(now, upstream.clone()) {
+            self.tell_postmasters(Body::Beats(Beats { upstreams: vec![upstream.clone()] }));
+        }
+        let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
+        if !keyed || self.placedBy.is_empty() || self.beatWaits.len() >= MOST_BEAT_WAITS {
+            return self.answer_beat(token, None);
+        }
+        if self.placedBy == self.me.node {
+            let given = self.give_shares(now, &upstream);
+            return self.answer_beat(token, given);
+        }
+        let nonce = self.dice.roll();
+        self.beatWaits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
+        let to = self.placedBy.clone();
+        self.effects.push_back(Effect::Send { to, body: Body::SharesAsk(SharesAsk { nonce, upstream }) });
+    }
+
+    pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesAsk) {
+        self.roll.take(now, ask.upstream.clone());
+        if let Some(shares) = self.give_shares(now, &ask.upstream) {
+            let spanMs = self.times.shareSpan.as_millis() as u64;
+            let given = SharesGiven { nonce: ask.nonce, shares, spanMs };
+            self.effects.push_back(Effect::Send { to: from, body: Body::SharesGiven(given) });
+        }
+    }
+
+    pub(crate) fn shares_given(&mut self, given: SharesGiven) {
+        let wait = self.beatWaits.remove(&given.nonce);
+        wait.into_iter().for_each(|wait| self.answer_beat(wait.token, Some(given.shares.clone())));
+    }
+
+    /// Without `shares` the upstream learns nothing new, and what it holds runs out by itself.
+    fn answer_beat(&mut self, token: u64, shares: Option<Vec<parcel::Share>>) {
+        let sheet = match shares {
+            None => Sheet::fields([("code", u64::from(Code::Fine.number()).into())]),
+            Some(shares) => {
+                let runs = shares.iter().map(|share| {
+                    Sheet::fields([
+                        ("from", u64::from(share.from).into()),
+                        ("until", u64::from(share.until).into()),
+                        ("epoch", share.epoch.into()),
+                    ])
+                });
+                Sheet::fields([
+                    ("code", u64::from(Code::Fine.number()).into()),
+                    ("shares", runs.collect()),
+                    ("spanMs", (self.times.shareSpan.as_millis() as u64).into()),
+                ])
+            }
+        };
+        self.answer(token, Answer::Sheet(sheet));
+    }
+
+    fn status(&self, now: Duration) -> Sheet {
+        let standing = match self.register.standing() {
+            Standing::Blank { .. } => "blank",
+            Standing::Founding { .. } => "founding",
+            Standing::Mending { .. } => "mending",
+            Standing::Voting => "voting",
+            Standing::Out => "out",
+        };
+        let members = self.members.iter().map(|member| {
+            Sheet::fields([
+                ("node", member.node.as_str().into()),
+                ("roles", member.roles.as_str().into()),
+                ("locality", member.locality.as_str().into()),
+                ("http", member.httpAddress.as_str().into()),
+                ("condition", if member.condition == rounds::ALIVE { "alive" } else { "suspect" }.into()),
+            ])
+        });
+        let readers = self
+            .readers
+            .iter()
+            .map(|(node, reader)| Sheet::fields([("node", node.as_str().into()), ("edition", reader.edition.into())]));
+        let word = self.register.word();
+        Sheet::fields([
+            ("node", self.me.node.as_str().into()),
+            ("standing", standing.into()),
+            ("edition", word.edition.into()),
+            ("digest", word.digest.as_str().into()),
+            ("evacuated", word.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
+            ("current", self.is_current(now).into()),
+            ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
+            ("roster", self.register.roster().iter().map(|voter| Sheet::from(voter.as_str())).collect()),
+            ("placement", self.placedBy.as_str().into()),
+            ("members", members.collect()),
+            ("readers", readers.collect()),
+        ])
+    }
+}
+
+fn upstream_sheet(upstream: &Upstream) -> Sheet {
+    let condition = match upstream.condition {
+        enrolment::READY => "ready",
+        enrolment::LEAVING => "leaving",
+        _ => "gone",
+    };
+    Sheet::fields([
+        ("service", upstream.service.as_str().into()),
+        ("instance", upstream.instance.as_str().into()),
+        ("address", upstream.address.as_str().into()),
+        ("locality", upstream.locality.as_str().into()),
+        ("freeSlots", u64::from(upstream.freeSlots).into()),
+        ("warm", upstream.warm.into()),
+        ("condition", condition.into()),
+        ("beat", upstream.beat.into()),
+        ("ageMs", upstream.ageMs.into()),
+    ])
+}
--- /dev/null
+++ b/crates/postmaster/src/news.rs
@@ -0,0 +1,126 @@
+//! News to carriers: an image, then numbered changes, each acknowledged.
+
+use crate::office::{Effect, Office};
+use parcel::{Body, Fresh, News, NewsAsk, NewsKept, Placement, Upstream, Word};
+use std::time::Duration;
+
+const NEWS_EVERY: Duration = Duration::from_millis(100);
+const MOST_READERS: usize = 4096;
+/// A carrier that did not ask for so long has gone elsewhere.
+const READER_PATIENCE: Duration = Duration::from_secs(5);
+
+/// A carrier that follows the news here.
+pub(crate) struct Reader {
+    stream: u64,
+    number: u64,
+    askedAt: Duration,
+    word: Word,
+    placement: Placement,
+    /// The edition in force there, as acknowledged.
+    pub(crate) edition: u64,
+}
+
+impl Office {
+    pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: NewsAsk) {
+        if !self.is_current(now) {
+            return;
+        }
+        // What the answer vouches for goes out ahead of it.
+        self.tell_news(now);
+        let known =
+            self.readers.get(&from).is_some_and(|reader| reader.stream == ask.stream && ask.number <= reader.number);
+        // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
+        // asks with stream 0.
+        if !known && self.readers.len() < MOST_READERS {
+            self.send_image(now, &from);
+        }
+        if let Some(reader) = self.readers.get_mut(&from) {
+            reader.askedAt = now;
+            let fresh = Fresh {
+                nonce: ask.nonce,
+                ageMs: self.register.age(now).map(|age| age.as_millis() as u64 + 1).unwrap_or(u64::MAX),
+                stream: reader.stream,
+                number: reader.number,
+                edition: self.register.word().edition,
+            };
+            self.effects.push_back(Effect::Send { to: from, body: Body::Fresh(fresh) });
+        }
+    }
+
+    fn send_image(&mut self, now: Duration, to: &str) {
+        let stream = self.dice.roll().max(1);
+        let word = self.register.word().clone();
+        let (placement, edition) = (self.bare_placement(), 0);
+        let image = News {
+            stream,
+            number: 0,
+            setup: self.register.setup().map(<[u8]>::to_vec),
+            word: Some(word.clone()),
+            upstreams: self.roll.all(now).into_iter().map(plain).collect(),
+            placement: Some(placement.clone()),
+        };
+        let reader = Reader { stream, number: 0, askedAt: now, word, placement, edition };
+        self.readers.insert(to.to_owned(), reader);
+        self.effects.push_back(Effect::Send { to: to.to_owned(), body: Body::News(image) });
+    }
+
+    pub(crate) fn tick_news(&mut self, now: Duration) {
+        if now >= self.nextNews {
+            self.nextNews = now + NEWS_EVERY;
+            self.readers.retain(|_, reader| now < reader.askedAt + READER_PATIENCE);
+            self.tell_news(now);
+        }
+    }
+
+    fn tell_news(&mut self, now: Duration) {
+        let changed: Vec<Upstream> = self.roll.changes(now).into_iter().map(plain).collect();
+        let word = self.register.word();
+        let placement = self.bare_placement();
+        for (node, reader) in &mut self.readers {
+            let newWord = Some(word).filter(|word| **word != reader.word);
+            let newSetup = newWord.filter(|word| word.digest != reader.word.digest).and(self.register.setup());
+            let newPlacement = Some(&placement).filter(|placement| **placement != reader.placement);
+            let news = News {
+                stream: reader.stream,
+                number: reader.number + 1,
+                word: newWord.cloned(),
+                setup: newSetup.map(<[u8]>::to_vec),
+                upstreams: changed.clone(),
+                placement: newPlacement.cloned(),
+            };
+            if news.word.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
+                continue;
+            }
+            reader.number += 1;
+            reader.word = news.word.clone().unwrap_or_else(|| reader.word.clone());
+            reader.placement = news.placement.clone().unwrap_or_else(|| reader.placement.clone());
+            self.effects.push_back(Effect::Send { to: node.clone(), body: Body::News(news) });
+        }
+    }
+
+    /// The placement without ages, which change all the time and matter to nobody but the next holder. Its
+    /// number is left out too: one epoch's placements reach a carrier in order.
+    fn bare_placement(&self) -> Placement {
+        let mut bare = self.placement.clone();
+        bare.number = 0;
+        bare.reservations.iter_mut().for_each(|reservation| reservation.ageMs = 0);
+        bare.marks.iter_mut().for_each(|mark| mark.ageMs = 0);
+        bare
+    }
+
+    pub(crate) fn news_kept(&mut self, from: &str, kept: &NewsKept) {
+        let reader = self.readers.get_mut(from).filter(|reader| reader.stream == kept.stream);
+        reader.into_iter().for_each(|reader| reader.edition = reader.edition.max(kept.edition));
+    }
+
+    /// True where every carrier that membership knows has acknowledged this edition here.
+    pub(crate) fn all_kept(&self, edition: u64) -> bool {
+        let mut carriers = self.members.iter().filter(|member| member.roles != "postmaster");
+        carriers.all(|member| self.readers.get(&member.node).is_some_and(|reader| reader.edition >= edition))
+    }
+}
+
+/// Ages and key lists stay here; carriers want what requests need.
+fn plain(upstream: Upstream) -> Upstream {
+    Upstream { ageMs: 0, bornMs: 0, beat: 0, holds: Vec::new(), ..upstream }
+}
