--- /dev/null
+++ b/crates/postmaster/src/office.rs
@@ -0,0 +1,353 @@
+//! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
+//! news to carriers, as one reducer.
+
+use crate::news::Reader;
+use crate::placing::Duty;
+use address::{Code, Dice};
+use claims::Claims;
+use enrolment::Roll;
+use parcel::{Beats, Body, Durable, Member, Placement, Upstream};
+use registered::{Change, Register, Standing};
+use rounds::Rounds;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tariff::{Complaint, Setup, Sheet};
+
+/// A postmaster's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub register: registered::Times,
+    pub rounds: rounds::Times,
+    pub claims: claims::Times,
+    pub placement: gazetteer::Times,
+    pub shareSpan: Duration,
+    pub upstreamSilent: Duration,
+    pub staleAfter: Duration,
+}
+
+/// What a postmaster starts from.
+pub struct Start {
+    pub me: Member,
+    pub seeds: Vec<String>,
+    pub rosterSize: usize,
+    pub seed: u64,
+    pub durable: Durable,
+    pub setups: BTreeMap<String, Vec<u8>>,
+    pub times: Times,
+}
+
+/// What operators and upstreams ask over HTTP.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Submit { id: String, base: Option<u64>, bytes: Vec<u8>, inForce: bool },
+    Evacuate { id: String, locality: String, back: bool, inForce: bool },
+    ReadSetup,
+    Status,
+    Upstreams,
+    Reservations,
+    Marks,
+    Beat(Upstream),
+}
+
+/// An answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Verdict { code: Code, edition: u64 },
+    Denied { code: Code, complaints: Vec<Complaint> },
+    Setup { edition: u64, bytes: Vec<u8> },
+    Sheet(Sheet),
+}
+
+/// What happens to a postmaster.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    Parcel { from: String, body: Body },
+    Datagram { address: String, body: Body },
+    Ask { token: u64, ask: Ask },
+    Kept { ticket: u64 },
+    DiskFailed,
+    Close,
+}
+
+/// What a postmaster wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        to: String,
+        body: Body,
+    },
+    Datagram {
+        address: String,
+        body: Body,
+    },
+    Keep {
+        ticket: u64,
+        durable: Durable,
+    },
+    KeepSetup {
+        ticket: u64,
+        digest: String,
+        bytes: Vec<u8>,
+    },
+    Answer {
+        token: u64,
+        answer: Answer,
+    },
+    /// Membership changed: node ids with their link addresses.
+    Addresses(Vec<(String, String)>),
+    /// Worth a line in the log.
+    Note(String),
+}
+
+pub(crate) struct InForce {
+    pub token: u64,
+    pub answer: Answer,
+    pub edition: u64,
+    pub until: Duration,
+}
+
+pub(crate) struct BeatWait {
+    pub token: u64,
+    pub until: Duration,
+}
+
+/// The core of one postmaster.
+pub struct Office {
+    pub(crate) me: Member,
+    pub(crate) times: Times,
+    pub(crate) dice: Dice,
+    pub(crate) register: Register,
+    pub(crate) rounds: Rounds,
+    pub(crate) claims: Claims,
+    pub(crate) roll: Roll,
+    pub(crate) duty: Option<Duty>,
+    /// The last placement heard of, from whom, and when.
+    pub(crate) placement: Placement,
+    pub(crate) placedBy: String,
+    pub(crate) placedAt: Duration,
+    pub(crate) setup: Arc<Setup>,
+    pub(crate) members: Vec<Member>,
+    pub(crate) readers: BTreeMap<String, Reader>,
+    pub(crate) waitingForce: Vec<InForce>,
+    pub(crate) beatWaits: BTreeMap<u64, BeatWait>,
+    pub(crate) nextSweep: Duration,
+    pub(crate) nextNews: Duration,
+    pub(crate) effects: VecDeque<Effect>,
+    told: Standing,
+}
+
+impl Office {
+    /// A postmaster as its disk left it.
+    ///
+    /// ```
+    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    ///     durable: Default::default(), setups: Default::default(), times };
+    /// assert_eq!(postmaster::Office::new(start).edition(), 0);
+    /// ```
+    pub fn new(start: Start) -> Self {
+        let mut dice = Dice::new(start.seed);
+        let Start { me, seeds, rosterSize, durable, setups, times, .. } = start;
+        let register = Register::new(registered::Start {
+            me: me.node.clone(),
+            rosterSize,
+            seed: dice.roll(),
+            durable,
+            setups,
+            times: times.register,
+        });
+        Office {
+            rounds: Rounds::new(me.clone(), seeds, times.rounds, dice.roll()),
+            claims: Claims::new(me.node.clone(), times.claims, dice.roll()),
+            told: register.standing().clone(),
+            members: vec![me.clone()],
+            me,
+            times,
+            dice,
+            register,
+            roll: Roll::default(),
+            duty: None,
+            placement: Placement::default(),
+            placedBy: String::new(),
+            placedAt: Duration::ZERO,
+            setup: Arc::default(),
+            readers: BTreeMap::new(),
+            waitingForce: Vec::new(),
+            beatWaits: BTreeMap::new(),
+            nextSweep: Duration::ZERO,
+            nextNews: Duration::ZERO,
+            effects: VecDeque::new(),
+        }
+    }
+
+    /// The edition in force here.
+    ///
+    /// ```
+    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// assert_eq!(postmaster::Office::new(start).edition(), 0);
+    /// ```
+    pub fn edition(&self) -> u64 {
+        self.register.word().edition
+    }
+
+    /// The one reducer: takes an event in, gives effects out.
+    ///
+    /// ```
+    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// use postmaster::{Answer, Ask, Effect, Event, Office};
+    /// let mut office = Office::new(start);
+    /// let ask = Ask::Submit { id: "a".into(), base: None, bytes: b"{".to_vec(), inForce: false };
+    /// let effects = office.step(Default::default(), Event::Ask { token: 7, ask });
+    /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
+    /// ```
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Parcel { from, body } => self.take(now, from, body),
+            Event::Datagram { address, body } => {
+                let effects = self.rounds.step(now, rounds::Event::Parcel { address, body });
+                self.run_rounds(now, effects);
+            }
+            Event::Ask { token, ask } => self.ask(now, token, ask),
+            Event::Kept { ticket } => self.run_register(now, registered::Event::Kept { ticket }),
+            Event::DiskFailed => self.run_register(now, registered::Event::DiskFailed),
+            Event::Close => {
+                let effects = self.rounds.step(now, rounds::Event::Leave);
+                self.run_rounds(now, effects);
+                self.run_claims(now, claims::Event::Close);
+            }
+        }
+        std::mem::take(&mut self.effects).into()
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let effects = self.rounds.step(now, rounds::Event::Tick);
+        self.run_rounds(now, effects);
+        self.run_register(now, registered::Event::Tick);
+        let (roster, epoch) = (self.register.roster().to_vec(), self.register.claim_epoch());
+        if *self.register.standing() == Standing::Voting {
+            self.run_claims(now, claims::Event::Roster { roster, epoch });
+            self.run_claims(now, claims::Event::Tick);
+        }
+        if now >= self.nextSweep {
+            self.nextSweep = now + Duration::from_millis(500);
+            self.roll.sweep(now, self.times.upstreamSilent);
+            let upstreams = self.roll.farewells(now);
+            if !upstreams.is_empty() {
+                self.tell_postmasters(Body::Beats(Beats { upstreams }));
+            }
+        }
+        self.tick_duty(now);
+        self.tick_news(now);
+        self.tick_waits(now);
+        self.note_standing();
+    }
+
+    fn note_standing(&mut self) {
+        let now = self.register.standing();
+        if std::mem::discriminant(now) != std::mem::discriminant(&self.told) {
+            self.told = now.clone();
+            let text = match now {
+                Standing::Blank { .. } => "the disk is blank",
+                Standing::Founding { .. } => "endorsed a roster",
+                Standing::Mending { .. } => "mending from the other voters",
+                Standing::Voting => "voting",
+                Standing::Out => "the disk failed: out of rounds",
+            };
+            self.effects.push_back(Effect::Note(text.into()));
+        }
+    }
+
+    fn take(&mut self, now: Duration, from: String, body: Body) {
+        match body {
+            Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) => {
+                // A voter that has lost its disk has forgotten the epochs it granted.
+                if *self.register.standing() == Standing::Voting {
+                    self.run_claims(now, claims::Event::Parcel { from, body });
+                }
+            }
+            Body::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
+                self.roll.take(now, upstream);
+            }),
+            Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
+            Body::SharesGiven(given) => self.shares_given(given),
+            Body::Placement(placement) => self.take_placement(now, from, placement),
+            Body::NewsAsk(ask) => self.news_asked(now, from, ask),
+            Body::NewsKept(kept) => self.news_kept(&from, &kept),
+            other => self.run_register(now, registered::Event::Parcel { from, body: other }),
+        }
+    }
+
+    fn run_rounds(&mut self, now: Duration, effects: Vec<rounds::Effect>) {
+        let changed = effects.contains(&rounds::Effect::Changed);
+        effects.into_iter().for_each(|effect| {
+            if let rounds::Effect::Send { address, body } = effect {
+                self.effects.push_back(Effect::Datagram { address, body });
+            }
+        });
+        if changed {
+            self.members = self.rounds.members().cloned().collect();
+            let book = self.members.iter().map(|member| (member.node.clone(), member.linkAddress.clone()));
+            self.effects.push_back(Effect::Addresses(book.collect()));
+        }
+        let peers = self.members.iter().filter(|member| member.roles == "postmaster");
+        let peers = peers.map(|member| member.node.clone()).collect();
+        self.run_register(now, registered::Event::Peers(peers));
+    }
+
+    pub(crate) fn run_register(&mut self, now: Duration, event: registered::Event) {
+        let effects = self.register.step(now, event);
+        effects.into_iter().for_each(|effect| match effect {
+            registered::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
+            registered::Effect::Keep { ticket, durable } => {
+                self.effects.push_back(Effect::Keep { ticket, durable });
+            }
+            registered::Effect::KeepSetup { ticket, digest, bytes } => {
+                self.effects.push_back(Effect::KeepSetup { ticket, digest, bytes });
+            }
+            registered::Effect::Verdict { token, verdict } => self.decided(now, token, verdict),
+            registered::Effect::Adopted => self.adopted(),
+            registered::Effect::EpochKept { token } => self.run_claims(now, claims::Event::EpochKept { token }),
+        });
+    }
+
+    fn run_claims(&mut self, now: Duration, event: claims::Event) {
+        let effects = self.claims.step(now, event);
+        effects.into_iter().for_each(|effect| match effect {
+            claims::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
+            claims::Effect::RaiseEpoch { epoch, token } => {
+                self.run_register(now, registered::Event::RaiseEpoch { epoch, token });
+            }
+        });
+    }
+
+    /// A newer word is in force: read its setup once, and tell the carriers with the next news.
+    fn adopted(&mut self) {
+        let read = self.register.setup().map(Setup::read).and_then(Result::ok);
+        self.setup = read.map(Arc::new).unwrap_or_default();
+        self.nextNews = Duration::ZERO;
+        let edition = self.register.word().edition;
+        self.effects.push_back(Effect::Note(format!("edition {edition} is in force")));
+    }
+
+    pub(crate) fn tell_postmasters(&mut self, body: Body) {
+        let others = self.members.iter().filter(|member| member.roles == "postmaster" && member.node != self.me.node);
+        let sends = others.map(|member| Effect::Send { to: member.node.clone(), body: body.clone() });
+        self.effects.extend(sends.collect::<Vec<_>>());
+    }
+
+    pub(crate) fn change(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
+        self.run_register(now, registered::Event::Ask { token, change, bytes });
+    }
+
+    /// True while a majority confirmed the word lately.
+    pub(crate) fn is_current(&self, now: Duration) -> bool {
+        self.register.age(now).is_some_and(|age| age < self.times.staleAfter)
+    }
+}
--- /dev/null
+++ b/crates/postmaster/src/placing.rs
@@ -0,0 +1,95 @@
+//! The placement duty, done by whichever postmaster holds its claim.
+
+use crate::office::Office;
+use enrolment::{READY, Shares};
+use gazetteer::{Needs, Placer};
+use parcel::{Body, Placement, ServiceShares, Share, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long a new holder listens before it decides, so that beats and the last placement can reach it.
+const LISTEN: Duration = Duration::from_millis(1200);
+const DECIDE_EVERY: Duration = Duration::from_millis(200);
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
+/// The holder's working state, thrown away when the claim ends.
+pub(crate) struct Duty {
+    epoch: u64,
+    listenUntil: Duration,
+    placer: Option<Placer>,
+    shares: BTreeMap<String, Shares>,
+    told: Vec<ServiceShares>,
+    nextDecide: Duration,
+    nextTell: Duration,
+}
+
+impl Office {
+    pub(crate) fn tick_duty(&mut self, now: Duration) {
+        let Some(epoch) = self.claims.holds(now) else {
+            self.duty = None;
+            return;
+        };
+        let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
+            epoch,
+            listenUntil: now + LISTEN,
+            placer: None,
+            shares: BTreeMap::new(),
+            told: Vec::new(),
+            nextDecide: now,
+            nextTell: now,
+        });
+        // Without a current word it might decide from an old one.
+        if now >= duty.nextDecide && now >= duty.listenUntil && self.is_current(now) {
+            duty.nextDecide = now + DECIDE_EVERY;
+            self.decide(now, &mut duty);
+        }
+        self.duty = Some(duty);
+    }
+
+    fn decide(&mut self, now: Duration, duty: &mut Duty) {
+        let (last, times) = (&self.placement, self.times.placement);
+        let placer = duty.placer.get_or_insert_with(|| Placer::new(now, duty.epoch, last, times));
+        let served = self.members.iter().filter(|member| member.roles.contains("proxy"));
+        let served: BTreeSet<String> = served.map(|member| member.locality.clone()).collect();
+        let upstreams = self.roll.all(now);
+        let evacuated = &self.register.word().evacuated;
+        let needs = Needs { setup: &self.setup, evacuated, upstreams: &upstreams, served: &served };
+        let moved = placer.decide(now, &needs);
+        duty.shares.retain(|service, _| self.setup.services.get(service).is_some_and(|service| service.keyed));
+        let shares: Vec<ServiceShares> = duty
+            .shares
+            .iter()
+            .map(|(service, shares)| ServiceShares { service: service.clone(), shares: shares.all(now) })
+            .collect();
+        if moved || shares != duty.told || now >= duty.nextTell {
+            duty.nextTell = now + TELL_EVERY;
+            duty.told = shares.clone();
+            placer.count();
+            let placement = placer.placement(now, shares);
+            let me = self.me.node.clone();
+            self.tell_postmasters(Body::Placement(placement.clone()));
+            self.take_placement(now, me, placement);
+        }
+    }
+
+    pub(crate) fn take_placement(&mut self, now: Duration, from: String, placement: Placement) {
+        let newer = (placement.epoch, placement.number) > (self.placement.epoch, self.placement.number);
+        if newer {
+            self.placement = placement;
+            self.placedBy = from;
+            self.placedAt = now;
+        }
+    }
+
+    /// Shares for a beat; none where this node does not hold the duty, so that nobody takes it for an answer.
+    pub(crate) fn give_shares(&mut self, now: Duration, upstream: &Upstream) -> Option<Vec<Share>> {
+        let epoch = self.claims.holds(now)?;
+        let span = self.times.shareSpan;
+        let ready = self.roll.all(now).into_iter();
+        let ready = ready.filter(|other| other.service == upstream.service && other.condition == READY);
+        let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
+        let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
+        let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(now, span, epoch));
+        Some(shares.beat(now, upstream, &ready))
+    }
+}
--- /dev/null
+++ b/crates/registered/src/reading.rs
@@ -0,0 +1,64 @@
+//! Majority reads: what confirms that the word in force is the newest.
+
+use crate::proposer::Wish;
+use crate::register::{Register, Standing};
+use crate::wish::Change;
+use address::majority;
+use parcel::{Ballot, Body, Read, ReadBack, Word};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A read under way.
+pub(crate) struct Reading {
+    nonce: u64,
+    askedAt: Duration,
+    /// The ballot that the question named as known.
+    known: (Ballot, Word),
+    backs: BTreeMap<String, (Ballot, Word)>,
+}
+
+impl Register {
+    pub(crate) fn tick_reading(&mut self, now: Duration) {
+        if now < self.nextRead {
+            return;
+        }
+        self.nextRead = now + self.times.confirmEvery;
+        self.finish_if_split(now);
+        let nonce = self.dice.roll();
+        let known = (self.current.ballot.clone(), self.current.word.clone());
+        let body = Body::Read(Read { nonce, known: known.0.clone() });
+        self.reading = Some(Reading { nonce, askedAt: now, known, backs: BTreeMap::new() });
+        self.send_all(body);
+    }
+
+    /// The last read ended without a majority of one mind: some round was left half done.
+    fn finish_if_split(&mut self, now: Duration) {
+        let voters = majority(self.durable.roster.len());
+        let split = self.reading.take().filter(|reading| reading.backs.len() >= voters);
+        let mineToDo = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
+        if mineToDo || (self.waitlist.is_empty() && self.reading_is_old(now) && self.dice.below(4) == 0) {
+            self.push_wish(Wish::new(now, None, Change::Finish));
+        }
+    }
+
+    fn reading_is_old(&self, now: Duration) -> bool {
+        self.age(now).is_none_or(|age| age > self.times.confirmEvery * 2)
+    }
+
+    pub(crate) fn read_back(&mut self, _now: Duration, from: &str, back: ReadBack) {
+        if self.standing != Standing::Voting || !self.durable.roster.iter().any(|voter| voter == from) {
+            return;
+        }
+        let voters = majority(self.durable.roster.len());
+        let chosen = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce).and_then(|reading| {
+            let word = back.accepted.unwrap_or_else(|| reading.known.1.clone());
+            reading.backs.insert(from.to_owned(), (back.acceptedAt.clone(), word.clone()));
+            let alike = reading.backs.values().filter(|(ballot, _)| *ballot == back.acceptedAt).count();
+            (alike >= voters).then_some((back.acceptedAt, word, reading.askedAt))
+        });
+        if let Some((ballot, word, askedAt)) = chosen {
+            self.reading = None;
+            self.adopt(ballot, word, Some(askedAt));
+        }
+    }
+}
--- /dev/null
+++ b/crates/registered/src/register.rs
@@ -0,0 +1,482 @@
+//! The state of one voter and proposer, and the reducer over its events.
+
+use crate::proposer::{Round, Wish};
+use crate::reading::Reading;
+use crate::wish::{Change, Verdict};
+use address::Dice;
+use parcel::{Ballot, Body, Chosen, Durable, Promise, SetupAsk, SetupBytes, Word};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// How many disk writes may wait before the voter stays out of rounds.
+const MOST_WRITES: usize = 64;
+/// How many setups are kept in memory beside those in use.
+const SPARE_SETUPS: usize = 16;
+
+/// The register's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// How often a majority confirms the word.
+    pub confirmEvery: Duration,
+    /// How long one phase of a round may take.
+    pub phase: Duration,
+    /// How long a change may wait for its verdict.
+    pub patience: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Times {
+            confirmEvery: Duration::from_millis(500),
+            phase: Duration::from_millis(700),
+            patience: Duration::from_millis(2500),
+        }
+    }
+}
+
+/// What a voter starts from.
+pub struct Start {
+    pub me: String,
+    /// How many voters a founding needs.
+    pub rosterSize: usize,
+    pub seed: u64,
+    /// What the disk holds; default on a blank disk.
+    pub durable: Durable,
+    /// Undamaged setups found on the disk, by digest.
+    pub setups: BTreeMap<String, Vec<u8>>,
+    pub times: Times,
+}
+
+/// What happens to a register.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    Parcel {
+        from: String,
+        body: Body,
+    },
+    /// The postmasters that membership knows, this one included.
+    Peers(Vec<String>),
+    /// An operator's change, with the setup's bytes where it brings one.
+    Ask {
+        token: u64,
+        change: Change,
+        bytes: Option<Vec<u8>>,
+    },
+    /// The write with this ticket is synced.
+    Kept {
+        ticket: u64,
+    },
+    /// The disk failed: this voter stays out from now on.
+    DiskFailed,
+    /// Persist a claim epoch; answered by `EpochKept` with the token.
+    RaiseEpoch {
+        epoch: u64,
+        token: u64,
+    },
+}
+
+/// What a register wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        to: String,
+        body: Body,
+    },
+    /// Sync this state, then tell `Kept`.
+    Keep {
+        ticket: u64,
+        durable: Durable,
+    },
+    /// Sync this setup, then tell `Kept`.
+    KeepSetup {
+        ticket: u64,
+        digest: String,
+        bytes: Vec<u8>,
+    },
+    Verdict {
+        token: u64,
+        verdict: Verdict,
+    },
+    /// The word in force changed.
+    Adopted,
+    EpochKept {
+        token: u64,
+    },
+}
+
+/// Where a voter stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Standing {
+    /// Nothing on disk: asks whether a roster was founded.
+    Blank { unfounded: BTreeSet<String> },
+    /// Endorsed a roster, waits for the others.
+    Founding { endorsed: BTreeSet<String> },
+    /// Lost its disk: gathers what the others promised and accepted.
+    Mending { roster: Vec<String>, ballot: Ballot, promises: BTreeMap<String, Promise>, until: Duration },
+    /// Takes part in rounds.
+    Voting,
+    /// The disk failed.
+    Out,
+}
+
+pub(crate) struct Write {
+    ticket: u64,
+    durable: Option<Durable>,
+    digest: Option<String>,
+    then: Vec<Effect>,
+}
+
+/// A word known to be chosen.
+pub(crate) struct Current {
+    pub ballot: Ballot,
+    pub word: Word,
+    /// When the question was sent whose answers confirmed it.
+    pub confirmedAt: Option<Duration>,
+}
+
+/// One voter of the majority register.
+pub struct Register {
+    pub(crate) me: String,
+    pub(crate) rosterSize: usize,
+    pub(crate) times: Times,
+    pub(crate) dice: Dice,
+    pub(crate) stamp: u64,
+    pub(crate) peers: Vec<String>,
+    pub(crate) standing: Standing,
+    /// What was decided, perhaps not synced yet.
+    pub(crate) durable: Durable,
+    /// What the disk surely holds: questions are answered from it.
+    pub(crate) synced: Durable,
+    pub(crate) setups: BTreeMap<String, Vec<u8>>,
+    pub(crate) held: BTreeSet<String>,
+    pub(crate) current: Current,
+    pub(crate) seenRound: u64,
+    pub(crate) round: Round,
+    pub(crate) waitlist: VecDeque<Wish>,
+    pub(crate) reading: Option<Reading>,
+    pub(crate) nextRead: Duration,
+    pub(crate) nextTell: Duration,
+    writes: VecDeque<Write>,
+    ticket: u64,
+    inbox: VecDeque<Body>,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Register {
+    /// A register as its disk left it.
+    ///
+    /// ```
+    /// use registered::{Register, Standing, Start, Times};
+    /// let register = Register::new(Start {
+    ///     me: "pm-1".into(), rosterSize: 1, seed: 7, durable: Default::default(),
+    ///     setups: Default::default(), times: Times::default(),
+    /// });
+    /// assert!(matches!(register.standing(), Standing::Blank { .. }));
+    /// ```
+    pub fn new(start: Start) -> Self {
+        let mut dice = Dice::new(start.seed);
+        let stamp = dice.roll();
+        let standing = match (start.durable.disk, start.durable.endorsed.is_empty()) {
+            (0, true) => Standing::Blank { unfounded: BTreeSet::new() },
+            (0, false) => Standing::Founding { endorsed: BTreeSet::new() },
+            _ => Standing::Voting,
+        };
+        Register {
+            me: start.me,
+            rosterSize: start.rosterSize,
+            times: start.times,
+            dice,
+            stamp,
+            peers: Vec::new(),
+            standing,
+            synced: start.durable.clone(),
+            seenRound: start.durable.promised.round,
+            durable: start.durable,
+            held: start.setups.keys().cloned().collect(),
+            setups: start.setups,
+            current: Current { ballot: Ballot::default(), word: Word::default(), confirmedAt: None },
+            round: Round::Idle,
+            waitlist: VecDeque::new(),
+            reading: None,
+            nextRead: Duration::ZERO,
+            nextTell: Duration::ZERO,
+            writes: VecDeque::new(),
+            ticket: 0,
+            inbox: VecDeque::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// The one reducer: takes an event in, gives effects out.
+    ///
+    /// ```
+    /// use registered::{Effect, Event, Register, Standing, Start, Times};
+    /// use std::time::Duration;
+    /// // A roster of one founds itself once its endorsement and its mark are synced.
+    /// let mut register = Register::new(Start {
+    ///     me: "pm-1".into(), rosterSize: 1, seed: 7, durable: Default::default(),
+    ///     setups: Default::default(), times: Times::default(),
+    /// });
+    /// let mut effects = register.step(Duration::ZERO, Event::Peers(vec!["pm-1".into()]));
+    /// for turn in 1..9 {
+    ///     let kept = effects.drain(..).filter_map(|effect| match effect {
+    ///         Effect::Keep { ticket, .. } => Some(Event::Kept { ticket }),
+    ///         _ => None,
+    ///     });
+    ///     let events: Vec<Event> = kept.chain([Event::Tick]).collect();
+    ///     let now = Duration::from_secs(turn);
+    ///     effects = events.into_iter().flat_map(|event| register.step(now, event)).collect();
+    /// }
+    /// assert_eq!(*register.standing(), Standing::Voting);
+    /// ```
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Parcel { from, body } => self.take(now, &from, body),
+            Event::Peers(mut peers) => {
+                peers.sort();
+                peers.dedup();
+                self.peers = peers;
+            }
+            Event::Ask { token, change, bytes } => self.wish(now, token, change, bytes),
+            Event::Kept { ticket } => self.kept(ticket),
+            Event::DiskFailed => self.stand(Standing::Out),
+            Event::RaiseEpoch { epoch, token } => self.raise_epoch(epoch, token),
+        }
+        while let Some(body) = self.inbox.pop_front() {
+            let me = self.me.clone();
+            self.take(now, &me, body);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.tick_founding(now);
+        if self.standing == Standing::Voting {
+            self.tick_reading(now);
+            self.tick_round(now);
+        }
+        if now >= self.nextTell {
+            self.nextTell = now + Duration::from_millis(300);
+            self.ask_missing_setup();
+        }
+    }
+
+    fn take(&mut self, now: Duration, from: &str, body: Body) {
+        match body {
+            Body::Prepare(prepare) => self.prepare(from, prepare),
+            Body::Promise(promise) => self.promise(now, from, promise),
+            Body::Accept(accept) => self.accept(from, accept),
+            Body::Accepted(accepted) => self.accepted(now, from, accepted),
+            Body::Read(read) => self.read(from, read),
+            Body::ReadBack(back) => self.read_back(now, from, back),
+            Body::Chosen(chosen) => self.adopt(chosen.ballot, chosen.word, None),
+            Body::SetupBytes(setup) => self.take_setup(setup),
+            Body::SetupAsk(ask) => self.give_setup(from, &ask),
+            Body::Endorse(endorse) => self.endorse(from, endorse),
+            Body::Founded(founded) => self.founded(now, founded.roster),
+            _ => {}
+        }
+    }
+
+    /// The one place where the standing changes.
+    pub(crate) fn stand(&mut self, standing: Standing) {
+        self.standing = standing;
+    }
+
+    /// Where this voter stands.
+    ///
+    /// ```
+    /// # use registered::{Event, Register, Standing, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// let mut register = Register::new(start);
+    /// register.step(Default::default(), Event::DiskFailed);
+    /// assert_eq!(*register.standing(), Standing::Out);
+    /// ```
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// The word in force here, once one is known to be chosen.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).word().edition, 0);
+    /// ```
+    pub fn word(&self) -> &Word {
+        &self.current.word
+    }
+
+    /// The bytes of the setup in force.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).setup(), None);
+    /// ```
+    pub fn setup(&self) -> Option<&[u8]> {
+        self.setups.get(&self.current.word.digest).map(Vec::as_slice)
+    }
+
+    /// How long ago a majority confirmed the word; none before the first time.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).age(Default::default()), None);
+    /// ```
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.current.confirmedAt.map(|at| now.saturating_sub(at))
+    }
+
+    /// The voters, once founded.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(Register::new(start).roster().is_empty());
+    /// ```
+    pub fn roster(&self) -> &[String] {
+        &self.synced.roster
+    }
+
+    /// The highest claim epoch that is safe on this disk.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).claim_epoch(), 0);
+    /// ```
+    pub fn claim_epoch(&self) -> u64 {
+        self.synced.claimEpoch
+    }
+
+    pub(crate) fn send(&mut self, to: &str, body: Body) {
+        if to == self.me {
+            self.inbox.push_back(body);
+        } else {
+            self.effects.push(Effect::Send { to: to.to_owned(), body });
+        }
+    }
+
+    pub(crate) fn send_all(&mut self, body: Body) {
+        let roster = self.durable.roster.clone();
+        roster.iter().for_each(|voter| self.send(voter, body.clone()));
+    }
+
+    /// True while the disk keeps up.
+    pub(crate) fn disk_is_free(&self) -> bool {
+        self.writes.len() < MOST_WRITES
+    }
+
+    /// Syncs the decided state and only then lets `then` out.
+    pub(crate) fn keep(&mut self, then: Vec<Effect>) {
+        self.ticket += 1;
+        let (ticket, durable) = (self.ticket, self.durable.clone());
+        self.writes.push_back(Write { ticket, durable: Some(durable.clone()), digest: None, then });
+        self.effects.push(Effect::Keep { ticket, durable });
+    }
+
+    fn kept(&mut self, ticket: u64) {
+        while self.writes.front().is_some_and(|write| write.ticket <= ticket) {
+            let write = self.writes.pop_front().into_iter();
+            write.for_each(|write| {
+                if let Some(durable) = write.durable {
+                    self.synced = durable;
+                }
+                self.held.extend(write.digest);
+                write.then.into_iter().for_each(|effect| match effect {
+                    Effect::Send { to, body } => self.send(&to, body),
+                    other => self.effects.push(other),
+                });
+            });
+        }
+        self.settle_founding();
+        self.settle_mending();
+    }
+
+    fn raise_epoch(&mut self, epoch: u64, token: u64) {
+        if epoch <= self.synced.claimEpoch {
+            self.effects.push(Effect::EpochKept { token });
+        } else if self.standing == Standing::Voting && self.disk_is_free() {
+            self.durable.claimEpoch = self.durable.claimEpoch.max(epoch);
+            self.keep(vec![Effect::EpochKept { token }]);
+        }
+    }
+
+    /// Takes in a setup's bytes; they count as held once synced.
+    pub(crate) fn take_setup(&mut self, setup: SetupBytes) {
+        let known = self.setups.contains_key(&setup.digest);
+        let wanted = !known && self.disk_is_free() && parcel::digest(&setup.bytes) == setup.digest;
+        if wanted {
+            self.ticket += 1;
+            let ticket = self.ticket;
+            let digest = Some(setup.digest.clone());
+            self.writes.push_back(Write { ticket, durable: None, digest, then: Vec::new() });
+            self.setups.insert(setup.digest.clone(), setup.bytes.clone());
+            self.effects.push(Effect::KeepSetup { ticket, digest: setup.digest, bytes: setup.bytes });
+            self.drop_spare_setups();
+        }
+    }
+
+    fn drop_spare_setups(&mut self) {
+        let inRound: BTreeSet<String> = self.waitlist.iter().filter_map(|wish| wish.digest()).collect();
+        let used = |digest: &String| {
+            *digest == self.durable.accepted.digest
+                || *digest == self.synced.accepted.digest
+                || *digest == self.current.word.digest
+                || inRound.contains(digest)
+                || !self.held.contains(digest)
+        };
+        let spare: Vec<String> = self.setups.keys().filter(|digest| !used(digest)).cloned().collect();
+        let excess = spare.len().saturating_sub(SPARE_SETUPS);
+        spare.into_iter().take(excess).for_each(|digest| {
+            self.setups.remove(&digest);
+            self.held.remove(&digest);
+        });
+    }
+
+    fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
+        if let Some(bytes) = self.setups.get(&ask.digest).cloned() {
+            self.send(from, Body::SetupBytes(SetupBytes { digest: ask.digest.clone(), bytes }));
+        }
+    }
+
+    /// A damaged or missing file is mended from the others.
+    fn ask_missing_setup(&mut self) {
+        let digest = self.durable.accepted.digest.clone();
+        if !digest.is_empty() && !self.setups.contains_key(&digest) {
+            self.send_all(Body::SetupAsk(SetupAsk { digest }));
+        }
+    }
+
+    /// Takes a chosen word into force, unless a newer one is or its setup is not here yet.
+    pub(crate) fn adopt(&mut self, ballot: Ballot, word: Word, confirmedAt: Option<Duration>) {
+        let complete = word.digest.is_empty() || self.setups.contains_key(&word.digest);
+        if ballot < self.current.ballot {
+            return;
+        }
+        if !complete {
+            self.send_all(Body::SetupAsk(SetupAsk { digest: word.digest }));
+            return;
+        }
+        let changed = ballot > self.current.ballot && word != self.current.word;
+        let confirmedAt = confirmedAt.max(self.current.confirmedAt);
+        self.current = Current { ballot, word, confirmedAt };
+        if changed {
+            self.effects.push(Effect::Adopted);
+        }
+    }
+
+    pub(crate) fn tell_chosen(&mut self, ballot: Ballot, word: Word) {
+        self.send_all(Body::Chosen(Chosen { ballot, word }));
+    }
+}
--- /dev/null
+++ b/crates/registered/src/voter.rs
@@ -0,0 +1,62 @@
+//! The voter's half of a round: promises and acceptances, each synced before it is answered.
+
+use crate::register::{Effect, Register, Standing};
+use parcel::{Accept, Accepted, Body, Prepare, Promise, Read, ReadBack};
+
+impl Register {
+    pub(crate) fn prepare(&mut self, from: &str, prepare: Prepare) {
+        self.seenRound = self.seenRound.max(prepare.ballot.round);
+        if self.standing != Standing::Voting || !self.disk_is_free() {
+            return;
+        }
+        let given = prepare.ballot >= self.durable.promised;
+        if given {
+            self.durable.promised = prepare.ballot.clone();
+        }
+        let body = Body::Promise(Promise {
+            ballot: prepare.ballot,
+            promised: self.durable.promised.clone(),
+            acceptedAt: self.durable.acceptedAt.clone(),
+            accepted: self.durable.accepted.clone(),
+            disk: self.durable.disk,
+            claimEpoch: self.durable.claimEpoch,
+        });
+        if given {
+            self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
+        } else {
+            self.send(from, body);
+        }
+    }
+
+    pub(crate) fn accept(&mut self, from: &str, accept: Accept) {
+        let Accept { ballot, word, disk } = accept;
+        self.seenRound = self.seenRound.max(ballot.round);
+        if self.standing != Standing::Voting || !self.disk_is_free() {
+            return;
+        }
+        let mine = disk == self.durable.disk && ballot >= self.durable.promised;
+        let wantsBytes = !word.digest.is_empty() && !self.setups.contains_key(&word.digest);
+        let done = mine && !wantsBytes;
+        if done {
+            self.durable.promised = ballot.clone();
+            self.durable.acceptedAt = ballot.clone();
+            self.durable.accepted = word;
+        }
+        let promised = self.durable.promised.clone();
+        let body = Body::Accepted(Accepted { ballot, promised, done, wantsBytes: mine && wantsBytes });
+        if done {
+            // The setup's bytes were handed to the disk earlier, and the disk works in order.
+            self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
+        } else {
+            self.send(from, body);
+        }
+    }
+
+    pub(crate) fn read(&mut self, from: &str, read: Read) {
+        if self.standing == Standing::Voting {
+            let acceptedAt = self.synced.acceptedAt.clone();
+            let accepted = Some(self.synced.accepted.clone()).filter(|_| acceptedAt != read.known);
+            self.send(from, Body::ReadBack(ReadBack { nonce: read.nonce, acceptedAt, accepted }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rounds/src/lib.rs
@@ -0,0 +1,377 @@
+//! Membership: every node probes the others in turn, asks third parties for a second opinion, and holds a
+//! silent node suspect for a while before it counts as gone.
+
+mod members;
+
+pub use members::{ALIVE, GONE, LEFT, SUSPECT, supersedes};
+
+use address::Dice;
+use parcel::{Body, Heard, Member, Probe, ProbeFor};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How many third parties are asked for a second opinion.
+const SECOND_OPINIONS: usize = 3;
+/// How many members travel on one message.
+const MOST_TOLD: usize = 12;
+/// How long a gone member is remembered.
+const REMEMBERED: Duration = Duration::from_secs(120);
+/// Most second opinions being fetched for others at a time.
+const MOST_FAVOURS: usize = 64;
+/// Most members kept at all.
+const MOST_MEMBERS: usize = 4096;
+
+/// Membership's time values.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub probeEvery: Duration,
+    pub suspectFor: Duration,
+}
+
+/// What happens to membership.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    /// A message, with the address it came from.
+    Parcel {
+        address: String,
+        body: Body,
+    },
+    /// This node is closing.
+    Leave,
+}
+
+/// What membership wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        address: String,
+        body: Body,
+    },
+    /// The list of members changed.
+    Changed,
+}
+
+struct Known {
+    member: Member,
+    since: Duration,
+    /// How often this record was told on since it changed.
+    told: u32,
+}
+
+/// Where the probe under way stands.
+enum Probing {
+    Resting,
+    Asked { nonce: u64, node: String, askedAt: Duration },
+    SecondOpinion { nonce: u64, node: String },
+}
+
+struct Favour {
+    nonce: u64,
+    address: String,
+    theirs: u64,
+    node: String,
+}
+
+/// One node's view of the others.
+pub struct Rounds {
+    me: Member,
+    seeds: Vec<String>,
+    times: Times,
+    dice: Dice,
+    known: BTreeMap<String, Known>,
+    turn: Vec<String>,
+    probing: Probing,
+    favours: Vec<Favour>,
+    nextProbe: Duration,
+    lastTick: Duration,
+    slowUntil: Duration,
+    seedTurn: usize,
+    effects: Vec<Effect>,
+}
+
+impl Rounds {
+    /// A node that knows itself and its seeds.
+    ///
+    /// ```
+    /// use rounds::{Event, Rounds, Times};
+    /// use std::time::Duration;
+    /// let times = Times { probeEvery: Duration::from_millis(300), suspectFor: Duration::from_millis(1500) };
+    /// let me = parcel::Member { node: "a".into(), probeAddress: "127.0.0.1:1".into(), ..Default::default() };
+    /// let mut rounds = Rounds::new(me, vec!["127.0.0.1:2".into()], times, 7);
+    /// let effects = rounds.step(Duration::ZERO, Event::Tick);
+    /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
+    /// ```
+    pub fn new(me: Member, seeds: Vec<String>, times: Times, seed: u64) -> Self {
+        let seeds = seeds.into_iter().filter(|address| *address != me.probeAddress).collect();
+        Rounds {
+            me: Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me },
+            seeds,
+            times,
+            dice: Dice::new(seed),
+            known: BTreeMap::new(),
+            turn: Vec::new(),
+            probing: Probing::Resting,
+            favours: Vec::new(),
+            nextProbe: Duration::ZERO,
+            lastTick: Duration::ZERO,
+            slowUntil: Duration::ZERO,
+            seedTurn: 0,
+            effects: Vec::new(),
+        }
+    }
+
+    /// The one reducer: takes an event in, gives effects out.
+    ///
+    /// ```
+    /// use rounds::{Effect, Event, Rounds, Times};
+    /// use std::time::Duration;
+    /// let times = Times { probeEvery: Duration::from_millis(300), suspectFor: Duration::from_millis(1500) };
+    /// let node = |name: &str| parcel::Member { node: name.into(), probeAddress: name.into(), ..Default::default() };
+    /// let mut a = Rounds::new(node("a"), vec!["b".into()], times, 1);
+    /// let mut b = Rounds::new(node("b"), vec![], times, 2);
+    /// let effects = a.step(Duration::ZERO, Event::Tick);
+    /// let Effect::Send { body, .. } = effects[0].clone() else { panic!() };
+    /// b.step(Duration::ZERO, Event::Parcel { address: "a".into(), body });
+    /// assert_eq!(b.members().map(|member| member.node.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+    /// ```
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Parcel { address, body } => self.take(now, &address, body),
+            Event::Leave => self.leave(),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// This node and those not known to be gone, in the order of their ids.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # let times = rounds::Times { probeEvery: Duration::from_millis(9), suspectFor: Duration::from_millis(9) };
+    /// let me = parcel::Member { node: "a".into(), ..Default::default() };
+    /// let rounds = rounds::Rounds::new(me, vec![], times, 7);
+    /// assert_eq!(rounds.members().count(), 1);
+    /// ```
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        let mut all: Vec<&Member> =
+            self.known.values().map(|known| &known.member).filter(|member| member.condition < GONE).collect();
+        all.push(&self.me);
+        all.sort_by(|a, b| a.node.cmp(&b.node));
+        all.into_iter()
+    }
+
+    fn tick(&mut self, now: Duration) {
+        // A node that was itself frozen must not blame the others for its own silence.
+        if now.saturating_sub(self.lastTick) > self.times.probeEvery * 3 && self.lastTick > Duration::ZERO {
+            self.slowUntil = now + self.times.suspectFor;
+            self.probing = Probing::Resting;
+            let waking = self.known.values_mut().filter(|known| known.member.condition == SUSPECT);
+            waking.for_each(|known| known.since = now);
+        }
+        self.lastTick = now;
+        self.escalate(now);
+        self.bury(now);
+        if now >= self.nextProbe {
+            self.nextProbe = now + self.times.probeEvery;
+            self.suspect_silent(now);
+            self.probe_next(now);
+            self.probe_seed();
+        }
+    }
+
+    /// No word half-way through the turn: ask third parties.
+    fn escalate(&mut self, now: Duration) {
+        let half = self.times.probeEvery / 2;
+        let late = match &self.probing {
+            Probing::Asked { nonce, node, askedAt } if now >= *askedAt + half => Some((*nonce, node.clone())),
+            _ => None,
+        };
+        late.into_iter().for_each(|(nonce, node)| {
+            let mut others: Vec<String> = self
+                .known
+                .values()
+                .filter(|known| known.member.condition == ALIVE && known.member.node != node)
+                .map(|known| known.member.probeAddress.clone())
+                .collect();
+            while others.len() > SECOND_OPINIONS {
+                let drop = self.dice.below(others.len() as u64) as usize;
+                others.swap_remove(drop);
+            }
+            others.into_iter().for_each(|address| {
+                let members = self.tell(Some(&node));
+                let body = Body::ProbeFor(ProbeFor { nonce, target: node.clone(), members });
+                self.effects.push(Effect::Send { address, body });
+            });
+            self.probing = Probing::SecondOpinion { nonce, node };
+        });
+    }
+
+    fn suspect_silent(&mut self, now: Duration) {
+        let silent = match std::mem::replace(&mut self.probing, Probing::Resting) {
+            Probing::SecondOpinion { node, .. } if now >= self.slowUntil => Some(node),
+            _ => None,
+        };
+        let suspect = silent.and_then(|node| self.known.get(&node)).map(|known| known.member.clone());
+        suspect.into_iter().filter(|member| member.condition == ALIVE).for_each(|member| {
+            self.learn(now, Member { condition: SUSPECT, ..member });
+        });
+    }
+
+    /// Suspects that did not refute in time are gone; those long gone are forgotten.
+    fn bury(&mut self, now: Duration) {
+        let patience = if now < self.slowUntil { self.times.suspectFor * 2 } else { self.times.suspectFor };
+        let due: Vec<Member> = self
+            .known
+            .values()
+            .filter(|known| known.member.condition == SUSPECT && now >= known.since + patience)
+            .map(|known| Member { condition: GONE, ..known.member.clone() })
+            .collect();
+        due.into_iter().for_each(|member| self.learn(now, member));
+        self.known.retain(|_, known| known.member.condition < GONE || now < known.since + REMEMBERED);
+    }
+
+    fn probe_next(&mut self, now: Duration) {
+        if self.turn.is_empty() {
+            self.turn = self
+                .known
+                .values()
+                .filter(|known| known.member.condition < GONE)
+                .map(|known| known.member.node.clone())
+                .collect();
+            let count = self.turn.len();
+            (1..count).for_each(|at| {
+                let other = self.dice.below(at as u64 + 1) as usize;
+                self.turn.swap(at, other);
+            });
+        }
+        let next = self.turn.pop().and_then(|node| {
+            let known = self.known.get(&node).filter(|known| known.member.condition < GONE);
+            known.map(|known| (node, known.member.probeAddress.clone()))
+        });
+        next.into_iter().for_each(|(node, address)| {
+            let nonce = self.dice.roll();
+            self.send_probe(address, nonce, Some(&node));
+            self.probing = Probing::Asked { nonce, node, askedAt: now };
+        });
+    }
+
+    /// Seeds and gone nodes are still tried now and then, so that a split heals.
+    fn probe_seed(&mut self) {
+        let reached = |address: &String| {
+            self.known.values().any(|known| known.member.condition < GONE && known.member.probeAddress == *address)
+        };
+        let gone = self.known.values().filter(|known| known.member.condition == GONE);
+        let mut lost: Vec<String> = self.seeds.clone();
+        lost.extend(gone.map(|known| known.member.probeAddress.clone()));
+        lost.retain(|address| !reached(address));
+        lost.dedup();
+        self.seedTurn = self.seedTurn.wrapping_add(1);
+        let next = self.seedTurn.checked_rem(lost.len()).and_then(|at| lost.get(at).cloned());
+        next.into_iter().for_each(|address| {
+            let nonce = self.dice.roll();
+            self.send_probe(address, nonce, None);
+        });
+    }
+
+    fn send_probe(&mut self, address: String, nonce: u64, about: Option<&str>) {
+        let members = self.tell(about);
+        self.effects.push(Effect::Send { address, body: Body::Probe(Probe { nonce, members }) });
+    }
+
+    /// What one message tells on: this node, the receiver's own record where it is in doubt, then whatever
+    /// was told least often.
+    fn tell(&mut self, about: Option<&str>) -> Vec<Member> {
+        let mut members = vec![self.me.clone()];
+        let doubt = about.and_then(|node| self.known.get(node)).filter(|known| known.member.condition != ALIVE);
+        members.extend(doubt.map(|known| known.member.clone()));
+        let mut order: Vec<(u32, String)> = self.known.iter().map(|(node, known)| (known.told, node.clone())).collect();
+        order.sort();
+        order.into_iter().take(MOST_TOLD).for_each(|(_, node)| {
+            if let Some(known) = self.known.get_mut(&node) {
+                known.told += 1;
+                if !members.iter().any(|member| member.node == node) {
+                    members.push(known.member.clone());
+                }
+            }
+        });
+        members
+    }
+
+    fn take(&mut self, now: Duration, address: &str, body: Body) {
+        match body {
+            Body::Probe(Probe { nonce, members }) => {
+                let from = members.first().map(|member| member.node.clone());
+                self.learn_all(now, members);
+                let answer = Heard { nonce, members: self.tell(from.as_deref()), node: self.me.node.clone() };
+                self.effects.push(Effect::Send { address: address.to_owned(), body: Body::Heard(answer) });
+            }
+            Body::ProbeFor(ProbeFor { nonce, target, members }) => {
+                self.learn_all(now, members);
+                let known = self.known.get(&target).map(|known| known.member.probeAddress.clone());
+                known.filter(|_| self.favours.len() < MOST_FAVOURS * 2).into_iter().for_each(|to| {
+                    let mine = self.dice.roll();
+                    let excess = (self.favours.len() + 1).saturating_sub(MOST_FAVOURS);
+                    self.favours.drain(..excess);
+                    let favour =
+                        Favour { nonce: mine, address: address.to_owned(), theirs: nonce, node: target.clone() };
+                    self.favours.push(favour);
+                    self.send_probe(to, mine, Some(&target));
+                });
+            }
+            Body::Heard(Heard { nonce, members, node }) => {
+                self.learn_all(now, members);
+                self.heard(nonce, &node);
+            }
+            _ => {}
+        }
+    }
+
+    fn heard(&mut self, nonce: u64, node: &str) {
+        let mine = match &self.probing {
+            Probing::Asked { nonce: asked, node: target, .. }
+            | Probing::SecondOpinion { nonce: asked, node: target, .. } => *asked == nonce && target == node,
+            Probing::Resting => false,
+        };
+        if mine {
+            self.probing = Probing::Resting;
+        }
+        let favour = self.favours.iter().position(|favour| favour.nonce == nonce && favour.node == node);
+        favour.map(|at| self.favours.swap_remove(at)).into_iter().for_each(|favour| {
+            let body = Body::Heard(Heard { nonce: favour.theirs, members: Vec::new(), node: favour.node });
+            self.effects.push(Effect::Send { address: favour.address, body });
+        });
+    }
+
+    fn learn_all(&mut self, now: Duration, members: Vec<Member>) {
+        members.into_iter().for_each(|member| self.learn(now, member));
+    }
+
+    /// The one place where a member's record changes.
+    fn learn(&mut self, now: Duration, member: Member) {
+        if member.node == self.me.node {
+            // Whatever is told of this node is refuted by a higher incarnation, unless it is what it says itself.
+            if member.incarnation >= self.me.incarnation && member != self.me && self.me.condition == ALIVE {
+                self.me.incarnation = member.incarnation + 1;
+            }
+            return;
+        }
+        let newer = self.known.get(&member.node).map(|known| supersedes(&member, &known.member));
+        let fresh = newer.unwrap_or(member.condition < GONE && self.known.len() < MOST_MEMBERS);
+        if fresh && address::is_id(&member.node) {
+            self.known.insert(member.node.clone(), Known { member, since: now, told: 0 });
+            self.effects.push(Effect::Changed);
+        }
+    }
+
+    /// Says good-bye to everybody.
+    fn leave(&mut self) {
+        self.me.condition = LEFT;
+        let addresses: Vec<String> = self.members().map(|member| member.probeAddress.clone()).collect();
+        let own = self.me.probeAddress.clone();
+        addresses.into_iter().filter(|address| *address != own).for_each(|address| {
+            let nonce = self.dice.roll();
+            self.send_probe(address, nonce, None);
+        });
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/window.rs
@@ -0,0 +1,61 @@
+//! Sliding counts, kept in atomics.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const BUCKETS: usize = 128;
+const BUCKET: Duration = Duration::from_millis(100);
+
+/// Counts events over the last 10 s in buckets of a tenth of a second. Each bucket packs its own number
+/// with its count, so that an old one is never read as a new one.
+///
+/// ```
+/// use std::time::Duration;
+/// let window = sorting::Window::default();
+/// window.add(Duration::from_secs(1));
+/// window.add(Duration::from_secs(9));
+/// assert_eq!(window.sum(Duration::from_secs(10)), 2);
+/// assert_eq!(window.sum(Duration::from_secs(12)), 1);
+/// ```
+pub struct Window([AtomicU64; BUCKETS]);
+
+impl Default for Window {
+    fn default() -> Self {
+        Window(std::array::from_fn(|_| AtomicU64::new(0)))
+    }
+}
+
+impl Window {
+    /// Counts one event.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let window = sorting::Window::default();
+    /// window.add(Duration::ZERO);
+    /// assert_eq!(window.sum(Duration::ZERO), 1);
+    /// ```
+    pub fn add(&self, now: Duration) {
+        let number = Self::number(now);
+        let cell = &self.0[number as usize % BUCKETS];
+        let next = |old: u64| if old >> 32 == number { old + 1 } else { (number << 32) | 1 };
+        let _ = cell.fetch_update(Ordering::AcqRel, Ordering::Acquire, |old| Some(next(old)));
+    }
+
+    /// How many events the last 10 s hold; a bucket that began 10 s ago still counts whole.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// assert_eq!(sorting::Window::default().sum(Duration::from_secs(1)), 0);
+    /// ```
+    pub fn sum(&self, now: Duration) -> u64 {
+        let number = Self::number(now);
+        let recent = |packed: u64| (packed >> 32) + 100 >= number && packed >> 32 <= number;
+        let packed = self.0.iter().map(|cell| cell.load(Ordering::Acquire));
+        packed.filter(|packed| recent(*packed)).map(|packed| packed & 0xffff_ffff).sum()
+    }
+
+    fn number(now: Duration) -> u64 {
+        // From 1, so that an untouched bucket belongs to no time.
+        (now.as_millis() / BUCKET.as_millis()) as u64 + 101
+    }
+}
--- /dev/null
+++ b/crates/vault/src/lib.rs
@@ -0,0 +1,190 @@
+//! Everything that must outlive a process: the voter's state in redb, setups as plain files. All calls
+//! block until the disk has synced, so they belong on a thread of their own.
+
+use error_stack::{Report, ResultExt};
+use parcel::{Durable, Message};
+use redb::{Database, DatabaseError, ReadableDatabase, TableDefinition};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
+const DURABLE: &str = "durable";
+/// How many setup files are left on the disk.
+const MOST_FILES: usize = 32;
+
+/// The disk could not be used.
+#[derive(Debug)]
+pub struct Failure(String);
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "disk: {}", self.0)
+    }
+}
+
+impl std::error::Error for Failure {}
+
+fn failure(text: impl Into<String>) -> Failure {
+    Failure(text.into())
+}
+
+/// One data folder.
+pub struct Vault {
+    folder: PathBuf,
+    database: Database,
+}
+
+/// What a data folder held when it was opened.
+#[derive(Default)]
+pub struct Contents {
+    pub durable: Durable,
+    /// Undamaged setups by digest.
+    pub setups: BTreeMap<String, Vec<u8>>,
+    /// What was found damaged and counts as missing.
+    pub damaged: Vec<String>,
+}
+
+impl Vault {
+    /// Opens a data folder, making it where it is missing. What is damaged counts as missing.
+    ///
+    /// ```
+    /// let folder = std::env::temp_dir().join(format!("vault-open-{}", std::process::id()));
+    /// let (vault, contents) = vault::Vault::open(&folder).unwrap();
+    /// assert_eq!(contents.durable.disk, 0);
+    /// let digest = parcel::digest(b"{}");
+    /// vault.keep_setup(&digest, b"{}").unwrap();
+    /// vault.keep(&parcel::Durable { disk: 7, ..Default::default() }).unwrap();
+    /// drop(vault);
+    /// std::fs::write(folder.join("setups").join(format!("{}.json", parcel::digest(b"x"))), b"rotten").unwrap();
+    /// let (_, contents) = vault::Vault::open(&folder).unwrap();
+    /// assert_eq!(contents.durable.disk, 7);
+    /// assert_eq!(contents.setups[&digest], b"{}");
+    /// assert_eq!(contents.damaged.len(), 1);
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn open(folder: &Path) -> Result<(Vault, Contents), Report<Failure>> {
+        fs::create_dir_all(folder.join("setups")).change_context(failure("cannot make the data folder"))?;
+        let mut contents = Contents::default();
+        let file = folder.join("word.redb");
+        let database = match Database::create(&file) {
+            Err(DatabaseError::DatabaseAlreadyOpen) => {
+                return Err(Report::new(failure("another process uses this data folder")));
+            }
+            Err(broken) => {
+                contents.damaged.push(format!("word.redb: {broken}"));
+                fs::rename(&file, folder.join("word.damaged"))
+                    .change_context(failure("cannot move word.redb aside"))?;
+                Database::create(&file).change_context(failure("cannot make word.redb"))?
+            }
+            Ok(database) => database,
+        };
+        let vault = Vault { folder: folder.to_owned(), database };
+        let stored = vault.read_state();
+        let readable = stored.as_deref().map(unpack);
+        if readable == Some(None) {
+            contents.damaged.push("word.redb: the state is damaged".into());
+        }
+        contents.durable = readable.flatten().unwrap_or_default();
+        vault.read_setups(&mut contents)?;
+        Ok((vault, contents))
+    }
+
+    fn read_state(&self) -> Option<Vec<u8>> {
+        let reading = self.database.begin_read().ok()?;
+        let table = reading.open_table(STATE).ok()?;
+        let value = table.get(DURABLE).ok()??;
+        Some(value.value().to_vec())
+    }
+
+    fn read_setups(&self, contents: &mut Contents) -> Result<(), Report<Failure>> {
+        let entries = fs::read_dir(self.folder.join("setups")).change_context(failure("cannot read setups"))?;
+        entries.filter_map(Result::ok).for_each(|entry| {
+            let name = entry.file_name().to_string_lossy().into_owned();
+            let digest = name.strip_suffix(".json").map(str::to_owned);
+            let bytes = fs::read(entry.path()).unwrap_or_default();
+            match digest.filter(|digest| parcel::digest(&bytes) == *digest) {
+                Some(digest) => {
+                    contents.setups.insert(digest, bytes);
+                }
+                None => {
+                    contents.damaged.push(name);
+                    let _ = fs::remove_file(entry.path());
+                }
+            }
+        });
+        Ok(())
+    }
+
+    /// Syncs the voter's state.
+    ///
+    /// ```
+    /// let folder = std::env::temp_dir().join(format!("vault-keep-{}", std::process::id()));
+    /// let (vault, _) = vault::Vault::open(&folder).unwrap();
+    /// vault.keep(&parcel::Durable { claimEpoch: 3, ..Default::default() }).unwrap();
+    /// drop(vault);
+    /// assert_eq!(vault::Vault::open(&folder).unwrap().1.durable.claimEpoch, 3);
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn keep(&self, durable: &Durable) -> Result<(), Report<Failure>> {
+        let context = || failure("cannot write word.redb");
+        let writing = self.database.begin_write().change_context_lazy(context)?;
+        {
+            let mut table = writing.open_table(STATE).change_context_lazy(context)?;
+            table.insert(DURABLE, pack(durable).as_slice()).change_context_lazy(context)?;
+        }
+        writing.commit().change_context_lazy(context)
+    }
+
+    /// Syncs a setup as a plain file: written aside, synced, renamed, and the folder synced.
+    ///
+    /// ```
+    /// let folder = std::env::temp_dir().join(format!("vault-setup-{}", std::process::id()));
+    /// let (vault, _) = vault::Vault::open(&folder).unwrap();
+    /// let digest = parcel::digest(b"{}");
+    /// vault.keep_setup(&digest, b"{}").unwrap();
+    /// assert_eq!(std::fs::read(folder.join("setups").join(format!("{digest}.json"))).unwrap(), b"{}");
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn keep_setup(&self, digest: &str, bytes: &[u8]) -> Result<(), Report<Failure>> {
+        let context = || failure("cannot write a setup");
+        let setups = self.folder.join("setups");
+        let (aside, name) = (self.folder.join("setup.new"), setups.join(format!("{digest}.json")));
+        let mut file = File::create(&aside).change_context_lazy(context)?;
+        file.write_all(bytes).change_context_lazy(context)?;
+        file.sync_all().change_context_lazy(context)?;
+        fs::rename(&aside, &name).change_context_lazy(context)?;
+        File::open(&setups).and_then(|folder| folder.sync_all()).change_context_lazy(context)?;
+        self.drop_oldest(&setups);
+        Ok(())
+    }
+
+    /// Leaves the newest files, and always the one that the state names.
+    fn drop_oldest(&self, setups: &Path) {
+        let used = self.read_state().as_deref().and_then(unpack).map(|durable| durable.accepted.digest);
+        let used = format!("{}.json", used.unwrap_or_default());
+        let files = fs::read_dir(setups).into_iter().flatten().filter_map(Result::ok);
+        let mut aged: Vec<_> = files
+            .filter(|entry| entry.file_name().to_string_lossy() != used.as_str())
+            .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
+            .collect();
+        aged.sort();
+        let excess = aged.len().saturating_sub(MOST_FILES);
+        aged.into_iter().take(excess).for_each(|(_, path)| {
+            let _ = fs::remove_file(path);
+        });
+    }
+}
+
+/// A digest ahead of the bytes, so that rot shows.
+fn pack(durable: &Durable) -> Vec<u8> {
+    let bytes = durable.encode_to_vec();
+    [parcel::digest(&bytes).into_bytes(), bytes].concat()
+}
+
+fn unpack(stored: &[u8]) -> Option<Durable> {
+    let (digest, bytes) = stored.split_at_checked(64)?;
+    Some(bytes).filter(|bytes| parcel::digest(bytes).as_bytes() == digest).and_then(|bytes| Durable::decode(bytes).ok())
+}
--- /dev/null
+++ b/crates/wicket/src/desk.rs
@@ -0,0 +1,212 @@
+//! The HTTP server: bounded in size, time and number of connections.
+
+use address::Code;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tariff::Sheet;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+/// The largest body that any endpoint reads: a setup and some room.
+pub const MOST_BODY_BYTES: usize = 2 * 1024 * 1024 + 4096;
+const MOST_CONNECTIONS: usize = 4096;
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
+const BODY_WITHIN: Duration = Duration::from_secs(5);
+
+/// A request, read whole.
+#[derive(Clone, Debug)]
+pub struct Enquiry {
+    pub method: Method,
+    pub path: String,
+    pub query: BTreeMap<String, String>,
+    pub headers: hyper::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Enquiry {
+    /// A header's text; empty where it is missing or unreadable.
+    ///
+    /// ```
+    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(), query: Default::default(),
+    ///     headers: Default::default(), body: Default::default() };
+    /// assert_eq!(enquiry.header("x-try-id"), "");
+    /// ```
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// A query field; empty where it is missing.
+    ///
+    /// ```
+    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(),
+    ///     query: [("name".to_owned(), "book".to_owned())].into_iter().collect(),
+    ///     headers: Default::default(), body: Default::default() };
+    /// assert_eq!(enquiry.query("name"), "book");
+    /// ```
+    pub fn query(&self, name: &str) -> &str {
+        self.query.get(name).map(String::as_str).unwrap_or_default()
+    }
+}
+
+/// A JSON answer with a code.
+///
+/// ```
+/// let response = wicket::json(address::Code::Fine, &tariff::Sheet::Null);
+/// assert_eq!(response.status(), 200);
+/// ```
+pub fn json(code: Code, sheet: &Sheet) -> Response<Full<Bytes>> {
+    answer(code, "application/json", sheet.to_string().into())
+}
+
+/// A code as a JSON answer, with when to come back.
+///
+/// ```
+/// use std::time::Duration;
+/// let response = wicket::verdict(address::Code::Busy, Some(Duration::from_millis(900)));
+/// assert_eq!(response.headers()["retry-after"], "1");
+/// assert_eq!(response.headers()["x-code"], "1201");
+/// ```
+pub fn verdict(code: Code, retryAfter: Option<Duration>) -> Response<Full<Bytes>> {
+    let sheet = Sheet::fields([("code", u64::from(code.number()).into()), ("text", code.text().into())]);
+    let mut response = json(code, &sheet);
+    retryAfter.into_iter().for_each(|span| {
+        let seconds = (span.as_millis() as u64).div_ceil(1000).max(1);
+        response.headers_mut().insert("retry-after", seconds.into());
+    });
+    response
+}
+
+/// Bytes as an answer with a code.
+///
+/// ```
+/// let response = wicket::answer(address::Code::Fine, "text/plain", "hello".into());
+/// assert_eq!(response.headers()["content-type"], "text/plain");
+/// ```
+pub fn answer(code: Code, kind: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = hyper::StatusCode::from_u16(code.status()).unwrap_or_default();
+    response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
+    response.headers_mut().insert("x-code", code.number().into());
+    response
+}
+
+/// Serves a socket until `closing` turns true, then ends idle connections and waits for the rest.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let address = socket.local_addr().unwrap().to_string();
+/// let (close, closing) = tokio::sync::watch::channel(false);
+/// let server = tokio::spawn(wicket::serve(socket, closing, |enquiry: wicket::Enquiry| async move {
+///     wicket::answer(address::Code::Fine, "text/plain", enquiry.body)
+/// }));
+/// let caller = wicket::Caller::default();
+/// let reply = caller.call(&address, "POST", "/", &[], "hello".into(), std::time::Duration::from_secs(5), false);
+/// assert_eq!(&reply.await.unwrap().body[..], b"hello");
+/// close.send(true).unwrap();
+/// server.await.unwrap();
+/// # });
+/// ```
+pub async fn serve<H, F>(socket: TcpListener, mut closing: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Enquiry) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let room = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = socket.accept() => accepted,
+            () = closed(&mut closing) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else { continue };
+        let _ = stream.set_nodelay(true);
+        let (handler, mut closing) = (handler.clone(), closing.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let handler = handler.clone();
+                async move { Ok::<_, Infallible>(take(request, handler).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_WITHIN)
+                .max_buf_size(64 * 1024)
+                .serve_connection(TokioIo::new(stream), service);
+            let mut connection = std::pin::pin!(connection);
+            tokio::select! {
+                _ = connection.as_mut() => {}
+                () = closed(&mut closing) => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+            drop(permit);
+        });
+    }
+    // Every connection gives its permit back when it ends.
+    let _ = room.acquire_many(MOST_CONNECTIONS as u32).await;
+}
+
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+async fn take<H, F>(request: Request<Incoming>, handler: H) -> Response<Full<Bytes>>
+where
+    H: Fn(Enquiry) -> F,
+    F: Future<Output = Response<Full<Bytes>>>,
+{
+    let (head, body) = request.into_parts();
+    let read = tokio::time::timeout(BODY_WITHIN, Limited::new(body, MOST_BODY_BYTES).collect()).await;
+    let body = match read {
+        Err(_) => return verdict(Code::TooSlow, None),
+        Ok(Err(failure)) => {
+            let large = failure.is::<http_body_util::LengthLimitError>();
+            return verdict(if large { Code::TooLarge } else { Code::Malformed }, None);
+        }
+        Ok(Ok(collected)) => collected.to_bytes(),
+    };
+    let query = head.uri.query().unwrap_or_default().split('&').filter(|part| !part.is_empty());
+    let query = query.map(|part| part.split_once('=').unwrap_or((part, "")));
+    handler(Enquiry {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: query.map(|(name, value)| (plain(name), plain(value))).collect(),
+        headers: head.headers,
+        body,
+    })
+    .await
+}
+
+/// Undoes percent signs in a query.
+fn plain(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let (mut at, mut out) = (0, Vec::with_capacity(bytes.len()));
+    while let Some(byte) = bytes.get(at) {
+        let coded = bytes.get(at + 1..at + 3).and_then(|hex| std::str::from_utf8(hex).ok());
+        match (byte, coded.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+            (b'%', Some(decoded)) => {
+                out.push(decoded);
+                at += 3;
+            }
+            _ => {
+                out.push(*byte);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
--- /dev/null
+++ b/crates/wicket/src/lib.rs
@@ -0,0 +1,11 @@
+//! Plumbing shared by the programs: held links, HTTP on both sides, logs, command lines, the clock.
+
+mod call;
+mod desk;
+mod links;
+mod start;
+
+pub use call::{Called, Caller, Reply};
+pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, serve, verdict};
+pub use links::{Links, send_datagram};
+pub use start::{Clock, Program, begin, chance, exit, stop_signal};
--- /dev/null
+++ b/crates/wicket/src/links.rs
@@ -0,0 +1,176 @@
+//! Held connections to other processes. A parcel to a node goes over the connection that is open, or a new
+//! one; where neither works it is dropped, as any message may be.
+
+use futures::{SinkExt, StreamExt};
+use parcel::{Body, Frames, Message, Parcel};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+const MOST_FRAME_BYTES: usize = 16 * 1024 * 1024;
+const MOST_WAITING: usize = 512;
+const CONNECT_WITHIN: Duration = Duration::from_millis(800);
+const WRITE_WITHIN: Duration = Duration::from_secs(3);
+
+#[derive(Default)]
+struct Table {
+    open: HashMap<String, mpsc::Sender<Parcel>>,
+    addresses: HashMap<String, String>,
+}
+
+type Waitlist = (mpsc::Sender<Parcel>, mpsc::Receiver<Parcel>);
+
+/// All links of one process.
+#[derive(Clone)]
+pub struct Links {
+    me: String,
+    table: Arc<Mutex<Table>>,
+    arrivals: mpsc::Sender<(String, Body)>,
+}
+
+impl Links {
+    /// Accepts links on a socket and hands what arrives to `arrivals`.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use parcel::{Body, Read};
+    /// let (told, mut heard) = tokio::sync::mpsc::channel(8);
+    /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = socket.local_addr().unwrap().to_string();
+    /// let _b = wicket::Links::open("b".into(), Some(socket), told);
+    /// let a = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(8).0);
+    /// a.learn(vec![("b".into(), address)]);
+    /// let read = Body::Read(Read { nonce: 7, known: Default::default() });
+    /// a.send("b", read.clone());
+    /// assert_eq!(heard.recv().await, Some(("a".to_owned(), read)));
+    /// # });
+    /// ```
+    pub fn open(me: String, socket: Option<TcpListener>, arrivals: mpsc::Sender<(String, Body)>) -> Links {
+        let links = Links { me, table: Arc::default(), arrivals };
+        socket.into_iter().for_each(|socket| {
+            let links = links.clone();
+            tokio::spawn(async move {
+                loop {
+                    match socket.accept().await {
+                        Ok((stream, _)) => drop(tokio::spawn(links.clone().hold(stream, None))),
+                        Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+                    }
+                }
+            });
+        });
+        links
+    }
+
+    /// Where nodes can be reached, as membership knows it.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// links.learn(vec![("b".into(), "127.0.0.1:1".into())]);
+    /// # });
+    /// ```
+    pub fn learn(&self, addresses: Vec<(String, String)>) {
+        self.with(|table| table.addresses = addresses.into_iter().collect());
+    }
+
+    fn with<T>(&self, change: impl FnOnce(&mut Table) -> T) -> T {
+        change(&mut self.table.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Sends a body to a node, or drops it where the node can't be reached or is too slow.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// links.send("nobody", parcel::Body::Founded(Default::default()));
+    /// # });
+    /// ```
+    pub fn send(&self, to: &str, body: Body) {
+        let parcel = Parcel { from: self.me.clone(), body: Some(body) };
+        let dial = self.with(|table| {
+            let open = table.open.get(to).filter(|sender| !sender.is_closed());
+            if let Some(sender) = open {
+                let _ = sender.try_send(parcel);
+                return None;
+            }
+            let address = table.addresses.get(to).cloned();
+            address.map(|address| {
+                // Registered at once, so that what follows waits behind it in order.
+                let (sender, receiver) = mpsc::channel(MOST_WAITING);
+                let _ = sender.try_send(parcel);
+                table.open.insert(to.to_owned(), sender.clone());
+                (address, (sender, receiver))
+            })
+        });
+        dial.into_iter().for_each(|(address, waitlist)| {
+            let links = self.clone();
+            tokio::spawn(async move {
+                let connected = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(&address)).await;
+                if let Ok(Ok(stream)) = connected {
+                    links.hold(stream, Some(waitlist)).await;
+                }
+            });
+        });
+    }
+
+    /// Serves one connection until either side ends it. An accepted one is known by its first parcel.
+    async fn hold(self, stream: TcpStream, dialled: Option<Waitlist>) {
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let frames = || Frames { mostBytes: MOST_FRAME_BYTES };
+        let mut reader = FramedRead::new(reader, frames());
+        let mut writer = FramedWrite::new(writer, frames());
+        writer.set_backpressure_boundary(64 * 1024);
+        // The sender is kept here, so that a newer link to the same node does not end this one.
+        let mut registered = dialled.is_some();
+        let (sender, mut receiver) = dialled.unwrap_or_else(|| mpsc::channel(MOST_WAITING));
+        loop {
+            let next = if registered {
+                tokio::select! {
+                    arrived = reader.next() => Err(arrived),
+                    waiting = receiver.recv() => Ok(waiting),
+                }
+            } else {
+                Err(reader.next().await)
+            };
+            match next {
+                Ok(Some(parcel)) => {
+                    let sent = tokio::time::timeout(WRITE_WITHIN, writer.send(parcel)).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+                Err(Some(Ok(Parcel { from, body }))) => {
+                    if !registered {
+                        registered = true;
+                        self.with(|table| table.open.insert(from.clone(), sender.clone()));
+                    }
+                    let body = body.into_iter().map(|body| (from.clone(), body));
+                    for arrival in body {
+                        if self.arrivals.send(arrival).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                Ok(None) | Err(None) | Err(Some(Err(_))) => return,
+            }
+        }
+    }
+}
+
+/// Sends one parcel as a datagram; a full socket loses it, as the network may.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+/// wicket::send_datagram(&socket, "nowhere", parcel::Body::Founded(Default::default()));
+/// # });
+/// ```
+pub fn send_datagram(socket: &UdpSocket, address: &str, body: Body) {
+    let bytes = Parcel { from: String::new(), body: Some(body) }.encode_to_vec();
+    let to = address.parse::<std::net::SocketAddr>().ok();
+    to.into_iter().for_each(|to| drop(socket.try_send_to(&bytes, to)));
+}
--- /dev/null
+++ b/crates/wicket/src/start.rs
@@ -0,0 +1,183 @@
+//! Starting a daemon: flags, settings file, logs and the clock.
+
+use address::Dice;
+use log::LevelFilter;
+use simplelog::{Config, ConfigBuilder, SimpleLogger};
+use std::time::{Duration, Instant};
+use tariff::{Complaint, Setting, Settings, Shape, check_times};
+
+/// Documented exit codes.
+pub mod exit {
+    /// All went well.
+    pub const FINE: i32 = 0;
+    /// It was asked for something that failed.
+    pub const FAILED: i32 = 1;
+    /// Flags or settings were denied.
+    pub const USAGE: i32 = 2;
+    /// The disk or a socket could not be used.
+    pub const NO_START: i32 = 3;
+}
+
+/// What a daemon says of itself.
+pub struct Program {
+    pub name: &'static str,
+    pub about: &'static str,
+    pub tables: &'static [&'static [Setting]],
+    /// Checks settings against each other.
+    pub check: fn(&Settings) -> Vec<Complaint>,
+}
+
+/// Monotonic time since the process started; nothing else decides anything.
+///
+/// ```
+/// let clock = wicket::Clock::default();
+/// assert!(clock.now() <= clock.now());
+/// ```
+#[derive(Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock(Instant::now())
+    }
+}
+
+impl Clock {
+    /// Time since the start.
+    ///
+    /// ```
+    /// assert!(wicket::Clock::default().now().as_secs() < 60);
+    /// ```
+    pub fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+/// Reads flags and settings, sets up the log; ends the process where it was only asked or told wrongly.
+///
+/// ```no_run
+/// let program = wicket::Program { name: "carrier", about: "The data plane.", tables: &[tariff::TIMES],
+///     check: |_| Vec::new() };
+/// let settings = wicket::begin(&program);
+/// ```
+pub fn begin(program: &Program) -> Settings {
+    match read_flags(program) {
+        Ok((settings, checkOnly)) => {
+            if checkOnly {
+                println!("{}: the settings are fine", program.name);
+                std::process::exit(exit::FINE);
+            }
+            settings
+        }
+        Err(complaints) => {
+            complaints.iter().for_each(|complaint| eprintln!("{}: {complaint}", program.name));
+            eprintln!("{}: see --help", program.name);
+            std::process::exit(exit::USAGE)
+        }
+    }
+}
+
+fn read_flags(program: &Program) -> Result<(Settings, bool), Vec<Complaint>> {
+    let wrong = |path: &str, text: String| vec![Complaint { path: path.to_owned(), text }];
+    let (mut flags, mut file, mut checkOnly, mut level) = (Vec::new(), None, false, LevelFilter::Info);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next().map_err(|failure| wrong("flags", failure.to_string()))? {
+        use lexopt::Arg::{Long, Short, Value};
+        let name = match arg {
+            Long("help") | Short('h') => {
+                help(program);
+                std::process::exit(exit::FINE)
+            }
+            Long("version") | Short('V') => {
+                println!("{} {}", program.name, env!("CARGO_PKG_VERSION"));
+                std::process::exit(exit::FINE)
+            }
+            Long("check") => {
+                checkOnly = true;
+                continue;
+            }
+            Long(name) => name.to_owned(),
+            Short(short) => return Err(wrong(&format!("-{short}"), "no such flag".into())),
+            Value(value) => return Err(wrong(&value.to_string_lossy(), "not expected here".into())),
+        };
+        let value = parser.value().map_err(|failure| wrong(&name, failure.to_string()))?;
+        let value = value.to_string_lossy().into_owned();
+        match name.as_str() {
+            "settings" => {
+                let text = std::fs::read_to_string(&value);
+                file = Some(text.map_err(|failure| wrong("settings", format!("'{value}': {failure}")))?);
+            }
+            "log" => {
+                let text = "must be off, error, warn, info, debug or trace";
+                level = value.parse().map_err(|_| wrong("log", format!("'{value}': {text}")))?;
+            }
+            _ => flags.push((name, value)),
+        }
+    }
+    let settings = Settings::read(program.tables, file.as_deref(), &flags)?;
+    let mut complaints = check_times(&settings);
+    complaints.extend((program.check)(&settings));
+    if !complaints.is_empty() {
+        return Err(complaints);
+    }
+    let _ = SimpleLogger::init(level, log_shape());
+    Ok((settings, checkOnly))
+}
+
+fn log_shape() -> Config {
+    ConfigBuilder::new().set_time_format_rfc3339().set_target_level(LevelFilter::Off).build()
+}
+
+fn help(program: &Program) {
+    println!("{} {}\n{}\n", program.name, env!("CARGO_PKG_VERSION"), program.about);
+    println!("usage: {} [--settings FILE] [--NAME VALUE ...]\n", program.name);
+    println!("  --settings FILE   a JSON object of the settings below; flags win over it");
+    println!("  --check           check the settings and stop");
+    println!("  --log LEVEL       off, error, warn, info (default), debug or trace");
+    println!("  --help, --version\n\nsettings:");
+    program.tables.iter().flat_map(|table| table.iter()).for_each(|setting| {
+        let allowed = match setting.shape {
+            Shape::Span(least, most) => format!("{least} to {most} ms"),
+            Shape::Count(least, most) => format!("{least} to {most}"),
+            Shape::OneOf(allowed) => allowed.join(" or "),
+            Shape::SomeOf(allowed) => format!("some of {}", allowed.join(",")),
+            Shape::Id => "an id".into(),
+            Shape::Locality => "region/zone".into(),
+            Shape::Address => "IP:port".into(),
+            Shape::Addresses => "up to three IP:port, with commas".into(),
+            Shape::Folder => "a folder".into(),
+        };
+        let fallback = setting.fallback.map(|value| format!("default {value}")).unwrap_or("required".into());
+        println!("  --{:<20} {} ({allowed}; {fallback})", setting.name, setting.help);
+    });
+    println!("\nexit codes: 0 fine, 1 failed, 2 flags or settings denied, 3 could not start");
+}
+
+/// A seed that differs at each start.
+///
+/// ```
+/// assert_ne!(wicket::chance(), wicket::chance());
+/// ```
+pub fn chance() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    let drawn = std::collections::hash_map::RandomState::new().build_hasher().finish();
+    Dice::new(drawn).roll()
+}
+
+/// Done when the process is asked to stop (SIGTERM or SIGINT).
+///
+/// ```no_run
+/// # async fn wait() {
+/// wicket::stop_signal().await;
+/// # }
+/// ```
+pub async fn stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    }
+}
