--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,6 +1,7 @@
 //! Brings a site up on this machine, loads it, breaks it, and judges what was seen.
 
 mod runs;
+mod seeds;
 
 use drill::shapes::Shape;
 use std::time::Duration;
@@ -16,6 +17,14 @@
              quiet   nothing
              wipe    kill one disk machine, wipe its disk, start it again
   --keep     lay data and logs out here and leave them; otherwise in a folder that is removed
+
+       drill sim [--seeds FROM..UNTIL] [--plan PLAN] [--show WHAT]
+
+  --seeds    which seeds to run (default 1..50)
+  --plan     one fault, or two with a + between; without it each seed draws its own; 'each' runs every
+             fault alone, 'pairs' every pair
+  --show     also print what was seen of tries, works or instances whose name holds this
+
   --help, --version
 
 exit codes: 0 no rule broken, 1 a rule broken or the fleet not ready, 2 flags denied";
@@ -27,7 +36,8 @@
             println!("{HELP}");
             0
         }
-        Ok(Some(run)) => i32::from(!runs::fleet(run).await),
+        Ok(Some(Wish::Fleet(run))) => i32::from(!runs::fleet(run).await),
+        Ok(Some(Wish::Sim(sim))) => i32::from(!seeds::run(&sim)),
         Err(text) => {
             eprintln!("drill: {text}; see --help");
             2
@@ -36,7 +46,13 @@
     std::process::exit(code);
 }
 
-fn read_flags() -> Result<Option<runs::Run>, String> {
+enum Wish {
+    Fleet(runs::Run),
+    Sim(seeds::Sim),
+}
+
+fn read_flags() -> Result<Option<Wish>, String> {
+    let mut sim = seeds::Sim { from: 1, until: 50, plan: None, show: None };
     let mut run = runs::Run {
         shape: drill::shapes::ROADWISE,
         load: Duration::from_secs(20),
@@ -65,6 +81,12 @@
         let number =
             || value.parse::<u64>().ok().filter(|n| (1..=100_000).contains(n)).ok_or(format!("--{name} '{value}'"));
         match name.as_str() {
+            "seeds" => {
+                let ends = value.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+                (sim.from, sim.until) = ends.ok_or(format!("--seeds '{value}': FROM..UNTIL"))?;
+            }
+            "show" => sim.show = Some(value),
+            "plan" if verb.as_deref() == Some("sim") => sim.plan = Some(value),
             "shape" => run.shape = Shape::named(&value).ok_or(format!("--shape '{value}': roadwise or kalam"))?,
             "seconds" => run.load = Duration::from_secs(number()?),
             "rate" => run.perSecond = Some(number()?),
@@ -74,7 +96,8 @@
         }
     }
     match verb.as_deref() {
-        Some("fleet") => Ok(Some(run)),
+        Some("fleet") => Ok(Some(Wish::Fleet(run))),
+        Some("sim") => seeds::check(&sim).map(|()| Some(Wish::Sim(sim))),
         Some(other) => Err(format!("'{other}' is no verb of mine")),
         None => Ok(None),
     }
--- /dev/null
+++ b/crates/drill/src/seeds.rs
@@ -0,0 +1,152 @@
+//! Runs of the simulator over many seeds, several at a time.
+
+use drill::sim::{FAULTS, Outcome, Plan, run as run_seed};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Which seeds to run, and how.
+pub struct Sim {
+    pub from: u64,
+    pub until: u64,
+    pub plan: Option<String>,
+    pub show: Option<String>,
+}
+
+/// Complains of a plan that does not exist.
+pub fn check(sim: &Sim) -> Result<(), String> {
+    plans(sim).iter().flatten().try_for_each(|name| {
+        let known = FAULTS.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", ");
+        Plan::named(name, 1).map(drop).ok_or(format!("--plan '{name}': each, pairs, quiet, or one or two of {known}"))
+    })
+}
+
+fn plans(sim: &Sim) -> Vec<Option<String>> {
+    let names = || FAULTS.iter().map(|(name, _)| (*name).to_owned());
+    match sim.plan.as_deref() {
+        None => vec![None],
+        Some("each") => names().map(Some).collect(),
+        Some("pairs") => {
+            let pair = |(at, first): (usize, String)| {
+                FAULTS[at..].iter().map(move |(second, _)| Some(format!("{first}+{second}"))).collect::<Vec<_>>()
+            };
+            names().enumerate().flat_map(pair).collect()
+        }
+        Some(name) => vec![Some(name.to_owned())],
+    }
+}
+
+/// Runs them all and prints what they came to; true where every one was fine.
+pub fn run(sim: &Sim) -> bool {
+    let jobs: Vec<(Option<String>, u64)> =
+        plans(sim).into_iter().flat_map(|plan| (sim.from..sim.until).map(move |seed| (plan.clone(), seed))).collect();
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    let threads = std::thread::available_parallelism().map(usize::from).unwrap_or(4);
+    std::thread::scope(|scope| {
+        (0..threads).for_each(|_| {
+            scope.spawn(|| {
+                while let Some((name, seed)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let plan = name.as_ref().and_then(|name| Plan::named(name, *seed));
+                    let outcome = run_seed(*seed, plan);
+                    if let Some(show) = &sim.show {
+                        show_facts(&outcome, show);
+                    }
+                    let told = Told::from((name.clone(), outcome));
+                    done.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(told);
+                }
+            });
+        });
+    });
+    let mut done = done.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    done.sort_by(|a, b| (&a.name, a.seed).cmp(&(&b.name, b.seed)));
+    tell(&done)
+}
+
+struct Told {
+    name: String,
+    seed: u64,
+    fine: bool,
+    text: String,
+    violations: usize,
+    resumedMs: u64,
+    servedPerMille: u64,
+    works: usize,
+    parcels: u64,
+    digest: String,
+}
+
+impl From<(Option<String>, Outcome)> for Told {
+    fn from((name, outcome): (Option<String>, Outcome)) -> Told {
+        let plan = name.as_ref().map(|name| format!(" --plan {name}")).unwrap_or_default();
+        let seed = outcome.seed;
+        let faults: Vec<String> = outcome.plan.steps.iter().take(3).map(|step| format!("{:?}", step.fault)).collect();
+        let mut text = format!("drill sim --seeds {seed}..{}{plan}   ({})", seed + 1, faults.join(", "));
+        outcome
+            .violations
+            .iter()
+            .take(4)
+            .for_each(|v| text += &format!("\n    rule {} at {:?}: {}", v.rule, v.at, v.text));
+        if !outcome.fine() && outcome.violations.is_empty() {
+            text +=
+                &format!("\n    healed at {:?}, served again only after {:?}", outcome.healedAt, outcome.resumedAfter);
+        }
+        Told {
+            name: name.unwrap_or_else(|| "drawn".into()),
+            seed,
+            fine: outcome.fine(),
+            text,
+            violations: outcome.violations.len(),
+            resumedMs: outcome.resumedAfter.as_millis() as u64,
+            servedPerMille: outcome.servedPerMille,
+            works: outcome.ended.len(),
+            parcels: outcome.parcels,
+            digest: outcome.digest,
+        }
+    }
+}
+
+fn show_facts(outcome: &Outcome, show: &str) {
+    outcome.seen.iter().for_each(|(at, fact)| {
+        let text = format!("{fact:?}");
+        if text.contains(show) {
+            println!("{at:?} {text}");
+        }
+    });
+}
+
+fn tell(done: &[Told]) -> bool {
+    done.iter().filter(|told| !told.fine).take(40).for_each(|told| println!("FAILED {}", told.text));
+    let mut groups: BTreeMap<&str, Vec<&Told>> = BTreeMap::new();
+    done.iter().for_each(|told| groups.entry(&told.name).or_default().push(told));
+    println!(
+        "{:<34} {:>5} {:>6} {:>5}  {:>24}  {:>18}",
+        "plan", "seeds", "failed", "viol.", "resumed ms p50/most", "served ‰ p50/least"
+    );
+    groups.into_iter().for_each(|(name, told)| {
+        let sorted = |value: fn(&Told) -> u64| {
+            let mut all: Vec<u64> = told.iter().map(|told| value(told)).collect();
+            all.sort_unstable();
+            all
+        };
+        let (resumed, served) = (sorted(|told| told.resumedMs), sorted(|told| told.servedPerMille));
+        let failed = told.iter().filter(|told| !told.fine).count();
+        let violations: usize = told.iter().map(|told| told.violations).sum();
+        println!(
+            "{name:<34} {:>5} {failed:>6} {violations:>5}  {:>14} / {:>7}  {:>10} / {:>5}",
+            told.len(),
+            resumed[resumed.len() / 2],
+            resumed[resumed.len() - 1],
+            served[served.len() / 2],
+            served[0],
+        );
+    });
+    let digests: String = done.iter().map(|told| told.digest.as_str()).collect();
+    let (works, parcels): (usize, u64) = (done.iter().map(|t| t.works).sum(), done.iter().map(|t| t.parcels).sum());
+    let failed = done.iter().filter(|told| !told.fine).count();
+    println!(
+        "{} runs, {failed} failed; {works} works, {parcels} parcels; digest {}",
+        done.len(),
+        &parcel::digest(digests.as_bytes())[..16]
+    );
+    failed == 0
+}
--- /dev/null
+++ b/crates/drill/src/sim/mod.rs
@@ -0,0 +1,25 @@
+//! The simulator: the daemons' own cores in virtual time, over a network and disks that fail on purpose.
+//! One seed gives one run, byte for byte.
+
+mod faults;
+mod net;
+mod nodes;
+mod operators;
+mod path;
+mod units;
+mod world;
+
+pub use faults::{FAULTS, Fault, Plan};
+pub use world::{Outcome, World};
+
+/// Runs one seed under a plan; without one, the seed draws its own.
+///
+/// ```
+/// use drill::sim::{Plan, run};
+/// let first = run(3, Some(Plan::quiet()));
+/// assert_eq!(first.violations, vec![]);
+/// assert_eq!(first.digest, run(3, Some(Plan::quiet())).digest);
+/// ```
+pub fn run(seed: u64, plan: Option<Plan>) -> Outcome {
+    World::new(seed, plan).run()
+}
--- /dev/null
+++ b/crates/drill/src/sim/nodes.rs
@@ -0,0 +1,351 @@
+//! Postmasters and carriers in the simulator: their cores, their disks, their effects.
+
+use super::net::Place;
+use super::path::Trip;
+use super::world::{Action, World};
+use address::Locality;
+use carrier::Carrier;
+use parcel::{Body, Durable, Member};
+use postmaster::{Answer, Ask, Office};
+use sorting::{Board, Outcome, Site};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// What reaches a node.
+#[derive(Clone)]
+pub enum NodeEvent {
+    Parcel { from: String, body: Body },
+    Datagram { address: String, body: Body },
+    Ask { token: u64, ask: Ask },
+    Lookup { work: u64, name: String, place: String, askedAt: Duration },
+    Request { trip: u64, request: super::path::Request },
+    Outcome { trip: u64, send: u32, outcome: Outcome, reply: Option<super::path::Reply> },
+}
+
+pub enum Write {
+    State(u64, Durable),
+    Setup(u64, String, Vec<u8>),
+}
+
+/// A disk: what is synced, and what waits to be.
+#[derive(Default)]
+pub struct Disk {
+    pub durable: Durable,
+    pub setups: BTreeMap<String, Vec<u8>>,
+    pub waiting: VecDeque<Write>,
+    /// How much longer a sync takes than it should.
+    pub slowed: Duration,
+    pub broken: bool,
+}
+
+pub enum Core {
+    Office(Box<Office>),
+    Carrier(Box<Carrier>, Box<Board>),
+    Down,
+}
+
+/// One process.
+pub struct Node {
+    pub name: String,
+    pub machine: usize,
+    pub place: Place,
+    pub up: bool,
+    /// Counts starts, so that what belonged to an earlier life is dropped.
+    pub life: u64,
+    pub startedAt: Duration,
+    pub core: Core,
+    pub disk: Disk,
+    /// While frozen: what waits in its sockets.
+    pub frozen: Option<Vec<NodeEvent>>,
+    pub site: Site,
+    isOffice: bool,
+}
+
+impl Node {
+    pub fn carrier(&self) -> Option<&Carrier> {
+        match &self.core {
+            Core::Carrier(carrier, _) => Some(carrier),
+            _ => None,
+        }
+    }
+
+    pub fn is_office(&self) -> bool {
+        self.isOffice
+    }
+}
+
+impl World {
+    pub(super) fn lay_out_nodes(&mut self) {
+        let (staleAfter, _) = World::times();
+        let kinds = |machine: usize, disks: usize| if machine < disks { vec![true, false] } else { vec![false] };
+        for machine in 0..self.shape.machines {
+            for isOffice in kinds(machine, self.shape.disks) {
+                let locality = self.shape.locality(machine);
+                let name = format!("{}-{machine}", if isOffice { "postmaster" } else { "carrier" });
+                let zone: Locality = locality.parse().unwrap_or_default();
+                let site = Site { node: name.clone(), locality: zone, staleAfter };
+                let place = Place { machine: Some(machine), locality };
+                self.nodes.push(Node {
+                    name,
+                    machine,
+                    place,
+                    up: false,
+                    life: 0,
+                    startedAt: Duration::ZERO,
+                    core: Core::Down,
+                    disk: Disk::default(),
+                    frozen: None,
+                    site,
+                    isOffice,
+                });
+            }
+        }
+        (0..self.nodes.len()).for_each(|node| self.start(node));
+    }
+
+    /// Starts a process on whatever its disk holds.
+    pub(super) fn start(&mut self, at: usize) {
+        let seed = self.dice.roll();
+        let seeds: Vec<String> =
+            self.nodes.iter().filter(|node| node.isOffice).take(3).map(|node| node.name.clone()).collect();
+        let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
+        let rosterSize = self.shape.disks;
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        node.up = true;
+        node.life += 1;
+        node.startedAt = now;
+        node.frozen = None;
+        let me = Member {
+            node: node.name.clone(),
+            locality: node.place.locality.clone(),
+            roles: if node.isOffice { "postmaster" } else { "proxy,directory" }.into(),
+            probeAddress: node.name.clone(),
+            linkAddress: node.name.clone(),
+            httpAddress: node.name.clone(),
+            ..Member::default()
+        };
+        node.core = if node.isOffice {
+            let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
+            node.disk.waiting.clear();
+            let times = postmaster::shell::times(&settings);
+            let start = postmaster::Start { me, seeds, rosterSize, seed, durable, setups, times };
+            Core::Office(Box::new(Office::new(start)))
+        } else {
+            let times = carrier::shell::times(&settings);
+            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, times })), Box::default())
+        };
+        let life = node.life;
+        // Not all tick at the same moment.
+        let first = now + Duration::from_micros(self.dice.below(50_000));
+        self.at(first, Action::Tick { node: at, life });
+    }
+
+    /// Kills a process: memory and unsynced writes are gone.
+    pub(super) fn kill(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.up = false;
+        node.life += 1;
+        node.core = Core::Down;
+        node.frozen = None;
+        node.disk.waiting.clear();
+        let gone: Vec<u64> = self.trips.iter().filter(|(_, trip)| trip.node == at).map(|(id, _)| *id).collect();
+        gone.into_iter().for_each(|id| {
+            let trip = self.trips.remove(&id);
+            trip.into_iter().for_each(|trip| self.lose(&trip));
+        });
+    }
+
+    /// The connection of a request dies with the process that served it.
+    fn lose(&mut self, trip: &Trip) {
+        self.reply(trip, Err(wicket::Called::Lost));
+    }
+
+    pub(super) fn freeze(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        if node.up {
+            node.frozen = Some(Vec::new());
+        }
+    }
+
+    pub(super) fn thaw(&mut self, at: usize) {
+        let waiting = self.nodes[at].frozen.take().unwrap_or_default();
+        let life = self.nodes[at].life;
+        if self.nodes[at].up {
+            waiting.into_iter().for_each(|event| self.after(Duration::ZERO, Action::Deliver { node: at, event }));
+            self.after(Duration::ZERO, Action::Tick { node: at, life });
+            self.after(Duration::from_millis(1), Action::Disk { node: at, life });
+        }
+    }
+
+    pub(super) fn tick(&mut self, at: usize, life: u64) {
+        let node = &self.nodes[at];
+        if node.life != life || node.frozen.is_some() {
+            return;
+        }
+        self.after(TICK, Action::Tick { node: at, life });
+        self.step_node(at, None);
+    }
+
+    /// Steps a core with an event, or with a tick, and carries out its effects.
+    fn step_node(&mut self, at: usize, event: Option<NodeEvent>) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let local = now - node.startedAt;
+        match &mut node.core {
+            Core::Office(office) => {
+                use postmaster::Event;
+                let event = match event {
+                    None => Event::Tick,
+                    Some(NodeEvent::Parcel { from, body }) => Event::Parcel { from, body },
+                    Some(NodeEvent::Datagram { address, body }) => Event::Datagram { address, body },
+                    Some(NodeEvent::Ask { token, ask }) => Event::Ask { token, ask },
+                    Some(_) => return,
+                };
+                let effects = office.step(local, event);
+                self.run_office(at, effects);
+            }
+            Core::Carrier(carrier, board) => {
+                use carrier::Event;
+                if event.is_none() {
+                    board.sweep(local, |_| true);
+                }
+                let event = match event {
+                    None => Event::Tick,
+                    Some(NodeEvent::Parcel { from, body }) => Event::Parcel { from, body },
+                    Some(NodeEvent::Datagram { address, body }) => Event::Datagram { address, body },
+                    Some(_) => return,
+                };
+                let effects = carrier.step(local, event);
+                effects.into_iter().for_each(|effect| match effect {
+                    carrier::Effect::Send { to, body } => self.send(at, &to, body),
+                    carrier::Effect::Datagram { address, body } => self.datagram(at, &address, body),
+                    _ => {}
+                });
+            }
+            Core::Down => {}
+        }
+    }
+
+    fn run_office(&mut self, at: usize, effects: Vec<postmaster::Effect>) {
+        effects.into_iter().for_each(|effect| match effect {
+            postmaster::Effect::Send { to, body } => self.send(at, &to, body),
+            postmaster::Effect::Datagram { address, body } => self.datagram(at, &address, body),
+            postmaster::Effect::Keep { ticket, durable } => self.write(at, Write::State(ticket, durable)),
+            postmaster::Effect::KeepSetup { ticket, digest, bytes } => {
+                self.write(at, Write::Setup(ticket, digest, bytes));
+            }
+            postmaster::Effect::Answer { token, answer } => self.office_answered(at, token, answer),
+            postmaster::Effect::Addresses(_) | postmaster::Effect::Note(_) => {}
+        });
+    }
+
+    fn write(&mut self, at: usize, write: Write) {
+        let micros = 800 + self.dice.below(3000);
+        let node = &mut self.nodes[at];
+        node.disk.waiting.push_back(write);
+        let (life, idle) = (node.life, node.disk.waiting.len() == 1);
+        let takes = Duration::from_micros(micros) + node.disk.slowed;
+        if idle {
+            self.after(takes, Action::Disk { node: at, life });
+        }
+    }
+
+    pub(super) fn disk_done(&mut self, at: usize, life: u64) {
+        let micros = 800 + self.dice.below(3000);
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if node.life != life || node.frozen.is_some() {
+            return;
+        }
+        let Some(write) = node.disk.waiting.pop_front() else { return };
+        let event = if node.disk.broken {
+            node.disk.waiting.clear();
+            postmaster::Event::DiskFailed
+        } else {
+            let ticket = match write {
+                Write::State(ticket, durable) => {
+                    node.disk.durable = durable;
+                    ticket
+                }
+                Write::Setup(ticket, digest, bytes) => {
+                    node.disk.setups.insert(digest, bytes);
+                    ticket
+                }
+            };
+            postmaster::Event::Kept { ticket }
+        };
+        let (more, slowed, local) = (!node.disk.waiting.is_empty(), node.disk.slowed, now - node.startedAt);
+        if more {
+            self.after(Duration::from_micros(micros) + slowed, Action::Disk { node: at, life });
+        }
+        let effects = match &mut self.nodes[at].core {
+            Core::Office(office) => office.step(local, event),
+            _ => Vec::new(),
+        };
+        self.run_office(at, effects);
+    }
+
+    fn named(&self, name: &str) -> Option<usize> {
+        self.nodes.iter().position(|node| node.name == name)
+    }
+
+    fn send(&mut self, from: usize, to: &str, body: Body) {
+        self.parcels += 1;
+        let Some(to) = self.named(to) else { return };
+        let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
+        delay.into_iter().for_each(|delay| {
+            let at = self.net.in_order(from, to, self.now + delay);
+            let event = NodeEvent::Parcel { from: self.nodes[from].name.clone(), body: body.clone() };
+            self.at(at, Action::Deliver { node: to, event });
+        });
+    }
+
+    fn datagram(&mut self, from: usize, to: &str, body: Body) {
+        let Some(to) = self.named(to) else { return };
+        let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
+        delay.into_iter().for_each(|delay| {
+            let event = NodeEvent::Datagram { address: self.nodes[from].name.clone(), body: body.clone() };
+            self.after(delay, Action::Deliver { node: to, event });
+        });
+    }
+
+    pub(super) fn deliver(&mut self, at: usize, event: NodeEvent) {
+        let node = &mut self.nodes[at];
+        if !node.up {
+            return self.unreached(event);
+        }
+        if let Some(waiting) = &mut node.frozen {
+            return waiting.push(event);
+        }
+        match event {
+            NodeEvent::Lookup { work, name, place, askedAt } => self.lookup(at, work, &name, &place, askedAt),
+            NodeEvent::Request { trip, request } => self.request(at, trip, request),
+            NodeEvent::Outcome { trip, send, outcome, reply } => self.outcome(at, trip, send, outcome, reply),
+            other => self.step_node(at, Some(other)),
+        }
+    }
+
+    /// What was sent to a process that is down: the other side learns at once that it can't connect.
+    fn unreached(&mut self, event: NodeEvent) {
+        match event {
+            NodeEvent::Lookup { work, askedAt, .. } => {
+                self.after(Duration::from_millis(1), Action::OriginTold { work, listing: None, askedAt });
+            }
+            NodeEvent::Request { request, .. } => {
+                self.reply_to(&request, Err(wicket::Called::NotConnected));
+            }
+            NodeEvent::Ask { token, .. } => {
+                let answer = Answer::Verdict { code: address::Code::NoPostmaster, edition: 0 };
+                self.asked(token, answer);
+            }
+            _ => {}
+        }
+    }
+
+    fn office_answered(&mut self, _at: usize, token: u64, answer: Answer) {
+        self.asked(token, answer);
+    }
+}
--- /dev/null
+++ b/crates/drill/src/sim/operators.rs
@@ -0,0 +1,164 @@
+//! Operators in the simulator: they submit, evacuate, race, ask again when the outcome is unknown, read back.
+
+use super::nodes::NodeEvent;
+use super::world::{Action, World};
+use crate::facts::Fact;
+use address::Code;
+use postmaster::{Answer, Ask};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What an operator wants, until it is decided.
+pub struct Submission {
+    id: String,
+    what: What,
+    decided: bool,
+    asked: u32,
+}
+
+#[derive(Clone)]
+pub enum What {
+    Setup { bytes: String, base: Option<u64> },
+    Evacuate { locality: String, back: bool },
+}
+
+/// All operators' state.
+#[derive(Default)]
+pub struct Operators {
+    submissions: Vec<Submission>,
+    /// Which submission, or which node's read-back, a token stands for.
+    tokens: BTreeMap<u64, (usize, usize)>,
+    readBacks: BTreeMap<u64, usize>,
+    pub(super) beats: BTreeMap<u64, (usize, u64, u64, Duration, usize)>,
+    pub(super) edition: u64,
+    setups: usize,
+}
+
+impl World {
+    /// The first setup, and then read-backs for as long as the run goes on.
+    pub(super) fn operate(&mut self) {
+        if self.operators.submissions.is_empty() {
+            self.submit_setup(0, None);
+        }
+        self.read_back();
+        self.after(Duration::from_millis(700), Action::Operator);
+    }
+
+    /// Submits a new setup, larger by some routes.
+    pub(super) fn submit_setup(&mut self, extra: usize, base: Option<u64>) {
+        self.operators.setups += 1;
+        let bytes = self.shape.setup(extra + self.operators.setups);
+        self.submit(What::Setup { bytes, base });
+    }
+
+    pub(super) fn submit(&mut self, what: What) {
+        let at = self.operators.submissions.len();
+        let id = format!("submission-{at}");
+        self.operators.submissions.push(Submission { id, what, decided: false, asked: 0 });
+        self.ask_submission(at);
+    }
+
+    fn ask_submission(&mut self, at: usize) {
+        let submission = &mut self.operators.submissions[at];
+        submission.asked += 1;
+        let id = submission.id.clone();
+        let ask = match submission.what.clone() {
+            What::Setup { bytes, base } => Ask::Submit { id, base, bytes: bytes.into_bytes(), inForce: false },
+            What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, inForce: false },
+        };
+        let (node, token) = (self.some_office(), self.id());
+        self.operators.tokens.insert(token, (at, node));
+        self.after(Duration::from_millis(8), Action::Deliver { node, event: NodeEvent::Ask { token, ask } });
+        // No answer at all: ask again with the same id, elsewhere.
+        let unknown = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
+        self.after(Duration::from_secs(4), Action::OperatorAnswer { submission: at, answer: unknown });
+    }
+
+    fn some_office(&mut self) -> usize {
+        let offices: Vec<usize> = (0..self.nodes.len()).filter(|node| self.nodes[*node].is_office()).collect();
+        offices[self.dice.below(offices.len() as u64) as usize]
+    }
+
+    /// An answer of a postmaster, by token.
+    pub(super) fn asked(&mut self, token: u64, answer: Answer) {
+        if let Some(beat) = self.operators.beats.remove(&token) {
+            return self.beat_answered(beat, answer);
+        }
+        if let Some(node) = self.operators.readBacks.remove(&token) {
+            if let Answer::Setup { edition, bytes } = answer {
+                let (node, digest) = (self.nodes[node].name.clone(), parcel::digest(&bytes));
+                self.note(Fact::ReadBack { node, edition, digest });
+            }
+            return;
+        }
+        let submission = self.operators.tokens.remove(&token);
+        submission.into_iter().for_each(|(submission, _)| {
+            let answer = answer.clone();
+            self.after(Duration::from_millis(8), Action::OperatorAnswer { submission, answer });
+        });
+    }
+
+    pub(super) fn operator_told(&mut self, at: usize, answer: Answer) {
+        if self.operators.submissions[at].decided {
+            return;
+        }
+        let Answer::Verdict { code, edition } = answer else { return };
+        match code {
+            Code::Fine | Code::SetupBehind => self.decide_submission(at, code, edition),
+            // Not decided: again with the same id. A stray time-out of an earlier ask only asks once more.
+            _ if self.operators.submissions[at].asked < 40 => self.ask_submission(at),
+            _ => {}
+        }
+    }
+
+    fn decide_submission(&mut self, at: usize, code: Code, edition: u64) {
+        let submission = &mut self.operators.submissions[at];
+        submission.decided = true;
+        let what = submission.what.clone();
+        self.operators.edition = self.operators.edition.max(edition);
+        if code != Code::Fine {
+            return;
+        }
+        match what {
+            What::Setup { bytes, .. } => {
+                self.note(Fact::Submitted { edition, digest: parcel::digest(bytes.as_bytes()) });
+            }
+            What::Evacuate { locality, back } => self.note(Fact::Evacuated { locality, back }),
+        }
+        self.note(Fact::Accepted { edition });
+    }
+
+    fn read_back(&mut self) {
+        let (node, token) = (self.some_office(), self.id());
+        self.operators.readBacks.insert(token, node);
+        self.after(
+            Duration::from_millis(8),
+            Action::Deliver { node, event: NodeEvent::Ask { token, ask: Ask::ReadSetup } },
+        );
+    }
+
+    /// At the end, every postmaster that is up reads back what it has.
+    pub(super) fn read_back_all(&mut self) {
+        let now = self.now;
+        let backs: Vec<(String, u64, Vec<u8>)> = self
+            .nodes
+            .iter_mut()
+            .filter(|node| node.up)
+            .filter_map(|node| {
+                let local = now - node.startedAt;
+                let name = node.name.clone();
+                let super::nodes::Core::Office(office) = &mut node.core else { return None };
+                let ask = postmaster::Event::Ask { token: 0, ask: Ask::ReadSetup };
+                office.step(local, ask).into_iter().find_map(|effect| match effect {
+                    postmaster::Effect::Answer { answer: Answer::Setup { edition, bytes }, .. } => {
+                        Some((name.clone(), edition, bytes))
+                    }
+                    _ => None,
+                })
+            })
+            .collect();
+        backs.into_iter().for_each(|(node, edition, bytes)| {
+            self.note(Fact::ReadBack { node, edition, digest: parcel::digest(&bytes) });
+        });
+    }
+}
--- /dev/null
+++ b/crates/drill/src/sim/path.rs
@@ -0,0 +1,441 @@
+//! The path of a request in the simulator: origin, directory, proxy, upstream, and back.
+
+use super::nodes::{Core, NodeEvent};
+use super::world::{Action, World};
+use crate::facts::Fact;
+use crate::origins::Ended;
+use address::{Code, Dice, Kind, Locality};
+use gazetteer::Listing;
+use sorting::{Journey, Move, Order, Outcome};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wicket::Called;
+
+const WITHIN: Duration = Duration::from_millis(3000);
+const MOST_TRIES: u32 = 4;
+const SOON: Duration = Duration::from_millis(200);
+
+/// An answer on its way, as the wire would carry it.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub code: Option<Code>,
+    pub tryId: String,
+    pub instance: String,
+    pub seal: String,
+    pub body: String,
+    pub retryAfter: Option<Duration>,
+    /// Set where no answer came.
+    pub failed: Option<Called>,
+}
+
+impl Reply {
+    pub fn sealed(tryId: &str, instance: &str, status: u16, body: &str) -> Reply {
+        let seal = parcel::seal(tryId, instance, status, body.as_bytes());
+        let (tryId, instance, body) = (tryId.to_owned(), instance.to_owned(), body.to_owned());
+        Reply { status, code: Some(Code::Fine), tryId, instance, seal, body, retryAfter: None, failed: None }
+    }
+
+    fn coded(tryId: &str, code: Code, retryAfter: Option<Duration>) -> Reply {
+        let (tryId, instance) = (tryId.to_owned(), String::new());
+        let (seal, body) = (String::new(), String::new());
+        Reply { status: code.status(), code: Some(code), tryId, instance, seal, body, retryAfter, failed: None }
+    }
+
+    fn failed(called: Called) -> Reply {
+        Reply { failed: Some(called), status: 0, code: None, ..Reply::coded("", Code::Lost, None) }
+    }
+
+    /// The daemons' own judgement of it.
+    fn judge(&self, tryId: &str, instance: Option<&str>) -> Outcome {
+        let mut headers = hyper::HeaderMap::new();
+        [("x-try-id", &self.tryId), ("x-instance", &self.instance), ("x-seal", &self.seal)].into_iter().for_each(
+            |(name, value)| {
+                value.parse().into_iter().for_each(|value: hyper::header::HeaderValue| {
+                    headers.insert(name, value);
+                });
+            },
+        );
+        let reply = wicket::Reply { status: self.status, headers, body: self.body.clone().into() };
+        let called = self.failed.map(Err).unwrap_or(Ok(reply));
+        carrier::judge(&called, tryId, instance)
+    }
+}
+
+/// A request on its way to a proxy.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub tryId: String,
+    pub work: String,
+    pub service: &'static str,
+    pub key: String,
+    pub remaining: Duration,
+    pub from: From,
+}
+
+/// Who waits for the answer.
+#[derive(Clone, Debug)]
+pub enum From {
+    Origin {
+        work: u64,
+        tryNumber: u32,
+    },
+    /// Another proxy forwarded it.
+    Proxy {
+        trip: u64,
+        send: u32,
+        node: usize,
+    },
+}
+
+/// What a call carries to an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Sent {
+    pub tryId: String,
+    pub work: String,
+    pub path: &'static str,
+    pub key: String,
+    pub epoch: Option<u64>,
+}
+
+/// One request at one proxy.
+pub struct Trip {
+    pub node: usize,
+    pub journey: Journey,
+    pub request: Request,
+    pub sent: Sent,
+    /// Counts sends, so that an answer to an earlier one is dropped.
+    pub send: u32,
+    pub instance: Option<String>,
+}
+
+/// Where one origin stands with its work.
+#[derive(Clone, Copy, PartialEq)]
+enum Stand {
+    Resting,
+    Asking { askedAt: Duration },
+    Trying { tryNumber: u32 },
+    Done,
+}
+
+struct WorkState {
+    service: &'static str,
+    place: String,
+    key: String,
+    startedAt: Duration,
+    tries: u32,
+    last: Option<Code>,
+    dice: Dice,
+    stand: Stand,
+}
+
+#[derive(Clone)]
+struct Known {
+    proxies: Vec<String>,
+    askedAt: Duration,
+    lifetime: Duration,
+}
+
+/// All origins' state.
+#[derive(Default)]
+pub struct Origins {
+    works: BTreeMap<u64, WorkState>,
+    known: BTreeMap<(String, &'static str), Known>,
+}
+
+impl World {
+    pub(super) fn origin_start(&mut self) {
+        let number = self.id();
+        let mut dice = Dice::new(self.dice.roll());
+        let part = dice.below(100);
+        let mut upTo = 0;
+        let at = self.shape.services.iter().position(|work| {
+            upTo += work.percent;
+            part < upTo
+        });
+        let service = self.shape.services[at.unwrap_or(0)].service;
+        let place = self.shape.locality(dice.below(6) as usize);
+        let key = format!("key-{}", dice.below(400));
+        let (startedAt, stand) = (self.now, Stand::Resting);
+        let state = WorkState { service, place, key, startedAt, tries: 0, last: None, dice, stand };
+        self.origins.works.insert(number, state);
+        self.origin_try(number);
+    }
+
+    pub(super) fn origin_try(&mut self, work: u64) {
+        let now = self.now;
+        let carriers: Vec<usize> = (0..self.nodes.len()).filter(|at| !self.nodes[*at].is_office()).collect();
+        let Some(state) = self.origins.works.get_mut(&work).filter(|state| state.stand == Stand::Resting) else {
+            return;
+        };
+        if state.tries >= MOST_TRIES || now >= state.startedAt + WITHIN {
+            return self.origin_end(work);
+        }
+        let id = (state.place.clone(), state.service);
+        let live = self.origins.known.get(&id).filter(|known| now < known.askedAt + known.lifetime).cloned();
+        if let Some(known) = live {
+            return self.origin_send(work, &known);
+        }
+        state.stand = Stand::Asking { askedAt: now };
+        let node = carriers[state.dice.below(carriers.len() as u64) as usize];
+        let name = format!("{}.{}.example", state.service, self.shape.name);
+        let event = NodeEvent::Lookup { work, name, place: state.place.clone(), askedAt: now };
+        self.after(Duration::from_millis(8), Action::Deliver { node, event });
+        // A directory node that says nothing is given up on after a while.
+        self.after(Duration::from_millis(700), Action::OriginTold { work, listing: None, askedAt: now });
+    }
+
+    pub(super) fn lookup(&mut self, at: usize, work: u64, name: &str, place: &str, askedAt: Duration) {
+        let (staleAfter, lifetime) = World::times();
+        let node = &self.nodes[at];
+        let origin: Locality = place.parse().unwrap_or_default();
+        let view = node.carrier().map(|carrier| carrier.view());
+        let fresh = view.filter(|view| view.is_fresh(self.now - node.startedAt, staleAfter));
+        let listing = fresh.and_then(|view| gazetteer::list(view, name, &origin, lifetime).ok());
+        self.after(Duration::from_millis(8), Action::OriginTold { work, listing, askedAt });
+    }
+
+    pub(super) fn origin_told(&mut self, work: u64, listing: Option<Listing>, askedAt: Duration) {
+        let now = self.now;
+        let Some(state) = self.origins.works.get_mut(&work) else { return };
+        if state.stand != (Stand::Asking { askedAt }) {
+            return;
+        }
+        state.stand = Stand::Resting;
+        let known = listing.map(|listing| Known { proxies: listing.proxies, askedAt, lifetime: listing.lifetime });
+        match known.filter(|known| now < askedAt + known.lifetime) {
+            Some(known) => {
+                self.origins.known.insert((state.place.clone(), state.service), known.clone());
+                self.origin_send(work, &known);
+            }
+            None => {
+                state.tries += 1;
+                state.last = Some(Code::NoOwner);
+                self.after(SOON, Action::OriginTry { work });
+            }
+        }
+    }
+
+    fn origin_send(&mut self, work: u64, known: &Known) {
+        let now = self.now;
+        let Some(state) = self.origins.works.get_mut(&work) else { return };
+        state.tries += 1;
+        let tryNumber = state.tries;
+        state.stand = Stand::Trying { tryNumber };
+        let address = known.proxies[state.dice.below(known.proxies.len() as u64) as usize].clone();
+        let remaining = (state.startedAt + WITHIN).saturating_sub(now).max(Duration::from_millis(1));
+        let request = Request {
+            tryId: format!("try-{work}-{tryNumber}"),
+            work: format!("work-{work}"),
+            service: state.service,
+            key: state.key.clone(),
+            remaining,
+            from: From::Origin { work, tryNumber },
+        };
+        self.note(Fact::AddressUsed { age: now - known.askedAt });
+        self.note(Fact::Tried { work: request.work.clone(), tryId: request.tryId.clone() });
+        let patience = remaining + Duration::from_millis(500);
+        let failed = Reply::failed(Called::TimedOut);
+        self.after(patience, Action::OriginAnswer { work, tryNumber, answer: failed });
+        let trip = self.id();
+        let node = self.nodes.iter().position(|node| node.name == address);
+        node.into_iter().for_each(|node| {
+            let event = NodeEvent::Request { trip, request: request.clone() };
+            self.after(Duration::from_millis(8), Action::Deliver { node, event });
+        });
+    }
+
+    pub(super) fn origin_answer(&mut self, work: u64, tryNumber: u32, answer: Reply) {
+        let Some(state) = self.origins.works.get_mut(&work) else { return };
+        if state.stand != (Stand::Trying { tryNumber }) {
+            return;
+        }
+        state.stand = Stand::Resting;
+        let (tryId, body) = (format!("try-{work}-{tryNumber}"), format!("work-{work}"));
+        if answer.failed == Some(Called::NotConnected) {
+            state.last = None;
+            self.origins.known.clear();
+            return self.after(SOON, Action::OriginTry { work });
+        }
+        let code = answer.code.filter(|_| answer.failed.is_none()).unwrap_or(Code::Lost);
+        state.last = Some(code);
+        let success = answer.failed.is_none() && answer.status == 200;
+        let whole = answer.judge(&tryId, None) == Outcome::Sealed && answer.body == body;
+        let notRun = !success && answer.failed.is_none() && code.kind() == Kind::NotRun;
+        if answer.failed.is_none() {
+            self.note(Fact::Answered { tryId, code: code.number(), success, whole, notRun });
+        }
+        if notRun {
+            let wait = answer.retryAfter.map(|span| Duration::from_secs(span.as_secs().max(1))).unwrap_or(SOON);
+            self.after(wait, Action::OriginTry { work });
+        } else {
+            self.origin_end(work);
+        }
+    }
+
+    fn origin_end(&mut self, work: u64) {
+        let now = self.now;
+        let state = self.origins.works.get_mut(&work).filter(|state| state.stand != Stand::Done);
+        let ended = state.map(|state| {
+            state.stand = Stand::Done;
+            let (service, tries) = (state.service, state.tries);
+            Ended {
+                at: now,
+                took: now - state.startedAt,
+                service,
+                code: state.last.map(Code::number).unwrap_or(0),
+                tries,
+            }
+        });
+        self.ended.extend(ended);
+        self.origins.works.remove(&work);
+    }
+
+    /// A request reaches a proxy.
+    pub(super) fn request(&mut self, at: usize, trip: u64, request: Request) {
+        let node = &self.nodes[at];
+        let order = Order {
+            tryId: request.tryId.clone(),
+            name: format!("{}.{}.example", request.service, self.shape.name),
+            path: format!("/{}", request.service),
+            key: Some(request.key.clone()),
+            arrivedAt: self.now - node.startedAt,
+            remaining: request.remaining,
+            bodyBytes: request.work.len() as u64,
+            forwarded: matches!(request.from, From::Proxy { .. }),
+        };
+        let journey = Journey::new(order, node.site.clone());
+        let sent = Sent {
+            tryId: request.tryId.clone(),
+            work: request.work.clone(),
+            path: request.service,
+            key: request.key.clone(),
+            epoch: None,
+        };
+        self.trips.insert(trip, Trip { node: at, journey, request, sent, send: 0, instance: None });
+        self.decide(trip, None);
+    }
+
+    /// Steps a journey: its start, or what came of a send.
+    fn decide(&mut self, id: u64, outcome: Option<(Outcome, Option<Reply>)>) {
+        let Some(trip) = self.trips.get_mut(&id) else { return };
+        let node = &self.nodes[trip.node];
+        let Core::Carrier(carrier, board) = &node.core else { return };
+        let local = self.now - node.startedAt;
+        let (next, reply) = match outcome {
+            None => (trip.journey.start(local, carrier.view(), board), None),
+            Some((outcome, reply)) => (trip.journey.after(local, carrier.view(), board, outcome), reply),
+        };
+        match next {
+            Move::Call { upstream, share, within } => {
+                trip.send += 1;
+                trip.instance = Some(upstream.instance.clone());
+                trip.sent.epoch = share.map(|share| share.epoch);
+                let (send, from) = (trip.send, node.place.clone());
+                let to = self.units.iter().find(|unit| unit.address == upstream.address).map(|unit| unit.place.clone());
+                let cut = to.as_ref().is_none_or(|to| self.net.blocked(&from, to));
+                let delay = to.and_then(|to| self.net.delay(&mut self.dice, &from, &to));
+                // TCP sends a lost packet again; only a cut keeps a connection from coming up.
+                let delay = delay.unwrap_or(if cut { within } else { Duration::from_millis(200) });
+                let call = Action::UnitCall { trip: id, send, address: upstream.address, cut };
+                self.after(delay, call);
+                let late = (Outcome::TimedOut, None);
+                self.after_outcome(id, send, late, within);
+            }
+            Move::Forward { proxies, within, .. } => {
+                trip.send += 1;
+                trip.instance = None;
+                let (send, at) = (trip.send, trip.node);
+                let from = From::Proxy { trip: id, send, node: at };
+                let request = Request { remaining: within, from, ..trip.request.clone() };
+                let reachable =
+                    proxies.iter().filter_map(|proxy| self.nodes.iter().position(|node| node.name == *proxy));
+                let mut reachable = reachable.filter(|to| self.nodes[*to].up);
+                let to = reachable.next();
+                let delay = to.and_then(|to| {
+                    self.net
+                        .delay(&mut self.dice, &self.nodes[at].place, &self.nodes[to].place)
+                        .map(|delay| (to, delay))
+                });
+                match delay {
+                    Some((node, delay)) => {
+                        let next = self.id();
+                        self.after(delay, Action::Deliver { node, event: NodeEvent::Request { trip: next, request } });
+                        self.after_outcome(id, send, (Outcome::TimedOut, None), within);
+                    }
+                    None => self.after_outcome(id, send, (Outcome::NotConnected, None), within.min(SOON)),
+                }
+            }
+            Move::Pass => self.end_trip(id, reply.unwrap_or_else(|| Reply::coded("", Code::Lost, None))),
+            Move::Answer { code, retryAfter } => {
+                let tryId = trip.request.tryId.clone();
+                self.end_trip(id, Reply::coded(&tryId, code, retryAfter));
+            }
+        }
+    }
+
+    fn end_trip(&mut self, id: u64, reply: Reply) {
+        let trip = self.trips.remove(&id);
+        trip.into_iter().for_each(|trip| self.answer(&trip.request, Some(trip.node), reply.clone()));
+    }
+
+    /// Sends an answer back to whoever waits for it.
+    fn answer(&mut self, request: &Request, node: Option<usize>, reply: Reply) {
+        match &request.from {
+            From::Origin { work, tryNumber } => {
+                let (work, tryNumber) = (*work, *tryNumber);
+                self.after(Duration::from_millis(8), Action::OriginAnswer { work, tryNumber, answer: reply });
+            }
+            From::Proxy { trip, send, node: to } => {
+                let (trip, send, to) = (*trip, *send, *to);
+                let places = node.map(|node| (self.nodes[node].place.clone(), self.nodes[to].place.clone()));
+                let delay = match places {
+                    None => Some(Duration::from_millis(1)),
+                    Some((from, to)) => self.net.delay(&mut self.dice, &from, &to),
+                };
+                let code = reply.code.filter(|_| reply.failed.is_none());
+                let denied = reply.seal.is_empty() && code.is_some_and(|code| code != Code::Fine);
+                let judged = reply.judge(&request.tryId, None);
+                let outcome = if denied || judged == Outcome::SealedNotRun { Outcome::Sealed } else { judged };
+                delay.into_iter().for_each(|delay| {
+                    self.after_outcome(trip, send, (outcome.clone(), Some(reply.clone())), delay);
+                });
+            }
+        }
+    }
+
+    /// A process died, or was down, with this request.
+    pub(super) fn reply(&mut self, trip: &Trip, called: Result<(), Called>) {
+        called.err().into_iter().for_each(|called| {
+            self.answer(&trip.request, Some(trip.node), Reply::failed(called));
+        });
+    }
+
+    pub(super) fn reply_to(&mut self, request: &Request, called: Result<(), Called>) {
+        called.err().into_iter().for_each(|called| self.answer(request, None, Reply::failed(called)));
+    }
+
+    fn after_outcome(&mut self, trip: u64, send: u32, outcome: (Outcome, Option<Reply>), span: Duration) {
+        let node = self.trips.get(&trip).map(|trip| trip.node);
+        node.into_iter().for_each(|node| {
+            let (outcome, reply) = outcome.clone();
+            let event = NodeEvent::Outcome { trip, send, outcome, reply };
+            self.after(span, Action::Deliver { node, event });
+        });
+    }
+
+    /// What came of a call to an upstream, on its way back to the proxy.
+    pub(super) fn back(&mut self, trip: u64, send: u32, called: Result<Reply, Called>, delay: Duration) {
+        let Some(waiting) = self.trips.get(&trip) else { return };
+        let reply = called.unwrap_or_else(Reply::failed);
+        let outcome = reply.judge(&waiting.sent.tryId, waiting.instance.as_deref());
+        self.after_outcome(trip, send, (outcome, Some(reply)), delay);
+    }
+
+    pub(super) fn outcome(&mut self, at: usize, trip: u64, send: u32, outcome: Outcome, reply: Option<Reply>) {
+        let mine = self.trips.get(&trip).is_some_and(|trip| trip.node == at && trip.send == send);
+        if mine {
+            self.decide(trip, Some((outcome, reply)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/sim/units.rs
@@ -0,0 +1,243 @@
+//! Stand-in back ends in the simulator.
+
+use super::net::Place;
+use super::nodes::NodeEvent;
+use super::path::Reply;
+use super::world::{Action, World};
+use crate::facts::Fact;
+use crate::shapes::Work;
+use parcel::{Share, Upstream};
+use postmaster::{Answer, Ask};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tariff::Sheet;
+
+const BEAT_EVERY: Duration = Duration::from_millis(500);
+const SLOTS: u32 = 16;
+
+/// One stand-in.
+pub struct Unit {
+    pub work: Work,
+    pub instance: String,
+    pub address: String,
+    pub place: Place,
+    pub up: bool,
+    pub life: u64,
+    pub condition: u32,
+    pub warm: bool,
+    pub beat: u64,
+    /// Slot, epoch and end of what it holds.
+    pub holds: BTreeMap<u32, (u64, Duration)>,
+    pub busy: u32,
+    /// Of a thousand answers, how many are lost after the work was done.
+    pub losesPerMille: u64,
+    pub garblesPerMille: u64,
+    pub pausedUntil: Duration,
+}
+
+impl World {
+    pub(super) fn lay_out_units(&mut self) {
+        let shape = self.shape.clone();
+        shape.services.iter().for_each(|work| {
+            (0..shape.perService).for_each(|at| {
+                let number = self.units.len();
+                self.units.push(Unit {
+                    work: *work,
+                    instance: format!("{}-{at}", work.service),
+                    address: format!("10.0.{}.{}:80", number / 200, number % 200),
+                    place: Place { machine: None, locality: shape.locality(at) },
+                    up: true,
+                    life: 1,
+                    condition: enrolment::READY,
+                    warm: true,
+                    beat: 0,
+                    holds: BTreeMap::new(),
+                    busy: 0,
+                    losesPerMille: 0,
+                    garblesPerMille: 0,
+                    pausedUntil: Duration::ZERO,
+                });
+                let first = Duration::from_millis(5000 + self.dice.below(500));
+                self.at(first, Action::Beat { unit: number, life: 1 });
+            });
+        });
+    }
+
+    /// Starts a new instance in the place of an old one, perhaps of another service.
+    pub(super) fn replace_unit(&mut self, at: usize, work: Work, warm: bool) {
+        let life = self.units[at].life + 1;
+        let unit = &mut self.units[at];
+        unit.work = work;
+        unit.life = life;
+        unit.instance = format!("{}-{at}-{life}", work.service);
+        unit.up = true;
+        unit.condition = enrolment::READY;
+        unit.warm = warm;
+        unit.beat = 0;
+        unit.holds.clear();
+        unit.busy = 0;
+        unit.pausedUntil = Duration::ZERO;
+        self.after(Duration::from_millis(10), Action::Beat { unit: at, life });
+    }
+
+    pub(super) fn crash_unit(&mut self, at: usize) {
+        let unit = &mut self.units[at];
+        unit.up = false;
+        unit.life += 1;
+        let (service, instance) = (unit.work.service.to_owned(), unit.instance.clone());
+        let held: Vec<u32> = std::mem::take(&mut unit.holds).into_keys().collect();
+        held.into_iter().for_each(|slot| {
+            self.note(Fact::LetGo { service: service.clone(), slot, instance: instance.clone() });
+        });
+    }
+
+    pub(super) fn beat(&mut self, at: usize, life: u64) {
+        let now = self.now;
+        if !self.units[at].up || self.units[at].life != life {
+            return;
+        }
+        if now < self.units[at].pausedUntil {
+            let until = self.units[at].pausedUntil;
+            return self.at(until, Action::Beat { unit: at, life });
+        }
+        self.after(BEAT_EVERY, Action::Beat { unit: at, life });
+        let offices: Vec<usize> = (0..self.nodes.len()).filter(|node| self.nodes[*node].is_office()).collect();
+        let node = offices[self.dice.below(offices.len() as u64) as usize];
+        let unit = &mut self.units[at];
+        unit.beat += 1;
+        let holds = unit.holds.iter().filter(|(_, (_, until))| now < *until);
+        let holds =
+            holds.map(|(slot, (epoch, _))| Share { from: *slot, until: slot + 1, epoch: *epoch, ..Share::default() });
+        let told = Upstream {
+            service: unit.work.service.into(),
+            instance: unit.instance.clone(),
+            address: unit.address.clone(),
+            locality: unit.place.locality.clone(),
+            freeSlots: SLOTS.saturating_sub(unit.busy),
+            warm: unit.warm,
+            condition: unit.condition,
+            beat: unit.beat,
+            holds: holds.collect(),
+            ..Upstream::default()
+        };
+        let (beat, place) = (unit.beat, unit.place.clone());
+        let delay = self.net.delay(&mut self.dice, &place, &self.nodes[node].place);
+        delay.into_iter().for_each(|delay| {
+            let token = self.id();
+            self.operators.beats.insert(token, (at, life, beat, now, node));
+            let event = NodeEvent::Ask { token, ask: Ask::Beat(told.clone()) };
+            self.after(delay, Action::Deliver { node, event });
+        });
+    }
+
+    /// A postmaster answered a beat.
+    pub(super) fn beat_answered(&mut self, from: (usize, u64, u64, Duration, usize), answer: Answer) {
+        let (unit, life, beat, sentAt, node) = from;
+        let Answer::Sheet(sheet) = answer else { return };
+        let delay = self.net.delay(&mut self.dice, &self.nodes[node].place, &self.units[unit].place);
+        delay.into_iter().for_each(|delay| {
+            let sheet = sheet.clone();
+            self.after(delay, Action::BeatAnswer { unit, life, beat, sentAt, sheet });
+        });
+    }
+
+    /// Only the answer to the latest beat counts, and only what has not run out.
+    pub(super) fn beat_answer(&mut self, at: usize, life: u64, beat: u64, sentAt: Duration, sheet: &Sheet) {
+        let now = self.now;
+        let unit = &mut self.units[at];
+        let spanMs = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some());
+        let Some(spanMs) = spanMs.filter(|_| unit.up && unit.life == life && unit.beat == beat) else { return };
+        if now < unit.pausedUntil {
+            let until = unit.pausedUntil;
+            let sheet = sheet.clone();
+            return self.at(until, Action::BeatAnswer { unit: at, life, beat, sentAt, sheet });
+        }
+        let until = sentAt + Duration::from_millis(spanMs);
+        let given: BTreeMap<u32, u64> = sheet
+            .list("shares")
+            .iter()
+            .filter_map(|run| Some((run.count("from")?, run.count("until")?, run.count("epoch")?)))
+            .flat_map(|(from, until, epoch)| (from..until).map(move |slot| (slot as u32, epoch)))
+            .collect();
+        let (service, instance) = (unit.work.service.to_owned(), unit.instance.clone());
+        let gone: Vec<u32> = unit.holds.keys().filter(|slot| !given.contains_key(slot)).copied().collect();
+        gone.iter().for_each(|slot| {
+            unit.holds.remove(slot);
+        });
+        let live = now < until;
+        if live {
+            unit.holds.extend(given.iter().map(|(slot, epoch)| (*slot, (*epoch, until))));
+        }
+        gone.into_iter().for_each(|slot| {
+            self.note(Fact::LetGo { service: service.clone(), slot, instance: instance.clone() });
+        });
+        given.into_keys().filter(|_| live).for_each(|slot| {
+            self.note(Fact::Holds { service: service.clone(), slot, instance: instance.clone(), until });
+        });
+    }
+
+    /// A proxy's call reaches the address.
+    pub(super) fn unit_call(&mut self, trip: u64, send: u32, address: &str, cut: bool) {
+        let at = self.units.iter().position(|unit| unit.address == address);
+        let up = at.filter(|at| self.units[*at].up && !cut);
+        let Some(at) = up else {
+            return self.back(trip, send, Err(wicket::Called::NotConnected), Duration::from_micros(300));
+        };
+        if self.now < self.units[at].pausedUntil {
+            let until = self.units[at].pausedUntil;
+            let address = address.to_owned();
+            return self.at(until, Action::UnitCall { trip, send, address, cut });
+        }
+        let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
+        let now = self.now;
+        let unit = &mut self.units[at];
+        let arrived = Fact::Arrived {
+            tryId: order.tryId.clone(),
+            service: unit.work.service.into(),
+            instance: unit.instance.clone(),
+            locality: unit.place.locality.clone(),
+            cold: !unit.warm,
+        };
+        let slot = address::slot(&order.key);
+        let held = unit.holds.get(&slot).filter(|(_, until)| now < *until).map(|(epoch, _)| *epoch);
+        // A back end of another service, which took over the address, knows nothing of this path.
+        let mine = unit.work.service == order.path;
+        let runs = mine && unit.busy < SLOTS && (!unit.work.keyed || (held.is_some() && held == order.epoch));
+        let (instance, once, life) = (unit.instance.clone(), unit.work.once, unit.life);
+        if runs {
+            unit.busy += 1;
+        }
+        self.note(arrived);
+        if runs {
+            self.note(Fact::Ran { work: order.work.clone(), tryId: order.tryId.clone(), once });
+            let takes = Duration::from_micros(3000 + self.dice.below(4000));
+            self.after(takes, Action::UnitDone { trip, send, unit: at, life });
+        } else {
+            self.back(
+                trip,
+                send,
+                Ok(Reply::sealed(&order.tryId, &instance, 503, "not run")),
+                Duration::from_micros(500),
+            );
+        }
+    }
+
+    pub(super) fn unit_done(&mut self, trip: u64, send: u32, at: usize, life: u64) {
+        let lost = self.dice.below(1000) < self.units[at].losesPerMille;
+        let garbled = self.dice.below(1000) < self.units[at].garblesPerMille;
+        let alive = self.units[at].up && self.units[at].life == life;
+        if alive {
+            self.units[at].busy = self.units[at].busy.saturating_sub(1);
+        }
+        let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
+        let mut reply = Reply::sealed(&order.tryId, &self.units[at].instance, 200, &order.work);
+        if garbled {
+            reply.body.truncate(reply.body.len() / 2);
+        }
+        let called = if lost || !alive { Err(wicket::Called::Lost) } else { Ok(reply) };
+        let from = self.units[at].place.clone();
+        let to = self.trips.get(&trip).map(|trip| self.nodes[trip.node].place.clone());
+        let delay = to.and_then(|to| self.net.delay(&mut self.dice, &from, &to));
+        delay.into_iter().for_each(|delay| self.back(trip, send, called.clone(), delay));
+    }
+}
--- /dev/null
+++ b/crates/drill/src/sim/world.rs
@@ -0,0 +1,261 @@
+//! The run itself: a queue of actions in virtual time.
+
+use super::faults::Plan;
+use super::net::Net;
+use super::nodes::{Node, NodeEvent};
+use super::operators::Operators;
+use super::path::{Origins, Trip};
+use super::units::Unit;
+use crate::facts::{Fact, Seen};
+use crate::origins::Ended;
+use crate::rules::{Violation, judge};
+use crate::shapes::{ROADWISE, Shape};
+use address::Dice;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+use tariff::Sheet;
+
+/// Load starts here, when the site had time to come up.
+pub const LOAD_FROM: Duration = Duration::from_secs(14);
+/// Within this after the last fault healed, everything must be served again.
+pub const RESUME_WITHIN: Duration = Duration::from_secs(15);
+/// How long the run goes on after that.
+pub const AFTERWARDS: Duration = Duration::from_secs(4);
+const PER_SECOND: u64 = 40;
+const STALE_AFTER: Duration = Duration::from_millis(2000);
+const LIFETIME: Duration = Duration::from_millis(2000);
+
+/// What happens at a moment.
+pub enum Action {
+    Tick { node: usize, life: u64 },
+    Deliver { node: usize, event: NodeEvent },
+    Disk { node: usize, life: u64 },
+    Beat { unit: usize, life: u64 },
+    BeatAnswer { unit: usize, life: u64, beat: u64, sentAt: Duration, sheet: Sheet },
+    UnitCall { trip: u64, send: u32, address: String, cut: bool },
+    UnitDone { trip: u64, send: u32, unit: usize, life: u64 },
+    OriginStart,
+    OriginTry { work: u64 },
+    OriginTold { work: u64, listing: Option<gazetteer::Listing>, askedAt: Duration },
+    OriginAnswer { work: u64, tryNumber: u32, answer: super::path::Reply },
+    Operator,
+    OperatorAnswer { submission: usize, answer: postmaster::Answer },
+    Fault { at: usize },
+    Heal { at: usize },
+    Watch,
+}
+
+struct Item {
+    at: Duration,
+    number: u64,
+    action: Action,
+}
+
+impl PartialEq for Item {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Item {}
+
+impl PartialOrd for Item {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Item {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// What a run came to.
+pub struct Outcome {
+    pub seed: u64,
+    pub plan: Plan,
+    pub seen: Vec<Seen>,
+    pub ended: Vec<Ended>,
+    pub violations: Vec<Violation>,
+    /// When the last fault was healed.
+    pub healedAt: Duration,
+    /// How long after that the last piece of work failed.
+    pub resumedAfter: Duration,
+    /// Of the work started in the whole run, in thousandths, how much was served.
+    pub servedPerMille: u64,
+    pub parcels: u64,
+    /// A digest over everything seen.
+    pub digest: String,
+}
+
+/// All state of a run.
+pub struct World {
+    pub(super) seed: u64,
+    pub(super) plan: Plan,
+    pub(super) now: Duration,
+    pub(super) dice: Dice,
+    pub(super) shape: Shape,
+    pub(super) net: Net,
+    pub(super) nodes: Vec<Node>,
+    pub(super) units: Vec<Unit>,
+    pub(super) trips: BTreeMap<u64, Trip>,
+    pub(super) origins: Origins,
+    pub(super) operators: Operators,
+    pub(super) seen: Vec<Seen>,
+    pub(super) ended: Vec<Ended>,
+    pub(super) parcels: u64,
+    pub(super) nextId: u64,
+    queue: BinaryHeap<Reverse<Item>>,
+    number: u64,
+}
+
+impl World {
+    /// A site that is about to start.
+    pub fn new(seed: u64, plan: Option<Plan>) -> World {
+        let mut dice = Dice::new(seed);
+        let shape = ROADWISE;
+        let plan = plan.unwrap_or_else(|| Plan::drawn(&mut dice, &shape));
+        let mut world = World {
+            seed,
+            plan,
+            now: Duration::ZERO,
+            dice,
+            net: Net::default(),
+            nodes: Vec::new(),
+            units: Vec::new(),
+            trips: BTreeMap::new(),
+            origins: Origins::default(),
+            operators: Operators::default(),
+            seen: Vec::new(),
+            ended: Vec::new(),
+            parcels: 0,
+            nextId: 1,
+            queue: BinaryHeap::new(),
+            number: 0,
+            shape,
+        };
+        world.lay_out_nodes();
+        world.lay_out_units();
+        world
+    }
+
+    pub(super) fn id(&mut self) -> u64 {
+        self.nextId += 1;
+        self.nextId
+    }
+
+    pub(super) fn at(&mut self, at: Duration, action: Action) {
+        self.number += 1;
+        self.queue.push(Reverse(Item { at, number: self.number, action }));
+    }
+
+    pub(super) fn after(&mut self, span: Duration, action: Action) {
+        self.at(self.now + span, action);
+    }
+
+    pub(super) fn note(&mut self, fact: Fact) {
+        self.seen.push((self.now, fact));
+    }
+
+    pub(super) fn times() -> (Duration, Duration) {
+        (STALE_AFTER, LIFETIME)
+    }
+
+    /// Runs to the end and judges.
+    pub fn run(mut self) -> Outcome {
+        let healedAt = self.plan.steps.iter().map(|step| step.until).max().unwrap_or(Duration::ZERO).max(LOAD_FROM);
+        let loadUntil = healedAt + RESUME_WITHIN + AFTERWARDS;
+        self.at(LOAD_FROM, Action::OriginStart);
+        self.at(Duration::from_secs(3), Action::Operator);
+        self.at(Duration::ZERO, Action::Watch);
+        let steps: Vec<(Duration, Duration)> = self.plan.steps.iter().map(|step| (step.at, step.until)).collect();
+        steps.into_iter().enumerate().for_each(|(at, (from, until))| {
+            self.at(from, Action::Fault { at });
+            self.at(until, Action::Heal { at });
+        });
+        while let Some(Reverse(item)) = self.queue.pop() {
+            if item.at > loadUntil + Duration::from_secs(5) {
+                break;
+            }
+            self.now = item.at;
+            self.act(item.action, loadUntil);
+        }
+        self.finish(healedAt)
+    }
+
+    fn act(&mut self, action: Action, loadUntil: Duration) {
+        match action {
+            Action::Tick { node, life } => self.tick(node, life),
+            Action::Deliver { node, event } => self.deliver(node, event),
+            Action::Disk { node, life } => self.disk_done(node, life),
+            Action::Beat { unit, life } => self.beat(unit, life),
+            Action::BeatAnswer { unit, life, beat, sentAt, sheet } => {
+                self.beat_answer(unit, life, beat, sentAt, &sheet)
+            }
+            Action::UnitCall { trip, send, address, cut } => self.unit_call(trip, send, &address, cut),
+            Action::UnitDone { trip, send, unit, life } => self.unit_done(trip, send, unit, life),
+            Action::OriginStart => {
+                if self.now < loadUntil {
+                    self.after(Duration::from_micros(1_000_000 / PER_SECOND), Action::OriginStart);
+                    self.origin_start();
+                }
+            }
+            Action::OriginTry { work } => self.origin_try(work),
+            Action::OriginTold { work, listing, askedAt } => self.origin_told(work, listing, askedAt),
+            Action::OriginAnswer { work, tryNumber, answer } => self.origin_answer(work, tryNumber, answer),
+            Action::Operator => self.operate(),
+            Action::OperatorAnswer { submission, answer } => self.operator_told(submission, answer),
+            Action::Fault { at } => self.break_it(at),
+            Action::Heal { at } => self.heal(at),
+            Action::Watch => {
+                self.watch();
+                self.after(Duration::from_millis(100), Action::Watch);
+            }
+        }
+    }
+
+    /// Notes the edition in force at every carrier that would serve at this moment.
+    fn watch(&mut self) {
+        let serving: Vec<(String, u64)> = self
+            .nodes
+            .iter()
+            .filter(|node| node.up && node.frozen.is_none())
+            .filter_map(|node| {
+                let view = node.carrier()?.view();
+                view.is_fresh(self.now - node.startedAt, STALE_AFTER).then(|| (node.name.clone(), view.edition))
+            })
+            .collect();
+        serving.into_iter().for_each(|(node, edition)| self.note(Fact::InForce { node, edition }));
+    }
+
+    fn finish(mut self, healedAt: Duration) -> Outcome {
+        self.read_back_all();
+        let violations = judge(&self.seen, &self.shape.terms());
+        let startedAt = |ended: &Ended| ended.at.saturating_sub(ended.took);
+        let failed = self.ended.iter().filter(|ended| ended.code != 1000);
+        let lastFailed = failed.map(startedAt).max().unwrap_or(Duration::ZERO);
+        let served = self.ended.iter().filter(|ended| ended.code == 1000).count() as u64;
+        let digest = parcel::digest(format!("{:?}", self.seen).as_bytes());
+        Outcome {
+            seed: self.seed,
+            plan: self.plan,
+            servedPerMille: served * 1000 / (self.ended.len() as u64).max(1),
+            seen: self.seen,
+            ended: self.ended,
+            violations,
+            healedAt,
+            resumedAfter: lastFailed.saturating_sub(healedAt),
+            parcels: self.parcels,
+            digest,
+        }
+    }
+}
+
+impl Outcome {
+    /// True where no rule was broken and service resumed in time.
+    pub fn fine(&self) -> bool {
+        self.violations.is_empty() && self.resumedAfter <= RESUME_WITHIN && self.servedPerMille > 0
+    }
+}
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -24,6 +24,18 @@
 }
 
 impl Office {
+    /// True while this node holds the placement duty.
+    ///
+    /// ```
+    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// assert!(!postmaster::Office::new(start).holds_placement(Default::default()));
+    /// ```
+    pub fn holds_placement(&self, now: Duration) -> bool {
+        self.claims.holds(now).is_some()
+    }
+
     pub(crate) fn tick_duty(&mut self, now: Duration) {
         let Some(epoch) = self.claims.holds(now) else {
             self.duty = None;
