Read-backs wait for a confirmation asked after them

Cause: a postmaster answered a read-back from a word that a majority had confirmed up to 2 s before, so a setup accepted through one node could read back older from another. Ruled out: a lost or forgotten acceptance (the next confirmation always showed the new edition).

--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -60,6 +60,7 @@
         node: String,
         edition: u64,
         digest: String,
+        askedAt: Duration,
     },
     /// An operator's setup, accepted under an edition.
     Submitted {
--- a/crates/drill/src/runs.rs
+++ b/crates/drill/src/runs.rs
@@ -192,11 +192,12 @@
 async fn read_back_all(caller: &Caller, record: &Record, clock: &Clock, fleet: &Fleet) -> usize {
     let mut read = Vec::new();
     for process in &fleet.postmasters {
+        let askedAt = clock.now();
         let called = caller.call(&process.http, "GET", "/setup", &[], Bytes::new(), Duration::from_secs(5), false);
         if let Some(reply) = called.await.ok().filter(|reply| reply.status == 200) {
             let edition = reply.header("x-edition").parse().unwrap_or(0);
             let digest = parcel::digest(&reply.body);
-            let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone() };
+            let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone(), askedAt };
             record.note(clock.now(), back);
             read.push((edition, digest));
         }
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -1,6 +1,6 @@
 //! What operators and upstreams ask.
 
-use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office};
+use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office, ReadWait};
 use address::Code;
 use parcel::{Beats, Body, SharesAsk, SharesGiven, Upstream};
 use registered::{Change, Standing, Verdict};
@@ -8,6 +8,8 @@
 use tariff::{Setup, Sheet};
 
 const MOST_BEAT_WAITS: usize = 4096;
+const MOST_READ_WAITS: usize = 256;
+const READ_PATIENCE: Duration = Duration::from_secs(2);
 const BEAT_PATIENCE: Duration = Duration::from_millis(700);
 
 impl Office {
@@ -26,14 +28,12 @@
                 self.change(now, token, Change::Evacuate { id, locality, back }, None);
             }
             Ask::ReadSetup => {
-                let edition = self.register.word().edition;
-                let bytes = self.register.setup().map(<[u8]>::to_vec);
-                let answer = match bytes {
-                    _ if !self.is_current(now) => Answer::Verdict { code: Code::Stale, edition },
-                    None => Answer::Verdict { code: Code::NoWord, edition },
-                    Some(bytes) => Answer::Setup { edition, bytes },
-                };
-                self.answer(token, answer);
+                if self.readWaits.len() < MOST_READ_WAITS {
+                    self.readWaits.push(ReadWait { token, askedAt: now });
+                    self.run_register(now, registered::Event::Confirm);
+                } else {
+                    self.answer(token, Answer::Verdict { code: Code::SetupCrowded, edition: 0 });
+                }
             }
             Ask::Status => {
                 let sheet = self.status(now);
@@ -71,6 +71,25 @@
         }
     }
 
+    /// Answers the read-backs whose word was confirmed since they were asked, and gives up on old ones.
+    pub(crate) fn answer_reads(&mut self, now: Duration) {
+        let late = |wait: &ReadWait| now >= wait.askedAt + READ_PATIENCE;
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.readWaits)
+            .into_iter()
+            .partition(|wait| self.register.is_confirmed_since(wait.askedAt) || late(wait));
+        self.readWaits = waiting;
+        done.into_iter().for_each(|wait| {
+            let edition = self.register.word().edition;
+            let confirmed = self.register.is_confirmed_since(wait.askedAt);
+            let answer = match self.register.setup() {
+                _ if !confirmed => Answer::Verdict { code: Code::Stale, edition },
+                None => Answer::Verdict { code: Code::NoWord, edition },
+                Some(bytes) => Answer::Setup { edition, bytes: bytes.to_vec() },
+            };
+            self.answer(wait.token, answer);
+        });
+    }
+
     pub(crate) fn answer(&mut self, token: u64, answer: Answer) {
         self.effects.push_back(Effect::Answer { token, answer });
     }
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -108,6 +108,12 @@
     pub until: Duration,
 }
 
+/// A read-back that waits for a confirmation asked after it.
+pub(crate) struct ReadWait {
+    pub token: u64,
+    pub askedAt: Duration,
+}
+
 pub(crate) struct BeatWait {
     pub token: u64,
     pub until: Duration,
@@ -131,6 +137,7 @@
     pub(crate) members: Vec<Member>,
     pub(crate) readers: BTreeMap<String, Reader>,
     pub(crate) waitingForce: Vec<InForce>,
+    pub(crate) readWaits: Vec<ReadWait>,
     pub(crate) beatWaits: BTreeMap<u64, BeatWait>,
     pub(crate) nextSweep: Duration,
     pub(crate) nextNews: Duration,
@@ -175,6 +182,7 @@
             setup: Arc::default(),
             readers: BTreeMap::new(),
             waitingForce: Vec::new(),
+            readWaits: Vec::new(),
             beatWaits: BTreeMap::new(),
             nextSweep: Duration::ZERO,
             nextNews: Duration::ZERO,
@@ -223,6 +231,7 @@
                 self.run_claims(now, claims::Event::Close);
             }
         }
+        self.answer_reads(now);
         std::mem::take(&mut self.effects).into()
     }
 
--- a/crates/registered/src/reading.rs
+++ b/crates/registered/src/reading.rs
@@ -22,8 +22,25 @@
         if now < self.nextRead {
             return;
         }
-        self.nextRead = now + self.times.confirmEvery;
         self.finish_if_split(now);
+        self.start_reading(now);
+    }
+
+    /// Joins a read that begins later than the asker: the one under way may have been answered before.
+    pub(crate) fn confirm(&mut self, now: Duration) {
+        if self.standing != Standing::Voting {
+            return;
+        }
+        match &self.reading {
+            Some(reading) if reading.askedAt < now => self.readAgain = true,
+            Some(_) => {}
+            None => self.start_reading(now),
+        }
+    }
+
+    fn start_reading(&mut self, now: Duration) {
+        self.nextRead = now + self.times.confirmEvery;
+        self.readAgain = false;
         let nonce = self.dice.roll();
         let known = (self.current.ballot.clone(), self.current.word.clone());
         let body = Body::Read(Read { nonce, known: known.0.clone() });
@@ -45,7 +62,7 @@
         self.age(now).is_none_or(|age| age > self.times.confirmEvery * 2)
     }
 
-    pub(crate) fn read_back(&mut self, _now: Duration, from: &str, back: ReadBack) {
+    pub(crate) fn read_back(&mut self, now: Duration, from: &str, back: ReadBack) {
         if self.standing != Standing::Voting || !self.durable.roster.iter().any(|voter| voter == from) {
             return;
         }
@@ -59,6 +76,9 @@
         if let Some((ballot, word, askedAt)) = chosen {
             self.reading = None;
             self.adopt(ballot, word, Some(askedAt));
+            if self.readAgain {
+                self.start_reading(now);
+            }
         }
     }
 }
--- a/crates/registered/src/register.rs
+++ b/crates/registered/src/register.rs
@@ -63,6 +63,8 @@
         change: Change,
         bytes: Option<Vec<u8>>,
     },
+    /// Somebody wants to read: confirm the word anew, from now.
+    Confirm,
     /// The write with this ticket is synced.
     Kept {
         ticket: u64,
@@ -156,6 +158,8 @@
     pub(crate) waitlist: VecDeque<Wish>,
     pub(crate) reading: Option<Reading>,
     pub(crate) nextRead: Duration,
+    /// Somebody asked for a confirmation after the read under way was begun.
+    pub(crate) readAgain: bool,
     pub(crate) nextTell: Duration,
     writes: VecDeque<Write>,
     ticket: u64,
@@ -200,6 +204,7 @@
             waitlist: VecDeque::new(),
             reading: None,
             nextRead: Duration::ZERO,
+            readAgain: false,
             nextTell: Duration::ZERO,
             writes: VecDeque::new(),
             ticket: 0,
@@ -240,6 +245,7 @@
                 self.peers = peers;
             }
             Event::Ask { token, change, bytes } => self.wish(now, token, change, bytes),
+            Event::Confirm => self.confirm(now),
             Event::Kept { ticket } => self.kept(ticket),
             Event::DiskFailed => self.stand(Standing::Out),
             Event::RaiseEpoch { epoch, token } => self.raise_epoch(epoch, token),
@@ -335,6 +341,18 @@
         self.current.confirmedAt.map(|at| now.saturating_sub(at))
     }
 
+    /// True where a majority confirmed the word by answers to a question sent at this moment or later.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(!Register::new(start).is_confirmed_since(Default::default()));
+    /// ```
+    pub fn is_confirmed_since(&self, askedAt: Duration) -> bool {
+        self.current.confirmedAt.is_some_and(|at| at >= askedAt)
+    }
+
     /// The voters, once founded.
     ///
     /// ```
