--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,5 +1,6 @@
 //! Brings a site up on this machine, loads it, breaks it, and judges what was seen.
 
+mod plans;
 mod runs;
 mod seeds;
 
@@ -13,9 +14,7 @@
   --shape    the site to lay out (default roadwise)
   --seconds  how long to load it (default 20)
   --rate     requests a second (default: the site's own)
-  --plan     what to break while it is loaded (default quiet):
-             quiet   nothing
-             wipe    kill one disk machine, wipe its disk, start it again
+  --plan     what to break while it is loaded (default quiet); one of those below
   --keep     lay data and logs out here and leave them; otherwise in a folder that is removed
 
        drill sim [--seeds FROM..UNTIL] [--plan PLAN] [--show WHAT]
@@ -33,7 +32,10 @@
 async fn main() {
     let code = match read_flags() {
         Ok(None) => {
-            println!("{HELP}");
+            println!("{HELP}\n\nplans for a fleet:");
+            plans::PLANS.iter().for_each(|(name, what)| println!("  {name:<9} {what}"));
+            let faults: Vec<&str> = drill::sim::FAULTS.iter().map(|(name, _)| *name).collect();
+            println!("\nfaults for sim: {}", faults.join(", "));
             0
         }
         Ok(Some(Wish::Fleet(run))) => i32::from(!runs::fleet(run).await),
@@ -57,7 +59,7 @@
         shape: drill::shapes::ROADWISE,
         load: Duration::from_secs(20),
         perSecond: None,
-        plan: runs::Plan::Quiet,
+        plan: "quiet".into(),
         keep: None,
     };
     let mut verb = None;
@@ -90,7 +92,10 @@
             "shape" => run.shape = Shape::named(&value).ok_or(format!("--shape '{value}': roadwise or kalam"))?,
             "seconds" => run.load = Duration::from_secs(number()?),
             "rate" => run.perSecond = Some(number()?),
-            "plan" => run.plan = runs::Plan::named(&value).ok_or(format!("--plan '{value}' is unknown"))?,
+            "plan" => {
+                let known = plans::PLANS.iter().any(|(name, _)| *name == value);
+                run.plan = Some(value.clone()).filter(|_| known).ok_or(format!("--plan '{value}' is unknown"))?;
+            }
             "keep" => run.keep = Some(value.into()),
             _ => return Err(format!("--{name} is unknown")),
         }
--- a/crates/drill/src/runs.rs
+++ b/crates/drill/src/runs.rs
@@ -1,5 +1,6 @@
 //! A run of a real fleet: start, set up, load, break, heal, judge.
 
+use crate::plans::Scene;
 use address::Code;
 use bytes::Bytes;
 use drill::facts::{Fact, Record};
@@ -16,28 +17,12 @@
 
 const READY_WITHIN: Duration = Duration::from_secs(60);
 
-/// What to break.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Plan {
-    Quiet,
-    Wipe,
-}
-
-impl Plan {
-    pub fn named(name: &str) -> Option<Plan> {
-        [("quiet", Plan::Quiet), ("wipe", Plan::Wipe)]
-            .into_iter()
-            .find(|(known, _)| *known == name)
-            .map(|(_, plan)| plan)
-    }
-}
-
 /// One run.
 pub struct Run {
     pub shape: Shape,
     pub load: Duration,
     pub perSecond: Option<u64>,
-    pub plan: Plan,
+    pub plan: String,
     pub keep: Option<PathBuf>,
 }
 
@@ -74,6 +59,7 @@
                 work,
                 format!("{}-{at}", work.service),
                 run.shape.locality(at),
+                true,
                 nodes.clone(),
                 clock,
                 record.clone(),
@@ -90,16 +76,15 @@
     let loading = origins.clone();
     let (perSecond, span) = (run.perSecond.unwrap_or(run.shape.perSecond), run.load);
     let load = tokio::spawn(async move { loading.load(perSecond, span).await });
-    if run.plan == Plan::Wipe {
-        wipe(&mut fleet, &record, &clock, span).await?;
-    }
+    let scene = Scene { fleet: &mut fleet, units: &mut units, shape: &run.shape, record: &record, clock, span };
+    scene.play(&run.plan).await?;
     load.await.map_err(|e| e.to_string())?;
     watcher.abort();
     let alike = read_back_all(&caller, &record, &clock, &fleet).await;
     let seen = record.all();
     let violations = rules::judge(&seen, &run.shape.terms());
     let ended: Vec<_> = origins.ended().into_iter().skip(warmUp).collect();
-    let title = format!("{} at {perSecond}/s for {span:?}", run.shape.name);
+    let title = format!("{} at {perSecond}/s for {span:?}, plan {}", run.shape.name, run.plan);
     let fine = report::print(&title, &seen, &ended, &violations);
     println!("postmasters that read the same setup back: {alike} of {}", fleet.postmasters.len());
     let whole = alike == fleet.postmasters.len();
@@ -111,7 +96,7 @@
 }
 
 /// Submits a setup and waits until it is in force.
-async fn submit(
+pub async fn submit(
     caller: &Caller,
     record: &Record,
     clock: &Clock,
@@ -167,27 +152,6 @@
     }
 }
 
-/// One disk machine loses power and disk under load, and comes back blank.
-async fn wipe(fleet: &mut Fleet, record: &Record, clock: &Clock, span: Duration) -> Result<(), String> {
-    let note = |what: &str| record.note(clock.now(), Fact::Fault { what: what.into() });
-    tokio::time::sleep(span / 4).await;
-    note("disk machine 2 killed, its disk wiped");
-    fleet.postmasters[2].kill();
-    fleet.carriers[2].kill();
-    fleet.postmasters[2].wipe();
-    tokio::time::sleep(span / 4).await;
-    note("disk machine 2 started again, blank");
-    fleet.postmasters[2].start().map_err(|e| e.to_string())?;
-    fleet.carriers[2].start().map_err(|e| e.to_string())?;
-    let back = [fleet.postmasters[2].http.clone(), fleet.carriers[2].http.clone()];
-    let startedAt = clock.now();
-    if !Fleet::ready(&back, READY_WITHIN).await {
-        return Err("the wiped machine did not come back".into());
-    }
-    println!("the wiped machine was ready after {:?}", clock.now() - startedAt);
-    Ok(())
-}
-
 /// How many postmasters read the same setup back as the first.
 async fn read_back_all(caller: &Caller, record: &Record, clock: &Clock, fleet: &Fleet) -> usize {
     let mut read = Vec::new();
--- a/crates/drill/src/upstreams.rs
+++ b/crates/drill/src/upstreams.rs
@@ -40,10 +40,12 @@
 
 impl Unit {
     /// Starts a stand-in on a port the kernel gives; it beats to the nodes in turn.
+    #[allow(clippy::too_many_arguments)]
     pub async fn start(
         work: Work,
         instance: String,
         locality: String,
+        warm: bool,
         nodes: Arc<Vec<String>>,
         clock: Clock,
         record: Record,
@@ -58,7 +60,7 @@
             clock,
             record,
             busy: AtomicU32::new(0),
-            warm: AtomicBool::new(true),
+            warm: AtomicBool::new(warm),
             condition: AtomicU32::new(0),
             beat: AtomicU64::new(0),
             holds: Mutex::default(),
