An overtaken beat lets no key go

Cause: a beat that waited in a frozen postmaster reached the placement holder after later beats of the same upstream; what it did not name was taken for let go and given to another while still held. Ruled out: spans (both holders were within theirs) and a second claim holder (one epoch throughout).

--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -325,10 +325,10 @@
                 self.units[unit].losesPerMille = 0;
                 self.units[unit].garblesPerMille = 0;
             }
-            Fault::Evacuate(zone) => self.submit(What::Evacuate { locality: self.zone(zone), back: true }),
+            Fault::Evacuate(zone) => self.take_back(self.zone(zone)),
             Fault::EvacuateCut(zone) => {
                 self.net.cuts.clear();
-                self.submit(What::Evacuate { locality: self.zone(zone), back: true });
+                self.take_back(self.zone(zone));
             }
             Fault::PauseUnit(_) | Fault::RollingRestart | Fault::SetupStorm | Fault::OperatorRace => {}
         }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -14,6 +14,8 @@
     what: What,
     decided: bool,
     asked: u32,
+    /// Submitted once this one is decided.
+    then: Option<What>,
 }
 
 #[derive(Clone)]
@@ -54,7 +56,7 @@
     pub(super) fn submit(&mut self, what: What) {
         let at = self.operators.submissions.len();
         let id = format!("submission-{at}");
-        self.operators.submissions.push(Submission { id, what, decided: false, asked: 0 });
+        self.operators.submissions.push(Submission { id, what, decided: false, asked: 0, then: None });
         self.ask_submission(at);
     }
 
@@ -114,6 +116,7 @@
     fn decide_submission(&mut self, at: usize, code: Code, edition: u64) {
         let submission = &mut self.operators.submissions[at];
         submission.decided = true;
+        let then = submission.then.take();
         let what = submission.what.clone();
         self.operators.edition = self.operators.edition.max(edition);
         if code != Code::Fine {
@@ -126,6 +129,18 @@
             What::Evacuate { locality, back } => self.note(Fact::Evacuated { locality, back }),
         }
         self.note(Fact::Accepted { edition });
+        then.into_iter().for_each(|then| self.submit(then));
+    }
+
+    /// An operator takes a zone back only after the evacuation was decided.
+    pub(super) fn take_back(&mut self, zone: String) {
+        let (locality, back) = (zone.clone(), true);
+        let evacuates = |submission: &&mut Submission| matches!(&submission.what, What::Evacuate { locality, back: false } if *locality == zone);
+        let open = self.operators.submissions.iter_mut().rfind(evacuates).filter(|submission| !submission.decided);
+        match open {
+            Some(submission) => submission.then = Some(What::Evacuate { locality, back }),
+            None => self.submit(What::Evacuate { locality, back }),
+        }
     }
 
     fn read_back(&mut self) {
--- a/crates/drill/tests/seeds.rs
+++ b/crates/drill/tests/seeds.rs
@@ -38,3 +38,10 @@
 fn a_read_back_is_never_older_than_what_was_accepted_before_it() {
     assert_eq!(failures([222, 265, 365, 368].map(|seed| (None, seed)).to_vec()), Vec::<String>::new());
 }
+
+/// A beat that was overtaken on its way through a frozen postmaster was taken for letting go.
+#[test]
+fn an_overtaken_beat_lets_no_key_go() {
+    let plans = [("freeze+cut-zone", 4), ("freeze+dark-zone", 2), ("freeze+evacuate-cut", 2)];
+    assert_eq!(failures(plans.map(|(plan, seed)| (Some(plan.to_owned()), seed)).to_vec()), Vec::<String>::new());
+}
--- a/crates/enrolment/src/shares.rs
+++ b/crates/enrolment/src/shares.rs
@@ -23,6 +23,8 @@
     span: Duration,
     epoch: u64,
     slots: BTreeMap<u32, Slot>,
+    /// The last beat of each instance: one that was overtaken says nothing of what is held now.
+    beats: BTreeMap<String, u64>,
 }
 
 impl Shares {
@@ -34,18 +36,25 @@
     /// use std::time::Duration;
     /// let span = Duration::from_secs(3);
     /// let mut shares = Shares::new(Duration::ZERO, span, 1);
-    /// let unit = |name: &str| Upstream { instance: name.into(), ..Default::default() };
+    /// let unit = |name: &str, beat| Upstream { instance: name.into(), beat, ..Default::default() };
     /// let ready = ["a".to_owned(), "b".to_owned()].into_iter().collect();
-    /// assert!(shares.beat(Duration::from_secs(1), &unit("a"), &ready).is_empty(), "quiet at first");
+    /// assert_eq!(shares.beat(Duration::from_secs(1), &unit("a", 1), &ready), Some(vec![]), "quiet at first");
     /// let now = Duration::from_secs(4);
-    /// let given = shares.beat(now, &unit("a"), &ready);
+    /// let given = shares.beat(now, &unit("a", 2), &ready).unwrap();
     /// assert_eq!(given.iter().map(|share| share.until - share.from).sum::<u32>(), address::SLOTS / 2);
     /// ```
     pub fn new(now: Duration, span: Duration, claimEpoch: u64) -> Self {
-        Shares { quietUntil: now + span + span / 6, span, epoch: claimEpoch << 32, slots: BTreeMap::new() }
+        Shares {
+            quietUntil: now + span + span / 6,
+            span,
+            epoch: claimEpoch << 32,
+            slots: BTreeMap::new(),
+            beats: BTreeMap::new(),
+        }
     }
 
     /// Answers a beat of one upstream with the slots it holds from now on; `ready` are all that may hold any.
+    /// No answer to a beat that was overtaken by a later one.
     ///
     /// ```
     /// use enrolment::Shares;
@@ -53,27 +62,32 @@
     /// use std::time::Duration;
     /// let (span, now) = (Duration::from_secs(3), Duration::from_secs(4));
     /// let mut shares = Shares::new(Duration::ZERO, span, 1);
-    /// let unit = |name: &str, holds: &[Share]| Upstream {
-    ///     instance: name.into(), holds: holds.to_vec(), ..Default::default()
+    /// let unit = |name: &str, beat, holds: &[Share]| Upstream {
+    ///     instance: name.into(), beat, holds: holds.to_vec(), ..Default::default()
     /// };
     /// let one = ["a".to_owned()].into_iter().collect();
     /// let both = ["a".to_owned(), "b".to_owned()].into_iter().collect();
-    /// let first = shares.beat(now, &unit("a", &[]), &one);
-    /// assert!(shares.beat(now, &unit("b", &[]), &both).is_empty(), "all are taken");
-    /// let less = shares.beat(now, &unit("a", &first), &both);
-    /// assert!(shares.beat(now, &unit("b", &[]), &both).is_empty(), "asked back, not let go yet");
-    /// shares.beat(now, &unit("a", &less), &both);
-    /// assert!(!shares.beat(now, &unit("b", &[]), &both).is_empty(), "let go");
+    /// let first = shares.beat(now, &unit("a", 1, &[]), &one).unwrap();
+    /// assert_eq!(shares.beat(now, &unit("b", 1, &[]), &both), Some(vec![]), "all are taken");
+    /// let less = shares.beat(now, &unit("a", 2, &first), &both).unwrap();
+    /// assert_eq!(shares.beat(now, &unit("b", 2, &[]), &both), Some(vec![]), "asked back, not let go yet");
+    /// shares.beat(now, &unit("a", 3, &less), &both);
+    /// assert_ne!(shares.beat(now, &unit("b", 3, &[]), &both), Some(vec![]), "let go");
+    /// assert_eq!(shares.beat(now, &unit("a", 2, &[]), &both), None, "an overtaken beat lets nothing go");
     /// ```
-    pub fn beat(&mut self, now: Duration, upstream: &Upstream, ready: &BTreeSet<String>) -> Vec<Share> {
+    pub fn beat(&mut self, now: Duration, upstream: &Upstream, ready: &BTreeSet<String>) -> Option<Vec<Share>> {
         let me = &upstream.instance;
+        if self.beats.get(me).is_some_and(|last| upstream.beat <= *last) {
+            return None;
+        }
+        self.beats.insert(me.clone(), upstream.beat);
         let holds = |slot: u32, epoch: u64| {
             upstream.holds.iter().any(|share| share.epoch == epoch && (share.from..share.until).contains(&slot))
         };
         // What it no longer names, it has let go; what ran out is free.
         self.slots.retain(|slot, owned| now < owned.until && (owned.owner != *me || holds(*slot, owned.epoch)));
         if now < self.quietUntil || !ready.contains(me) {
-            return Vec::new();
+            return Some(Vec::new());
         }
         let fair = (SLOTS as usize).div_ceil(ready.len().max(1));
         let mine: Vec<u32> = self.slots.iter().filter(|(_, owned)| owned.owner == *me).map(|(slot, _)| *slot).collect();
@@ -93,7 +107,7 @@
         });
         // Slots over the fair count are not renewed: left out of the answer, they are let go.
         let told: BTreeSet<u32> = kept.into_iter().chain(free).collect();
-        self.runs(|slot, _| told.contains(&slot))
+        Some(self.runs(|slot, _| told.contains(&slot)))
     }
 
     /// Everything that is given out and not run out.
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -102,6 +102,6 @@
         let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
         let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
         let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(now, span, epoch));
-        Some(shares.beat(now, upstream, &ready))
+        shares.beat(now, upstream, &ready)
     }
 }
