Keys and names outlive a change of the placement holder

Ruled out: membership flapping and the register (every read-back alike, no standing changed).

Now: beats name the holder that answered last, and one that names the new holder keeps what it has; a holder renews with any free voter; images wait until another postmaster told all upstreams; proxies under suspicion are not named while others are there; where no connection came up, going elsewhere is no resend.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -189,7 +189,8 @@
         self.view.proxies = proxies
             .filter_map(|member| {
                 let locality = member.locality.parse().ok()?;
-                Some(Proxy { node: member.node.clone(), locality, address: member.httpAddress.clone() })
+                let suspect = member.condition != rounds::ALIVE;
+                Some(Proxy { node: member.node.clone(), locality, address: member.httpAddress.clone(), suspect })
             })
             .collect();
         self.postmasters = members.into_iter().filter(|member| member.roles == "postmaster").collect();
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -56,6 +56,8 @@
     epoch: u64,
     holder: String,
     until: Duration,
+    /// True once the holder came back to renew: until then it may be a candidate that fails.
+    renewed: bool,
 }
 
 /// Where the candidate stands.
@@ -76,10 +78,10 @@
     dice: Dice,
     granted: Option<Granted>,
     /// Grants that wait for their epoch's sync.
-    pending: BTreeMap<u64, (String, ClaimAsk)>,
+    pending: BTreeMap<u64, (String, ClaimAsk, Duration)>,
     /// The highest epoch heard of: a new claim asks for one more.
     seenEpoch: u64,
-    /// The highest epoch granted by this voter: it grants no epoch twice.
+    /// The highest epoch granted by this voter: a new claim must have a higher one.
     grantedEpoch: u64,
     stand: Stand,
     nextAsk: Duration,
@@ -120,7 +122,7 @@
     /// alone.step(Duration::ZERO, Event::Roster { roster: vec!["a".into()], epoch: 4 });
     /// let now = Duration::from_secs(4);
     /// let effects = alone.step(now, Event::Tick);
-    /// let [Effect::RaiseEpoch { epoch: 5, token }] = effects[..] else { panic!("{effects:?}") };
+    /// let Effect::RaiseEpoch { epoch: 5, token, .. } = effects[0] else { panic!("{effects:?}") };
     /// alone.step(now, Event::EpochKept { token });
     /// assert_eq!(alone.holds(now), Some(5));
     /// assert_eq!(alone.holds(now + Duration::from_millis(2500)), None);
@@ -152,7 +154,7 @@
             Event::Parcel { from, body } => self.take(now, &from, body),
             Event::EpochKept { token } => {
                 let ask = self.pending.remove(&token);
-                ask.into_iter().for_each(|(from, ask)| self.grant(now, &from, &ask));
+                ask.into_iter().for_each(|(from, ask, _)| self.grant(now, &from, &ask));
             }
             Event::Close => {
                 self.drop_claim();
@@ -188,7 +190,7 @@
         self.seenEpoch += 1;
         let (epoch, nonce) = (self.seenEpoch, self.dice.roll());
         self.turn(Stand::Asking { epoch, nonce, askedAt: now, grants: BTreeSet::new() });
-        self.ask_all(now, ClaimAsk { epoch, nonce });
+        self.ask_all(now, ClaimAsk { epoch, nonce, renewal: false });
     }
 
     fn renew(&mut self, now: Duration) {
@@ -199,7 +201,7 @@
         held.into_iter().for_each(|(epoch, until)| {
             let nonce = self.dice.roll();
             self.turn(Stand::Renewing { epoch, until, nonce, askedAt: now, grants: BTreeSet::new() });
-            self.ask_all(now, ClaimAsk { epoch, nonce });
+            self.ask_all(now, ClaimAsk { epoch, nonce, renewal: true });
         });
     }
 
@@ -237,22 +239,35 @@
         match body {
             Body::ClaimAsk(ask) => self.asked(now, from, ask),
             Body::ClaimGrant(grant) => self.answered(now, from, grant),
-            Body::ClaimDrop(drop) => self.dropped(from, drop.epoch),
+            Body::ClaimDrop(drop) => {
+                let held = self.granted.as_ref().is_some_and(|granted| granted.renewed && granted.holder == from);
+                self.dropped(from, drop.epoch);
+                if held && self.stand == Stand::Resting {
+                    // The duty is free: no need to wait for the end of its span.
+                    self.nextAsk = now + Duration::from_millis(20 + self.dice.below(300));
+                }
+            }
             _ => {}
         }
     }
 
     fn dropped(&mut self, from: &str, epoch: u64) {
         self.granted.take_if(|granted| granted.holder == from && granted.epoch <= epoch);
-        self.pending.retain(|_, (holder, ask)| holder != from || ask.epoch > epoch);
+        self.pending.retain(|_, (holder, ask, _)| holder != from || ask.epoch > epoch);
     }
 
     /// The voter's side.
     fn asked(&mut self, now: Duration, from: &str, ask: ClaimAsk) {
+        // A disk that takes so long is out of the round.
+        self.pending.retain(|_, (.., since)| now < *since + self.times.span / 3);
         let busy = self.granted.as_ref().filter(|granted| now < granted.until);
-        let renewal = busy.is_some_and(|granted| granted.holder == from && granted.epoch == ask.epoch);
+        // Whoever holds the claim goes on holding it, also by a voter that has forgotten, or that granted a
+        // higher epoch to a candidate that failed: no other can have won meanwhile.
+        let renewal = ask.renewal && busy.is_none_or(|granted| granted.holder == from);
         let wait = match busy {
             _ if now < self.times.span => Some(self.times.span - now),
+            // A candidate that has not won may drop its votes any moment.
+            Some(granted) if granted.holder != from && !granted.renewed => Some(Duration::ZERO),
             Some(granted) if granted.holder != from => Some(granted.until - now),
             _ => None,
         };
@@ -265,10 +280,10 @@
             self.seenEpoch = self.seenEpoch.max(ask.epoch);
             self.grantedEpoch = ask.epoch;
             self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
-            self.pending.insert(token, (from.to_owned(), ask));
+            self.pending.insert(token, (from.to_owned(), ask, now));
         } else {
             let waitMs = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
-            let ClaimAsk { epoch, nonce } = ask;
+            let ClaimAsk { epoch, nonce, .. } = ask;
             let deny = ClaimGrant { epoch, nonce, granted: false, highestEpoch: known, waitMs };
             self.answer(now, from, deny);
         }
@@ -276,8 +291,8 @@
 
     fn grant(&mut self, now: Duration, from: &str, ask: &ClaimAsk) {
         let until = now + self.times.span;
-        self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until });
-        let ClaimAsk { epoch, nonce } = *ask;
+        self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until, renewed: ask.renewal });
+        let ClaimAsk { epoch, nonce, .. } = *ask;
         self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highestEpoch: epoch, waitMs: 0 });
     }
 
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -48,6 +48,10 @@
     OperatorRace,
     KillPlacement,
     FreezePlacement,
+    /// While the voters found themselves, some are killed, one of them with its disk.
+    InterruptFounding(Vec<usize>),
+    /// One key takes most of the traffic.
+    HotKey,
 }
 
 /// How long a rolling restart gives each machine.
@@ -86,6 +90,8 @@
     ("operator-race", |_| Fault::OperatorRace),
     ("kill-placement", |_| Fault::KillPlacement),
     ("freeze-placement", |_| Fault::FreezePlacement),
+    ("founding", |d| Fault::InterruptFounding((0..3).map(|_| d.below(6) as usize).collect())),
+    ("hot-key", |_| Fault::HotKey),
 ];
 
 /// One fault and its span.
@@ -147,9 +153,13 @@
 impl Step {
     fn drawn(dice: &mut Dice, draw: Drawer) -> Step {
         let fault = draw(dice);
-        let at = LOAD_FROM + Duration::from_millis(2000 + dice.below(6000));
+        let at = match fault {
+            Fault::InterruptFounding(_) => Duration::from_millis(100 + dice.below(1500)),
+            _ => LOAD_FROM + Duration::from_millis(2000 + dice.below(6000)),
+        };
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 13,
+            Fault::InterruptFounding(_) => at + Duration::from_millis(200 + dice.below(1000)),
             _ => at + Duration::from_millis(1500 + dice.below(9000)),
         };
         Step { at, until, fault }
@@ -276,6 +286,15 @@
                 let base = Some(self.operators.edition);
                 self.submit_setup(1, base);
             }),
+            Fault::InterruptFounding(machines) => machines.into_iter().enumerate().for_each(|(order, machine)| {
+                self.on_machine(machine).into_iter().for_each(|node| {
+                    self.kill(node);
+                    if order == 0 {
+                        self.nodes[node].disk = Default::default();
+                    }
+                });
+            }),
+            Fault::HotKey => self.hotKey = true,
             Fault::KillPlacement => fixed.into_iter().for_each(|node| self.kill(node)),
             Fault::FreezePlacement => fixed.into_iter().for_each(|node| self.freeze(node)),
         }
@@ -290,6 +309,7 @@
             | Fault::RotSetups(_)
             | Fault::DarkZone(_)
             | Fault::DarkRegion(_)
+            | Fault::InterruptFounding(_)
             | Fault::KillPlacement => {
                 let down: Vec<usize> = (0..self.nodes.len()).filter(|node| !self.nodes[*node].up).collect();
                 down.into_iter().for_each(|node| self.start(node));
@@ -308,6 +328,7 @@
                 self.net.cuts.clear()
             }
             Fault::Loss(_) => self.net.lossPerMille = 0,
+            Fault::HotKey => self.hotKey = false,
             Fault::CrashUnits(_) => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -155,7 +155,8 @@
         });
         let service = self.shape.services[at.unwrap_or(0)].service;
         let place = self.shape.locality(dice.below(6) as usize);
-        let key = format!("key-{}", dice.below(400));
+        let hot = self.hotKey && dice.below(100) < 70;
+        let key = if hot { "key-hot".to_owned() } else { format!("key-{}", dice.below(400)) };
         let (startedAt, stand) = (self.now, Stand::Resting);
         let state = WorkState { service, place, key, startedAt, tries: 0, last: None, dice, stand };
         self.origins.works.insert(number, state);
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -26,6 +26,7 @@
     pub condition: u32,
     pub warm: bool,
     pub beat: u64,
+    pub holder: u64,
     /// Slot, epoch and end of what it holds.
     pub holds: BTreeMap<u32, (u64, Duration)>,
     pub busy: u32,
@@ -51,6 +52,7 @@
                     condition: enrolment::READY,
                     warm: true,
                     beat: 0,
+                    holder: 0,
                     holds: BTreeMap::new(),
                     busy: 0,
                     losesPerMille: 0,
@@ -74,6 +76,7 @@
         unit.condition = enrolment::READY;
         unit.warm = warm;
         unit.beat = 0;
+        unit.holder = 0;
         unit.holds.clear();
         unit.busy = 0;
         unit.pausedUntil = Duration::ZERO;
@@ -117,6 +120,7 @@
             warm: unit.warm,
             condition: unit.condition,
             beat: unit.beat,
+            holder: unit.holder,
             holds: holds.collect(),
             ..Upstream::default()
         };
@@ -145,6 +149,9 @@
     pub(super) fn beat_answer(&mut self, at: usize, life: u64, beat: u64, sentAt: Duration, sheet: &Sheet) {
         let now = self.now;
         let unit = &mut self.units[at];
+        if unit.up && unit.life == life && unit.beat == beat {
+            unit.holder = sheet.count("holder").unwrap_or(0);
+        }
         let spanMs = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some());
         let Some(spanMs) = spanMs.filter(|_| unit.up && unit.life == life && unit.beat == beat) else { return };
         if now < unit.pausedUntil {
--- a/crates/drill/src/upstreams.rs
+++ b/crates/drill/src/upstreams.rs
@@ -34,6 +34,8 @@
     /// 0 ready, 1 leaving, 2 gone.
     condition: AtomicU32,
     beat: AtomicU64,
+    /// The holder of the placement duty that answered last.
+    holder: AtomicU64,
     holds: Mutex<BTreeMap<u32, (u64, Duration)>>,
     close: watch::Sender<bool>,
 }
@@ -63,6 +65,7 @@
             warm: AtomicBool::new(warm),
             condition: AtomicU32::new(0),
             beat: AtomicU64::new(0),
+            holder: AtomicU64::new(0),
             holds: Mutex::default(),
             close,
         });
@@ -131,6 +134,7 @@
             ("freeSlots".to_owned(), u64::from(SLOTS.saturating_sub(self.busy.load(Ordering::Acquire))).into()),
             ("warm".to_owned(), self.warm.load(Ordering::Acquire).into()),
             ("condition".to_owned(), condition.into()),
+            ("holder".to_owned(), self.holder.load(Ordering::Acquire).into()),
             ("beat".to_owned(), (self.beat.fetch_add(1, Ordering::AcqRel) + 1).into()),
         ];
         let runs = self.held(now).into_iter().map(|share| {
@@ -153,6 +157,7 @@
 
     /// An answer that names shares says all that it holds from now on, counted from when the beat was sent.
     fn take_shares(&self, sentAt: Duration, sheet: &Sheet) {
+        sheet.count("holder").into_iter().for_each(|holder| self.holder.store(holder, Ordering::Release));
         let Some(spanMs) = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some()) else { return };
         let until = sentAt + Duration::from_millis(spanMs);
         let now = self.clock.now();
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -81,7 +81,7 @@
 
     /// Which part of a beat is worth telling the data plane.
     fn news(upstream: &Upstream) -> Upstream {
-        Upstream { beat: 0, holds: Vec::new(), ..upstream.clone() }
+        Upstream { beat: 0, holder: 0, holds: Vec::new(), ..upstream.clone() }
     }
 
     /// An address belongs to its youngest registration; gives the one that lost it.
--- a/crates/enrolment/src/shares.rs
+++ b/crates/enrolment/src/shares.rs
@@ -3,6 +3,10 @@
 //! A slot has one owner. It moves only once the owner's beat no longer names it, or its span, counted here
 //! from the moment of giving plus a margin, has run out; the upstream counts from the moment it sent the
 //! beat, which was earlier.
+//!
+//! A new holder of the duty doesn't know what was given. It gives out nothing free until all of that has
+//! surely run out. But an upstream that has heard of this holder in the answer to an earlier beat sent this
+//! one under its claim, when nobody else gave any more: what it says it holds, it alone holds, and keeps.
 
 use address::SLOTS;
 use parcel::{Share, Upstream};
@@ -18,8 +22,9 @@
 
 /// Who holds which slots of one service.
 pub struct Shares {
-    /// Nothing is given before this: what an earlier holder of the duty gave must have run out.
+    /// Nothing free is given before this: what an earlier holder of the duty gave must have run out.
     quietUntil: Duration,
+    claimEpoch: u64,
     span: Duration,
     epoch: u64,
     slots: BTreeMap<u32, Slot>,
@@ -38,7 +43,10 @@
     /// let mut shares = Shares::new(Duration::ZERO, span, 1);
     /// let unit = |name: &str, beat| Upstream { instance: name.into(), beat, ..Default::default() };
     /// let ready = ["a".to_owned(), "b".to_owned()].into_iter().collect();
-    /// assert_eq!(shares.beat(Duration::from_secs(1), &unit("a", 1), &ready), Some(vec![]), "quiet at first");
+    /// assert_eq!(shares.beat(Duration::from_secs(1), &unit("a", 1), &ready), None, "quiet at first");
+    /// let held = parcel::Share { from: 3, until: 5, epoch: 9, instance: "b".into() };
+    /// let heard = Upstream { holder: 1, holds: vec![held.clone()], ..unit("b", 1) };
+    /// assert_eq!(shares.beat(Duration::from_secs(1), &heard, &ready), Some(vec![held]), "but it keeps what it has");
     /// let now = Duration::from_secs(4);
     /// let given = shares.beat(now, &unit("a", 2), &ready).unwrap();
     /// assert_eq!(given.iter().map(|share| share.until - share.from).sum::<u32>(), address::SLOTS / 2);
@@ -46,6 +54,7 @@
     pub fn new(now: Duration, span: Duration, claimEpoch: u64) -> Self {
         Shares {
             quietUntil: now + span + span / 6,
+            claimEpoch,
             span,
             epoch: claimEpoch << 32,
             slots: BTreeMap::new(),
@@ -86,7 +95,13 @@
         };
         // What it no longer names, it has let go; what ran out is free.
         self.slots.retain(|slot, owned| now < owned.until && (owned.owner != *me || holds(*slot, owned.epoch)));
-        if now < self.quietUntil || !ready.contains(me) {
+        if now < self.quietUntil {
+            if upstream.holder != self.claimEpoch {
+                return None;
+            }
+            self.adopt(now, upstream);
+        }
+        if !ready.contains(me) {
             return Some(Vec::new());
         }
         let fair = (SLOTS as usize).div_ceil(ready.len().max(1));
@@ -97,6 +112,7 @@
             self.slots.entry(*slot).and_modify(|owned| owned.until = until);
         });
         let room = fair - kept.len();
+        let room = if now < self.quietUntil { 0 } else { room };
         let free: Vec<u32> = (0..SLOTS).filter(|slot| !self.slots.contains_key(slot)).take(room).collect();
         if !free.is_empty() {
             self.epoch += 1;
@@ -110,6 +126,17 @@
         Some(self.runs(|slot, _| told.contains(&slot)))
     }
 
+    /// Takes over what an upstream held when it sent this beat.
+    fn adopt(&mut self, now: Duration, upstream: &Upstream) {
+        let until = now + self.span + self.span / 6;
+        upstream.holds.iter().for_each(|share| {
+            (share.from..share.until.min(SLOTS)).for_each(|slot| {
+                let owner = upstream.instance.clone();
+                self.slots.entry(slot).or_insert(Slot { owner, epoch: share.epoch, until });
+            });
+        });
+    }
+
     /// Everything that is given out and not run out.
     ///
     /// ```
--- a/crates/gazetteer/src/answer.rs
+++ b/crates/gazetteer/src/answer.rs
@@ -48,6 +48,7 @@
         .map(|proxy| {
             let near = (proxy.locality != owner, proxy.locality.region != owner.region);
             let far = proxy.locality.region != origin.region;
+            let near = (proxy.suspect, near.0, near.1);
             (near, far, address::spread(&format!("{asked}{origin}{}", proxy.node)), proxy)
         })
         .collect();
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -13,6 +13,8 @@
     pub node: String,
     pub locality: Locality,
     pub address: String,
+    /// Silent to its prober and to third parties: not worth naming to an origin while others are there.
+    pub suspect: bool,
 }
 
 /// One edition of the world, as requests read it.
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -7,7 +7,7 @@
 pub struct Parcel {
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26")]
+    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29")]
     pub body: Option<Body>,
 }
 
@@ -64,6 +64,12 @@
     NewsKept(NewsKept),
     #[prost(message, tag = "26")]
     ClaimDrop(ClaimDrop),
+    #[prost(message, tag = "27")]
+    RollAsk(RollAsk),
+    #[prost(message, tag = "28")]
+    RollTold(RollTold),
+    #[prost(message, tag = "29")]
+    Holder(Holder),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -310,6 +316,9 @@
     pub epoch: u64,
     #[prost(uint64, tag = "2")]
     pub nonce: u64,
+    /// The sender holds this epoch at the moment.
+    #[prost(bool, tag = "3")]
+    pub renewal: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -363,6 +372,9 @@
     /// How long ago the sender first heard of it: of two registrations of one address the younger counts.
     #[prost(uint64, tag = "11")]
     pub bornMs: u64,
+    /// The epoch of the holder that answered its last beat.
+    #[prost(uint64, tag = "12")]
+    pub holder: u64,
 }
 
 /// A range of key slots (`from` up to, not including, `until`) held under `epoch`.
@@ -384,6 +396,28 @@
     pub upstreams: Vec<Upstream>,
 }
 
+/// A postmaster that just started asks for all that the others know of upstreams.
+#[derive(Clone, PartialEq, Message)]
+pub struct RollAsk {}
+
+/// All of it, with the last placement.
+#[derive(Clone, PartialEq, Message)]
+pub struct RollTold {
+    #[prost(message, repeated, tag = "1")]
+    pub upstreams: Vec<Upstream>,
+    #[prost(message, required, tag = "2")]
+    pub placement: Placement,
+    #[prost(string, tag = "3")]
+    pub placedBy: String,
+}
+
+/// Who holds the placement duty from now on.
+#[derive(Clone, PartialEq, Message)]
+pub struct Holder {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub struct SharesAsk {
     #[prost(uint64, tag = "1")]
@@ -400,6 +434,8 @@
     pub shares: Vec<Share>,
     #[prost(uint64, tag = "3")]
     pub spanMs: u64,
+    #[prost(uint64, tag = "4")]
+    pub holder: u64,
 }
 
 /// Which locality owns a name.
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -129,7 +129,7 @@
             self.beatWaits.iter().filter(|(_, wait)| now >= wait.until).map(|(nonce, _)| *nonce).collect();
         late.into_iter().for_each(|nonce| {
             let wait = self.beatWaits.remove(&nonce);
-            wait.into_iter().for_each(|wait| self.answer_beat(wait.token, None));
+            wait.into_iter().for_each(|wait| self.answer_beat(wait.token, 0, None));
         });
     }
 
@@ -139,11 +139,11 @@
         }
         let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
         if !keyed || self.placedBy.is_empty() || self.beatWaits.len() >= MOST_BEAT_WAITS {
-            return self.answer_beat(token, None);
+            return self.answer_beat(token, 0, None);
         }
         if self.placedBy == self.me.node {
             let given = self.give_shares(now, &upstream);
-            return self.answer_beat(token, given);
+            return self.answer_beat(token, self.heldEpoch, given);
         }
         let nonce = self.dice.roll();
         self.beatWaits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
@@ -153,22 +153,23 @@
 
     pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesAsk) {
         self.roll.take(now, ask.upstream.clone());
-        if let Some(shares) = self.give_shares(now, &ask.upstream) {
-            let spanMs = self.times.shareSpan.as_millis() as u64;
-            let given = SharesGiven { nonce: ask.nonce, shares, spanMs };
-            self.effects.push_back(Effect::Send { to: from, body: Body::SharesGiven(given) });
-        }
+        let Some(epoch) = self.claims.holds(now) else { return };
+        let shares = self.give_shares(now, &ask.upstream);
+        let spanMs = shares.as_ref().map(|_| self.times.shareSpan.as_millis() as u64).unwrap_or(0);
+        let given = SharesGiven { nonce: ask.nonce, shares: shares.unwrap_or_default(), spanMs, holder: epoch };
+        self.effects.push_back(Effect::Send { to: from, body: Body::SharesGiven(given) });
     }
 
     pub(crate) fn shares_given(&mut self, given: SharesGiven) {
         let wait = self.beatWaits.remove(&given.nonce);
-        wait.into_iter().for_each(|wait| self.answer_beat(wait.token, Some(given.shares.clone())));
+        let shares = Some(given.shares).filter(|_| given.spanMs > 0);
+        wait.into_iter().for_each(|wait| self.answer_beat(wait.token, given.holder, shares.clone()));
     }
 
     /// Without `shares` the upstream learns nothing new, and what it holds runs out by itself.
-    fn answer_beat(&mut self, token: u64, shares: Option<Vec<parcel::Share>>) {
+    fn answer_beat(&mut self, token: u64, holder: u64, shares: Option<Vec<parcel::Share>>) {
         let sheet = match shares {
-            None => Sheet::fields([("code", u64::from(Code::Fine.number()).into())]),
+            None => Sheet::fields([("code", u64::from(Code::Fine.number()).into()), ("holder", holder.into())]),
             Some(shares) => {
                 let runs = shares.iter().map(|share| {
                     Sheet::fields([
@@ -179,6 +180,7 @@
                 });
                 Sheet::fields([
                     ("code", u64::from(Code::Fine.number()).into()),
+                    ("holder", holder.into()),
                     ("shares", runs.collect()),
                     ("spanMs", (self.times.shareSpan.as_millis() as u64).into()),
                 ])
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -22,7 +22,7 @@
 
 impl Office {
     pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: NewsAsk) {
-        if !self.is_current(now) {
+        if !self.is_current(now) || !self.is_settled(now) {
             return;
         }
         // What the answer vouches for goes out ahead of it.
@@ -122,5 +122,5 @@
 
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
-    Upstream { ageMs: 0, bornMs: 0, beat: 0, holds: Vec::new(), ..upstream }
+    Upstream { ageMs: 0, bornMs: 0, beat: 0, holder: 0, holds: Vec::new(), ..upstream }
 }
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -6,7 +6,7 @@
 use address::{Code, Dice};
 use claims::Claims;
 use enrolment::Roll;
-use parcel::{Beats, Body, Durable, Member, Placement, Upstream};
+use parcel::{Beats, Body, Durable, Member, Placement, RollAsk, RollTold, Upstream};
 use registered::{Change, Register, Standing};
 use rounds::Rounds;
 use std::collections::{BTreeMap, VecDeque};
@@ -129,10 +129,9 @@
     pub(crate) claims: Claims,
     pub(crate) roll: Roll,
     pub(crate) duty: Option<Duty>,
-    /// The last placement heard of, from whom, and when.
+    /// The last placement heard of, and who holds the duty.
     pub(crate) placement: Placement,
     pub(crate) placedBy: String,
-    pub(crate) placedAt: Duration,
     pub(crate) setup: Arc<Setup>,
     pub(crate) members: Vec<Member>,
     pub(crate) readers: BTreeMap<String, Reader>,
@@ -143,6 +142,9 @@
     pub(crate) nextNews: Duration,
     pub(crate) effects: VecDeque<Effect>,
     told: Standing,
+    /// True once another postmaster told all it knows of upstreams, or all of them had time to beat.
+    pub(crate) rollTold: bool,
+    pub(crate) heldEpoch: u64,
 }
 
 impl Office {
@@ -178,7 +180,6 @@
             duty: None,
             placement: Placement::default(),
             placedBy: String::new(),
-            placedAt: Duration::ZERO,
             setup: Arc::default(),
             readers: BTreeMap::new(),
             waitingForce: Vec::new(),
@@ -187,6 +188,8 @@
             nextSweep: Duration::ZERO,
             nextNews: Duration::ZERO,
             effects: VecDeque::new(),
+            rollTold: false,
+            heldEpoch: 0,
         }
     }
 
@@ -247,6 +250,9 @@
         if now >= self.nextSweep {
             self.nextSweep = now + Duration::from_millis(500);
             self.roll.sweep(now, self.times.upstreamSilent);
+            if !self.is_settled(now) {
+                self.tell_postmasters(Body::RollAsk(RollAsk {}));
+            }
             let upstreams = self.roll.farewells(now);
             if !upstreams.is_empty() {
                 self.tell_postmasters(Body::Beats(Beats { upstreams }));
@@ -284,6 +290,9 @@
             Body::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
                 self.roll.take(now, upstream);
             }),
+            Body::RollAsk(_) => self.roll_asked(now, from),
+            Body::RollTold(told) => self.roll_told(now, told),
+            Body::Holder(holder) => self.hear_holder(now, from, holder.epoch),
             Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
             Body::SharesGiven(given) => self.shares_given(given),
             Body::Placement(placement) => self.take_placement(now, from, placement),
@@ -355,6 +364,27 @@
         self.run_register(now, registered::Event::Ask { token, change, bytes });
     }
 
+    /// True once this node knows the upstreams well enough to tell carriers of them.
+    pub(crate) fn is_settled(&self, now: Duration) -> bool {
+        self.rollTold || now >= self.times.upstreamSilent
+    }
+
+    fn roll_asked(&mut self, now: Duration, from: String) {
+        if self.is_settled(now) {
+            let (placement, placedBy) = (self.placement.clone(), self.placedBy.clone());
+            let told = RollTold { upstreams: self.roll.all(now), placement, placedBy };
+            self.effects.push_back(Effect::Send { to: from, body: Body::RollTold(told) });
+        }
+    }
+
+    fn roll_told(&mut self, now: Duration, told: RollTold) {
+        told.upstreams.into_iter().for_each(|upstream| {
+            self.roll.take(now, upstream);
+        });
+        self.take_placement(now, told.placedBy, told.placement);
+        self.rollTold = true;
+    }
+
     /// True while a majority confirmed the word lately.
     pub(crate) fn is_current(&self, now: Duration) -> bool {
         self.register.age(now).is_some_and(|age| age < self.times.staleAfter)
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -1,9 +1,9 @@
 //! The placement duty, done by whichever postmaster holds its claim.
 
-use crate::office::Office;
+use crate::office::{Effect, Office};
 use enrolment::{READY, Shares};
 use gazetteer::{Needs, Placer};
-use parcel::{Body, Placement, ServiceShares, Share, Upstream};
+use parcel::{Body, Holder, Placement, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -38,9 +38,17 @@
 
     pub(crate) fn tick_duty(&mut self, now: Duration) {
         let Some(epoch) = self.claims.holds(now) else {
-            self.duty = None;
+            let lost = self.duty.take().map(|duty| Effect::Note(format!("placement: gave up epoch {}", duty.epoch)));
+            self.effects.extend(lost);
             return;
         };
+        if epoch > self.heldEpoch {
+            // Beats find their way here at once, long before the first decision.
+            let me = self.me.node.clone();
+            self.effects.push_back(Effect::Note(format!("placement: held under epoch {epoch}")));
+            self.hear_holder(now, me, epoch);
+            self.tell_postmasters(Body::Holder(Holder { epoch }));
+        }
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
             listenUntil: now + LISTEN,
@@ -87,9 +95,16 @@
     pub(crate) fn take_placement(&mut self, now: Duration, from: String, placement: Placement) {
         let newer = (placement.epoch, placement.number) > (self.placement.epoch, self.placement.number);
         if newer {
+            self.hear_holder(now, from, placement.epoch);
             self.placement = placement;
+        }
+    }
+
+    /// Who holds the duty; a lower epoch was overtaken.
+    pub(crate) fn hear_holder(&mut self, _now: Duration, from: String, epoch: u64) {
+        if epoch > self.heldEpoch {
+            self.heldEpoch = epoch;
             self.placedBy = from;
-            self.placedAt = now;
         }
     }
 
@@ -98,7 +113,10 @@
         let epoch = self.claims.holds(now)?;
         let span = self.times.shareSpan;
         let ready = self.roll.all(now).into_iter();
-        let ready = ready.filter(|other| other.service == upstream.service && other.condition == READY);
+        let ready = ready.filter(|other| {
+            let evacuated = self.register.word().evacuated.contains(&other.locality);
+            other.service == upstream.service && other.condition == READY && !evacuated
+        });
         let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
         let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
         let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(now, span, epoch));
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -20,6 +20,8 @@
 const TICK: Duration = Duration::from_millis(20);
 const MOST_EVENTS: usize = 4096;
 const MOST_WRITES: usize = 256;
+/// How long a closing process stays to let its last messages out.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 const ASK_WITHIN: Duration = Duration::from_secs(8);
 
 /// Settings of a postmaster, beside the time values.
@@ -178,6 +180,8 @@
     log::info!("close: asked to stop");
     shared.closing.store(true, Ordering::Relaxed);
     run_all(office.step(clock.now(), Event::Close), &links, &probe);
+    // What was just said must still leave the process.
+    tokio::time::sleep(LAST_WORDS).await;
     let _ = close.send(true);
     let _ = tokio::time::timeout(Duration::from_secs(3), server).await;
     return Ok(());
@@ -318,6 +322,7 @@
     let warm = fields.truth("warm", false);
     let condition = fields.text("condition").unwrap_or_default();
     let holds = fields.list("holds").to_vec();
+    let holder = fields.count("holder", 0..=u64::MAX, Some(0)).unwrap_or(0);
     fields.close();
     let holds = holds.iter().enumerate().filter_map(|(at, hold)| {
         let mut fields = Fields::open(hold, &format!("/holds/{at}"), complaints);
@@ -350,7 +355,20 @@
         complain(complaints, "/locality", format!("'{locality}' is not a locality; write region/zone"));
     }
     let (freeSlots, beat) = numbers.map(|(free, beat)| (free as u32, beat)).unwrap_or_default();
-    Upstream { service, instance, address, locality, freeSlots, warm, condition, beat, holds, ageMs: 0, bornMs: 0 }
+    Upstream {
+        service,
+        instance,
+        address,
+        locality,
+        freeSlots,
+        warm,
+        condition,
+        beat,
+        holds,
+        holder,
+        ageMs: 0,
+        bornMs: 0,
+    }
 }
 
 fn show(answer: Answer) -> Response<Full<Bytes>> {
--- a/crates/registered/src/register.rs
+++ b/crates/registered/src/register.rs
@@ -422,10 +422,9 @@
     }
 
     fn raise_epoch(&mut self, epoch: u64, token: u64) {
-        if epoch <= self.synced.claimEpoch {
-            self.effects.push(Effect::EpochKept { token });
-        } else if self.standing == Standing::Voting && self.disk_is_free() {
-            self.durable.claimEpoch = self.durable.claimEpoch.max(epoch);
+        let able = self.standing == Standing::Voting && self.disk_is_free();
+        if able && epoch >= self.durable.claimEpoch {
+            self.durable.claimEpoch = epoch;
             self.keep(vec![Effect::EpochKept { token }]);
         }
     }
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use tariff::Service;
 
-/// Most sends of one request, the first included.
-const MOST_SENDS: u32 = 3;
+/// Most sends of one request, the first and those that never connected included.
+const MOST_SENDS: u32 = 4;
 /// How long a try id is remembered beyond its deadline.
 const TRY_LIFE: Duration = Duration::from_secs(10);
 
@@ -249,13 +249,14 @@
             return self.answer(Code::NotMine, Some(Duration::from_secs(1)));
         }
         let able = |place: &str| is_home(service, place) && !view.evacuated.contains(place);
-        let places = view.proxies.iter().map(|proxy| (proxy.locality.to_string(), proxy.address.clone()));
+        let places =
+            view.proxies.iter().map(|proxy| (proxy.locality.to_string(), proxy.address.clone(), proxy.suspect));
         let region = owner.split('/').next().unwrap_or_default().to_owned();
-        let mut able: Vec<(u8, u64, String)> = places
-            .filter(|(place, _)| able(place))
-            .map(|(place, address)| {
+        let mut able: Vec<(bool, u8, u64, String)> = places
+            .filter(|(place, ..)| able(place))
+            .map(|(place, address, suspect)| {
                 let near = if place == owner { 0 } else { 1 + u8::from(!place.starts_with(&format!("{region}/"))) };
-                (near, address::spread(&format!("{}{address}", self.order.tryId)), address)
+                (suspect, near, address::spread(&format!("{}{address}", self.order.tryId)), address)
             })
             .collect();
         able.sort();
@@ -417,11 +418,12 @@
         let repeatable = self.service.as_ref().is_some_and(|service| service.repeatable);
         let safe = repeatable || code.kind() == Kind::NotRun;
         let proxies = view.proxies.len();
+        // Where no connection came up, nothing was sent: going elsewhere is no resend.
         let again = safe
             && seat.is_some()
             && self.sends < MOST_SENDS
             && !self.left(now).is_zero()
-            && self.desk.as_ref().is_some_and(|desk| desk.take_resend(now, proxies));
+            && (code == Code::ResendsSpent || self.desk.as_ref().is_some_and(|desk| desk.take_resend(now, proxies)));
         if again {
             self.notes.push(format!("sent again after: {code}"));
             return self.choose(now, view, board);
--- a/crates/wicket/src/desk.rs
+++ b/crates/wicket/src/desk.rs
@@ -21,6 +21,8 @@
 pub const MOST_BODY_BYTES: usize = 2 * 1024 * 1024 + 4096;
 const MOST_CONNECTIONS: usize = 4096;
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
+/// How long a closing server still listens to connections that were just opened.
+const ON_THE_WAY: Duration = Duration::from_millis(300);
 const BODY_WITHIN: Duration = Duration::from_secs(5);
 
 /// A request, read whole.
@@ -123,10 +125,21 @@
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let room = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    let mut endBy = None;
     loop {
-        let accepted = tokio::select! {
-            accepted = socket.accept() => accepted,
-            () = closed(&mut closing) => break,
+        let ending = *closing.borrow();
+        let accepted = if ending {
+            // Connections that the kernel took already are served too.
+            let until = *endBy.get_or_insert_with(|| tokio::time::Instant::now() + ON_THE_WAY);
+            match tokio::time::timeout_at(until, socket.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => break,
+            }
+        } else {
+            tokio::select! {
+                accepted = socket.accept() => accepted,
+                () = closed(&mut closing) => continue,
+            }
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -149,6 +162,8 @@
             tokio::select! {
                 _ = connection.as_mut() => {}
                 () = closed(&mut closing) => {
+                    // A request that is already on the way must be answered, not cut off.
+                    let _ = tokio::time::timeout(ON_THE_WAY, connection.as_mut()).await;
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
                 }
