--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use parcel::{Member, Message, Parcel};
-use sorting::{Board, Site};
+use sorting::{Board, Journey, Order, Site};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -254,20 +254,36 @@
         wicket::json(Code::Fine, &sheet)
     }
 
+    /// What would be decided for such a request at this moment. Nothing is sent, and nothing is counted.
+    fn show_supposed(&self, enquiry: &Enquiry) -> Response<Full<Bytes>> {
+        let order = Order {
+            tryId: "supposed".into(),
+            name: enquiry.query("name").into(),
+            path: enquiry.query("path").into(),
+            key: Some(enquiry.query("key")).filter(|key| !key.is_empty()).map(str::to_owned),
+            arrivedAt: self.clock.now(),
+            remaining: Duration::from_secs(1),
+            bodyBytes: 0,
+            forwarded: false,
+        };
+        let mut journey = Journey::new(order, self.site.clone());
+        journey.start(self.clock.now(), &self.view.load(), &Board::default());
+        self.show_notes("supposed", journey.notes().to_vec())
+    }
+
+    fn show_notes(&self, tryId: &str, notes: Vec<String>) -> Response<Full<Bytes>> {
+        let sheet = Sheet::fields([
+            ("code", u64::from(Code::Fine.number()).into()),
+            ("node", self.site.node.as_str().into()),
+            ("tryId", tryId.into()),
+            ("notes", notes.into_iter().map(Sheet::from).collect()),
+        ]);
+        wicket::json(Code::Fine, &sheet)
+    }
+
     fn show_trace(&self, tryId: &str) -> Response<Full<Bytes>> {
         let notes = self.traces.find(tryId);
-        notes.map_or_else(
-            || wicket::verdict(Code::NoSuchTrace, None),
-            |notes| {
-                let sheet = Sheet::fields([
-                    ("code", u64::from(Code::Fine.number()).into()),
-                    ("node", self.site.node.as_str().into()),
-                    ("tryId", tryId.into()),
-                    ("notes", notes.into_iter().map(Sheet::from).collect()),
-                ]);
-                wicket::json(Code::Fine, &sheet)
-            },
-        )
+        notes.map_or_else(|| wicket::verdict(Code::NoSuchTrace, None), |notes| self.show_notes(tryId, notes))
     }
 }
 
@@ -284,7 +300,8 @@
         }
         ("GET", "/counters") => node.show_counters(),
         ("GET", "/node") => node.show_node(),
-        ("GET", "/trace") => node.show_trace(enquiry.query("try")),
+        ("GET", "/trace") if enquiry.query("name").is_empty() => node.show_trace(enquiry.query("try")),
+        ("GET", "/trace") => node.show_supposed(&enquiry),
         ("GET", "/setup" | "/status" | "/upstreams" | "/reservations" | "/marks")
         | ("PUT", "/setup")
         | ("POST", "/evacuations" | "/beats") => node.relay(enquiry).await,
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -21,7 +21,8 @@
   take-back LOCALITY [--id ID] [--wait]             let work go there again
   status | node | upstreams | reservations | marks | counters | ready
   lookup NAME LOCALITY                              ask a directory node as an origin there would
-  trace TRY                                         why a request went where it went (ask the proxy it went to)
+  trace TRY                                         why a request went where it went; asks all proxies
+  trace --name NAME --path PATH [--key KEY]         what a node would decide for such a request now
   check FILE                                        check a setup here, without a node
 
   --node may be given several times: the next is tried where one can't be reached.
@@ -36,6 +37,9 @@
     id: Option<String>,
     base: Option<String>,
     wait: bool,
+    name: Option<String>,
+    path: Option<String>,
+    key: Option<String>,
 }
 
 struct Call {
@@ -89,6 +93,9 @@
             }
             Long("id") => flags.id = Some(value(&mut parser)?),
             Long("base") => flags.base = Some(value(&mut parser)?),
+            Long("name") => flags.name = Some(value(&mut parser)?),
+            Long("path") => flags.path = Some(value(&mut parser)?),
+            Long("key") => flags.key = Some(value(&mut parser)?),
             Long("wait") => flags.wait = true,
             Value(word) => flags.words.push(word.to_string_lossy().into_owned()),
             other => return Err(wrong(other.unexpected().to_string())),
@@ -130,6 +137,11 @@
             get(format!("/directory?name={name}&region={region}&zone={zone}"))
         }
         ["trace", tryId] => get(format!("/trace?try={tryId}")),
+        ["trace"] => {
+            let wanted = flags.name.as_deref().zip(flags.path.as_deref());
+            let (name, path) = wanted.ok_or((exit::USAGE, "trace: give a try, or --name and --path".to_owned()))?;
+            get(format!("/trace?name={name}&path={path}&key={}", flags.key.as_deref().unwrap_or_default()))
+        }
         [] => return Err((exit::USAGE, HELP.to_owned())),
         _ => return Err((exit::USAGE, format!("'{}' is no verb of mine; see --help", words.join(" ")))),
     };
@@ -144,6 +156,9 @@
     for node in &flags.nodes {
         let body = call.body.clone().into();
         match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
+            Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
+                return show(&ask_all_proxies(&caller, node, &call.path).await.unwrap_or(reply));
+            }
             Ok(reply) => return show(&reply),
             Err(Called::NotConnected) => eprintln!("clerk: {node} can't be reached"),
             Err(failure) => {
@@ -155,6 +170,21 @@
     UNREACHED
 }
 
+/// The proxy that served a try is not known: every proxy that membership knows is asked.
+async fn ask_all_proxies(caller: &Caller, node: &str, path: &str) -> Option<Reply> {
+    let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
+    let sheet = Sheet::read(&String::from_utf8_lossy(&status.body)).ok()?;
+    let proxies =
+        sheet.list("members").iter().filter(|member| member.text("roles").is_some_and(|r| r.contains("proxy")));
+    for address in proxies.filter_map(|member| member.text("http")) {
+        let reply = caller.call(address, "GET", path, &[], Vec::new().into(), WITHIN, false).await;
+        if let Some(found) = reply.ok().filter(|reply| reply.status == 200) {
+            return Some(found);
+        }
+    }
+    None
+}
+
 fn show(reply: &Reply) -> i32 {
     let text = String::from_utf8_lossy(&reply.body);
     let edition = reply.header("x-edition");
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -95,7 +95,7 @@
         for machine in 0..shape.machines {
             links.push((free_address(&ip(machine))?, free_address(&ip(machine))?));
         }
-        let seeds = [0, 1, 2].map(|at| links[at].0.clone()).join(",");
+        let seeds = links.iter().take(3).map(|(link, _)| link.clone()).collect::<Vec<_>>().join(",");
         let process = |kind: &str, machine: usize, link: &str, more: &[String], data: Option<PathBuf>| {
             let http = free_address(&ip(machine))?;
             let node = format!("{kind}-{machine}");
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -9,8 +9,8 @@
 mod units;
 mod world;
 
-pub use faults::{FAULTS, Fault, Plan};
-pub use world::{Outcome, World};
+pub use faults::{FAULTS, Fault, Plan, Step};
+pub use world::{Outcome, Weakness, World};
 
 /// Runs one seed under a plan; without one, the seed draws its own.
 ///
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -38,6 +38,8 @@
     /// How much longer a sync takes than it should.
     pub slowed: Duration,
     pub broken: bool,
+    /// What a disk that lies still has after a power cut.
+    pub early: Durable,
 }
 
 pub enum Core {
@@ -78,7 +80,7 @@
 
 impl World {
     pub(super) fn lay_out_nodes(&mut self) {
-        let (staleAfter, _) = World::times();
+        let staleAfter = self.weak.staleAfter;
         let kinds = |machine: usize, disks: usize| if machine < disks { vec![true, false] } else { vec![false] };
         for machine in 0..self.shape.machines {
             for isOffice in kinds(machine, self.shape.disks) {
@@ -151,6 +153,9 @@
         node.core = Core::Down;
         node.frozen = None;
         node.disk.waiting.clear();
+        if self.weak.disksLie {
+            node.disk.durable = std::mem::take(&mut node.disk.early);
+        }
         let gone: Vec<u64> = self.trips.iter().filter(|(_, trip)| trip.node == at).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| {
             let trip = self.trips.remove(&id);
@@ -267,6 +272,9 @@
         } else {
             let ticket = match write {
                 Write::State(ticket, durable) => {
+                    if node.disk.early.disk == 0 {
+                        node.disk.early = durable.clone();
+                    }
                     node.disk.durable = durable;
                     ticket
                 }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -87,10 +87,16 @@
             return self.beat_answered(beat, answer);
         }
         if let Some((node, askedAt)) = self.operators.readBacks.remove(&token) {
-            if let Answer::Setup { edition, bytes } = answer {
-                let (node, digest) = (self.nodes[node].name.clone(), parcel::digest(&bytes));
+            let read = match answer {
+                Answer::Setup { edition, bytes } => Some((edition, parcel::digest(&bytes))),
+                // 'Nothing was ever accepted' is an answer too.
+                Answer::Verdict { code: Code::NoWord, edition } => Some((edition, String::new())),
+                _ => None,
+            };
+            read.into_iter().for_each(|(edition, digest)| {
+                let node = self.nodes[node].name.clone();
                 self.note(Fact::ReadBack { node, edition, digest, askedAt });
-            }
+            });
             return;
         }
         let submission = self.operators.tokens.remove(&token);
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -187,7 +187,7 @@
     }
 
     pub(super) fn lookup(&mut self, at: usize, work: u64, name: &str, place: &str, askedAt: Duration) {
-        let (staleAfter, lifetime) = World::times();
+        let (staleAfter, lifetime) = (self.weak.staleAfter, self.weak.lifetime);
         let node = &self.nodes[at];
         let origin: Locality = place.parse().unwrap_or_default();
         let view = node.carrier().map(|carrier| carrier.view());
@@ -429,6 +429,10 @@
     pub(super) fn back(&mut self, trip: u64, send: u32, called: Result<Reply, Called>, delay: Duration) {
         let Some(waiting) = self.trips.get(&trip) else { return };
         let reply = called.unwrap_or_else(Reply::failed);
+        if self.weak.trusting {
+            let outcome = reply.failed.map(|_| Outcome::SealedNotRun).unwrap_or(Outcome::Sealed);
+            return self.after_outcome(trip, send, (outcome, Some(reply)), delay);
+        }
         let outcome = reply.judge(&waiting.sent.tryId, waiting.instance.as_deref());
         self.after_outcome(trip, send, (outcome, Some(reply)), delay);
     }
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -159,7 +159,7 @@
             let sheet = sheet.clone();
             return self.at(until, Action::BeatAnswer { unit: at, life, beat, sentAt, sheet });
         }
-        let until = sentAt + Duration::from_millis(spanMs);
+        let until = sentAt + Duration::from_millis(spanMs) + self.weak.holdsOn;
         let given: BTreeMap<u32, u64> = sheet
             .list("shares")
             .iter()
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -23,8 +23,6 @@
 /// How long the run goes on after that.
 pub const AFTERWARDS: Duration = Duration::from_secs(4);
 const PER_SECOND: u64 = 40;
-const STALE_AFTER: Duration = Duration::from_millis(2000);
-const LIFETIME: Duration = Duration::from_millis(2000);
 
 /// What happens at a moment.
 pub enum Action {
@@ -72,6 +70,26 @@
     }
 }
 
+/// What a deliberately broken system does wrong, to show that the checkers see it. The default is the real one.
+#[derive(Clone, Copy, Debug)]
+pub struct Weakness {
+    pub staleAfter: Duration,
+    pub lifetime: Duration,
+    /// Disks tell that they synced, and lose it in a power cut.
+    pub disksLie: bool,
+    /// Proxies pass on whatever an upstream says, and call a lost verdict busy.
+    pub trusting: bool,
+    /// Upstreams hold their shares this much longer than they may.
+    pub holdsOn: Duration,
+}
+
+impl Default for Weakness {
+    fn default() -> Self {
+        let span = Duration::from_millis(2000);
+        Weakness { staleAfter: span, lifetime: span, disksLie: false, trusting: false, holdsOn: Duration::ZERO }
+    }
+}
+
 /// What a run came to.
 pub struct Outcome {
     pub seed: u64,
@@ -99,6 +117,7 @@
     pub(super) shape: Shape,
     pub(super) net: Net,
     pub(super) hotKey: bool,
+    pub(super) weak: Weakness,
     pub(super) nodes: Vec<Node>,
     pub(super) units: Vec<Unit>,
     pub(super) trips: BTreeMap<u64, Trip>,
@@ -125,6 +144,7 @@
             dice,
             net: Net::default(),
             hotKey: false,
+            weak: Weakness::default(),
             nodes: Vec::new(),
             units: Vec::new(),
             trips: BTreeMap::new(),
@@ -161,8 +181,12 @@
         self.seen.push((self.now, fact));
     }
 
-    pub(super) fn times() -> (Duration, Duration) {
-        (STALE_AFTER, LIFETIME)
+    /// The same world with something taken away that the rules rest on.
+    pub fn weakened(seed: u64, plan: Plan, weak: Weakness) -> World {
+        let mut world = World::new(seed, Some(plan));
+        world.nodes.iter_mut().for_each(|node| node.site.staleAfter = weak.staleAfter);
+        world.weak = weak;
+        world
     }
 
     /// Runs to the end and judges.
@@ -226,7 +250,8 @@
             .filter(|node| node.up && node.frozen.is_none())
             .filter_map(|node| {
                 let view = node.carrier()?.view();
-                view.is_fresh(self.now - node.startedAt, STALE_AFTER).then(|| (node.name.clone(), view.edition))
+                view.is_fresh(self.now - node.startedAt, self.weak.staleAfter)
+                    .then(|| (node.name.clone(), view.edition))
             })
             .collect();
         serving.into_iter().for_each(|(node, edition)| self.note(Fact::InForce { node, edition }));
--- a/crates/drill/tests/seeds.rs
+++ b/crates/drill/tests/seeds.rs
@@ -1,7 +1,8 @@
 //! The fixed set of simulator seeds, and every seed that once showed a failure.
 
-use drill::sim::{FAULTS, Plan, run};
+use drill::sim::{FAULTS, Fault, Plan, Step, Weakness, World, run};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 /// Runs jobs on all cores; gives the text of those that were not fine.
 fn failures(jobs: Vec<(Option<String>, u64)>) -> Vec<String> {
@@ -45,3 +46,45 @@
     let plans = [("freeze+cut-zone", 4), ("freeze+dark-zone", 2), ("freeze+evacuate-cut", 2)];
     assert_eq!(failures(plans.map(|(plan, seed)| (Some(plan.to_owned()), seed)).to_vec()), Vec::<String>::new());
 }
+
+/// All three regions lose their power at the same moment.
+fn blackout() -> Plan {
+    let (at, until) = (Duration::from_secs(17), Duration::from_secs(20));
+    let step = |region| Step { at, until, fault: Fault::DarkRegion(region) };
+    Plan { steps: (0..3).map(step).collect() }
+}
+
+#[test]
+fn what_was_accepted_survives_a_blackout() {
+    (1..9).for_each(|seed| {
+        let outcome = run(seed, Some(blackout()));
+        assert_eq!(outcome.violations, vec![], "seed {seed}");
+        assert!(outcome.fine(), "seed {seed}: served again only after {:?}", outcome.resumedAfter);
+    });
+}
+
+/// Rules broken by a world that lacks one thing they rest on, over a few seeds.
+fn broken_by(plan: &str, weak: Weakness) -> Vec<u32> {
+    let plan = |seed| if plan == "blackout" { blackout() } else { Plan::named(plan, seed).expect("a known plan") };
+    let runs = (1..7).map(|seed| World::weakened(seed, plan(seed), weak).run());
+    let mut broken: Vec<u32> = runs.flat_map(|run| run.violations.into_iter().map(|v| v.rule)).collect();
+    broken.sort_unstable();
+    broken.dedup();
+    broken
+}
+
+#[test]
+fn a_system_that_is_broken_on_purpose_is_caught() {
+    let long = Duration::from_secs(60);
+    let cases = [
+        ("garble+lose-answers", Weakness { trusting: true, ..Weakness::default() }, vec![1, 2, 3]),
+        ("quiet", Weakness { lifetime: Duration::from_secs(7), ..Weakness::default() }, vec![4]),
+        ("evacuate-cut", Weakness { staleAfter: long, ..Weakness::default() }, vec![6, 7]),
+        ("blackout", Weakness { disksLie: true, ..Weakness::default() }, vec![8]),
+        ("freeze-placement+pause-unit", Weakness { holdsOn: long, ..Weakness::default() }, vec![11]),
+    ];
+    cases.into_iter().for_each(|(plan, weak, rules)| {
+        let broken = broken_by(plan, weak);
+        assert!(rules.iter().all(|rule| broken.contains(rule)), "{plan}: {rules:?} expected, {broken:?} seen");
+    });
+}
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -211,6 +211,7 @@
         let Some((route, service)) = found else {
             return self.answer(Code::NoSuchName, None);
         };
+        self.notes.push(format!("asked for {}, which is name {}", self.order.name, route.name));
         self.notes.push(format!("route {} of edition {}, service {}", route.id, view.edition, service.name));
         if self.order.bodyBytes > service.mostBytes {
             return self.answer(Code::TooLarge, None);
@@ -226,6 +227,8 @@
         self.notes.push(format!("owner {} at epoch {}", reservation.locality, reservation.epoch));
         let home = is_home(service, &here) && !view.evacuated.contains(&here);
         let mark = view.marks.get(&(route.name.clone(), here.clone()));
+        let told = mark.map(|mark| format!("mark here: moved to {} at epoch {}", mark.to, mark.epoch));
+        self.notes.extend(told);
         let away = reservation.locality != here && (mark.is_some() || !home);
         if away {
             return self.forward(now, view, service, &reservation.locality);
