Wires between places for real processes: delays and cuts

Cause: links between real processes could not be cut, and all places were equally near.

Each process is known to the others by an address of drill's ('--told', for whoever sits behind such an address), which passes on what comes, late by the distance, and nothing while a cut lies between.

--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -30,6 +30,7 @@
     setting("locality", Shape::Locality, None, "where it stands"),
     setting("http", Shape::Address, None, "where origins, upstreams and operators call (HTTP)"),
     setting("link", Shape::Address, None, "where other processes connect (TCP) and probe (UDP)"),
+    setting("told", Shape::Addresses, Some(""), "the link address that others use, where it is not 'link' itself"),
     setting("seeds", Shape::Addresses, Some(""), "link addresses of other processes"),
     setting("serve", Shape::SomeOf(&["proxy", "directory"]), Some("proxy,directory"), "its roles"),
 ];
@@ -97,12 +98,13 @@
     let link = TcpListener::bind(bind("link")).await.map_err(|e| failed("link", e))?;
     let probe = UdpSocket::bind(bind("link")).await.map_err(|e| failed("link (UDP)", e))?;
     let locality: Locality = settings.get("locality").parse()?;
+    let told = Some(settings.get("told")).filter(|told| !told.is_empty()).unwrap_or(settings.get("link")).to_owned();
     let me = Member {
         node: settings.get("node").into(),
         locality: locality.to_string(),
         roles: settings.get("serve").into(),
-        probeAddress: settings.get("link").into(),
-        linkAddress: settings.get("link").into(),
+        probeAddress: told.clone(),
+        linkAddress: told,
         httpAddress: settings.get("http").into(),
         ..Member::default()
     };
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A site's processes on this one machine: real daemons on loopback addresses.
 
 use crate::shapes::Shape;
+use crate::wires::End;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -24,6 +25,8 @@
 pub struct Fleet {
     pub postmasters: Vec<Process>,
     pub carriers: Vec<Process>,
+    /// Where the wires between them end.
+    pub ends: Vec<End>,
     folder: PathBuf,
 }
 
@@ -56,6 +59,13 @@
         });
     }
 
+    /// The most memory it ever held, in KiB.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Waits until it has ended by itself; its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.take().and_then(|mut child| child.wait().ok()).and_then(|status| status.code())
@@ -91,19 +101,26 @@
         std::fs::create_dir_all(folder)?;
         // A loopback number for each machine keeps its ports its own.
         let ip = |machine: usize| format!("127.0.{}.{}", 1 + std::process::id() % 200, 1 + machine);
-        let mut links: Vec<(String, String)> = Vec::new();
+        let on_machine = |machine: usize| if machine < shape.disks { 2 } else { 1 };
+        let mut ends = Vec::new();
         for machine in 0..shape.machines {
-            links.push((free_address(&ip(machine))?, free_address(&ip(machine))?));
+            for _ in 0..on_machine(machine) {
+                let address = |ip: &str| free_address(ip)?.parse().map_err(io::Error::other);
+                ends.push(End { machine, link: address(&ip(machine))?, told: address(&ip(machine))? });
+            }
         }
-        let seeds = links.iter().take(3).map(|(link, _)| link.clone()).collect::<Vec<_>>().join(",");
-        let process = |kind: &str, machine: usize, link: &str, more: &[String], data: Option<PathBuf>| {
+        let first = |machine: usize| ends.iter().find(|end| end.machine == machine);
+        let seeds = (0..3).filter_map(first).map(|end| end.told.to_string()).collect::<Vec<_>>().join(",");
+        let process = |kind: &str, end: &End, more: &[String], data: Option<PathBuf>| {
+            let machine = end.machine;
             let http = free_address(&ip(machine))?;
             let node = format!("{kind}-{machine}");
             let flags = [
                 ("--node", node.as_str()),
                 ("--locality", &shape.locality(machine)),
                 ("--http", &http),
-                ("--link", link),
+                ("--link", &end.link.to_string()),
+                ("--told", &end.told.to_string()),
                 ("--seeds", &seeds),
             ];
             let flags = flags.iter().flat_map(|(name, value)| [(*name).to_owned(), (*value).to_owned()]);
@@ -111,16 +128,18 @@
             let (program, log) = (programs.join(kind), folder.join(format!("{node}.log")));
             io::Result::Ok(Process { node, machine, http, program, flags, log, data, child: None })
         };
-        let mut fleet = Fleet { postmasters: Vec::new(), carriers: Vec::new(), folder: folder.to_owned() };
-        for (machine, (first, second)) in links.iter().enumerate() {
-            if machine < shape.disks {
-                let data = folder.join(format!("data-{machine}"));
+        let folder = folder.to_owned();
+        let mut fleet = Fleet { postmasters: Vec::new(), carriers: Vec::new(), ends: ends.clone(), folder };
+        for (at, end) in ends.iter().enumerate() {
+            let is_office = end.machine < shape.disks && first(end.machine).is_some_and(|first| first.link == end.link);
+            if is_office {
+                let data = fleet.folder.join(format!("data-{}", end.machine));
                 let more = ["--roster-size", &shape.disks.to_string(), "--data", &data.to_string_lossy()];
                 let more: Vec<String> = more.iter().map(|flag| (*flag).to_owned()).collect();
-                fleet.postmasters.push(process("postmaster", machine, first, &more, Some(data))?);
+                fleet.postmasters.push(process("postmaster", &ends[at], &more, Some(data))?);
+            } else {
+                fleet.carriers.push(process("carrier", &ends[at], &[], None)?);
             }
-            let link = if machine < shape.disks { second } else { first };
-            fleet.carriers.push(process("carrier", machine, link, &[], None)?);
         }
         Ok(fleet)
     }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod shapes;
 pub mod sim;
 pub mod upstreams;
+pub mod wires;
 
 #[cfg(test)]
 mod breaches;
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,5 +1,6 @@
 //! Brings a site up on this machine, loads it, breaks it, and judges what was seen.
 
+mod measure;
 mod plans;
 mod runs;
 mod seeds;
@@ -17,6 +18,8 @@
   --plan     what to break while it is loaded (default quiet); one of those below
   --keep     lay data and logs out here and leave them; otherwise in a folder that is removed
 
+       drill measure     what the path costs: latency, news, messages
+
        drill sim [--seeds FROM..UNTIL] [--plan PLAN] [--show WHAT]
 
   --seeds    which seeds to run (default 1..50)
@@ -39,6 +42,13 @@
             0
         }
         Ok(Some(Wish::Fleet(run))) => i32::from(!runs::fleet(run).await),
+        Ok(Some(Wish::Measure)) => measure::all().await.map_or_else(
+            |text| {
+                eprintln!("drill: {text}");
+                1
+            },
+            |()| 0,
+        ),
         Ok(Some(Wish::Sim(sim))) => i32::from(!seeds::run(&sim)),
         Err(text) => {
             eprintln!("drill: {text}; see --help");
@@ -51,6 +61,7 @@
 enum Wish {
     Fleet(runs::Run),
     Sim(seeds::Sim),
+    Measure,
 }
 
 fn read_flags() -> Result<Option<Wish>, String> {
@@ -101,6 +112,7 @@
         }
     }
     match verb.as_deref() {
+        Some("measure") => Ok(Some(Wish::Measure)),
         Some("fleet") => Ok(Some(Wish::Fleet(run))),
         Some("sim") => seeds::check(&sim).map(|()| Some(Wish::Sim(sim))),
         Some(other) => Err(format!("'{other}' is no verb of mine")),
--- a/crates/drill/src/plans.rs
+++ b/crates/drill/src/plans.rs
@@ -6,6 +6,7 @@
 use drill::fleet::Fleet;
 use drill::shapes::Shape;
 use drill::upstreams::Unit;
+use drill::wires::{Cut, Wires};
 use std::sync::Arc;
 use std::time::Duration;
 use tariff::Sheet;
@@ -24,11 +25,16 @@
     ("release", "replace a third of the upstreams, each with notice"),
     ("cold", "replace half the upstreams at once by cold ones"),
     ("crash", "crash a third of the upstreams without a word, bring new ones"),
+    ("cut-zone", "cut a zone's links for a quarter of the run"),
+    ("cut-region", "cut a region's links for a quarter of the run"),
+    ("cut-machine", "cut one disk machine's links for a quarter of the run"),
+    ("evacuate-cut", "evacuate a zone whose links are cut"),
     ("storm", "submit 30 setups at once through many nodes"),
 ];
 
 /// Everything that a plan may touch.
 pub struct Scene<'a> {
+    pub wires: Arc<Wires>,
     pub fleet: &'a mut Fleet,
     pub units: &'a mut Vec<Arc<Unit>>,
     pub shape: &'a Shape,
@@ -54,7 +60,16 @@
             "kill" => self.kill(&[1, 5, 8], false).await,
             "freeze" => self.freeze().await,
             "rolling" => self.rolling().await,
+            "cut-zone" => self.cut(Cut::Place(self.shape.locality(0))).await,
+            "cut-region" => self.cut(Cut::Place(self.shape.regions[1].into())).await,
+            "cut-machine" => self.cut(Cut::Machine(4)).await,
             "evacuate" => self.evacuate().await,
+            "evacuate-cut" => {
+                self.wires.cut(vec![Cut::Place(self.shape.locality(0))]);
+                self.evacuate().await?;
+                self.wires.cut(Vec::new());
+                self.all_ready().await
+            }
             "release" => self.replace("release", |at| at % 3 == 0, true, true).await,
             "cold" => self.replace("cold", |at| at % 2 == 0, false, false).await,
             "crash" => self.replace("crash", |at| at % 3 == 0, false, true).await,
@@ -85,6 +100,22 @@
         Ok(())
     }
 
+    async fn cut(&mut self, cut: Cut) -> Result<(), String> {
+        self.note(&format!("{cut:?} cut off"));
+        self.wires.cut(vec![cut]);
+        self.wait().await;
+        self.note("links mended");
+        let mendedAt = self.clock.now();
+        self.wires.cut(Vec::new());
+        self.all_ready().await?;
+        println!("all were ready {:?} after the links were mended", self.clock.now() - mendedAt);
+        Ok(())
+    }
+
+    async fn all_ready(&self) -> Result<(), String> {
+        self.must_be_ready(&self.fleet.nodes()).await
+    }
+
     async fn must_be_ready(&self, nodes: &[String]) -> Result<(), String> {
         let ready = Fleet::ready(nodes, BACK_WITHIN).await;
         ready.then_some(()).ok_or_else(|| "what was broken did not come back".to_owned())
--- a/crates/drill/src/runs.rs
+++ b/crates/drill/src/runs.rs
@@ -4,10 +4,11 @@
 use address::Code;
 use bytes::Bytes;
 use drill::facts::{Fact, Record};
-use drill::fleet::Fleet;
+use drill::fleet::{Fleet, Process};
 use drill::origins::Origins;
 use drill::shapes::Shape;
 use drill::upstreams::Unit;
+use drill::wires::Wires;
 use drill::{report, rules};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
     let programs = std::env::current_exe().map_err(|e| e.to_string())?.parent().map(PathBuf::from).unwrap_or_default();
     let folder = run.keep.clone().unwrap_or_else(|| std::env::temp_dir().join(format!("drill-{}", std::process::id())));
     let mut fleet = Fleet::new(&run.shape, &programs, &folder).map_err(|e| e.to_string())?;
+    let wires = Wires::lay(run.shape.clone(), fleet.ends.clone()).await.map_err(|e| format!("wires: {e}"))?;
     fleet.start().map_err(|e| format!("cannot start the daemons beside drill: {e}"))?;
     let nodes = Arc::new(fleet.nodes());
     if !Fleet::ready(&nodes, READY_WITHIN).await {
@@ -76,7 +78,7 @@
     let loading = origins.clone();
     let (perSecond, span) = (run.perSecond.unwrap_or(run.shape.perSecond), run.load);
     let load = tokio::spawn(async move { loading.load(perSecond, span).await });
-    let scene = Scene { fleet: &mut fleet, units: &mut units, shape: &run.shape, record: &record, clock, span };
+    let scene = Scene { wires, fleet: &mut fleet, units: &mut units, shape: &run.shape, record: &record, clock, span };
     scene.play(&run.plan).await?;
     load.await.map_err(|e| e.to_string())?;
     watcher.abort();
@@ -87,6 +89,9 @@
     let title = format!("{} at {perSecond}/s for {span:?}, plan {}", run.shape.name, run.plan);
     let fine = report::print(&title, &seen, &ended, &violations);
     println!("postmasters that read the same setup back: {alike} of {}", fleet.postmasters.len());
+    let peak = |processes: &[Process]| processes.iter().filter_map(Process::peak_memory).max().unwrap_or(0) / 1024;
+    let (carriers, postmasters) = (peak(&fleet.carriers), peak(&fleet.postmasters));
+    println!("most memory of one carrier: {carriers} MiB, of one postmaster: {postmasters} MiB");
     let whole = alike == fleet.postmasters.len();
     units.iter().for_each(|unit| unit.crash());
     if run.keep.is_none() {
--- a/crates/drill/src/shapes.rs
+++ b/crates/drill/src/shapes.rs
@@ -13,6 +13,9 @@
     pub disks: usize,
     pub perService: usize,
     pub perSecond: u64,
+    /// One way, in microseconds: within a region, and between regions.
+    pub nearMicros: u64,
+    pub farMicros: u64,
     pub services: [Work; 3],
 }
 
@@ -39,6 +42,8 @@
     disks: 6,
     perService: 12,
     perSecond: 120,
+    nearMicros: 1500,
+    farMicros: 20_000,
     services: [
         work("practice", false, false, 0, 50),
         work("booking", true, false, 2, 30),
@@ -54,6 +59,8 @@
     disks: 6,
     perService: 13,
     perSecond: 680,
+    nearMicros: 500,
+    farMicros: 35_000,
     services: [
         work("clause", false, false, 0, 50),
         work("posting", true, true, 0, 30),
@@ -85,6 +92,22 @@
         format!("{region}/{region}-{}", 1 + at / 3 % 2)
     }
 
+    /// How long anything takes from one machine to another.
+    ///
+    /// ```
+    /// assert_eq!(drill::shapes::ROADWISE.distance(0, 1).as_millis(), 20);
+    /// assert!(drill::shapes::ROADWISE.distance(0, 6).is_zero(), "the same zone");
+    /// ```
+    pub fn distance(&self, from: usize, to: usize) -> std::time::Duration {
+        let (here, there) = (self.locality(from), self.locality(to));
+        let micros = match (here == there, from % 3 == to % 3) {
+            (true, _) => 0,
+            (_, true) => self.nearMicros,
+            _ => self.farMicros,
+        };
+        std::time::Duration::from_micros(micros)
+    }
+
     /// The regions where a service's work may go.
     ///
     /// ```
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -4,7 +4,6 @@
 use super::operators::What;
 use super::world::{LOAD_FROM, World};
 use crate::facts::Fact;
-use crate::shapes::Shape;
 use address::Dice;
 use std::time::Duration;
 
@@ -140,7 +139,7 @@
     }
 
     /// One or two faults, drawn; two may overlap.
-    pub(super) fn drawn(dice: &mut Dice, _: &Shape) -> Plan {
+    pub(super) fn drawn(dice: &mut Dice) -> Plan {
         let count = 1 + dice.below(2);
         let steps = (0..count).map(|_| {
             let (_, draw) = FAULTS[dice.below(FAULTS.len() as u64) as usize];
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -104,6 +104,7 @@
     /// Of the work started in the whole run, in thousandths, how much was served.
     pub servedPerMille: u64,
     pub parcels: u64,
+    pub lasted: Duration,
     /// A digest over everything seen.
     pub digest: String,
 }
@@ -135,8 +136,16 @@
     /// A site that is about to start.
     pub fn new(seed: u64, plan: Option<Plan>) -> World {
         let mut dice = Dice::new(seed);
-        let shape = ROADWISE;
-        let plan = plan.unwrap_or_else(|| Plan::drawn(&mut dice, &shape));
+        let plan = plan.unwrap_or_else(|| Plan::drawn(&mut dice));
+        World::lay_out(seed, dice, plan, ROADWISE)
+    }
+
+    /// A quiet site of another size.
+    pub fn sized(seed: u64, shape: Shape) -> World {
+        World::lay_out(seed, Dice::new(seed), Plan::quiet(), shape)
+    }
+
+    fn lay_out(seed: u64, dice: Dice, plan: Plan, shape: Shape) -> World {
         let mut world = World {
             seed,
             plan,
@@ -274,6 +283,7 @@
             healedAt,
             resumedAfter: lastFailed.saturating_sub(healedAt),
             parcels: self.parcels,
+            lasted: self.now,
             digest,
         }
     }
--- a/crates/drill/tests/site.rs
+++ b/crates/drill/tests/site.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use drill::fleet::Fleet;
 use drill::shapes::{ROADWISE, Shape};
+use drill::wires::Wires;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -18,6 +19,9 @@
     Path::new(env!("CARGO_BIN_EXE_drill")).parent().expect("a folder").to_owned()
 }
 
+/// Path, headers, body, and the code that must come.
+type Case<'a> = (&'a str, Vec<(&'a str, &'a str)>, &'a str, Code);
+
 /// Runs a program to its end: exit code, output, complaints.
 fn run(program: &str, args: &[&str]) -> (i32, String, String) {
     let done = Command::new(programs().join(program)).args(args).output().expect("it was built before the tests");
@@ -29,6 +33,7 @@
     let shape = Shape { machines: 2, disks: 1, ..ROADWISE };
     let folder = std::env::temp_dir().join(format!("site-{name}-{}", std::process::id()));
     let mut fleet = Fleet::new(&shape, &programs(), &folder).expect("free ports");
+    Wires::lay(shape, fleet.ends.clone()).await.expect("free ports");
     fleet.start().expect("daemons that were built before the tests");
     assert!(Fleet::ready(&fleet.nodes(), LIMIT).await, "the site came up");
     fleet
@@ -102,7 +107,7 @@
     let (carrier, postmaster) = (fleet.carriers[0].http.clone(), fleet.postmasters[0].http.clone());
     call(&postmaster, "PUT", "/setup?id=a&wait=force", &[], &ROADWISE.setup(0)).await;
     let (fine, long) = (("x-remaining-ms", "1000"), "x".repeat(70_000));
-    let cases: Vec<(&str, Vec<(&str, &str)>, &str, Code)> = vec![
+    let cases: Vec<Case> = vec![
         ("/r/booking/booking", vec![fine], "", Code::MissingTry),
         ("/r/booking/booking", vec![("x-try-id", "two words"), fine], "", Code::MissingTry),
         ("/r/booking/booking", vec![("x-try-id", "t1")], "", Code::MissingRemaining),
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -30,6 +30,7 @@
     setting("locality", Shape::Locality, None, "where it stands"),
     setting("http", Shape::Address, None, "where operators and upstreams call (HTTP)"),
     setting("link", Shape::Address, None, "where other processes connect (TCP) and probe (UDP)"),
+    setting("told", Shape::Addresses, Some(""), "the link address that others use, where it is not 'link' itself"),
     setting("seeds", Shape::Addresses, Some(""), "link addresses of other processes"),
     setting("roster-size", Shape::Count(1, 31), Some("6"), "how many postmasters vote; a founding needs them all"),
     setting("data", Shape::Folder, None, "the data folder"),
@@ -107,12 +108,13 @@
     let (vault, contents) =
         opened.map_err(|failure| failure.to_string())?.map_err(|failure| format!("data: {failure:?}"))?;
     contents.damaged.iter().for_each(|what| log::warn!("disk: damaged, counts as missing: {what}"));
+    let told = Some(settings.get("told")).filter(|told| !told.is_empty()).unwrap_or(settings.get("link")).to_owned();
     let me = Member {
         node: settings.get("node").into(),
         locality: settings.get("locality").into(),
         roles: "postmaster".into(),
-        probeAddress: settings.get("link").into(),
-        linkAddress: settings.get("link").into(),
+        probeAddress: told.clone(),
+        linkAddress: told,
         httpAddress: settings.get("http").into(),
         ..Member::default()
     };
--- a/crates/wicket/src/links.rs
+++ b/crates/wicket/src/links.rs
@@ -4,9 +4,10 @@
 use futures::{SinkExt, StreamExt};
 use parcel::{Body, Frames, Message, Parcel};
 use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
@@ -27,6 +28,8 @@
 #[derive(Clone)]
 pub struct Links {
     me: String,
+    /// The number that connections go out from, so that the other side sees where they come from.
+    source: Option<IpAddr>,
     table: Arc<Mutex<Table>>,
     arrivals: mpsc::Sender<(String, Body)>,
 }
@@ -49,7 +52,8 @@
     /// # });
     /// ```
     pub fn open(me: String, socket: Option<TcpListener>, arrivals: mpsc::Sender<(String, Body)>) -> Links {
-        let links = Links { me, table: Arc::default(), arrivals };
+        let source = socket.as_ref().and_then(|socket| socket.local_addr().ok()).map(|address| address.ip());
+        let links = Links { me, source, table: Arc::default(), arrivals };
         socket.into_iter().for_each(|socket| {
             let links = links.clone();
             tokio::spawn(async move {
@@ -108,7 +112,7 @@
         dial.into_iter().for_each(|(address, waitlist)| {
             let links = self.clone();
             tokio::spawn(async move {
-                let connected = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(&address)).await;
+                let connected = tokio::time::timeout(CONNECT_WITHIN, links.connect(&address)).await;
                 if let Ok(Ok(stream)) = connected {
                     links.hold(stream, Some(waitlist)).await;
                 }
@@ -116,6 +120,14 @@
         });
     }
 
+    async fn connect(&self, address: &str) -> std::io::Result<TcpStream> {
+        let to: SocketAddr = address.parse().map_err(std::io::Error::other)?;
+        let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        let source = self.source.filter(|source| !source.is_unspecified() && source.is_ipv4() == to.is_ipv4());
+        source.map(|source| socket.bind(SocketAddr::new(source, 0))).transpose()?;
+        socket.connect(to).await
+    }
+
     /// Serves one connection until either side ends it. An accepted one is known by its first parcel.
     async fn hold(self, stream: TcpStream, dialled: Option<Waitlist>) {
         let _ = stream.set_nodelay(true);
