--- a/crates/drill/src/seeds.rs
+++ b/crates/drill/src/seeds.rs
@@ -69,7 +69,7 @@
     text: String,
     violations: usize,
     resumedMs: u64,
-    servedPerMille: u64,
+    servedPerMille: [u64; 3],
     works: usize,
     parcels: u64,
     digest: String,
@@ -87,8 +87,9 @@
             .take(4)
             .for_each(|v| text += &format!("\n    rule {} at {:?}: {}", v.rule, v.at, v.text));
         if !outcome.fine() && outcome.violations.is_empty() {
+            let (healed, again) = (outcome.healedAt, outcome.resumedAfter);
             text +=
-                &format!("\n    healed at {:?}, served again only after {:?}", outcome.healedAt, outcome.resumedAfter);
+                &format!("\n    healed at {healed:?}, served again after {again:?}, {:?} ‰", outcome.servedPerMille);
         }
         Told {
             name: name.unwrap_or_else(|| "drawn".into()),
@@ -119,8 +120,8 @@
     let mut groups: BTreeMap<&str, Vec<&Told>> = BTreeMap::new();
     done.iter().for_each(|told| groups.entry(&told.name).or_default().push(told));
     println!(
-        "{:<34} {:>5} {:>6} {:>5}  {:>24}  {:>18}",
-        "plan", "seeds", "failed", "viol.", "resumed ms p50/most", "served ‰ p50/least"
+        "{:<34} {:>5} {:>6} {:>5}  {:>20}  {:>22}",
+        "plan", "seeds", "failed", "viol.", "resumed ms p50/most", "least ‰ before/in/after"
     );
     groups.into_iter().for_each(|(name, told)| {
         let sorted = |value: fn(&Told) -> u64| {
@@ -128,16 +129,18 @@
             all.sort_unstable();
             all
         };
-        let (resumed, served) = (sorted(|told| told.resumedMs), sorted(|told| told.servedPerMille));
+        let resumed = sorted(|told| told.resumedMs);
+        let least = |part: usize| told.iter().map(|told| told.servedPerMille[part]).min().unwrap_or(0);
         let failed = told.iter().filter(|told| !told.fine).count();
         let violations: usize = told.iter().map(|told| told.violations).sum();
         println!(
-            "{name:<34} {:>5} {failed:>6} {violations:>5}  {:>14} / {:>7}  {:>10} / {:>5}",
+            "{name:<34} {:>5} {failed:>6} {violations:>5}  {:>10} / {:>7}  {:>8} / {:>4} / {:>4}",
             told.len(),
             resumed[resumed.len() / 2],
             resumed[resumed.len() - 1],
-            served[served.len() / 2],
-            served[0],
+            least(0),
+            least(1),
+            least(2),
         );
     });
     let digests: String = done.iter().map(|told| told.digest.as_str()).collect();
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -101,8 +101,9 @@
     pub healedAt: Duration,
     /// How long after that the last piece of work failed.
     pub resumedAfter: Duration,
-    /// Of the work started in the whole run, in thousandths, how much was served.
-    pub servedPerMille: u64,
+    /// Of the work started before the first fault, between it and the last healing, and after that, in
+    /// thousandths, how much was served.
+    pub servedPerMille: [u64; 3],
     pub parcels: u64,
     pub lasted: Duration,
     /// A digest over everything seen.
@@ -271,12 +272,21 @@
         let startedAt = |ended: &Ended| ended.at.saturating_sub(ended.took);
         let failed = self.ended.iter().filter(|ended| ended.code != 1000);
         let lastFailed = failed.map(startedAt).max().unwrap_or(Duration::ZERO);
-        let served = self.ended.iter().filter(|ended| ended.code == 1000).count() as u64;
+        // What was under way when the fault came belongs to the fault.
+        let brokenAt = self.plan.steps.iter().map(|step| step.at).min().unwrap_or(healedAt);
+        let brokenAt = brokenAt.saturating_sub(Duration::from_secs(3));
+        let served = |from: Duration, until: Duration| {
+            let part = self.ended.iter().filter(|ended| (from..until).contains(&startedAt(ended)));
+            let counts = part.fold((0, 0), |(all, served), ended| (all + 1, served + u64::from(ended.code == 1000)));
+            (counts.1 * 1000u64).checked_div(counts.0).unwrap_or(1000)
+        };
+        let servedPerMille =
+            [served(Duration::ZERO, brokenAt), served(brokenAt, healedAt), served(healedAt, Duration::MAX)];
         let digest = parcel::digest(format!("{:?}", self.seen).as_bytes());
         Outcome {
             seed: self.seed,
             plan: self.plan,
-            servedPerMille: served * 1000 / (self.ended.len() as u64).max(1),
+            servedPerMille,
             seen: self.seen,
             ended: self.ended,
             violations,
@@ -292,6 +302,8 @@
 impl Outcome {
     /// True where no rule was broken and service resumed in time.
     pub fn fine(&self) -> bool {
-        self.violations.is_empty() && self.resumedAfter <= RESUME_WITHIN && self.servedPerMille > 0
+        // A site that denies everything breaks no rule; so it must serve all before, and nearly all after.
+        let [before, _, after] = self.servedPerMille;
+        self.violations.is_empty() && self.resumedAfter <= RESUME_WITHIN && before == 1000 && after >= 900
     }
 }
--- a/crates/wicket/src/links.rs
+++ b/crates/wicket/src/links.rs
@@ -13,6 +13,8 @@
 
 const MOST_FRAME_BYTES: usize = 16 * 1024 * 1024;
 const MOST_WAITING: usize = 512;
+/// Beyond so many, links that have ended are forgotten.
+const MOST_LINKS: usize = 4096;
 const CONNECT_WITHIN: Duration = Duration::from_millis(800);
 const WRITE_WITHIN: Duration = Duration::from_secs(3);
 
@@ -158,7 +160,12 @@
                 Err(Some(Ok(Parcel { from, body }))) => {
                     if !registered {
                         registered = true;
-                        self.with(|table| table.open.insert(from.clone(), sender.clone()));
+                        self.with(|table| {
+                            if table.open.len() >= MOST_LINKS {
+                                table.open.retain(|_, sender| !sender.is_closed());
+                            }
+                            table.open.insert(from.clone(), sender.clone());
+                        });
                     }
                     let body = body.into_iter().map(|body| (from.clone(), body));
                     for arrival in body {
