--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -85,8 +85,8 @@
 
 impl Default for Weakness {
     fn default() -> Self {
-        let (staleAfter, lifetime) = (Duration::from_millis(2000), Duration::from_millis(1000));
-        Weakness { staleAfter, lifetime, disksLie: false, trusting: false, holdsOn: Duration::ZERO }
+        let span = Duration::from_millis(2000);
+        Weakness { staleAfter: span, lifetime: span, disksLie: false, trusting: false, holdsOn: Duration::ZERO }
     }
 }
 
--- a/crates/tariff/src/settings.rs
+++ b/crates/tariff/src/settings.rs
@@ -35,7 +35,7 @@
 
 /// The design's time values, the same for both daemons.
 pub const TIMES: &[Setting] = &[
-    span("address-lifetime-ms", "1000", 200, 5000, "how long an origin may keep an address"),
+    span("address-lifetime-ms", "2000", 200, 5000, "how long an origin may keep an address"),
     span("confirm-every-ms", "500", 50, 2000, "how often a majority confirms the edition"),
     span("stale-after-ms", "2000", 200, 3000, "the age at which a view is no longer used"),
     span("probe-every-ms", "300", 20, 5000, "how often one other node is probed"),
