Carriers' acknowledgements are told between postmasters; promises about the sources are tests

Cause: '--wait' took 2 s wherever carriers follow different postmasters, since each knew only its own readers. A postmaster now tells the others which edition a carrier acknowledged to it.

--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -6,6 +6,7 @@
 use super::world::{Action, World};
 use crate::facts::Fact;
 use crate::shapes::Work;
+use crate::upstreams::given_slots;
 use parcel::{Share, Upstream};
 use postmaster::{Answer, Ask};
 use std::collections::BTreeMap;
@@ -160,12 +161,7 @@
             return self.at(until, Action::BeatAnswer { unit: at, life, beat, sentAt, sheet });
         }
         let until = sentAt + Duration::from_millis(spanMs) + self.weak.holdsOn;
-        let given: BTreeMap<u32, u64> = sheet
-            .list("shares")
-            .iter()
-            .filter_map(|run| Some((run.count("from")?, run.count("until")?, run.count("epoch")?)))
-            .flat_map(|(from, until, epoch)| (from..until).map(move |slot| (slot as u32, epoch)))
-            .collect();
+        let given = given_slots(sheet);
         let (service, instance) = (unit.work.service.to_owned(), unit.instance.clone());
         let gone: Vec<u32> = unit.holds.keys().filter(|slot| !given.contains_key(slot)).copied().collect();
         gone.iter().for_each(|slot| {
--- a/crates/drill/src/upstreams.rs
+++ b/crates/drill/src/upstreams.rs
@@ -40,6 +40,21 @@
     close: watch::Sender<bool>,
 }
 
+/// The slots, with their epochs, that the answer to a beat names.
+///
+/// ```
+/// let sheet = tariff::Sheet::read(r#"{"shares": [{"from": 3, "until": 5, "epoch": 7}]}"#).unwrap();
+/// assert_eq!(drill::upstreams::given_slots(&sheet).into_iter().collect::<Vec<_>>(), [(3, 7), (4, 7)]);
+/// ```
+pub fn given_slots(sheet: &Sheet) -> BTreeMap<u32, u64> {
+    sheet
+        .list("shares")
+        .iter()
+        .filter_map(|run| Some((run.count("from")?, run.count("until")?, run.count("epoch")?)))
+        .flat_map(|(from, until, epoch)| (from..until).map(move |slot| (slot as u32, epoch)))
+        .collect()
+}
+
 impl Unit {
     /// Starts a stand-in on a port the kernel gives; it beats to the nodes in turn.
     #[allow(clippy::too_many_arguments)]
@@ -161,12 +176,7 @@
         let Some(spanMs) = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some()) else { return };
         let until = sentAt + Duration::from_millis(spanMs);
         let now = self.clock.now();
-        let given: BTreeMap<u32, u64> = sheet
-            .list("shares")
-            .iter()
-            .filter_map(|run| Some((run.count("from")?, run.count("until")?, run.count("epoch")?)))
-            .flat_map(|(from, until, epoch)| (from..until).map(move |slot| (slot as u32, epoch)))
-            .collect();
+        let given = given_slots(sheet);
         let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
         let service = self.work.service.to_owned();
         holds.retain(|slot, _| {
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -7,7 +7,7 @@
 pub struct Parcel {
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29")]
+    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30")]
     pub body: Option<Body>,
 }
 
@@ -70,6 +70,8 @@
     RollTold(RollTold),
     #[prost(message, tag = "29")]
     Holder(Holder),
+    #[prost(message, tag = "30")]
+    CarrierKept(CarrierKept),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -545,3 +547,12 @@
     #[prost(uint64, tag = "3")]
     pub edition: u64,
 }
+
+/// A postmaster tells the others which edition a carrier acknowledged to it.
+#[derive(Clone, PartialEq, Message)]
+pub struct CarrierKept {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(uint64, tag = "2")]
+    pub edition: u64,
+}
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -1,7 +1,7 @@
 //! News to carriers: an image, then numbered changes, each acknowledged.
 
 use crate::office::{Effect, Office};
-use parcel::{Body, Fresh, News, NewsAsk, NewsKept, Placement, Upstream, Word};
+use parcel::{Body, CarrierKept, Fresh, News, NewsAsk, NewsKept, Placement, Upstream, Word};
 use std::time::Duration;
 
 const NEWS_EVERY: Duration = Duration::from_millis(100);
@@ -110,13 +110,29 @@
 
     pub(crate) fn news_kept(&mut self, from: &str, kept: &NewsKept) {
         let reader = self.readers.get_mut(from).filter(|reader| reader.stream == kept.stream);
-        reader.into_iter().for_each(|reader| reader.edition = reader.edition.max(kept.edition));
+        let newer = reader.filter(|reader| reader.edition < kept.edition).map(|reader| {
+            reader.edition = kept.edition;
+            CarrierKept { node: from.to_owned(), edition: kept.edition }
+        });
+        newer.into_iter().for_each(|kept| {
+            self.tell_postmasters(Body::CarrierKept(kept.clone()));
+            self.carrier_kept(kept);
+        });
     }
 
-    /// True where every carrier that membership knows has acknowledged this edition here.
+    pub(crate) fn carrier_kept(&mut self, kept: CarrierKept) {
+        let known = self.members.iter().any(|member| member.node == kept.node);
+        let edition = kept.edition;
+        Some(kept.node).filter(|_| known).into_iter().for_each(|node| {
+            let last = self.kept.entry(node).or_insert(0);
+            *last = edition.max(*last);
+        });
+    }
+
+    /// True where every carrier that membership knows has acknowledged this edition to some postmaster.
     pub(crate) fn all_kept(&self, edition: u64) -> bool {
         let mut carriers = self.members.iter().filter(|member| member.roles != "postmaster");
-        carriers.all(|member| self.readers.get(&member.node).is_some_and(|reader| reader.edition >= edition))
+        carriers.all(|member| self.kept.get(&member.node).is_some_and(|kept| *kept >= edition))
     }
 }
 
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -135,6 +135,8 @@
     pub(crate) setup: Arc<Setup>,
     pub(crate) members: Vec<Member>,
     pub(crate) readers: BTreeMap<String, Reader>,
+    /// The edition that each carrier acknowledged, to whichever postmaster.
+    pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waitingForce: Vec<InForce>,
     pub(crate) readWaits: Vec<ReadWait>,
     pub(crate) beatWaits: BTreeMap<u64, BeatWait>,
@@ -182,6 +184,7 @@
             placedBy: String::new(),
             setup: Arc::default(),
             readers: BTreeMap::new(),
+            kept: BTreeMap::new(),
             waitingForce: Vec::new(),
             readWaits: Vec::new(),
             beatWaits: BTreeMap::new(),
@@ -298,6 +301,7 @@
             Body::Placement(placement) => self.take_placement(now, from, placement),
             Body::NewsAsk(ask) => self.news_asked(now, from, ask),
             Body::NewsKept(kept) => self.news_kept(&from, &kept),
+            Body::CarrierKept(kept) => self.carrier_kept(kept),
             other => self.run_register(now, registered::Event::Parcel { from, body: other }),
         }
     }
@@ -311,6 +315,8 @@
         });
         if changed {
             self.members = self.rounds.members().cloned().collect();
+            let present = |node: &String| self.members.iter().any(|member| member.node == *node);
+            self.kept.retain(|node, _| present(node));
             let book = self.members.iter().map(|member| (member.node.clone(), member.linkAddress.clone()));
             self.effects.push_back(Effect::Addresses(book.collect()));
         }
