A connection that does not come up in 0.5 s is given up, with time left to go elsewhere

Cause: a call into a cut took the request's whole time to find that no connection comes up, and then had none left for another upstream.

--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -337,7 +337,8 @@
                 let cut = to.as_ref().is_none_or(|to| self.net.blocked(&from, to));
                 let delay = to.and_then(|to| self.net.delay(&mut self.dice, &from, &to));
                 // TCP sends a lost packet again; only a cut keeps a connection from coming up.
-                let delay = delay.unwrap_or(if cut { within } else { Duration::from_millis(200) });
+                let delay =
+                    delay.unwrap_or(if cut { within.min(wicket::CONNECT_WITHIN) } else { Duration::from_millis(200) });
                 let call = Action::UnitCall { trip: id, send, address: upstream.address, cut };
                 self.after(delay, call);
                 let late = (Outcome::TimedOut, None);
--- a/crates/wicket/src/call.rs
+++ b/crates/wicket/src/call.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// A connection that does not come up in this time will not; time is left to go elsewhere.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 const MOST_IDLE: usize = 8;
 const MOST_REPLY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -86,11 +88,12 @@
             })
             .body(Full::new(body))
             .map_err(|_| Called::NotConnected)?;
-        let deadline = tokio::time::Instant::now() + within;
+        let startedAt = tokio::time::Instant::now();
+        let (deadline, connectBy) = (startedAt + within, startedAt + CONNECT_WITHIN);
         let idle = if reuse { self.take_idle(address) } else { None };
         let mut sender = match idle {
             Some(sender) => sender,
-            None => tokio::time::timeout_at(deadline, connect(address))
+            None => tokio::time::timeout_at(deadline.min(connectBy), connect(address))
                 .await
                 .map_err(|_| Called::NotConnected)?
                 .ok_or(Called::NotConnected)?,
