--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -51,6 +51,8 @@
     InterruptFounding(Vec<usize>),
     /// One key takes most of the traffic.
     HotKey,
+    /// Every upstream of the region-bound services vanishes.
+    HomesGone,
 }
 
 /// How long a rolling restart gives each machine.
@@ -91,6 +93,7 @@
     ("freeze-placement", |_| Fault::FreezePlacement),
     ("founding", |d| Fault::InterruptFounding((0..3).map(|_| d.below(6) as usize).collect())),
     ("hot-key", |_| Fault::HotKey),
+    ("homes-gone", |_| Fault::HomesGone),
 ];
 
 /// One fault and its span.
@@ -295,6 +298,10 @@
                 });
             }),
             Fault::HotKey => self.hotKey = true,
+            Fault::HomesGone => {
+                let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
+                bound.collect::<Vec<_>>().into_iter().for_each(|unit| self.crash_unit(unit));
+            }
             Fault::KillPlacement => fixed.into_iter().for_each(|node| self.kill(node)),
             Fault::FreezePlacement => fixed.into_iter().for_each(|node| self.freeze(node)),
         }
@@ -329,7 +336,7 @@
             }
             Fault::Loss(_) => self.net.lossPerMille = 0,
             Fault::HotKey => self.hotKey = false,
-            Fault::CrashUnits(_) => self.raise_units(),
+            Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
                 if self.units[unit].condition == enrolment::LEAVING {
--- /dev/null
+++ b/crates/parcel/tests/garbage.rs
@@ -0,0 +1,23 @@
+//! Whatever bytes arrive on a link, decoding ends with parcels, with a wait for more, or with a failure.
+
+use arbtest::arbtest;
+use bytes::BytesMut;
+use parcel::{Frames, Message, Parcel};
+use tokio_util::codec::Decoder;
+
+#[test]
+fn no_bytes_make_decoding_panic_or_grow_without_bound() {
+    // Fixed seeds, each of a fixed size: the same run every time.
+    (1..400u64).for_each(|number| {
+        arbtest(|noise| {
+            let bytes: Vec<u8> = noise.arbitrary()?;
+            let _ = Parcel::decode(bytes.as_slice());
+            let mut wire = BytesMut::from(bytes.as_slice());
+            let mut frames = Frames { mostBytes: 4096 };
+            while let Ok(Some(_)) = frames.decode(&mut wire) {}
+            assert!(wire.capacity() <= bytes.len() + 2 * 4096);
+            Ok(())
+        })
+        .seed(number << 32 | 512);
+    });
+}
