--- a/crates/drill/src/plans.rs
+++ b/crates/drill/src/plans.rs
@@ -19,6 +19,8 @@
     ("quiet", "nothing"),
     ("wipe", "kill one disk machine, wipe its disk, start it again"),
     ("kill", "kill three machines at once, start them again"),
+    ("dark-zone", "a zone's machines and upstreams lose power, and come back"),
+    ("dark-region", "a region's machines and upstreams lose power, and come back"),
     ("freeze", "stop two machines' processes for a quarter of the run, let them go on"),
     ("rolling", "end every machine politely in turn and start it again"),
     ("evacuate", "evacuate a zone, take it back"),
@@ -58,6 +60,8 @@
         match plan {
             "wipe" => self.kill(&[2], true).await,
             "kill" => self.kill(&[1, 5, 8], false).await,
+            "dark-zone" => self.darken(&self.shape.locality(0)).await,
+            "dark-region" => self.darken(self.shape.regions[1]).await,
             "freeze" => self.freeze().await,
             "rolling" => self.rolling().await,
             "cut-zone" => self.cut(Cut::Place(self.shape.locality(0))).await,
@@ -116,6 +120,29 @@
         self.must_be_ready(&self.fleet.nodes()).await
     }
 
+    /// Machines and upstreams of a place go at once; both come back.
+    async fn darken(&mut self, place: &str) -> Result<(), String> {
+        let hit = |locality: &str| locality.starts_with(place);
+        self.units.iter().filter(|unit| hit(&unit.locality)).for_each(|unit| unit.crash());
+        let machines: Vec<usize> = (0..self.shape.machines).filter(|at| hit(&self.shape.locality(*at))).collect();
+        self.kill(&machines, false).await?;
+        let nodes = Arc::new(self.fleet.nodes());
+        let gone: Vec<usize> = (0..self.units.len()).filter(|at| hit(&self.units[*at].locality)).collect();
+        for at in gone {
+            self.renew(at, true, nodes.clone()).await?;
+        }
+        Ok(())
+    }
+
+    /// A new instance in the place of an upstream.
+    async fn renew(&mut self, at: usize, warm: bool, nodes: Arc<Vec<String>>) -> Result<(), String> {
+        let old = self.units[at].clone();
+        let (instance, place) = (format!("{}-again", old.instance), old.locality.clone());
+        let unit = Unit::start(old.work, instance, place, warm, nodes, self.clock, self.record.clone());
+        self.units[at] = unit.await.map_err(|e| e.to_string())?;
+        Ok(())
+    }
+
     async fn must_be_ready(&self, nodes: &[String]) -> Result<(), String> {
         let ready = Fleet::ready(nodes, BACK_WITHIN).await;
         ready.then_some(()).ok_or_else(|| "what was broken did not come back".to_owned())
@@ -191,10 +218,7 @@
             } else {
                 old.crash();
             }
-            let instance = format!("{}-again", old.instance);
-            let place = old.locality.clone();
-            let unit = Unit::start(old.work, instance, place, warm, nodes.clone(), self.clock, self.record.clone());
-            self.units[at] = unit.await.map_err(|e| e.to_string())?;
+            self.renew(at, warm, nodes.clone()).await?;
             if notice {
                 // It serves on while news of its leaving travels, and is then ended.
                 tokio::spawn(async move {
