--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -235,7 +235,12 @@
         let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
         let mut reply = Reply::sealed(&order.tryId, &self.units[at].instance, 200, &order.work);
         if garbled {
-            reply.body.truncate(reply.body.len() / 2);
+            // Cut short, or the whole and well sealed verdict of somebody else's try.
+            if self.dice.below(2) == 0 {
+                reply.body.truncate(reply.body.len() / 2);
+            } else {
+                reply = Reply::sealed("try-of-another", &self.units[at].instance, 200, "work-of-another");
+            }
         }
         let called = if lost || !alive { Err(wicket::Called::Lost) } else { Ok(reply) };
         let from = self.units[at].place.clone();
