A look-up reads one name's services; an unused moment is gone

Cause: each directory answer built the map of all names to find one name's services, work that grew with the setup on the path of every look-up; Setup::services_of finds them by name. hear_holder and take_placement took a moment that nothing read.

--- a/crates/gazetteer/src/answer.rs
+++ b/crates/gazetteer/src/answer.rs
@@ -35,9 +35,7 @@
         .filter(|reservation| !view.evacuated.contains(&reservation.locality))
         .ok_or(Code::NoOwner)?;
     let owner: Locality = reservation.locality.parse().map_err(|_| Code::NoOwner)?;
-    let names = view.setup.names();
-    let services = names.get(name).into_iter().flatten().filter_map(|service| view.setup.services.get(*service));
-    let services: Vec<_> = services.collect();
+    let services: Vec<_> = view.setup.services_of(name).collect();
     let mut proxies: Vec<_> = view
         .proxies
         .iter()
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -295,10 +295,10 @@
             }),
             Body::RollAsk(_) => self.roll_asked(now, from),
             Body::RollTold(told) => self.roll_told(now, told),
-            Body::Holder(holder) => self.hear_holder(now, from, holder.epoch),
+            Body::Holder(holder) => self.hear_holder(from, holder.epoch),
             Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
             Body::SharesGiven(given) => self.shares_given(given),
-            Body::Placement(placement) => self.take_placement(now, from, placement),
+            Body::Placement(placement) => self.take_placement(from, placement),
             Body::NewsAsk(ask) => self.news_asked(now, from, ask),
             Body::NewsKept(kept) => self.news_kept(&from, &kept),
             Body::CarrierKept(kept) => self.carrier_kept(kept),
@@ -387,7 +387,7 @@
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
-        self.take_placement(now, told.placedBy, told.placement);
+        self.take_placement(told.placedBy, told.placement);
         self.rollTold = true;
     }
 
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -46,7 +46,7 @@
             // Beats find their way here at once, long before the first decision.
             let me = self.me.node.clone();
             self.effects.push_back(Effect::Note(format!("placement: held under epoch {epoch}")));
-            self.hear_holder(now, me, epoch);
+            self.hear_holder(me, epoch);
             self.tell_postmasters(Body::Holder(Holder { epoch }));
         }
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
@@ -88,20 +88,20 @@
             let placement = placer.placement(now, shares);
             let me = self.me.node.clone();
             self.tell_postmasters(Body::Placement(placement.clone()));
-            self.take_placement(now, me, placement);
+            self.take_placement(me, placement);
         }
     }
 
-    pub(crate) fn take_placement(&mut self, now: Duration, from: String, placement: Placement) {
+    pub(crate) fn take_placement(&mut self, from: String, placement: Placement) {
         let newer = (placement.epoch, placement.number) > (self.placement.epoch, self.placement.number);
         if newer {
-            self.hear_holder(now, from, placement.epoch);
+            self.hear_holder(from, placement.epoch);
             self.placement = placement;
         }
     }
 
     /// Who holds the duty; a lower epoch was overtaken.
-    pub(crate) fn hear_holder(&mut self, _now: Duration, from: String, epoch: u64) {
+    pub(crate) fn hear_holder(&mut self, from: String, epoch: u64) {
         if epoch > self.heldEpoch {
             self.heldEpoch = epoch;
             self.placedBy = from;
--- a/crates/tariff/src/setup.rs
+++ b/crates/tariff/src/setup.rs
@@ -208,6 +208,16 @@
         self.places.get(name).and_then(|byPath| byPath.get(path)).and_then(|id| self.routes.get(id))
     }
 
+    /// The services behind one name, once for each of its routes.
+    ///
+    /// ```
+    /// assert_eq!(tariff::Setup::default().services_of("book").count(), 0);
+    /// ```
+    pub fn services_of(&self, name: &str) -> impl Iterator<Item = &Service> {
+        let ids = self.places.get(name).into_iter().flat_map(BTreeMap::values);
+        ids.filter_map(|id| self.routes.get(id)).filter_map(|route| self.services.get(&route.service))
+    }
+
     /// The services that a name's routes lead to, with its name, for each name.
     ///
     /// ```
