--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -11,9 +11,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
     pub rounds: rounds::Times,
-    pub askEvery: Duration,
+    pub ask_every: Duration,
     /// An answer that takes longer means another postmaster.
-    pub answerWithin: Duration,
+    pub answer_within: Duration,
     /// How long origins keep an address.
     pub lifetime: Duration,
 }
@@ -73,7 +73,7 @@
     Asked {
         source: String,
         nonce: u64,
-        askedAt: Duration,
+        asked_at: Duration,
     },
     /// Answered; asks again in time.
     Content {
@@ -92,7 +92,7 @@
     /// The stream and number of the last news kept; stream 0 wants an image.
     stream: u64,
     number: u64,
-    nextAsk: Duration,
+    next_ask: Duration,
     /// How many sources in a row were of no use.
     misses: usize,
     postmasters: Vec<Member>,
@@ -121,7 +121,7 @@
             following: Following::Nobody,
             stream: 0,
             number: 0,
-            nextAsk: Duration::ZERO,
+            next_ask: Duration::ZERO,
             misses: 0,
             postmasters: Vec::new(),
             phase: Phase::Serving,
@@ -137,7 +137,7 @@
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
-    /// assert_eq!(carrier::Carrier::new(start).view().asOf, None);
+    /// assert_eq!(carrier::Carrier::new(start).view().as_of, None);
     /// ```
     pub fn view(&self) -> &View {
         &self.view
@@ -178,7 +178,7 @@
         let first = self.source().map(str::to_owned);
         let mut known: Vec<&Member> = self.postmasters.iter().collect();
         known.sort_by_key(|member| Some(&member.node) != first.as_ref());
-        known.into_iter().map(|member| member.httpAddress.clone()).collect()
+        known.into_iter().map(|member| member.http_address.clone()).collect()
     }
 
     /// The one reducer: takes an event in, gives effects out.
@@ -229,14 +229,14 @@
     fn learn_members(&mut self, now: Duration) {
         let members: Vec<Member> = self.rounds.members().cloned().collect();
         let here: Locality = self.me.locality.parse().unwrap_or_default();
-        let book = members.iter().map(|member| (member.node.clone(), member.linkAddress.clone()));
+        let book = members.iter().map(|member| (member.node.clone(), member.link_address.clone()));
         self.effects.push(Effect::Addresses(book.collect()));
         let proxies = members.iter().filter(|member| member.roles.contains("proxy"));
         let proxies = proxies
             .filter_map(|member| {
                 let locality = member.locality.parse().ok()?;
                 let suspect = member.condition != rounds::ALIVE;
-                Some(Proxy { node: member.node.clone(), locality, address: member.httpAddress.clone(), suspect })
+                Some(Proxy { node: member.node.clone(), locality, address: member.http_address.clone(), suspect })
             })
             .collect();
         self.view.proxies = Arc::new(proxies);
@@ -268,17 +268,17 @@
             self.turn(Phase::Denying);
         }
         let late = match &self.following {
-            Following::Asked { askedAt, .. } => now >= *askedAt + self.times.answerWithin,
+            Following::Asked { asked_at, .. } => now >= *asked_at + self.times.answer_within,
             _ => false,
         };
         if late {
             self.misses += 1;
             self.stream = 0;
             self.follow(Following::Nobody);
-            self.nextAsk = now;
+            self.next_ask = now;
         }
         let asking = matches!(self.following, Following::Asked { .. });
-        if !asking && now >= self.nextAsk {
+        if !asking && now >= self.next_ask {
             self.ask(now);
         }
     }
@@ -298,10 +298,10 @@
             self.stream = 0;
         }
         let nonce = self.dice.roll();
-        self.nextAsk = now + self.times.askEvery;
+        self.next_ask = now + self.times.ask_every;
         let ask = NewsAsk { nonce, stream: self.stream, number: self.number };
         self.effects.push(Effect::Send { to: source.clone(), body: Body::NewsAsk(ask) });
-        self.follow(Following::Asked { source, nonce, askedAt: now });
+        self.follow(Following::Asked { source, nonce, asked_at: now });
     }
 
     fn news(&mut self, now: Duration, from: String, news: News) {
@@ -332,12 +332,12 @@
 
     fn want_image(&mut self, now: Duration) {
         self.stream = 0;
-        self.nextAsk = now + self.times.askEvery / 10;
+        self.next_ask = now + self.times.ask_every / 10;
     }
 
     fn fresh(&mut self, now: Duration, from: String, fresh: Fresh) {
-        let askedAt = match &self.following {
-            Following::Asked { source, nonce, askedAt } if *source == from && *nonce == fresh.nonce => *askedAt,
+        let asked_at = match &self.following {
+            Following::Asked { source, nonce, asked_at } if *source == from && *nonce == fresh.nonce => *asked_at,
             _ => return,
         };
         self.follow(Following::Content { source: from });
@@ -346,8 +346,8 @@
             return self.want_image(now);
         }
         self.misses = 0;
-        let asOf = askedAt.checked_sub(Duration::from_millis(fresh.ageMs));
-        self.view.asOf = asOf.max(self.view.asOf);
+        let as_of = asked_at.checked_sub(Duration::from_millis(fresh.age_ms));
+        self.view.as_of = as_of.max(self.view.as_of);
         self.effects.push(Effect::Publish);
     }
 }
--- a/crates/carrier/src/serve.rs
+++ b/crates/carrier/src/serve.rs
@@ -44,7 +44,7 @@
 /// assert_eq!(carrier::judge(&reply(&seal, "fine"), "u", Some("a")), Outcome::Garbage);
 /// assert_eq!(carrier::judge(&Err(Called::Lost), "t", Some("a")), Outcome::Lost);
 /// ```
-pub fn judge(called: &Result<Reply, Called>, tryId: &str, instance: Option<&str>) -> Outcome {
+pub fn judge(called: &Result<Reply, Called>, try_id: &str, instance: Option<&str>) -> Outcome {
     match called {
         Err(Called::NotConnected) => Outcome::NotConnected,
         Err(Called::Lost) => Outcome::Lost,
@@ -52,8 +52,8 @@
         Err(Called::Garbage) => Outcome::Garbage,
         Ok(reply) => {
             let answered = reply.header("x-instance");
-            let whole = reply.header("x-try-id") == tryId
-                && reply.header("x-seal") == parcel::seal(tryId, answered, reply.status, &reply.body);
+            let whole = reply.header("x-try-id") == try_id
+                && reply.header("x-seal") == parcel::seal(try_id, answered, reply.status, &reply.body);
             let mine = instance.is_none_or(|instance| instance == answered);
             match (whole, mine, reply.status) {
                 (false, ..) => Outcome::Garbage,
@@ -74,18 +74,18 @@
             Ok(order) => order,
             Err(code) => {
                 self.count(code);
-                let tryId = enquiry.header("x-try-id");
-                return self.stamp(wicket::verdict(code, sorting::come_back(code, 0.0, tryId)), tryId);
+                let try_id = enquiry.header("x-try-id");
+                return self.stamp(wicket::verdict(code, sorting::come_back(code, 0.0, try_id)), try_id);
             }
         };
-        let tryId = order.tryId.clone();
+        let try_id = order.try_id.clone();
         let mut journey = Journey::new(order.clone(), self.site.clone());
         let mut next = journey.start(self.clock.now(), &self.view.load(), &self.board);
         let (mut connection, mut reply) = (None, None);
         let response = loop {
             let outcome = match next {
                 Move::Connect { upstream, within } => match Connection::open(&upstream.address, within).await {
-                    Err(failed) => judge(&Err(failed), &tryId, None),
+                    Err(failed) => judge(&Err(failed), &try_id, None),
                     Ok(open) => {
                         connection = Some((open, upstream.instance.clone()));
                         next = journey.connected(self.clock.now(), &self.view.load(), &self.board);
@@ -96,7 +96,7 @@
                     let Some((open, instance)) = connection.take() else { break wicket::verdict(Code::Lost, None) };
                     let epoch = share.map(|share| share.epoch.to_string());
                     let called = self.send(&enquiry, &order, open, &order.path, within, epoch).await;
-                    let outcome = judge(&called, &tryId, Some(&instance));
+                    let outcome = judge(&called, &try_id, Some(&instance));
                     reply = called.ok();
                     outcome
                 }
@@ -107,18 +107,18 @@
                 }
                 Move::Forward { proxies, within } => {
                     let called = self.forward(&enquiry, &order, &proxies, within).await;
-                    let last = called.as_ref().ok().filter(|reply| self.is_final(reply, &tryId)).cloned();
+                    let last = called.as_ref().ok().filter(|reply| self.is_final(reply, &try_id)).cloned();
                     if last.is_some() {
                         self.counters.forwarded.fetch_add(1, Ordering::Relaxed);
                     }
-                    let judged = judge(&called, &tryId, None);
+                    let judged = judge(&called, &try_id, None);
                     let outcome = last.as_ref().map(|_| Outcome::Sealed).unwrap_or(judged);
                     reply = last;
                     outcome
                 }
-                Move::Answer { code, retryAfter } => {
+                Move::Answer { code, retry_after } => {
                     self.count(code);
-                    break wicket::verdict(code, retryAfter);
+                    break wicket::verdict(code, retry_after);
                 }
                 Move::Pass => {
                     let passed = reply.as_ref().map(pass);
@@ -128,16 +128,16 @@
             };
             next = journey.after(self.clock.now(), &self.view.load(), &self.board, outcome);
         };
-        self.traces.keep(tryId.clone(), journey.into_notes());
-        self.stamp(response, &tryId)
+        self.traces.keep(try_id.clone(), journey.into_notes());
+        self.stamp(response, &try_id)
     }
 
     /// A forwarded request's answer is final: sealed by an upstream, or denied by the other proxy.
-    fn is_final(&self, reply: &Reply, tryId: &str) -> bool {
+    fn is_final(&self, reply: &Reply, try_id: &str) -> bool {
         let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
         let denied = reply.header("x-seal").is_empty() && code.is_some_and(|code| code != Code::Fine);
-        let sealed = judge(&Ok(reply.clone()), tryId, None) != Outcome::Garbage;
-        reply.header("x-try-id") == tryId && (denied || sealed)
+        let sealed = judge(&Ok(reply.clone()), try_id, None) != Outcome::Garbage;
+        reply.header("x-try-id") == try_id && (denied || sealed)
     }
 
     fn enrol(&self, enquiry: &Enquiry, bell: Bell) -> Result<Order, Code> {
@@ -146,7 +146,8 @@
             .strip_prefix("/r/")
             .and_then(|rest| rest.find('/').map(|at| rest.split_at(at)))
             .ok_or(Code::NoSuchName)?;
-        let tryId = Some(enquiry.header("x-try-id")).filter(|tryId| address::is_id(tryId)).ok_or(Code::MissingTry)?;
+        let try_id =
+            Some(enquiry.header("x-try-id")).filter(|try_id| address::is_id(try_id)).ok_or(Code::MissingTry)?;
         let remaining = enquiry
             .header("x-remaining-ms")
             .parse::<u64>()
@@ -157,13 +158,13 @@
             return Err(Code::Closing);
         }
         Ok(Order {
-            tryId: tryId.to_owned(),
+            try_id: try_id.to_owned(),
             name: name.to_owned(),
             path: path.to_owned(),
             key: Some(enquiry.header("x-key")).filter(|key| !key.is_empty()).map(str::to_owned),
-            arrivedAt: self.clock.now(),
+            arrived_at: self.clock.now(),
             remaining: Duration::from_millis(remaining),
-            bodyBytes: enquiry.body.len() as u64,
+            body_bytes: enquiry.body.len() as u64,
             forwarded: !enquiry.header("x-forwarded-hop").is_empty(),
             bell,
         })
@@ -180,7 +181,7 @@
     ) -> Result<Reply, Called> {
         let remaining = (within.as_millis() as u64).to_string();
         let mut headers = vec![
-            ("x-try-id", order.tryId.as_str()),
+            ("x-try-id", order.try_id.as_str()),
             ("x-remaining-ms", remaining.as_str()),
             ("x-proxy", self.site.node.as_str()),
         ];
@@ -210,9 +211,9 @@
         Err(Called::NotConnected)
     }
 
-    fn stamp(&self, mut response: Response<Full<Bytes>>, tryId: &str) -> Response<Full<Bytes>> {
+    fn stamp(&self, mut response: Response<Full<Bytes>>, try_id: &str) -> Response<Full<Bytes>> {
         let headers = response.headers_mut();
-        if let (true, Ok(value)) = (!tryId.is_empty(), tryId.parse()) {
+        if let (true, Ok(value)) = (!try_id.is_empty(), try_id.parse()) {
             headers.insert("x-try-id", value);
         }
         response
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -54,14 +54,14 @@
 ///
 /// ```
 /// let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap();
-/// assert_eq!(carrier::shell::times(&settings).askEvery.as_millis(), 500);
+/// assert_eq!(carrier::shell::times(&settings).ask_every.as_millis(), 500);
 /// ```
 pub fn times(settings: &Settings) -> Times {
-    let askEvery = settings.span("confirm-every-ms");
+    let ask_every = settings.span("confirm-every-ms");
     let rounds =
-        rounds::Times { probeEvery: settings.span("probe-every-ms"), suspectFor: settings.span("suspect-for-ms") };
+        rounds::Times { probe_every: settings.span("probe-every-ms"), suspect_for: settings.span("suspect-for-ms") };
     let lifetime = settings.span("address-lifetime-ms");
-    Times { rounds, askEvery, answerWithin: askEvery.max(Duration::from_millis(200)), lifetime }
+    Times { rounds, ask_every, answer_within: ask_every.max(Duration::from_millis(200)), lifetime }
 }
 
 #[derive(Default)]
@@ -104,9 +104,9 @@
         node: settings.get("node").into(),
         locality: locality.to_string(),
         roles: settings.get("serve").into(),
-        probeAddress: told.clone(),
-        linkAddress: told,
-        httpAddress: settings.get("http").into(),
+        probe_address: told.clone(),
+        link_address: told,
+        http_address: settings.get("http").into(),
         ..Member::default()
     };
     log::info!("start: carrier {} in {locality}, serving {}", me.node, me.roles);
@@ -136,7 +136,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = std::pin::pin!(wicket::stop_signal());
     let mut datagram = vec![0u8; 65_536];
-    let mut nextSweep = Duration::ZERO;
+    let mut next_sweep = Duration::ZERO;
     loop {
         let event = tokio::select! {
             _ = tick.tick() => Event::Tick,
@@ -170,8 +170,8 @@
             }
             Effect::Note(text) => log::info!("news: {text}"),
         });
-        if now >= nextSweep {
-            nextSweep = now + Duration::from_secs(1);
+        if now >= next_sweep {
+            next_sweep = now + Duration::from_secs(1);
             let view = node.view.load();
             node.board.sweep(now, |instance| view.upstreams.values().any(|known| known.contains_key(instance)));
         }
@@ -194,7 +194,7 @@
     }
 
     fn ready(&self) -> Code {
-        let fresh = self.view.load().is_fresh(self.clock.now(), self.site.staleAfter);
+        let fresh = self.view.load().is_fresh(self.clock.now(), self.site.stale_after);
         match (self.closing.load(Ordering::Acquire), fresh) {
             (true, _) => Code::Closing,
             (false, false) => Code::Stale,
@@ -208,7 +208,7 @@
         let view = self.view.load();
         let Ok(origin) = origin else { return wicket::verdict(Code::Malformed, None) };
         let salt = format!("{}{origin}", enquiry.query("name"));
-        if !view.is_fresh(self.clock.now(), self.site.staleAfter) {
+        if !view.is_fresh(self.clock.now(), self.site.stale_after) {
             return wicket::verdict(Code::Stale, sorting::come_back(Code::Stale, 0.0, &salt));
         }
         match gazetteer::list(&view, enquiry.query("name"), &origin, self.lifetime) {
@@ -244,11 +244,11 @@
                 ("deniedIn10s", tally.denied.into()),
             ])
         });
-        let ageMs = self.view.load().asOf.map(|asOf| (now.saturating_sub(asOf).as_millis() as u64).into());
+        let age_ms = self.view.load().as_of.map(|as_of| (now.saturating_sub(as_of).as_millis() as u64).into());
         let sheet = Sheet::fields([
             ("listings", count(&self.counters.listings)),
             ("forwarded", count(&self.counters.forwarded)),
-            ("viewAgeMs", ageMs.unwrap_or(Sheet::Null)),
+            ("viewAgeMs", age_ms.unwrap_or(Sheet::Null)),
             ("services", services.collect()),
             ("setAside", self.board.ejected(now).into_iter().map(Sheet::from).collect()),
             ("codes", Sheet::Fields(codes)),
@@ -259,14 +259,14 @@
     fn show_node(&self) -> Response<Full<Bytes>> {
         let view = self.view.load();
         let now = self.clock.now();
-        let ageMs = view.asOf.map(|asOf| (now.saturating_sub(asOf).as_millis() as u64).into());
+        let age_ms = view.as_of.map(|as_of| (now.saturating_sub(as_of).as_millis() as u64).into());
         let proxies = view.proxies.iter().map(|proxy| Sheet::from(proxy.node.as_str()));
         let sheet = Sheet::fields([
             ("node", self.site.node.as_str().into()),
             ("locality", self.site.locality.to_string().into()),
             ("roles", self.roles.as_str().into()),
             ("edition", view.edition.into()),
-            ("ageMs", ageMs.unwrap_or(Sheet::Null)),
+            ("ageMs", age_ms.unwrap_or(Sheet::Null)),
             ("ready", (self.ready() == Code::Fine).into()),
             ("proxies", proxies.collect()),
         ]);
@@ -276,11 +276,11 @@
     /// What would be decided for such a request at this moment. Nothing is sent, and nothing is counted.
     fn show_supposed(&self, enquiry: &Enquiry) -> Response<Full<Bytes>> {
         let order = Order {
-            tryId: "supposed".into(),
+            try_id: "supposed".into(),
             name: enquiry.query("name").into(),
             path: enquiry.query("path").into(),
             key: Some(enquiry.query("key")).filter(|key| !key.is_empty()).map(str::to_owned),
-            arrivedAt: self.clock.now(),
+            arrived_at: self.clock.now(),
             remaining: Duration::from_secs(1),
             ..Order::default()
         };
@@ -288,19 +288,19 @@
         self.show_notes("supposed", notes.iter().map(Note::to_string).collect())
     }
 
-    fn show_notes(&self, tryId: &str, notes: Vec<String>) -> Response<Full<Bytes>> {
+    fn show_notes(&self, try_id: &str, notes: Vec<String>) -> Response<Full<Bytes>> {
         let sheet = Sheet::fields([
             ("code", u64::from(Code::Fine.number()).into()),
             ("node", self.site.node.as_str().into()),
-            ("tryId", tryId.into()),
+            ("tryId", try_id.into()),
             ("notes", notes.into_iter().map(Sheet::from).collect()),
         ]);
         wicket::json(Code::Fine, &sheet)
     }
 
-    fn show_trace(&self, tryId: &str) -> Response<Full<Bytes>> {
-        let notes = self.traces.find(tryId);
-        notes.map_or_else(|| wicket::verdict(Code::NoSuchTrace, None), |notes| self.show_notes(tryId, notes))
+    fn show_trace(&self, try_id: &str) -> Response<Full<Bytes>> {
+        let notes = self.traces.find(try_id);
+        notes.map_or_else(|| wicket::verdict(Code::NoSuchTrace, None), |notes| self.show_notes(try_id, notes))
     }
 }
 
--- a/crates/carrier/src/traces.rs
+++ b/crates/carrier/src/traces.rs
@@ -24,13 +24,13 @@
     /// assert!(traces.find("t0").is_none());
     /// assert!(traces.find("t4999").is_some());
     /// ```
-    pub fn keep(&self, tryId: String, notes: Vec<Note>) {
+    pub fn keep(&self, try_id: String, notes: Vec<Note>) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let oldest = self.places.insert(number % MOST_TRACES, tryId.clone());
+        let oldest = self.places.insert(number % MOST_TRACES, try_id.clone());
         oldest.into_iter().for_each(|oldest| {
             self.notes.remove_if(&oldest, |_, (kept, _)| *kept + MOST_TRACES <= number);
         });
-        self.notes.insert(tryId, (number, notes));
+        self.notes.insert(try_id, (number, notes));
     }
 
     /// The notes of a try, as text.
@@ -40,7 +40,7 @@
     /// traces.keep("t".into(), vec![sorting::Note::Called]);
     /// assert_eq!(traces.find("t").unwrap(), ["called: a seat may be free"]);
     /// ```
-    pub fn find(&self, tryId: &str) -> Option<Vec<String>> {
-        self.notes.get(tryId).map(|kept| kept.1.iter().map(Note::to_string).collect())
+    pub fn find(&self, try_id: &str) -> Option<Vec<String>> {
+        self.notes.get(try_id).map(|kept| kept.1.iter().map(Note::to_string).collect())
     }
 }
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -64,9 +64,9 @@
 #[derive(Debug, PartialEq)]
 enum Stand {
     Resting,
-    Asking { epoch: u64, nonce: u64, askedAt: Duration, grants: BTreeSet<String> },
+    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
     Holding { epoch: u64, until: Duration },
-    Renewing { epoch: u64, until: Duration, nonce: u64, askedAt: Duration, grants: BTreeSet<String> },
+    Renewing { epoch: u64, until: Duration, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
     Closed,
 }
 
@@ -80,14 +80,14 @@
     /// Grants that wait for their epoch's sync.
     pending: BTreeMap<u64, (String, ClaimAsk, Duration)>,
     /// The highest epoch heard of: a new claim asks for one more.
-    seenEpoch: u64,
+    seen_epoch: u64,
     /// The highest epoch granted by this voter: a new claim must have a higher one.
-    grantedEpoch: u64,
+    granted_epoch: u64,
     stand: Stand,
-    nextAsk: Duration,
+    next_ask: Duration,
     /// This voter grants no new claim before this: it may have forgotten, or slept over, whom it granted.
-    quietUntil: Duration,
-    lastStep: Option<Duration>,
+    quiet_until: Duration,
+    last_step: Option<Duration>,
     effects: Vec<Effect>,
 }
 
@@ -107,12 +107,12 @@
             dice: Dice::new(seed),
             granted: None,
             pending: BTreeMap::new(),
-            seenEpoch: 0,
-            grantedEpoch: 0,
+            seen_epoch: 0,
+            granted_epoch: 0,
             stand: Stand::Resting,
-            nextAsk: Duration::ZERO,
-            quietUntil: times.span,
-            lastStep: None,
+            next_ask: Duration::ZERO,
+            quiet_until: times.span,
+            last_step: None,
             effects: Vec::new(),
         }
     }
@@ -157,8 +157,8 @@
             Event::Tick => self.tick(now),
             Event::Roster { roster, epoch } => {
                 self.roster = roster;
-                self.seenEpoch = self.seenEpoch.max(epoch);
-                self.grantedEpoch = self.grantedEpoch.max(epoch);
+                self.seen_epoch = self.seen_epoch.max(epoch);
+                self.granted_epoch = self.granted_epoch.max(epoch);
             }
             Event::Parcel { from, body } => self.take(now, &from, body),
             Event::EpochKept { token } => {
@@ -177,9 +177,9 @@
     /// nothing tells which: so a holder lets go, since what it gave out may seem to have run out and has not, and a
     /// voter is as careful as after a start.
     fn mind_gap(&mut self, now: Duration) {
-        let last = self.lastStep.replace(now);
+        let last = self.last_step.replace(now);
         if last.is_some_and(|last| now > last + self.times.margin) {
-            self.quietUntil = now + self.times.span;
+            self.quiet_until = now + self.times.span;
             if !matches!(self.stand, Stand::Resting | Stand::Closed) {
                 self.give_up(now, Duration::ZERO);
             }
@@ -190,7 +190,7 @@
     fn turn_wait(&mut self) -> Duration {
         let count = self.roster.len().max(1) as u64;
         let at = self.roster.iter().position(|voter| *voter == self.me).unwrap_or(0) as u64;
-        let rank = (at + self.seenEpoch) % count;
+        let rank = (at + self.seen_epoch) % count;
         Duration::from_millis(20 + rank * 120 + self.dice.below(40))
     }
 
@@ -205,21 +205,21 @@
         }
         let phase = self.times.span / 6;
         match &self.stand {
-            Stand::Resting if now >= self.nextAsk && now >= self.times.span => self.ask(now),
-            Stand::Asking { askedAt, .. } if now >= *askedAt + phase => self.give_up(now, Duration::ZERO),
+            Stand::Resting if now >= self.next_ask && now >= self.times.span => self.ask(now),
+            Stand::Asking { asked_at, .. } if now >= *asked_at + phase => self.give_up(now, Duration::ZERO),
             Stand::Holding { until, .. } | Stand::Renewing { until, .. } if now >= *until => {
                 self.give_up(now, Duration::ZERO)
             }
-            Stand::Holding { .. } if now >= self.nextAsk => self.renew(now),
-            Stand::Renewing { askedAt, .. } if now >= *askedAt + phase => self.renew(now),
+            Stand::Holding { .. } if now >= self.next_ask => self.renew(now),
+            Stand::Renewing { asked_at, .. } if now >= *asked_at + phase => self.renew(now),
             _ => {}
         }
     }
 
     fn ask(&mut self, now: Duration) {
-        self.seenEpoch += 1;
-        let (epoch, nonce) = (self.seenEpoch, self.dice.roll());
-        self.turn(Stand::Asking { epoch, nonce, askedAt: now, grants: BTreeSet::new() });
+        self.seen_epoch += 1;
+        let (epoch, nonce) = (self.seen_epoch, self.dice.roll());
+        self.turn(Stand::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new() });
         self.ask_all(now, ClaimAsk { epoch, nonce, renewal: false });
     }
 
@@ -230,7 +230,7 @@
         };
         held.into_iter().for_each(|(epoch, until)| {
             let nonce = self.dice.roll();
-            self.turn(Stand::Renewing { epoch, until, nonce, askedAt: now, grants: BTreeSet::new() });
+            self.turn(Stand::Renewing { epoch, until, nonce, asked_at: now, grants: BTreeSet::new() });
             self.ask_all(now, ClaimAsk { epoch, nonce, renewal: true });
         });
     }
@@ -247,7 +247,7 @@
 
     fn give_up(&mut self, now: Duration, wait: Duration) {
         self.drop_claim();
-        self.nextAsk = now + wait + self.turn_wait();
+        self.next_ask = now + wait + self.turn_wait();
         self.turn(Stand::Resting);
     }
 
@@ -274,7 +274,7 @@
                 self.dropped(from, drop.epoch);
                 if held && self.stand == Stand::Resting {
                     // The duty is free: no need to wait for the end of its span.
-                    self.nextAsk = now + self.turn_wait();
+                    self.next_ask = now + self.turn_wait();
                 }
             }
             _ => {}
@@ -295,26 +295,26 @@
         // higher epoch to a candidate that failed: no other can have won meanwhile.
         let renewal = ask.renewal && busy.is_none_or(|granted| granted.holder == from);
         let wait = match busy {
-            _ if now < self.quietUntil => Some(self.quietUntil - now),
+            _ if now < self.quiet_until => Some(self.quiet_until - now),
             // A candidate that has not won may drop its votes any moment.
             Some(granted) if granted.holder != from && !granted.renewed => Some(Duration::ZERO),
             Some(granted) if granted.holder != from => Some(granted.until - now),
             _ => None,
         };
-        let stale = ask.epoch <= self.grantedEpoch;
-        let known = self.seenEpoch;
+        let stale = ask.epoch <= self.granted_epoch;
+        let known = self.seen_epoch;
         if wait.is_none() && renewal {
             self.grant(now, from, &ask);
         } else if wait.is_none() && !stale && self.pending.is_empty() {
             let token = self.dice.roll();
-            self.seenEpoch = self.seenEpoch.max(ask.epoch);
-            self.grantedEpoch = ask.epoch;
+            self.seen_epoch = self.seen_epoch.max(ask.epoch);
+            self.granted_epoch = ask.epoch;
             self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
             self.pending.insert(token, (from.to_owned(), ask, now));
         } else {
-            let waitMs = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
+            let wait_ms = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
             let ClaimAsk { epoch, nonce, .. } = ask;
-            let deny = ClaimGrant { epoch, nonce, granted: false, highestEpoch: known, waitMs };
+            let deny = ClaimGrant { epoch, nonce, granted: false, highest_epoch: known, wait_ms };
             self.answer(now, from, deny);
         }
     }
@@ -323,7 +323,7 @@
         let until = now + self.times.span;
         self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until, renewed: ask.renewal });
         let ClaimAsk { epoch, nonce, .. } = *ask;
-        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highestEpoch: epoch, waitMs: 0 });
+        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highest_epoch: epoch, wait_ms: 0 });
     }
 
     fn answer(&mut self, now: Duration, to: &str, grant: ClaimGrant) {
@@ -336,12 +336,11 @@
 
     /// The candidate's side.
     fn answered(&mut self, now: Duration, from: &str, grant: ClaimGrant) {
-        self.seenEpoch = self.seenEpoch.max(grant.highestEpoch);
+        self.seen_epoch = self.seen_epoch.max(grant.highest_epoch);
         let voters = majority(self.roster.len());
-        let (nonce, askedAt, epoch, grants) = match &mut self.stand {
-            Stand::Asking { nonce, askedAt, epoch, grants } | Stand::Renewing { nonce, askedAt, epoch, grants, .. } => {
-                (*nonce, *askedAt, *epoch, grants)
-            }
+        let (nonce, asked_at, epoch, grants) = match &mut self.stand {
+            Stand::Asking { nonce, asked_at, epoch, grants }
+            | Stand::Renewing { nonce, asked_at, epoch, grants, .. } => (*nonce, *asked_at, *epoch, grants),
             _ => return,
         };
         if nonce != grant.nonce {
@@ -350,11 +349,11 @@
         if grant.granted && self.roster.iter().any(|voter| voter == from) {
             grants.insert(from.to_owned());
             if grants.len() >= voters {
-                self.nextAsk = askedAt + self.times.span / 3;
-                self.turn(Stand::Holding { epoch, until: askedAt + self.times.span - self.times.margin });
+                self.next_ask = asked_at + self.times.span / 3;
+                self.turn(Stand::Holding { epoch, until: asked_at + self.times.span - self.times.margin });
             }
         } else if matches!(self.stand, Stand::Asking { .. }) {
-            let wait = Duration::from_millis(grant.waitMs.min(self.times.span.as_millis() as u64));
+            let wait = Duration::from_millis(grant.wait_ms.min(self.times.span.as_millis() as u64));
             self.give_up(now, wait);
         }
     }
--- a/crates/claims/tests/arbitrary.rs
+++ b/crates/claims/tests/arbitrary.rs
@@ -13,10 +13,10 @@
     claims: Claims,
     /// The highest epoch that its disk has.
     epoch: u64,
-    bornAt: Duration,
+    born_at: Duration,
     /// In parts of a thousand: up to one in a hundred.
     drift: i64,
-    frozenUntil: Duration,
+    frozen_until: Duration,
 }
 
 struct Site {
@@ -38,13 +38,13 @@
 fn born(at: usize, seed: u64, epoch: u64, now: Duration, drift: i64) -> Node {
     let mut claims = Claims::new(name(at), times(), seed);
     claims.step(Duration::ZERO, Event::Roster { roster: (0..VOTERS).map(name).collect(), epoch });
-    Node { claims, epoch, bornAt: now, drift, frozenUntil: Duration::ZERO }
+    Node { claims, epoch, born_at: now, drift, frozen_until: Duration::ZERO }
 }
 
 impl Site {
     fn step(&mut self, at: usize, event: Event) {
         let node = &mut self.nodes[at];
-        let lived = self.now - node.bornAt;
+        let lived = self.now - node.born_at;
         let local = lived.mul_f64(1.0 + node.drift as f64 / 1000.0);
         let effects = node.claims.step(local, event);
         effects.into_iter().for_each(|effect| match effect {
@@ -55,7 +55,7 @@
             Effect::RaiseEpoch { epoch, token } => self.syncs.push((at, epoch, token)),
         });
         let holders = self.nodes.iter().filter(|node| {
-            let local = (self.now - node.bornAt).mul_f64(1.0 + node.drift as f64 / 1000.0);
+            let local = (self.now - node.born_at).mul_f64(1.0 + node.drift as f64 / 1000.0);
             node.claims.holds(local).is_some()
         });
         let count = holders.count();
@@ -64,7 +64,7 @@
     }
 
     fn awake(&self, at: usize) -> bool {
-        self.now >= self.nodes[at].frozenUntil
+        self.now >= self.nodes[at].frozen_until
     }
 
     fn act(&mut self, noise: &mut Unstructured) -> arbtest::arbitrary::Result<()> {
@@ -76,7 +76,7 @@
                 self.syncs.retain(|(node, ..)| *node != at);
                 self.nodes[at] = born(at, seed, epoch, self.now, drift);
             }
-            1 => self.nodes[at].frozenUntil = self.now + MS(noise.int_in_range(0..=4000)?),
+            1 => self.nodes[at].frozen_until = self.now + MS(noise.int_in_range(0..=4000)?),
             2..=9 if !self.wire.is_empty() => {
                 let lost = noise.int_in_range(0..=self.wire.len() - 1)?;
                 self.wire.swap_remove(lost);
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -166,7 +166,7 @@
             let (region, zone) = place.split_once('/').unwrap_or((place, ""));
             get(format!("/directory?name={name}&region={region}&zone={zone}"))
         }
-        ["trace", tryId] => get(format!("/trace?try={tryId}")),
+        ["trace", try_id] => get(format!("/trace?try={try_id}")),
         ["trace"] => {
             let wanted = flags.name.as_deref().zip(flags.path.as_deref());
             let (name, path) = wanted.ok_or((exit::USAGE, "trace: give a try, or --name and --path".to_owned()))?;
--- a/crates/clerk/src/manifest.rs
+++ b/crates/clerk/src/manifest.rs
@@ -33,8 +33,8 @@
     // Gateways first, whatever the order: routes name them.
     [true, false].into_iter().for_each(|gateways| {
         sheets.iter().enumerate().for_each(|(at, sheet)| {
-            let isGateway = sheet.text("kind") == Some("Gateway");
-            if isGateway == gateways {
+            let is_gateway = sheet.text("kind") == Some("Gateway");
+            if is_gateway == gateways {
                 desk.document(sheet, &format!("/{at}"));
             }
         });
--- a/crates/clerk/src/site.rs
+++ b/crates/clerk/src/site.rs
@@ -12,8 +12,8 @@
 struct Told {
     node: String,
     locality: String,
-    isVoter: bool,
-    isSuspect: bool,
+    is_voter: bool,
+    is_suspect: bool,
     said: Option<Sheet>,
 }
 
@@ -28,16 +28,16 @@
     let mut asking = JoinSet::new();
     members.iter().for_each(|member| {
         let text = |name: &str| member.text(name).unwrap_or_default().to_owned();
-        let (node, locality, http, isVoter) =
+        let (node, locality, http, is_voter) =
             (text("node"), text("locality"), text("http"), text("roles") == "postmaster");
-        let isSuspect = text("condition") != "alive";
+        let is_suspect = text("condition") != "alive";
         asking.spawn(async move {
-            let said = ask(&http, if isVoter { "/status" } else { "/node" }).await;
-            Told { node, locality, isVoter, isSuspect, said }
+            let said = ask(&http, if is_voter { "/status" } else { "/node" }).await;
+            Told { node, locality, is_voter, is_suspect, said }
         });
     });
     let mut all = asking.join_all().await;
-    all.sort_by(|a, b| (!a.isVoter, &a.node).cmp(&(!b.isVoter, &b.node)));
+    all.sort_by(|a, b| (!a.is_voter, &a.node).cmp(&(!b.is_voter, &b.node)));
     all
 }
 
@@ -54,14 +54,14 @@
     let (mut lines, mut wrong) = (Vec::new(), Vec::new());
     let truth = |sheet: &Sheet, name: &str| sheet.get(name) == Some(&Sheet::Truth(true));
     let edition = status.count("edition").unwrap_or(0);
-    let ageMs = status.count("ageMs").map(|age| format!("{age} ms ago")).unwrap_or("never".into());
-    lines.push(format!("edition {edition}, confirmed by a majority {ageMs}"));
+    let age_ms = status.count("ageMs").map(|age| format!("{age} ms ago")).unwrap_or("never".into());
+    lines.push(format!("edition {edition}, confirmed by a majority {age_ms}"));
     if !truth(status, "current") {
         wrong.push("the node that was asked has not heard from a majority lately: it can't know now".into());
     }
     let behind: Vec<&str> = told
         .iter()
-        .filter(|told| !told.isVoter)
+        .filter(|told| !told.is_voter)
         .filter(|told| told.said.as_ref().is_some_and(|said| truth(said, "ready")))
         .filter(|told| told.said.as_ref().and_then(|said| said.count("edition")).unwrap_or(0) < edition)
         .map(|told| told.node.as_str())
@@ -80,7 +80,7 @@
     told.iter().for_each(|told| {
         let line = told.said.as_ref().map(|said| {
             let edition = said.count("edition").unwrap_or(0);
-            let ageMs = said.count("ageMs").map(|age| format!("{age} ms old")).unwrap_or("never confirmed".into());
+            let age_ms = said.count("ageMs").map(|age| format!("{age} ms old")).unwrap_or("never confirmed".into());
             let standing = match said.text("standing") {
                 Some(standing) => standing.to_owned(),
                 None if truth(said, "ready") => "ready".into(),
@@ -89,13 +89,13 @@
             if standing != "voting" && standing != "ready" {
                 wrong.push(format!("{} is {standing}", told.node));
             }
-            format!("{standing}, edition {edition}, {ageMs}")
+            format!("{standing}, edition {edition}, {age_ms}")
         });
         if line.is_none() {
             wrong.push(format!("{} does not answer", told.node));
         }
-        let suspect = if told.isSuspect { ", suspect" } else { "" };
-        let kind = if told.isVoter { "postmaster" } else { "carrier" };
+        let suspect = if told.is_suspect { ", suspect" } else { "" };
+        let kind = if told.is_voter { "postmaster" } else { "carrier" };
         let line = line.unwrap_or("no answer".into());
         lines.push(format!("{kind} {} in {}: {line}{suspect}", told.node, told.locality));
     });
--- a/crates/drill/src/breaches.rs
+++ b/crates/drill/src/breaches.rs
@@ -9,9 +9,9 @@
     (Duration::from_millis(ms), fact)
 }
 
-fn arrived(tryId: &str, locality: &str, cold: bool) -> Fact {
+fn arrived(try_id: &str, locality: &str, cold: bool) -> Fact {
     Fact::Arrived {
-        tryId: tryId.into(),
+        try_id: try_id.into(),
         service: "booking".into(),
         instance: "unit-1".into(),
         locality: locality.into(),
@@ -19,21 +19,21 @@
     }
 }
 
-fn ran(work: &str, tryId: &str) -> Fact {
-    Fact::Ran { work: work.into(), tryId: tryId.into(), once: true }
+fn ran(work: &str, try_id: &str) -> Fact {
+    Fact::Ran { work: work.into(), try_id: try_id.into(), once: true }
 }
 
-fn answered(success: bool, whole: bool, notRun: bool) -> Fact {
-    Fact::Answered { tryId: "t1".into(), code: 1000, success, whole, notRun }
+fn answered(success: bool, whole: bool, not_run: bool) -> Fact {
+    Fact::Answered { try_id: "t1".into(), code: 1000, success, whole, not_run }
 }
 
-fn holds(instance: &str, untilMs: u64) -> Fact {
-    let until = Duration::from_millis(untilMs);
+fn holds(instance: &str, until_ms: u64) -> Fact {
+    let until = Duration::from_millis(until_ms);
     Fact::Holds { service: "payment".into(), slot: 3, instance: instance.into(), until }
 }
 
 fn read_back(edition: u64, digest: &str) -> Fact {
-    Fact::ReadBack { node: "pm-1".into(), edition, digest: digest.into(), askedAt: Duration::from_millis(1) }
+    Fact::ReadBack { node: "pm-1".into(), edition, digest: digest.into(), asked_at: Duration::from_millis(1) }
 }
 
 fn in_force(edition: u64) -> Fact {
@@ -46,7 +46,7 @@
 
 fn terms() -> Terms {
     let homes = BTreeSet::from(["north".to_owned()]);
-    Terms { homes: [("booking".to_owned(), homes)].into_iter().collect(), warmUpPerSecond: 1 }
+    Terms { homes: [("booking".to_owned(), homes)].into_iter().collect(), warm_up_per_second: 1 }
 }
 
 /// For each rule: what breaks it, and what just doesn't.
--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -8,7 +8,7 @@
 pub enum Fact {
     /// An upstream was handed a try; `service` is what the try is for.
     Arrived {
-        tryId: String,
+        try_id: String,
         service: String,
         instance: String,
         locality: String,
@@ -17,21 +17,21 @@
     /// An upstream did a piece of work.
     Ran {
         work: String,
-        tryId: String,
+        try_id: String,
         once: bool,
     },
     /// An origin made a try.
     Tried {
         work: String,
-        tryId: String,
+        try_id: String,
     },
     /// An origin got the final answer of a try. `whole`: a success whose seal, try and work are right.
     Answered {
-        tryId: String,
+        try_id: String,
         code: u32,
         success: bool,
         whole: bool,
-        notRun: bool,
+        not_run: bool,
     },
     /// An origin used an address this long after the directory gave it.
     AddressUsed {
@@ -61,7 +61,7 @@
         node: String,
         edition: u64,
         digest: String,
-        askedAt: Duration,
+        asked_at: Duration,
     },
     /// An operator's setup, accepted under an edition; where it leads the probes, and how long the yes took.
     Submitted {
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -78,7 +78,7 @@
     let mut run = runs::Run {
         shape: drill::shapes::ROADWISE,
         load: Duration::from_secs(20),
-        perSecond: None,
+        per_second: None,
         plan: "quiet".into(),
         keep: None,
         untimed: false,
@@ -119,7 +119,7 @@
                 sim.shape = run.shape.clone();
             }
             "seconds" => run.load = Duration::from_secs(number()?),
-            "rate" => run.perSecond = Some(number()?),
+            "rate" => run.per_second = Some(number()?),
             "plan" => {
                 let known = plans::PLANS.iter().any(|(name, _)| *name == value);
                 run.plan = Some(value.clone()).filter(|_| known).ok_or(format!("--plan '{value}' is unknown"))?;
--- a/crates/drill/src/measure.rs
+++ b/crates/drill/src/measure.rs
@@ -58,8 +58,8 @@
     println!("links, simulated, at the site's rate; then a region cut for some seconds:");
     [ROADWISE, KALAM].into_iter().for_each(|site| {
         [1, 2, 4, 8].into_iter().for_each(|times| {
-            let shape = Shape { machines: site.machines * times, perService: site.perService * times, ..site.clone() };
-            let (machines, upstreams) = (shape.machines, shape.perService * 3);
+            let shape = Shape { machines: site.machines * times, per_service: site.per_service * times, ..site.clone() };
+            let (machines, upstreams) = (shape.machines, shape.per_service * 3);
             let quiet = World::new(1, Some(Plan::quiet()), shape.clone()).run();
             let (nodes, seconds) = ((machines + shape.disks) as f64, quiet.lasted.as_secs_f64());
             let cut = World::new(1, Plan::named("cut-region", 1), shape).run();
@@ -68,10 +68,10 @@
                  node; {} of {} served; after the cut served again in {:?}, {} violations",
                 site.name,
                 quiet.parcels as f64 / nodes / seconds,
-                quiet.parcelBytes as f64 / nodes / seconds,
+                quiet.parcel_bytes as f64 / nodes / seconds,
                 quiet.ended.iter().filter(|ended| ended.code == 1000).count(),
                 quiet.ended.len(),
-                cut.resumedAfter,
+                cut.resumed_after,
                 cut.violations.len() + quiet.violations.len(),
             );
         });
@@ -97,19 +97,19 @@
             all[all.len() / 2]
         };
         let shared = (0..2000).map(|_| {
-            let startedAt = Instant::now();
+            let started_at = Instant::now();
             let copy = std::hint::black_box(view.clone());
-            let took = startedAt.elapsed();
+            let took = started_at.elapsed();
             drop(copy);
             took
         });
         let shared = median(shared.collect());
         let whole = (0..2000).map(|_| {
-            let startedAt = Instant::now();
+            let started_at = Instant::now();
             let copy: Vec<Upstream> =
                 view.upstreams.values().flat_map(|known| known.values()).map(|up| (**up).clone()).collect();
             std::hint::black_box(copy);
-            startedAt.elapsed()
+            started_at.elapsed()
         });
         println!("  {count} upstreams: {shared:?} sharing them, {:?} copying them", median(whole.collect()));
     });
@@ -122,8 +122,8 @@
     for round in 0..ROUNDS {
         let (mut direct, mut proxied, mut looked) = (Vec::new(), Vec::new(), Vec::new());
         for at in 0..CALLS {
-            let tryId = format!("m-{round}-{at}");
-            let headers = [("x-try-id", tryId.as_str()), ("x-remaining-ms", "3000")];
+            let try_id = format!("m-{round}-{at}");
+            let headers = [("x-try-id", try_id.as_str()), ("x-remaining-ms", "3000")];
             let routed = format!("/r/{service}/{service}");
             let listed = format!("/directory?name={service}&region=north&zone=north-1");
             direct.push(timed(&caller, &unit.address, "POST", &format!("/{service}"), &headers).await?);
@@ -151,10 +151,10 @@
     path: &str,
     headers: &[(&str, &str)],
 ) -> Result<Duration, String> {
-    let startedAt = Instant::now();
+    let started_at = Instant::now();
     let called = caller.call(node, method, path, headers, Bytes::from_static(b"work"), LIMIT, false).await;
     let reply = called.map_err(|e| format!("{path}: {e:?}"))?;
-    Some(startedAt.elapsed()).filter(|_| reply.status == 200).ok_or(format!("{path}: {}", reply.status))
+    Some(started_at.elapsed()).filter(|_| reply.status == 200).ok_or(format!("{path}: {}", reply.status))
 }
 
 /// From the asking to the edition in force at the last carrier.
@@ -164,10 +164,10 @@
     let caller = Caller::default();
     for round in 0..3 {
         for extra in [0, 1000, 5000, 15000] {
-            let (bytes, startedAt) = (ROADWISE.setup(extra).len(), Instant::now());
+            let (bytes, started_at) = (ROADWISE.setup(extra).len(), Instant::now());
             let id = format!("n-{round}-{extra}");
             let edition = submit(&caller, record, clock, &nodes[1], &id, &ROADWISE, extra).await?;
-            let yes = startedAt.elapsed();
+            let yes = started_at.elapsed();
             let mut behind: BTreeSet<&String> = carriers.iter().collect();
             while !behind.is_empty() {
                 for node in behind.clone() {
@@ -178,7 +178,7 @@
                     }
                 }
             }
-            println!("  {bytes} bytes: yes after {yes:?}, everywhere after {:?}", startedAt.elapsed());
+            println!("  {bytes} bytes: yes after {yes:?}, everywhere after {:?}", started_at.elapsed());
         }
     }
     Ok(())
--- a/crates/drill/src/origins.rs
+++ b/crates/drill/src/origins.rs
@@ -18,7 +18,7 @@
 #[derive(Clone)]
 struct Known {
     proxies: Vec<String>,
-    askedAt: Duration,
+    asked_at: Duration,
     lifetime: Duration,
 }
 
@@ -61,9 +61,9 @@
     }
 
     /// Makes `perSecond` requests for a while, each on its own, whatever became of those before.
-    pub async fn load(self: &Arc<Self>, perSecond: u64, span: Duration) {
+    pub async fn load(self: &Arc<Self>, per_second: u64, span: Duration) {
         let until = self.clock.now() + span;
-        let mut tick = tokio::time::interval(Duration::from_micros(1_000_000 / perSecond.max(1)));
+        let mut tick = tokio::time::interval(Duration::from_micros(1_000_000 / per_second.max(1)));
         let mut under_way = tokio::task::JoinSet::new();
         while self.clock.now() < until {
             tick.tick().await;
@@ -84,34 +84,34 @@
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let mut dice = Dice::new(number);
         let part = dice.below(100);
-        let mut upTo = 0;
+        let mut up_to = 0;
         let at = self.shape.services.iter().position(|work| {
-            upTo += work.percent;
-            part < upTo
+            up_to += work.percent;
+            part < up_to
         });
         let work = self.shape.services[at.unwrap_or(0)];
         let place = self.shape.locality(dice.below(6) as usize);
         let key = format!("key-{}", dice.below(KEYS));
         let (name, id) = (format!("work-{number}"), work.service);
-        let startedAt = self.clock.now();
+        let started_at = self.clock.now();
         let (mut last, mut tries) = (0, 0);
-        while tries < MOST_TRIES && self.clock.now() < startedAt + WITHIN {
+        while tries < MOST_TRIES && self.clock.now() < started_at + WITHIN {
             tries += 1;
-            let left = (startedAt + WITHIN).saturating_sub(self.clock.now());
-            let tryId = format!("try-{number}-{tries}");
-            let (code, wait) = self.attempt(&mut dice, id, &place, &key, &name, &tryId, left).await;
+            let left = (started_at + WITHIN).saturating_sub(self.clock.now());
+            let try_id = format!("try-{number}-{tries}");
+            let (code, wait) = self.attempt(&mut dice, id, &place, &key, &name, &try_id, left).await;
             last = code.map(Code::number).unwrap_or(0);
             if code.is_some_and(|code| code.kind() != Kind::NotRun) {
                 break;
             }
-            let left = (startedAt + WITHIN).saturating_sub(self.clock.now());
+            let left = (started_at + WITHIN).saturating_sub(self.clock.now());
             if wait >= left {
                 break;
             }
             tokio::time::sleep(wait).await;
         }
         let now = self.clock.now();
-        let ended = Ended { at: now, took: now - startedAt, service: work.service, code: last, tries };
+        let ended = Ended { at: now, took: now - started_at, service: work.service, code: last, tries };
         self.ended.lock().unwrap_or_else(PoisonError::into_inner).push(ended);
     }
 
@@ -124,16 +124,16 @@
         place: &str,
         key: &str,
         work: &str,
-        tryId: &str,
+        try_id: &str,
         left: Duration,
     ) -> (Option<Code>, Duration) {
         let soon = Duration::from_millis(200);
         let Some(known) = self.ask(dice, service, place).await else { return (None, soon) };
         let at = dice.below(known.proxies.len() as u64) as usize;
-        self.record.note(self.clock.now(), Fact::AddressUsed { age: self.clock.now() - known.askedAt });
-        self.record.note(self.clock.now(), Fact::Tried { work: work.into(), tryId: tryId.into() });
+        self.record.note(self.clock.now(), Fact::AddressUsed { age: self.clock.now() - known.asked_at });
+        self.record.note(self.clock.now(), Fact::Tried { work: work.into(), try_id: try_id.into() });
         let remaining = left.as_millis().max(1).to_string();
-        let headers = [("x-try-id", tryId), ("x-remaining-ms", remaining.as_str()), ("x-key", key)];
+        let headers = [("x-try-id", try_id), ("x-remaining-ms", remaining.as_str()), ("x-key", key)];
         let path = format!("/r/{service}.{}.example/{service}", self.shape.name);
         let patience = left + Duration::from_millis(500);
         let body = bytes::Bytes::from(work.to_owned());
@@ -147,13 +147,13 @@
             Ok(reply) => {
                 let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
                 let success = reply.status == 200;
-                let seal = parcel::seal(tryId, reply.header("x-instance"), reply.status, &reply.body);
+                let seal = parcel::seal(try_id, reply.header("x-instance"), reply.status, &reply.body);
                 let whole = reply.header("x-seal") == seal
-                    && reply.header("x-try-id") == tryId
+                    && reply.header("x-try-id") == try_id
                     && reply.body == work.as_bytes();
                 let code = code.unwrap_or(Code::Garbage);
-                let notRun = !success && code.kind() == Kind::NotRun;
-                let answered = Fact::Answered { tryId: tryId.into(), code: code.number(), success, whole, notRun };
+                let not_run = !success && code.kind() == Kind::NotRun;
+                let answered = Fact::Answered { try_id: try_id.into(), code: code.number(), success, whole, not_run };
                 self.record.note(self.clock.now(), answered);
                 let wait = reply.header("retry-after").parse().map(Duration::from_secs).unwrap_or(soon);
                 (Some(code), wait)
@@ -164,13 +164,13 @@
     async fn ask(&self, dice: &mut Dice, service: &'static str, place: &str) -> Option<Known> {
         let id = (place.to_owned(), service);
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned();
-        let live = known.filter(|known| self.clock.now() < known.askedAt + known.lifetime);
+        let live = known.filter(|known| self.clock.now() < known.asked_at + known.lifetime);
         if live.is_some() {
             return live;
         }
         let (region, zone) = place.split_once('/')?;
         let path = format!("/directory?name={service}.{}.example&region={region}&zone={zone}", self.shape.name);
-        let askedAt = self.clock.now();
+        let asked_at = self.clock.now();
         let node = &self.directories[dice.below(self.directories.len() as u64) as usize];
         let called = self.caller.call(node, "GET", &path, &[], bytes::Bytes::new(), Duration::from_secs(1), true).await;
         let reply = called.ok().filter(|reply| reply.status == 200)?;
@@ -184,7 +184,7 @@
             })
             .collect();
         let lifetime = Duration::from_millis(sheet.count("lifetimeMs")?);
-        let known = Some(Known { proxies, askedAt, lifetime }).filter(|known| !known.proxies.is_empty())?;
+        let known = Some(Known { proxies, asked_at, lifetime }).filter(|known| !known.proxies.is_empty())?;
         self.known.lock().unwrap_or_else(PoisonError::into_inner).insert(id, known.clone());
         Some(known)
     }
--- a/crates/drill/src/overload.rs
+++ b/crates/drill/src/overload.rs
@@ -13,7 +13,7 @@
 
 struct Case {
     name: &'static str,
-    perSecond: u64,
+    per_second: u64,
     /// Parts of the traffic, by service.
     percent: [u64; 3],
     plan: &'static str,
@@ -21,25 +21,25 @@
 
 const MIX: [u64; 3] = [50, 30, 20];
 const CASES: [Case; 9] = [
-    Case { name: "0.5 of capacity", perSecond: FULL / 2, percent: MIX, plan: "quiet" },
-    Case { name: "0.8", perSecond: FULL * 4 / 5, percent: MIX, plan: "quiet" },
-    Case { name: "1", perSecond: FULL, percent: MIX, plan: "quiet" },
-    Case { name: "2", perSecond: FULL * 2, percent: MIX, plan: "quiet" },
-    Case { name: "5", perSecond: FULL * 5, percent: MIX, plan: "quiet" },
-    Case { name: "one service at 3", perSecond: FULL * 3 / 2, percent: [90, 5, 5], plan: "quiet" },
-    Case { name: "0.5, a key 70 %", perSecond: FULL / 2, percent: MIX, plan: "hot-key" },
-    Case { name: "0.8, a zone lost", perSecond: FULL * 4 / 5, percent: MIX, plan: "dark-zone" },
-    Case { name: "0.8, all cold", perSecond: FULL * 4 / 5, percent: MIX, plan: "cold-all" },
+    Case { name: "0.5 of capacity", per_second: FULL / 2, percent: MIX, plan: "quiet" },
+    Case { name: "0.8", per_second: FULL * 4 / 5, percent: MIX, plan: "quiet" },
+    Case { name: "1", per_second: FULL, percent: MIX, plan: "quiet" },
+    Case { name: "2", per_second: FULL * 2, percent: MIX, plan: "quiet" },
+    Case { name: "5", per_second: FULL * 5, percent: MIX, plan: "quiet" },
+    Case { name: "one service at 3", per_second: FULL * 3 / 2, percent: [90, 5, 5], plan: "quiet" },
+    Case { name: "0.5, a key 70 %", per_second: FULL / 2, percent: MIX, plan: "hot-key" },
+    Case { name: "0.8, a zone lost", per_second: FULL * 4 / 5, percent: MIX, plan: "dark-zone" },
+    Case { name: "0.8, all cold", per_second: FULL * 4 / 5, percent: MIX, plan: "cold-all" },
 ];
 
 /// The ways to compare: today's, without a waitlist, and with every origin coming back after 1 s.
 fn ways() -> [(&'static str, Load); 3] {
     let ms = Duration::from_millis;
-    let load = Load { slots: 2, takes: (ms(60), ms(100)), someSlow: true, ..Load::default() };
+    let load = Load { slots: 2, takes: (ms(60), ms(100)), some_slow: true, ..Load::default() };
     [
         ("today's", load),
-        ("no waitlist", Load { waitFor: Duration::ZERO, ..load }),
-        ("back after 1 s", Load { comeBack: Some(ms(1000)), ..load }),
+        ("no waitlist", Load { wait_for: Duration::ZERO, ..load }),
+        ("back after 1 s", Load { come_back: Some(ms(1000)), ..load }),
     ]
 }
 
@@ -63,7 +63,7 @@
 
 fn one(case: &Case, load: Load, seed: u64) -> Outcome {
     let mut shape: Shape = ROADWISE;
-    shape.perSecond = case.perSecond;
+    shape.per_second = case.per_second;
     shape.services.iter_mut().zip(case.percent).for_each(|(work, percent)| work.percent = percent);
     World::loaded(seed, Plan::named(case.plan, seed).unwrap_or_default(), shape, load).run()
 }
@@ -86,10 +86,10 @@
     let mut tries: BTreeMap<(usize, u128), usize> = BTreeMap::new();
     outcomes.iter().enumerate().for_each(|(run, outcome)| {
         outcome.seen.iter().for_each(|(at, fact)| match fact {
-            Fact::Answered { notRun: true, .. } => denied += 1,
-            Fact::Arrived { tryId, .. } => {
+            Fact::Answered { not_run: true, .. } => denied += 1,
+            Fact::Arrived { try_id, .. } => {
                 arrived += 1;
-                first.insert((run, tryId.as_str()));
+                first.insert((run, try_id.as_str()));
             }
             Fact::Tried { .. } => *tries.entry((run, at.as_millis() / 100)).or_default() += 1,
             _ => {}
--- a/crates/drill/src/plans.rs
+++ b/crates/drill/src/plans.rs
@@ -90,10 +90,10 @@
             "crash" => self.replace("crash", |at| at % 3 == 0, false, true).await,
             "storm" => self.storm().await,
             "race" => self.race().await,
-            "garble" => self.sicken(|at| at % 3 == 0, |_| Ill { garblesPerMille: 300, ..Ill::default() }).await,
+            "garble" => self.sicken(|at| at % 3 == 0, |_| Ill { garbles_per_mille: 300, ..Ill::default() }).await,
             "pause" => {
                 let until = self.clock.now() + self.span / 4;
-                self.sicken(|at| at % 13 == 0, |_| Ill { pausedUntil: until, ..Ill::default() }).await
+                self.sicken(|at| at % 13 == 0, |_| Ill { paused_until: until, ..Ill::default() }).await
             }
             "deaf-units" | "mute-units" => {
                 let here = |process: &&Process| self.shape.locality(process.machine) == self.shape.locality(0);
@@ -101,8 +101,8 @@
                 let proxies: Vec<String> = zone.collect();
                 let deaf = plan == "deaf-units";
                 let ill = |_: usize| match deaf {
-                    true => Ill { deafTo: proxies.clone(), ..Ill::default() },
-                    false => Ill { muteTo: proxies.clone(), ..Ill::default() },
+                    true => Ill { deaf_to: proxies.clone(), ..Ill::default() },
+                    false => Ill { mute_to: proxies.clone(), ..Ill::default() },
                 };
                 self.sicken(|at| at % 6 < 2, ill).await
             }
@@ -126,14 +126,14 @@
         });
         self.wait().await;
         self.note(&format!("machines {machines:?} started again"));
-        let startedAt = self.clock.now();
+        let started_at = self.clock.now();
         let mut back = Vec::new();
         for process in self.fleet.all().filter(|process| hit(process.machine)) {
             process.start().map_err(|e| e.to_string())?;
             back.push(process.http.clone());
         }
         self.must_be_ready(&back).await?;
-        println!("the killed machines were ready after {:?}", self.clock.now() - startedAt);
+        println!("the killed machines were ready after {:?}", self.clock.now() - started_at);
         Ok(())
     }
 
@@ -286,10 +286,10 @@
         self.wires.cut(cuts);
         self.wait().await;
         self.note("links mended");
-        let mendedAt = self.clock.now();
+        let mended_at = self.clock.now();
         self.wires.cut(Vec::new());
         self.all_ready().await?;
-        println!("all were ready {:?} after the links were mended", self.clock.now() - mendedAt);
+        println!("all were ready {:?} after the links were mended", self.clock.now() - mended_at);
         Ok(())
     }
 
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -41,7 +41,7 @@
     let arrived: Vec<&str> = seen
         .iter()
         .filter_map(|(_, fact)| match fact {
-            Fact::Arrived { tryId, .. } => Some(tryId.as_str()),
+            Fact::Arrived { try_id, .. } => Some(try_id.as_str()),
             _ => None,
         })
         .collect();
@@ -63,8 +63,8 @@
     faults.for_each(|(at, what)| {
         let share = |from: Duration, until: Duration| {
             let part = ended.iter().filter(|ended| {
-                let startedAt = ended.at.saturating_sub(ended.took);
-                startedAt >= from && startedAt < until
+                let started_at = ended.at.saturating_sub(ended.took);
+                started_at >= from && started_at < until
             });
             let (all, served) =
                 part.fold((0u64, 0u64), |(all, served), ended| (all + 1, served + u64::from(ended.code == 1000)));
--- a/crates/drill/src/rules.rs
+++ b/crates/drill/src/rules.rs
@@ -10,7 +10,7 @@
     /// Home regions by service; a service that is missing may go anywhere.
     pub homes: BTreeMap<String, BTreeSet<String>>,
     /// First sends a second that one cold upstream may get.
-    pub warmUpPerSecond: u64,
+    pub warm_up_per_second: u64,
 }
 
 /// A rule that was broken, and how.
@@ -61,8 +61,8 @@
 fn runs_once(seen: &[Seen], _: &Terms) -> Vec<Violation> {
     let mut ran = BTreeSet::new();
     let again = |(at, fact): &Seen| match fact {
-        Fact::Ran { work, once: true, tryId } if !ran.insert(work.clone()) => {
-            Some(violation(1, *at, format!("{work} ran again as {tryId}")))
+        Fact::Ran { work, once: true, try_id } if !ran.insert(work.clone()) => {
+            Some(violation(1, *at, format!("{work} ran again as {try_id}")))
         }
         _ => None,
     };
@@ -73,13 +73,13 @@
     let ran: BTreeSet<&str> = seen
         .iter()
         .filter_map(|(_, fact)| match fact {
-            Fact::Ran { tryId, .. } => Some(tryId.as_str()),
+            Fact::Ran { try_id, .. } => Some(try_id.as_str()),
             _ => None,
         })
         .collect();
     let lied = |(at, fact): &Seen| match fact {
-        Fact::Answered { tryId, code, notRun: true, .. } if ran.contains(tryId.as_str()) => {
-            Some(violation(2, *at, format!("{tryId} was answered {code}, but ran")))
+        Fact::Answered { try_id, code, not_run: true, .. } if ran.contains(try_id.as_str()) => {
+            Some(violation(2, *at, format!("{try_id} was answered {code}, but ran")))
         }
         _ => None,
     };
@@ -88,8 +88,8 @@
 
 fn successes_are_whole(seen: &[Seen], _: &Terms) -> Vec<Violation> {
     let bad = |(at, fact): &Seen| match fact {
-        Fact::Answered { tryId, success: true, whole: false, .. } => {
-            Some(violation(3, *at, format!("{tryId} got a success that is not its own whole one")))
+        Fact::Answered { try_id, success: true, whole: false, .. } => {
+            Some(violation(3, *at, format!("{try_id} got a success that is not its own whole one")))
         }
         _ => None,
     };
@@ -113,9 +113,9 @@
         Fact::Leaving { instance } => {
             noticed.entry(instance.clone()).or_insert(*at);
         }
-        Fact::Arrived { instance, tryId, .. } => {
+        Fact::Arrived { instance, try_id, .. } => {
             let late = noticed.get(instance).filter(|noticed| *at > **noticed + Duration::from_secs(3));
-            found.extend(late.map(|_| violation(5, *at, format!("{tryId} reached {instance}, which is leaving"))));
+            found.extend(late.map(|_| violation(5, *at, format!("{try_id} reached {instance}, which is leaving"))));
         }
         _ => {}
     });
@@ -132,9 +132,9 @@
         Fact::Evacuated { locality, back: true } => {
             empty.remove(locality);
         }
-        Fact::Arrived { locality, tryId, .. } => {
+        Fact::Arrived { locality, try_id, .. } => {
             let late = empty.get(locality).filter(|told| *at > **told + Duration::from_secs(5));
-            found.extend(late.map(|_| violation(6, *at, format!("{tryId} reached evacuated {locality}"))));
+            found.extend(late.map(|_| violation(6, *at, format!("{try_id} reached evacuated {locality}"))));
         }
         _ => {}
     });
@@ -214,8 +214,8 @@
             let other = submitted.insert(*edition, digest.clone()).filter(|other| other != digest);
             found.extend(other.map(|_| violation(8, *at, format!("edition {edition} was given twice"))));
         }
-        Fact::ReadBack { node, edition, digest, askedAt } => {
-            let known = accepted.iter().filter(|(told, _)| told < askedAt).map(|(_, edition)| *edition);
+        Fact::ReadBack { node, edition, digest, asked_at } => {
+            let known = accepted.iter().filter(|(told, _)| told < asked_at).map(|(_, edition)| *edition);
             let newest = known.max().unwrap_or(0);
             if *edition < newest {
                 found.push(violation(8, *at, format!("{node} reads back {edition}, {newest} was accepted")));
@@ -234,8 +234,8 @@
     let mut known: BTreeSet<&str> = BTreeSet::new();
     let mut sends: BTreeMap<&str, Vec<(Duration, bool)>> = BTreeMap::new();
     seen.iter().for_each(|(at, fact)| {
-        if let Fact::Arrived { tryId, service, .. } = fact {
-            sends.entry(service.as_str()).or_default().push((*at, !known.insert(tryId.as_str())));
+        if let Fact::Arrived { try_id, service, .. } = fact {
+            sends.entry(service.as_str()).or_default().push((*at, !known.insert(try_id.as_str())));
         }
     });
     let mut found = Vec::new();
@@ -266,7 +266,7 @@
 /// A cold upstream gets at most twice its rate, and a handful, over any 2 s.
 fn warm_up_is_kept(seen: &[Seen], terms: &Terms) -> Vec<Violation> {
     let window = Duration::from_secs(2);
-    let most = terms.warmUpPerSecond * 4 + 4;
+    let most = terms.warm_up_per_second * 4 + 4;
     let mut arrived: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
     let mut found = Vec::new();
     seen.iter().for_each(|(at, fact)| {
@@ -305,10 +305,10 @@
 
 fn homes_are_kept(seen: &[Seen], terms: &Terms) -> Vec<Violation> {
     let outside = |(at, fact): &Seen| match fact {
-        Fact::Arrived { service, locality, tryId, .. } => {
+        Fact::Arrived { service, locality, try_id, .. } => {
             let region = locality.split('/').next().unwrap_or_default();
             let homes = terms.homes.get(service).filter(|homes| !homes.contains(region));
-            homes.map(|_| violation(12, *at, format!("{tryId} of {service} went to {locality}")))
+            homes.map(|_| violation(12, *at, format!("{try_id} of {service} went to {locality}")))
         }
         _ => None,
     };
--- a/crates/drill/src/runs.rs
+++ b/crates/drill/src/runs.rs
@@ -23,7 +23,7 @@
 pub struct Run {
     pub shape: Shape,
     pub load: Duration,
-    pub perSecond: Option<u64>,
+    pub per_second: Option<u64>,
     pub plan: String,
     pub keep: Option<PathBuf>,
     /// Rules that hold within a span are told, and don't decide.
@@ -80,13 +80,13 @@
     let origins = Origins::new(run.shape.clone(), directories.clone(), clock, record.clone());
     served_once(&origins).await?;
     println!("every service served after {:?}", clock.now());
-    let warmUp = origins.ended().len();
+    let warm_up = origins.ended().len();
     let reader = tokio::spawn(read_everywhere(nodes.clone(), record.clone(), clock));
     let prober = tokio::spawn(probe(directories.clone()));
     let watcher = tokio::spawn(watch_editions(directories, record.clone(), clock));
     let loading = origins.clone();
-    let (perSecond, span) = (run.perSecond.unwrap_or(run.shape.perSecond), run.load);
-    let load = tokio::spawn(async move { loading.load(perSecond, span).await });
+    let (per_second, span) = (run.per_second.unwrap_or(run.shape.per_second), run.load);
+    let load = tokio::spawn(async move { loading.load(per_second, span).await });
     let scene = Scene { wires, fleet: &mut fleet, units: &mut units, shape: &run.shape, record: &record, clock, span };
     scene.play(&run.plan).await?;
     load.await.map_err(|e| e.to_string())?;
@@ -96,13 +96,13 @@
     let alike = read_back_all(&caller, &record, &clock, &fleet).await;
     let seen = record.all();
     let violations = rules::judge(&seen, &run.shape.terms());
-    let ended: Vec<_> = origins.ended().into_iter().skip(warmUp).collect();
-    let title = format!("{} at {perSecond}/s for {span:?}, plan {}", run.shape.name, run.plan);
+    let ended: Vec<_> = origins.ended().into_iter().skip(warm_up).collect();
+    let title = format!("{} at {per_second}/s for {span:?}, plan {}", run.shape.name, run.plan);
     report::print(&title, &seen, &ended, &violations);
     let fine = violations.iter().all(|violation| run.untimed && rules::TIMED.contains(&violation.rule));
-    let healedAt = seen.iter().filter(|(_, fact)| matches!(fact, Fact::Fault { .. })).map(|(at, _)| *at).max();
+    let healed_at = seen.iter().filter(|(_, fact)| matches!(fact, Fact::Fault { .. })).map(|(at, _)| *at).max();
     let failed = ended.iter().filter(|ended| ended.code != 1000).map(|ended| ended.at.saturating_sub(ended.took));
-    let resumed = failed.max().unwrap_or_default().saturating_sub(healedAt.unwrap_or_default());
+    let resumed = failed.max().unwrap_or_default().saturating_sub(healed_at.unwrap_or_default());
     println!("last failure {resumed:?} after the last fault ended");
     let fine = fine && (run.untimed || resumed <= RESUME_WITHIN);
     println!("postmasters that read the same setup back: {alike} of {}", fleet.postmasters.len());
@@ -119,12 +119,12 @@
 
 /// While the voters found themselves: two are killed, one of them loses its disk, and both come back.
 async fn interrupt_founding(fleet: &mut Fleet) -> std::io::Result<()> {
-    for waitMs in [150, 300, 450] {
-        tokio::time::sleep(Duration::from_millis(waitMs)).await;
+    for wait_ms in [150, 300, 450] {
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         fleet.postmasters[1].kill();
         fleet.postmasters[4].kill();
         fleet.postmasters[4].wipe();
-        tokio::time::sleep(Duration::from_millis(waitMs)).await;
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         fleet.postmasters[1].start()?;
         fleet.postmasters[4].start()?;
     }
@@ -141,7 +141,7 @@
     shape: &Shape,
     extra: usize,
 ) -> Result<u64, String> {
-    let (setup, mark, submittedAt) = (shape.setup(extra), extra % MARKS.len(), clock.now());
+    let (setup, mark, submitted_at) = (shape.setup(extra), extra % MARKS.len(), clock.now());
     let digest = parcel::digest(setup.as_bytes());
     let path = format!("/setup?id={id}");
     // Unknown or not yet possible: the same id is asked again, and is decided once.
@@ -152,7 +152,7 @@
         let code = sheet.as_ref().and_then(|sheet| sheet.count("code"));
         if code == Some(u64::from(Code::Fine.number())) {
             let edition = sheet.and_then(|sheet| sheet.count("edition")).unwrap_or(0);
-            let took = clock.now() - submittedAt;
+            let took = clock.now() - submitted_at;
             record.note(clock.now(), Fact::Submitted { edition, digest, mark, took });
             record.note(clock.now(), Fact::Accepted { edition });
             return Ok(edition);
@@ -183,9 +183,9 @@
     let caller = Caller::default();
     for number in 0u64.. {
         for (at, carrier) in carriers.iter().enumerate() {
-            let (tryId, caller, carrier) = (format!("probe-{number}-{at}"), caller.clone(), carrier.clone());
+            let (try_id, caller, carrier) = (format!("probe-{number}-{at}"), caller.clone(), carrier.clone());
             tokio::spawn(async move {
-                let headers = [("x-try-id", tryId.as_str()), ("x-remaining-ms", "1000")];
+                let headers = [("x-try-id", try_id.as_str()), ("x-remaining-ms", "1000")];
                 let within = Duration::from_secs(2);
                 let _ = caller.call(&carrier, "POST", "/r/probe/probe", &headers, Bytes::new(), within, false).await;
             });
@@ -200,13 +200,13 @@
         nodes.iter().for_each(|node| {
             let (node, record) = (node.clone(), record.clone());
             tokio::spawn(async move {
-                let (askedAt, within) = (clock.now(), Duration::from_secs(3));
+                let (asked_at, within) = (clock.now(), Duration::from_secs(3));
                 let caller = Caller::default();
                 let called = caller.call(&node, "GET", "/setup", &[], Bytes::new(), within, false).await;
                 called.ok().filter(|reply| reply.status == 200).into_iter().for_each(|reply| {
                     let edition = reply.header("x-edition").parse().unwrap_or(0);
                     let digest = parcel::digest(&reply.body);
-                    record.note(clock.now(), Fact::ReadBack { node: node.clone(), edition, digest, askedAt });
+                    record.note(clock.now(), Fact::ReadBack { node: node.clone(), edition, digest, asked_at });
                 });
             });
         });
@@ -234,12 +234,12 @@
 async fn read_back_all(caller: &Caller, record: &Record, clock: &Clock, fleet: &Fleet) -> usize {
     let mut read = Vec::new();
     for process in &fleet.postmasters {
-        let askedAt = clock.now();
+        let asked_at = clock.now();
         let called = caller.call(&process.http, "GET", "/setup", &[], Bytes::new(), Duration::from_secs(5), false);
         if let Some(reply) = called.await.ok().filter(|reply| reply.status == 200) {
             let edition = reply.header("x-edition").parse().unwrap_or(0);
             let digest = parcel::digest(&reply.body);
-            let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone(), askedAt };
+            let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone(), asked_at };
             record.note(clock.now(), back);
             read.push((edition, digest));
         }
--- a/crates/drill/src/seeds.rs
+++ b/crates/drill/src/seeds.rs
@@ -70,8 +70,8 @@
     fine: bool,
     text: String,
     violations: usize,
-    resumedMs: u64,
-    servedPerMille: [u64; 3],
+    resumed_ms: u64,
+    served_per_mille: [u64; 3],
     works: usize,
     parcels: u64,
     digest: String,
@@ -89,9 +89,9 @@
             .take(4)
             .for_each(|v| text += &format!("\n    rule {} at {:?}: {}", v.rule, v.at, v.text));
         if !outcome.fine() && outcome.violations.is_empty() {
-            let (healed, again) = (outcome.healedAt, outcome.resumedAfter);
+            let (healed, again) = (outcome.healed_at, outcome.resumed_after);
             text +=
-                &format!("\n    healed at {healed:?}, served again after {again:?}, {:?} ‰", outcome.servedPerMille);
+                &format!("\n    healed at {healed:?}, served again after {again:?}, {:?} ‰", outcome.served_per_mille);
             let late = outcome.ended.iter().filter(|ended| ended.code != 1000 && ended.at > healed).rev().take(5);
             late.for_each(|ended| text += &format!("\n    {ended:?}"));
         }
@@ -101,8 +101,8 @@
             fine: outcome.fine(),
             text,
             violations: outcome.violations.len(),
-            resumedMs: outcome.resumedAfter.as_millis() as u64,
-            servedPerMille: outcome.servedPerMille,
+            resumed_ms: outcome.resumed_after.as_millis() as u64,
+            served_per_mille: outcome.served_per_mille,
             works: outcome.ended.len(),
             parcels: outcome.parcels,
             digest: outcome.digest,
@@ -133,8 +133,8 @@
             all.sort_unstable();
             all
         };
-        let resumed = sorted(|told| told.resumedMs);
-        let least = |part: usize| told.iter().map(|told| told.servedPerMille[part]).min().unwrap_or(0);
+        let resumed = sorted(|told| told.resumed_ms);
+        let least = |part: usize| told.iter().map(|told| told.served_per_mille[part]).min().unwrap_or(0);
         let failed = told.iter().filter(|told| !told.fine).count();
         let violations: usize = told.iter().map(|told| told.violations).sum();
         println!(
--- a/crates/drill/src/shapes.rs
+++ b/crates/drill/src/shapes.rs
@@ -11,11 +11,11 @@
     /// Machines; the first six have a disk and run a postmaster beside their carrier.
     pub machines: usize,
     pub disks: usize,
-    pub perService: usize,
-    pub perSecond: u64,
+    pub per_service: usize,
+    pub per_second: u64,
     /// One way, in microseconds: within a region, and between regions.
-    pub nearMicros: u64,
-    pub farMicros: u64,
+    pub near_micros: u64,
+    pub far_micros: u64,
     pub services: [Work; 3],
 }
 
@@ -40,10 +40,10 @@
     regions: ["north", "middle", "south"],
     machines: 13,
     disks: 6,
-    perService: 12,
-    perSecond: 120,
-    nearMicros: 1500,
-    farMicros: 20_000,
+    per_service: 12,
+    per_second: 120,
+    near_micros: 1500,
+    far_micros: 20_000,
     services: [
         work("practice", false, false, 0, 50),
         work("booking", true, false, 2, 30),
@@ -57,10 +57,10 @@
     regions: ["gandhinagar", "vadodara", "bhavnagar"],
     machines: 15,
     disks: 6,
-    perService: 13,
-    perSecond: 680,
-    nearMicros: 500,
-    farMicros: 35_000,
+    per_service: 13,
+    per_second: 680,
+    near_micros: 500,
+    far_micros: 35_000,
     services: [
         work("clause", false, false, 0, 50),
         work("posting", true, true, 0, 30),
@@ -122,8 +122,8 @@
         let (here, there) = (self.locality(from), self.locality(to));
         let micros = match (here == there, from % 3 == to % 3) {
             (true, _) => 0,
-            (_, true) => self.nearMicros,
-            _ => self.farMicros,
+            (_, true) => self.near_micros,
+            _ => self.far_micros,
         };
         std::time::Duration::from_micros(micros)
     }
@@ -145,7 +145,7 @@
     /// ```
     pub fn works(&self) -> impl Iterator<Item = (Work, usize)> {
         let marks = MARKS.into_iter().map(|mark| (mark, 1));
-        self.services.into_iter().map(|work| (work, self.perService)).chain(marks)
+        self.services.into_iter().map(|work| (work, self.per_service)).chain(marks)
     }
 
     /// The site's setup. `extra` adds that many further routes, for larger ones, and chooses which service the name
@@ -199,6 +199,6 @@
             let homes: BTreeSet<String> = self.homes(work).iter().map(|home| (*home).to_owned()).collect();
             (work.service.to_owned(), homes)
         });
-        Terms { homes: homes.collect(), warmUpPerSecond: WARM_UP_PER_SECOND }
+        Terms { homes: homes.collect(), warm_up_per_second: WARM_UP_PER_SECOND }
     }
 }
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -78,7 +78,7 @@
                     self.wipe(machine);
                     self.on_machine(machine).into_iter().for_each(|node| self.start(node));
                 }
-                self.set_disk(machine, |disk| disk.powerAt = Some((write, synced)));
+                self.set_disk(machine, |disk| disk.power_at = Some((write, synced)));
                 if self.operators.setups() > 0 {
                     (0..4).for_each(|extra| self.submit_setup(extra, None));
                 }
@@ -96,7 +96,7 @@
             Fault::CutRegion(region) => self.cut(Cut::Region(self.region(region))),
             Fault::DarkZone(zone) => self.darken(&self.zone(zone)),
             Fault::DarkRegion(region) => self.darken(&self.region(region)),
-            Fault::Loss(perMille) => self.net.lossPerMille = perMille,
+            Fault::Loss(per_mille) => self.net.loss_per_mille = per_mille,
             Fault::RollingRestart => (0..self.shape.machines).for_each(|machine| {
                 let from = self.now + RESTART_EVERY * machine as u32;
                 self.push_step(from, from + RESTART_TAKES, Fault::StopMachine(machine));
@@ -121,16 +121,16 @@
             }
             Fault::LoseAnswers(unit) => {
                 let unit = self.unit(unit);
-                self.units[unit].losesPerMille = 400;
+                self.units[unit].loses_per_mille = 400;
             }
             Fault::Garble(unit) => {
                 let unit = self.unit(unit);
-                self.units[unit].garblesPerMille = 400;
+                self.units[unit].garbles_per_mille = 400;
             }
             Fault::BadRelease => self.first_service_garbles(400),
             Fault::PauseUnit(unit) => {
                 let (unit, until) = (self.unit(unit), self.plan.steps[at].until);
-                self.units[unit].pausedUntil = until;
+                self.units[unit].paused_until = until;
             }
             Fault::Evacuate(zone) => self.submit(What::Evacuate { locality: self.zone(zone), back: false }),
             Fault::EvacuateCut(zone) => {
@@ -150,7 +150,7 @@
                     }
                 });
             }),
-            Fault::HotKey => self.hotKey = true,
+            Fault::HotKey => self.hot_key = true,
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
                 bound.collect::<Vec<_>>().into_iter().for_each(|unit| self.crash_unit(unit));
@@ -189,7 +189,7 @@
             | Fault::WipeTwo(_)
             | Fault::PowerAt { .. }
             | Fault::KillPlacement => {
-                self.nodes.iter_mut().for_each(|node| node.disk.powerAt = None);
+                self.nodes.iter_mut().for_each(|node| node.disk.power_at = None);
                 self.rescue();
                 let down: Vec<usize> = (0..self.nodes.len()).filter(|node| !self.nodes[*node].up).collect();
                 down.into_iter().for_each(|node| self.start(node));
@@ -210,8 +210,8 @@
             Fault::CutMachine(_) | Fault::Mute(_) | Fault::Deaf(_) | Fault::CutZone(_) | Fault::CutRegion(_) => {
                 self.net.cuts.clear()
             }
-            Fault::Loss(_) => self.net.lossPerMille = 0,
-            Fault::HotKey => self.hotKey = false,
+            Fault::Loss(_) => self.net.loss_per_mille = 0,
+            Fault::HotKey => self.hot_key = false,
             Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
@@ -226,8 +226,8 @@
             }
             Fault::LoseAnswers(unit) | Fault::Garble(unit) => {
                 let unit = self.unit(unit);
-                self.units[unit].losesPerMille = 0;
-                self.units[unit].garblesPerMille = 0;
+                self.units[unit].loses_per_mille = 0;
+                self.units[unit].garbles_per_mille = 0;
             }
             Fault::Grow(_) => std::mem::take(&mut self.grown).into_iter().for_each(|unit| self.leave(unit)),
             Fault::BadRelease => self.first_service_garbles(0),
@@ -239,7 +239,7 @@
             Fault::PauseUnit(unit) => {
                 let step = &self.plan.steps[at];
                 let span = step.until - step.at;
-                if self.weak.standsStill {
+                if self.weak.stands_still {
                     self.hold_on(self.unit(unit), span);
                 }
             }
@@ -282,7 +282,7 @@
 
     /// An upstream tells that it leaves.
     fn leave(&mut self, unit: usize) {
-        self.units[unit].condition = if self.weak.leavesQuietly { enrolment::READY } else { enrolment::LEAVING };
+        self.units[unit].condition = if self.weak.leaves_quietly { enrolment::READY } else { enrolment::LEAVING };
         let instance = self.units[unit].instance.clone();
         self.note(Fact::Leaving { instance });
         self.beat_once(unit);
@@ -304,10 +304,10 @@
         self.at(until, super::world::Action::Heal { at: step });
     }
 
-    fn first_service_garbles(&mut self, perMille: u64) {
+    fn first_service_garbles(&mut self, per_mille: u64) {
         let service = self.shape.services[0].service;
         let bad = self.units.iter_mut().filter(|unit| unit.work.service == service);
-        bad.for_each(|unit| unit.garblesPerMille = perMille);
+        bad.for_each(|unit| unit.garbles_per_mille = per_mille);
     }
 
     /// A proxy has just chosen this upstream and begun to connect: the moment an ambush waits for.
--- a/crates/drill/src/sim/net.rs
+++ b/crates/drill/src/sim/net.rs
@@ -49,7 +49,7 @@
 pub struct Net {
     pub cuts: Vec<Cut>,
     /// Of a thousand messages, how many are lost.
-    pub lossPerMille: u64,
+    pub loss_per_mille: u64,
     /// When the last message of a link arrives: links keep their order.
     last: BTreeMap<(usize, usize), Duration>,
 }
@@ -62,7 +62,7 @@
 
     /// How long a message takes; none where it is lost.
     pub fn delay(&self, dice: &mut Dice, from: &Place, to: &Place) -> Option<Duration> {
-        let lost = self.blocked(from, to) || dice.below(1000) < self.lossPerMille;
+        let lost = self.blocked(from, to) || dice.below(1000) < self.loss_per_mille;
         let base = match (from.locality == to.locality, from.region() == to.region()) {
             (true, _) => 200,
             (_, true) => 1500,
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -26,7 +26,7 @@
     Parcel { from: String, body: Body },
     Datagram { address: String, body: Body },
     Ask { token: u64, ask: Ask },
-    Lookup { work: u64, name: String, place: String, askedAt: Duration },
+    Lookup { work: u64, name: String, place: String, asked_at: Duration },
     Request { trip: u64, request: super::path::Request },
     Connected { trip: u64, send: u32, life: (usize, u64) },
     Called { trip: u64 },
@@ -50,7 +50,7 @@
     /// A sync that was begun does not end.
     pub hung: bool,
     /// The power is lost at the write that many from now: before it is synced, or right after.
-    pub powerAt: Option<(u32, bool)>,
+    pub power_at: Option<(u32, bool)>,
     /// What a disk that lies still has after a power cut.
     pub early: Durable,
 }
@@ -69,13 +69,13 @@
     pub up: bool,
     /// Counts starts, so that what belonged to an earlier life is dropped.
     pub life: u64,
-    pub startedAt: Duration,
+    pub started_at: Duration,
     pub core: Core,
     pub disk: Disk,
     /// While frozen: since when, and what waits in its sockets.
     pub frozen: Option<(Duration, Vec<NodeEvent>)>,
     pub site: Site,
-    isOffice: bool,
+    is_office: bool,
     /// How its clock runs, in parts of a million more than true time.
     drift: i64,
     /// How far its clock jumped ahead, and how long it stood still, since the start.
@@ -92,26 +92,26 @@
     }
 
     pub fn is_office(&self) -> bool {
-        self.isOffice
+        self.is_office
     }
 
     /// What its clock says: time since its start, as it counts it.
     pub fn local(&self, now: Duration) -> Duration {
-        let lived = now.saturating_sub(self.startedAt).saturating_sub(self.stood);
+        let lived = now.saturating_sub(self.started_at).saturating_sub(self.stood);
         lived.mul_f64(1.0 + self.drift as f64 / 1e6) + self.jumped
     }
 }
 
 impl World {
     pub(super) fn lay_out_nodes(&mut self) {
-        let staleAfter = self.weak.staleAfter;
+        let stale_after = self.weak.stale_after;
         let kinds = |machine: usize, disks: usize| if machine < disks { vec![true, false] } else { vec![false] };
         for machine in 0..self.shape.machines {
-            for isOffice in kinds(machine, self.shape.disks) {
+            for is_office in kinds(machine, self.shape.disks) {
                 let locality = self.shape.locality(machine);
-                let name = format!("{}-{machine}", if isOffice { "postmaster" } else { "carrier" });
+                let name = format!("{}-{machine}", if is_office { "postmaster" } else { "carrier" });
                 let zone: Locality = locality.parse().unwrap_or_default();
-                let site = Site::new(&name, zone, staleAfter, self.load.waitFor);
+                let site = Site::new(&name, zone, stale_after, self.load.wait_for);
                 let drift = self.dice.below(2 * DRIFT) as i64 - DRIFT as i64;
                 let place = Place { machine: Some(machine), locality };
                 self.nodes.push(Node {
@@ -120,12 +120,12 @@
                     place,
                     up: false,
                     life: 0,
-                    startedAt: Duration::ZERO,
+                    started_at: Duration::ZERO,
                     core: Core::Down,
                     disk: Disk::default(),
                     frozen: None,
                     site,
-                    isOffice,
+                    is_office,
                     drift,
                     jumped: Duration::ZERO,
                     stood: Duration::ZERO,
@@ -147,30 +147,30 @@
     pub(super) fn start(&mut self, at: usize) {
         let seed = self.dice.roll();
         let seeds: Vec<String> =
-            self.nodes.iter().filter(|node| node.isOffice).take(3).map(|node| node.name.clone()).collect();
+            self.nodes.iter().filter(|node| node.is_office).take(3).map(|node| node.name.clone()).collect();
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
-        let rosterSize = self.shape.disks;
+        let roster_size = self.shape.disks;
         let now = self.now;
         let node = &mut self.nodes[at];
         node.up = true;
         node.life += 1;
-        node.startedAt = now;
+        node.started_at = now;
         node.frozen = None;
         (node.jumped, node.stood) = (Duration::ZERO, Duration::ZERO);
         let me = Member {
             node: node.name.clone(),
             locality: node.place.locality.clone(),
-            roles: if node.isOffice { "postmaster" } else { "proxy,directory" }.into(),
-            probeAddress: node.name.clone(),
-            linkAddress: node.name.clone(),
-            httpAddress: node.name.clone(),
+            roles: if node.is_office { "postmaster" } else { "proxy,directory" }.into(),
+            probe_address: node.name.clone(),
+            link_address: node.name.clone(),
+            http_address: node.name.clone(),
             ..Member::default()
         };
-        node.core = if node.isOffice {
+        node.core = if node.is_office {
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
             let times = postmaster::shell::times(&settings);
-            let start = postmaster::Start { me, seeds, rosterSize, seed, durable, setups, times };
+            let start = postmaster::Start { me, seeds, roster_size, seed, durable, setups, times };
             Core::Office(Box::new(Office::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
@@ -190,7 +190,7 @@
         node.core = Core::Down;
         node.frozen = None;
         node.disk.waiting.clear();
-        if self.weak.disksLie {
+        if self.weak.disks_lie {
             node.disk.durable = std::mem::take(&mut node.disk.early);
         }
         let gone: Vec<u64> = self.trips.iter().filter(|(_, trip)| trip.node == at).map(|(id, _)| *id).collect();
@@ -240,7 +240,7 @@
 
     pub(super) fn thaw(&mut self, at: usize) {
         let (since, waiting) = self.nodes[at].frozen.take().unwrap_or((self.now, Vec::new()));
-        if self.weak.standsStill {
+        if self.weak.stands_still {
             self.nodes[at].stood += self.now - since;
         }
         let life = self.nodes[at].life;
@@ -348,8 +348,8 @@
             return self.after(Duration::from_millis(100), Action::Disk { node: at, life });
         }
         let Some(write) = node.disk.waiting.pop_front() else { return };
-        let powerless = node.disk.powerAt.take_if(|(left, _)| *left == 0);
-        node.disk.powerAt = node.disk.powerAt.map(|(left, synced)| (left - 1, synced));
+        let powerless = node.disk.power_at.take_if(|(left, _)| *left == 0);
+        node.disk.power_at = node.disk.power_at.map(|(left, synced)| (left - 1, synced));
         if powerless == Some((0, false)) {
             return self.kill(at);
         }
@@ -393,7 +393,7 @@
     fn send(&mut self, from: usize, to: &str, body: Body) {
         self.parcels += 1;
         let parcel = Parcel { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
-        self.parcelBytes += parcel.encoded_len() as u64;
+        self.parcel_bytes += parcel.encoded_len() as u64;
         let Some(to) = self.named(to) else { return };
         let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
         delay.into_iter().for_each(|delay| {
@@ -421,7 +421,7 @@
             return waiting.push(event);
         }
         match event {
-            NodeEvent::Lookup { work, name, place, askedAt } => self.lookup(at, work, &name, &place, askedAt),
+            NodeEvent::Lookup { work, name, place, asked_at } => self.lookup(at, work, &name, &place, asked_at),
             NodeEvent::Request { trip, request } => self.request(at, trip, request),
             NodeEvent::Connected { trip, send, life } => self.connected(at, trip, send, life),
             NodeEvent::Called { trip } => self.called(at, trip),
@@ -433,8 +433,8 @@
     /// What was sent to a process that is down: the other side learns at once that it can't connect.
     fn unreached(&mut self, event: NodeEvent) {
         match event {
-            NodeEvent::Lookup { work, askedAt, .. } => {
-                self.after(Duration::from_millis(1), Action::OriginTold { work, listing: None, askedAt });
+            NodeEvent::Lookup { work, asked_at, .. } => {
+                self.after(Duration::from_millis(1), Action::OriginTold { work, listing: None, asked_at });
             }
             NodeEvent::Request { request, .. } => {
                 self.reply_to(&request, Err(wicket::Called::NotConnected));
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -15,11 +15,11 @@
 /// What an operator wants, until it is decided.
 pub struct Submission {
     id: String,
-    submittedAt: Duration,
+    submitted_at: Duration,
     what: What,
     decided: bool,
     asked: u32,
-    asksAgain: bool,
+    asks_again: bool,
     /// Submitted once this one is decided.
     then: Option<What>,
 }
@@ -36,7 +36,7 @@
     submissions: Vec<Submission>,
     /// Which submission, or which node's read-back, a token stands for.
     tokens: BTreeMap<u64, (usize, usize)>,
-    readBacks: BTreeMap<u64, (usize, Duration)>,
+    read_backs: BTreeMap<u64, (usize, Duration)>,
     pub(super) beats: BTreeMap<u64, (usize, u64, u64, Duration, usize)>,
     pub(super) edition: u64,
     setups: usize,
@@ -78,14 +78,14 @@
         }
         let at = self.operators.submissions.len();
         let id = format!("submission-{at}");
-        let submittedAt = self.now;
+        let submitted_at = self.now;
         self.operators.submissions.push(Submission {
             id,
-            submittedAt,
+            submitted_at,
             what,
             decided: false,
             asked: 0,
-            asksAgain: false,
+            asks_again: false,
             then: None,
         });
         self.ask_submission(at);
@@ -93,15 +93,15 @@
 
     pub(super) fn ask_submission(&mut self, at: usize) {
         let submission = &mut self.operators.submissions[at];
-        submission.asksAgain = false;
+        submission.asks_again = false;
         if submission.decided {
             return;
         }
         submission.asked += 1;
         let id = submission.id.clone();
         let ask = match submission.what.clone() {
-            What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), inForce: false },
-            What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, inForce: false },
+            What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), in_force: false },
+            What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
         };
         let (node, token) = (self.some_office(), self.id());
         self.operators.tokens.insert(token, (at, node));
@@ -121,7 +121,7 @@
         if let Some(beat) = self.operators.beats.remove(&token) {
             return self.beat_answered(beat, answer);
         }
-        if let Some((node, askedAt)) = self.operators.readBacks.remove(&token) {
+        if let Some((node, asked_at)) = self.operators.read_backs.remove(&token) {
             let read = match answer {
                 Answer::Setup { edition, bytes } => Some((edition, parcel::digest(&bytes))),
                 // 'Nothing was ever accepted' is an answer too.
@@ -130,7 +130,7 @@
             };
             read.into_iter().for_each(|(edition, digest)| {
                 let node = self.nodes[node].name.clone();
-                self.note(Fact::ReadBack { node, edition, digest, askedAt });
+                self.note(Fact::ReadBack { node, edition, digest, asked_at });
             });
             return;
         }
@@ -149,8 +149,8 @@
         match code {
             Code::Fine | Code::SetupBehind => self.decide_submission(at, code, edition),
             // Not decided: again with the same id, after a moment.
-            _ if !self.operators.submissions[at].asksAgain && self.operators.submissions[at].asked < MOST_ASKS => {
-                self.operators.submissions[at].asksAgain = true;
+            _ if !self.operators.submissions[at].asks_again && self.operators.submissions[at].asked < MOST_ASKS => {
+                self.operators.submissions[at].asks_again = true;
                 self.after(ASK_AGAIN, Action::OperatorAsk { submission: at });
             }
             _ => {}
@@ -161,7 +161,7 @@
         let submission = &mut self.operators.submissions[at];
         submission.decided = true;
         let then = submission.then.take();
-        let (what, took) = (submission.what.clone(), self.now - submission.submittedAt);
+        let (what, took) = (submission.what.clone(), self.now - submission.submitted_at);
         self.operators.edition = self.operators.edition.max(edition);
         if code != Code::Fine {
             return;
@@ -194,7 +194,7 @@
         let offices = self.offices();
         offices.into_iter().for_each(|node| {
             let token = self.id();
-            self.operators.readBacks.insert(token, (node, self.now));
+            self.operators.read_backs.insert(token, (node, self.now));
             let event = NodeEvent::Ask { token, ask: Ask::ReadSetup };
             self.after(Duration::from_millis(8), Action::Deliver { node, event });
         });
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -22,26 +22,26 @@
 pub struct Reply {
     pub status: u16,
     pub code: Option<Code>,
-    pub tryId: String,
+    pub try_id: String,
     pub instance: String,
     pub seal: String,
     pub body: String,
-    pub retryAfter: Option<Duration>,
+    pub retry_after: Option<Duration>,
     /// Set where no answer came.
     pub failed: Option<Called>,
 }
 
 impl Reply {
-    pub fn sealed(tryId: &str, instance: &str, status: u16, body: &str) -> Reply {
-        let seal = parcel::seal(tryId, instance, status, body.as_bytes());
-        let (tryId, instance, body) = (tryId.to_owned(), instance.to_owned(), body.to_owned());
-        Reply { status, code: Some(Code::Fine), tryId, instance, seal, body, retryAfter: None, failed: None }
+    pub fn sealed(try_id: &str, instance: &str, status: u16, body: &str) -> Reply {
+        let seal = parcel::seal(try_id, instance, status, body.as_bytes());
+        let (try_id, instance, body) = (try_id.to_owned(), instance.to_owned(), body.to_owned());
+        Reply { status, code: Some(Code::Fine), try_id, instance, seal, body, retry_after: None, failed: None }
     }
 
-    fn coded(tryId: &str, code: Code, retryAfter: Option<Duration>) -> Reply {
-        let (tryId, instance) = (tryId.to_owned(), String::new());
+    fn coded(try_id: &str, code: Code, retry_after: Option<Duration>) -> Reply {
+        let (try_id, instance) = (try_id.to_owned(), String::new());
         let (seal, body) = (String::new(), String::new());
-        Reply { status: code.status(), code: Some(code), tryId, instance, seal, body, retryAfter, failed: None }
+        Reply { status: code.status(), code: Some(code), try_id, instance, seal, body, retry_after, failed: None }
     }
 
     fn failed(called: Called) -> Reply {
@@ -49,9 +49,9 @@
     }
 
     /// The daemons' own judgement of it.
-    fn judge(&self, tryId: &str, instance: Option<&str>) -> Outcome {
+    fn judge(&self, try_id: &str, instance: Option<&str>) -> Outcome {
         let mut headers = hyper::HeaderMap::new();
-        [("x-try-id", &self.tryId), ("x-instance", &self.instance), ("x-seal", &self.seal)].into_iter().for_each(
+        [("x-try-id", &self.try_id), ("x-instance", &self.instance), ("x-seal", &self.seal)].into_iter().for_each(
             |(name, value)| {
                 value.parse().into_iter().for_each(|value: hyper::header::HeaderValue| {
                     headers.insert(name, value);
@@ -60,14 +60,14 @@
         );
         let reply = wicket::Reply { status: self.status, headers, body: self.body.clone().into() };
         let called = self.failed.map(Err).unwrap_or(Ok(reply));
-        carrier::judge(&called, tryId, instance)
+        carrier::judge(&called, try_id, instance)
     }
 }
 
 /// A request on its way to a proxy.
 #[derive(Clone, Debug)]
 pub struct Request {
-    pub tryId: String,
+    pub try_id: String,
     pub work: String,
     pub service: &'static str,
     pub key: String,
@@ -80,7 +80,7 @@
 pub enum From {
     Origin {
         work: u64,
-        tryNumber: u32,
+        try_number: u32,
     },
     /// Nobody: a probe shows by where it arrives.
     Nobody,
@@ -95,7 +95,7 @@
 /// What a call carries to an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Sent {
-    pub tryId: String,
+    pub try_id: String,
     pub work: String,
     pub path: &'static str,
     pub key: String,
@@ -116,7 +116,7 @@
     pub life: Option<(usize, u64)>,
     pub waiting: bool,
     /// In a world that does not judge again: what it chose by.
-    pub chosenBy: Option<(Duration, View)>,
+    pub chosen_by: Option<(Duration, View)>,
 }
 
 /// What a journey is told.
@@ -131,8 +131,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Stand {
     Resting,
-    Asking { askedAt: Duration },
-    Trying { tryNumber: u32 },
+    Asking { asked_at: Duration },
+    Trying { try_number: u32 },
     Done,
 }
 
@@ -140,7 +140,7 @@
     service: &'static str,
     place: String,
     key: String,
-    startedAt: Duration,
+    started_at: Duration,
     tries: u32,
     last: Option<Code>,
     dice: Dice,
@@ -150,7 +150,7 @@
 #[derive(Clone)]
 struct Known {
     proxies: Vec<String>,
-    askedAt: Duration,
+    asked_at: Duration,
     lifetime: Duration,
 }
 
@@ -166,17 +166,17 @@
         let number = self.id();
         let mut dice = Dice::new(self.dice.roll());
         let part = dice.below(100);
-        let mut upTo = 0;
+        let mut up_to = 0;
         let at = self.shape.services.iter().position(|work| {
-            upTo += work.percent;
-            part < upTo
+            up_to += work.percent;
+            part < up_to
         });
         let service = self.shape.services[at.unwrap_or(0)].service;
         let place = self.shape.locality(dice.below(6) as usize);
-        let hot = self.hotKey && dice.below(100) < 70;
+        let hot = self.hot_key && dice.below(100) < 70;
         let key = if hot { "key-hot".to_owned() } else { format!("key-{}", dice.below(400)) };
-        let (startedAt, stand) = (self.now, Stand::Resting);
-        let state = WorkState { service, place, key, startedAt, tries: 0, last: None, dice, stand };
+        let (started_at, stand) = (self.now, Stand::Resting);
+        let state = WorkState { service, place, key, started_at, tries: 0, last: None, dice, stand };
         self.origins.works.insert(number, state);
         self.origin_try(number);
     }
@@ -187,42 +187,42 @@
         let Some(state) = self.origins.works.get_mut(&work).filter(|state| state.stand == Stand::Resting) else {
             return;
         };
-        if state.tries >= MOST_TRIES || now >= state.startedAt + WITHIN {
+        if state.tries >= MOST_TRIES || now >= state.started_at + WITHIN {
             return self.origin_end(work);
         }
         let id = (state.place.clone(), state.service);
-        let live = self.origins.known.get(&id).filter(|known| now < known.askedAt + known.lifetime).cloned();
+        let live = self.origins.known.get(&id).filter(|known| now < known.asked_at + known.lifetime).cloned();
         if let Some(known) = live {
             return self.origin_send(work, &known);
         }
-        state.stand = Stand::Asking { askedAt: now };
+        state.stand = Stand::Asking { asked_at: now };
         let node = carriers[state.dice.below(carriers.len() as u64) as usize];
         let name = format!("{}.{}.example", state.service, self.shape.name);
-        let event = NodeEvent::Lookup { work, name, place: state.place.clone(), askedAt: now };
+        let event = NodeEvent::Lookup { work, name, place: state.place.clone(), asked_at: now };
         self.after(Duration::from_millis(8), Action::Deliver { node, event });
         // A directory node that says nothing is given up on after a while.
-        self.after(Duration::from_millis(700), Action::OriginTold { work, listing: None, askedAt: now });
+        self.after(Duration::from_millis(700), Action::OriginTold { work, listing: None, asked_at: now });
     }
 
-    pub(super) fn lookup(&mut self, at: usize, work: u64, name: &str, place: &str, askedAt: Duration) {
-        let (staleAfter, lifetime) = (self.weak.staleAfter, self.weak.lifetime);
+    pub(super) fn lookup(&mut self, at: usize, work: u64, name: &str, place: &str, asked_at: Duration) {
+        let (stale_after, lifetime) = (self.weak.stale_after, self.weak.lifetime);
         let node = &self.nodes[at];
         let origin: Locality = place.parse().unwrap_or_default();
         let view = node.carrier().map(|carrier| carrier.view());
-        let fresh = view.filter(|view| view.is_fresh(node.local(self.now), staleAfter));
+        let fresh = view.filter(|view| view.is_fresh(node.local(self.now), stale_after));
         let listing = fresh.and_then(|view| gazetteer::list(view, name, &origin, lifetime).ok());
-        self.after(Duration::from_millis(8), Action::OriginTold { work, listing, askedAt });
+        self.after(Duration::from_millis(8), Action::OriginTold { work, listing, asked_at });
     }
 
-    pub(super) fn origin_told(&mut self, work: u64, listing: Option<Listing>, askedAt: Duration) {
+    pub(super) fn origin_told(&mut self, work: u64, listing: Option<Listing>, asked_at: Duration) {
         let now = self.now;
         let Some(state) = self.origins.works.get_mut(&work) else { return };
-        if state.stand != (Stand::Asking { askedAt }) {
+        if state.stand != (Stand::Asking { asked_at }) {
             return;
         }
         state.stand = Stand::Resting;
-        let known = listing.map(|listing| Known { proxies: listing.proxies, askedAt, lifetime: listing.lifetime });
-        match known.filter(|known| now < askedAt + known.lifetime) {
+        let known = listing.map(|listing| Known { proxies: listing.proxies, asked_at, lifetime: listing.lifetime });
+        match known.filter(|known| now < asked_at + known.lifetime) {
             Some(known) => {
                 self.origins.known.insert((state.place.clone(), state.service), known.clone());
                 self.origin_send(work, &known);
@@ -239,23 +239,23 @@
         let now = self.now;
         let Some(state) = self.origins.works.get_mut(&work) else { return };
         state.tries += 1;
-        let tryNumber = state.tries;
-        state.stand = Stand::Trying { tryNumber };
+        let try_number = state.tries;
+        state.stand = Stand::Trying { try_number };
         let address = known.proxies[state.dice.below(known.proxies.len() as u64) as usize].clone();
-        let remaining = (state.startedAt + WITHIN).saturating_sub(now).max(Duration::from_millis(1));
+        let remaining = (state.started_at + WITHIN).saturating_sub(now).max(Duration::from_millis(1));
         let request = Request {
-            tryId: format!("try-{work}-{tryNumber}"),
+            try_id: format!("try-{work}-{try_number}"),
             work: format!("work-{work}"),
             service: state.service,
             key: state.key.clone(),
             remaining,
-            from: From::Origin { work, tryNumber },
+            from: From::Origin { work, try_number },
         };
-        self.note(Fact::AddressUsed { age: now - known.askedAt });
-        self.note(Fact::Tried { work: request.work.clone(), tryId: request.tryId.clone() });
+        self.note(Fact::AddressUsed { age: now - known.asked_at });
+        self.note(Fact::Tried { work: request.work.clone(), try_id: request.try_id.clone() });
         let patience = remaining + Duration::from_millis(500);
         let failed = Reply::failed(Called::TimedOut);
-        self.after(patience, Action::OriginAnswer { work, tryNumber, answer: failed });
+        self.after(patience, Action::OriginAnswer { work, try_number, answer: failed });
         let trip = self.id();
         let node = self.nodes.iter().position(|node| node.name == address);
         node.into_iter().for_each(|node| {
@@ -264,13 +264,13 @@
         });
     }
 
-    pub(super) fn origin_answer(&mut self, work: u64, tryNumber: u32, answer: Reply) {
+    pub(super) fn origin_answer(&mut self, work: u64, try_number: u32, answer: Reply) {
         let Some(state) = self.origins.works.get_mut(&work) else { return };
-        if state.stand != (Stand::Trying { tryNumber }) {
+        if state.stand != (Stand::Trying { try_number }) {
             return;
         }
         state.stand = Stand::Resting;
-        let (tryId, body) = (format!("try-{work}-{tryNumber}"), format!("work-{work}"));
+        let (try_id, body) = (format!("try-{work}-{try_number}"), format!("work-{work}"));
         if answer.failed == Some(Called::NotConnected) {
             state.last = None;
             self.origins.known.clear();
@@ -279,13 +279,13 @@
         let code = answer.code.filter(|_| answer.failed.is_none()).unwrap_or(Code::Lost);
         state.last = Some(code);
         let success = answer.failed.is_none() && answer.status == 200;
-        let whole = answer.judge(&tryId, None) == Outcome::Sealed && answer.body == body;
-        let notRun = !success && answer.failed.is_none() && code.kind() == Kind::NotRun;
+        let whole = answer.judge(&try_id, None) == Outcome::Sealed && answer.body == body;
+        let not_run = !success && answer.failed.is_none() && code.kind() == Kind::NotRun;
         if answer.failed.is_none() {
-            self.note(Fact::Answered { tryId, code: code.number(), success, whole, notRun });
+            self.note(Fact::Answered { try_id, code: code.number(), success, whole, not_run });
         }
-        if notRun {
-            let told = answer.retryAfter.map(|told| self.load.comeBack.unwrap_or(told));
+        if not_run {
+            let told = answer.retry_after.map(|told| self.load.come_back.unwrap_or(told));
             let wait = told.unwrap_or(SOON);
             self.after(wait, Action::OriginTry { work });
         } else {
@@ -301,7 +301,7 @@
             let (service, tries) = (state.service, state.tries);
             Ended {
                 at: now,
-                took: now - state.startedAt,
+                took: now - state.started_at,
                 service,
                 code: state.last.map(Code::number).unwrap_or(0),
                 tries,
@@ -316,9 +316,9 @@
         let several = self.operators.setups() > 1;
         self.carriers().into_iter().filter(|_| several).for_each(|node| {
             let trip = self.id();
-            let (tryId, work, key) = (format!("probe-{trip}"), format!("probe-{trip}"), String::from("probe"));
+            let (try_id, work, key) = (format!("probe-{trip}"), format!("probe-{trip}"), String::from("probe"));
             let remaining = Duration::from_millis(1000);
-            let request = Request { tryId, work, service: "probe", key, remaining, from: From::Nobody };
+            let request = Request { try_id, work, service: "probe", key, remaining, from: From::Nobody };
             let delay = Duration::from_micros(8000 + self.dice.below(5000));
             self.after(delay, Action::Deliver { node, event: NodeEvent::Request { trip, request } });
         });
@@ -328,35 +328,35 @@
     pub(super) fn request(&mut self, at: usize, trip: u64, request: Request) {
         let node = &self.nodes[at];
         if node.carrier().is_some_and(|carrier| carrier.phase() == carrier::Phase::Denying) {
-            let retryAfter = sorting::come_back(Code::Closing, 0.0, &request.tryId);
-            let denied = Reply::coded(&request.tryId, Code::Closing, retryAfter);
+            let retry_after = sorting::come_back(Code::Closing, 0.0, &request.try_id);
+            let denied = Reply::coded(&request.try_id, Code::Closing, retry_after);
             return self.answer(&request, Some(at), denied);
         }
         let rung = self.rung.clone();
         let order = Order {
-            tryId: request.tryId.clone(),
+            try_id: request.try_id.clone(),
             name: match request.from {
                 From::Nobody => request.service.to_owned(),
                 _ => format!("{}.{}.example", request.service, self.shape.name),
             },
             path: format!("/{}", request.service),
             key: Some(request.key.clone()),
-            arrivedAt: node.local(self.now),
+            arrived_at: node.local(self.now),
             remaining: request.remaining,
-            bodyBytes: request.work.len() as u64,
+            body_bytes: request.work.len() as u64,
             forwarded: matches!(request.from, From::Proxy { .. }),
             bell: Bell::new(move || rung.lock().unwrap_or_else(PoisonError::into_inner).push(trip)),
         };
         let journey = Journey::new(order, node.site.clone());
         let sent = Sent {
-            tryId: request.tryId.clone(),
+            try_id: request.try_id.clone(),
             work: request.work.clone(),
             path: request.service,
             key: request.key.clone(),
             epoch: None,
         };
-        let (address, instance, life, waiting, chosenBy) = (String::new(), None, None, false, None);
-        let made = Trip { node: at, journey, request, sent, send: 0, instance, address, life, waiting, chosenBy };
+        let (address, instance, life, waiting, chosen_by) = (String::new(), None, None, false, None);
+        let made = Trip { node: at, journey, request, sent, send: 0, instance, address, life, waiting, chosen_by };
         self.trips.insert(trip, made);
         self.decide(trip, Told::Start);
     }
@@ -394,7 +394,7 @@
         let Core::Carrier(carrier, board) = &node.core else { return };
         let local = node.local(self.now);
         let mut view = carrier.view().clone();
-        if self.weak.forgetsWarmUp {
+        if self.weak.forgets_warm_up {
             let warm = |upstream: &Arc<Upstream>| Arc::new(Upstream { warm: true, ..(**upstream).clone() });
             Arc::make_mut(&mut view.upstreams).values_mut().for_each(|known| {
                 known.values_mut().for_each(|upstream| *upstream = warm(upstream));
@@ -406,7 +406,7 @@
             Told::Start => trip.journey.start(local, &view, board),
             Told::Called => trip.journey.called(local, &view, board),
             Told::Connected => {
-                let (local, view) = trip.chosenBy.take().unwrap_or((local, view.clone()));
+                let (local, view) = trip.chosen_by.take().unwrap_or((local, view.clone()));
                 trip.journey.connected(local, &view, board)
             }
             Told::Outcome(outcome, came) => {
@@ -423,7 +423,7 @@
                 trip.send += 1;
                 trip.instance = Some(upstream.instance.clone());
                 (trip.address, trip.life) = (upstream.address.clone(), None);
-                trip.chosenBy = Some((local, view)).filter(|_| self.weak.hasty);
+                trip.chosen_by = Some((local, view)).filter(|_| self.weak.hasty);
                 let (send, at) = (trip.send, trip.node);
                 let (delay, cut) = self.way_to(at, &upstream.address, within.min(wicket::CONNECT_WITHIN));
                 self.after(delay, Action::UnitConnect { trip: id, send, address: upstream.address.clone(), cut });
@@ -470,9 +470,9 @@
                 }
             }
             Move::Pass => self.end_trip(id, reply.unwrap_or_else(|| Reply::coded("", Code::Lost, None))),
-            Move::Answer { code, retryAfter } => {
-                let tryId = trip.request.tryId.clone();
-                self.end_trip(id, Reply::coded(&tryId, code, retryAfter));
+            Move::Answer { code, retry_after } => {
+                let try_id = trip.request.try_id.clone();
+                self.end_trip(id, Reply::coded(&try_id, code, retry_after));
             }
         }
     }
@@ -496,9 +496,9 @@
     /// Sends an answer back to whoever waits for it.
     fn answer(&mut self, request: &Request, node: Option<usize>, reply: Reply) {
         match &request.from {
-            From::Origin { work, tryNumber } => {
-                let (work, tryNumber) = (*work, *tryNumber);
-                self.after(Duration::from_millis(8), Action::OriginAnswer { work, tryNumber, answer: reply });
+            From::Origin { work, try_number } => {
+                let (work, try_number) = (*work, *try_number);
+                self.after(Duration::from_millis(8), Action::OriginAnswer { work, try_number, answer: reply });
             }
             From::Nobody => {}
             From::Proxy { trip, send, node: to } => {
@@ -510,7 +510,7 @@
                 };
                 let code = reply.code.filter(|_| reply.failed.is_none());
                 let denied = reply.seal.is_empty() && code.is_some_and(|code| code != Code::Fine);
-                let judged = reply.judge(&request.tryId, None);
+                let judged = reply.judge(&request.try_id, None);
                 let outcome = if denied || judged == Outcome::SealedNotRun { Outcome::Sealed } else { judged };
                 delay.into_iter().for_each(|delay| {
                     self.after_outcome(trip, send, (outcome.clone(), Some(reply.clone())), delay);
@@ -547,7 +547,7 @@
             let outcome = reply.failed.map(|_| Outcome::SealedNotRun).unwrap_or(Outcome::Sealed);
             return self.after_outcome(trip, send, (outcome, Some(reply)), delay);
         }
-        let outcome = reply.judge(&waiting.sent.tryId, waiting.instance.as_deref());
+        let outcome = reply.judge(&waiting.sent.try_id, waiting.instance.as_deref());
         self.after_outcome(trip, send, (outcome, Some(reply)), delay);
     }
 
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -32,9 +32,9 @@
     pub holds: BTreeMap<u32, (u64, Duration)>,
     pub busy: u32,
     /// Of a thousand answers, how many are lost after the work was done.
-    pub losesPerMille: u64,
-    pub garblesPerMille: u64,
-    pub pausedUntil: Duration,
+    pub loses_per_mille: u64,
+    pub garbles_per_mille: u64,
+    pub paused_until: Duration,
     /// How its clock runs, in parts of a million more than true time.
     pub drift: i64,
 }
@@ -68,9 +68,9 @@
             holder: 0,
             holds: BTreeMap::new(),
             busy: 0,
-            losesPerMille: 0,
-            garblesPerMille: 0,
-            pausedUntil: Duration::ZERO,
+            loses_per_mille: 0,
+            garbles_per_mille: 0,
+            paused_until: Duration::ZERO,
             drift: self.dice.below(2 * DRIFT) as i64 - DRIFT as i64,
         });
         number
@@ -98,7 +98,7 @@
         unit.holder = 0;
         unit.holds.clear();
         unit.busy = 0;
-        unit.pausedUntil = Duration::ZERO;
+        unit.paused_until = Duration::ZERO;
         self.after(Duration::from_millis(10), Action::Beat { unit: at, life });
     }
 
@@ -118,8 +118,8 @@
         if !self.units[at].up || self.units[at].life != life {
             return;
         }
-        if now < self.units[at].pausedUntil {
-            let until = self.units[at].pausedUntil;
+        if now < self.units[at].paused_until {
+            let until = self.units[at].paused_until;
             return self.at(until, Action::Beat { unit: at, life });
         }
         self.after(BEAT_EVERY, Action::Beat { unit: at, life });
@@ -129,7 +129,7 @@
     /// A beat that nobody took is sent to another postmaster, unless a newer one was sent meanwhile.
     pub(super) fn beat_again(&mut self, at: usize, life: u64, beat: u64) {
         let unit = &self.units[at];
-        if unit.up && unit.life == life && unit.beat == beat && self.now >= unit.pausedUntil {
+        if unit.up && unit.life == life && unit.beat == beat && self.now >= unit.paused_until {
             self.beat_once(at);
         }
     }
@@ -149,7 +149,7 @@
             instance: unit.instance.clone(),
             address: unit.address.clone(),
             locality: unit.place.locality.clone(),
-            freeSlots: self.load.slots.saturating_sub(unit.busy),
+            free_slots: self.load.slots.saturating_sub(unit.busy),
             warm: unit.warm,
             condition: unit.condition,
             beat: unit.beat,
@@ -169,7 +169,7 @@
 
     /// A postmaster answered a beat.
     pub(super) fn beat_answered(&mut self, from: (usize, u64, u64, Duration, usize), answer: Answer) {
-        let (unit, life, beat, sentAt, node) = from;
+        let (unit, life, beat, sent_at, node) = from;
         let Answer::Sheet(sheet) = answer else {
             // Nobody there, or on its way out: another one, soon.
             return self.after(BEAT_AGAIN, Action::BeatAgain { unit, life, beat });
@@ -177,32 +177,32 @@
         let delay = self.net.delay(&mut self.dice, &self.nodes[node].place, &self.units[unit].place);
         delay.into_iter().for_each(|delay| {
             let sheet = sheet.clone();
-            self.after(delay, Action::BeatAnswer { unit, life, beat, sentAt, sheet });
+            self.after(delay, Action::BeatAnswer { unit, life, beat, sent_at, sheet });
         });
     }
 
     /// Only the answer to the latest beat counts, and only what has not run out.
-    pub(super) fn beat_answer(&mut self, at: usize, life: u64, beat: u64, sentAt: Duration, sheet: &Sheet) {
+    pub(super) fn beat_answer(&mut self, at: usize, life: u64, beat: u64, sent_at: Duration, sheet: &Sheet) {
         let now = self.now;
         let unit = &mut self.units[at];
         let told = sheet.count("holder").unwrap_or(0);
-        let newHolder = unit.up && unit.life == life && unit.beat == beat && unit.holder != told;
-        if newHolder {
+        let new_holder = unit.up && unit.life == life && unit.beat == beat && unit.holder != told;
+        if new_holder {
             unit.holder = told;
         }
-        if newHolder && told > 0 && unit.work.keyed && now >= unit.pausedUntil {
+        if new_holder && told > 0 && unit.work.keyed && now >= unit.paused_until {
             // The next beat proves that it knows the new holder: the sooner, the less runs out.
             self.beat_once(at);
         }
         let unit = &mut self.units[at];
-        let spanMs = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some());
-        let Some(spanMs) = spanMs.filter(|_| unit.up && unit.life == life && unit.beat == beat) else { return };
-        if now < unit.pausedUntil {
-            let until = unit.pausedUntil;
+        let span_ms = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some());
+        let Some(span_ms) = span_ms.filter(|_| unit.up && unit.life == life && unit.beat == beat) else { return };
+        if now < unit.paused_until {
+            let until = unit.paused_until;
             let sheet = sheet.clone();
-            return self.at(until, Action::BeatAnswer { unit: at, life, beat, sentAt, sheet });
+            return self.at(until, Action::BeatAnswer { unit: at, life, beat, sent_at, sheet });
         }
-        let until = sentAt + true_span(Duration::from_millis(spanMs), unit.drift) + self.weak.holdsOn;
+        let until = sent_at + true_span(Duration::from_millis(span_ms), unit.drift) + self.weak.holds_on;
         let given = given_slots(sheet);
         let (service, instance) = (unit.work.service.to_owned(), unit.instance.clone());
         let gone: Vec<u32> = unit.holds.keys().filter(|slot| !given.contains_key(slot)).copied().collect();
@@ -257,15 +257,15 @@
         let Some((at, _)) = alive else {
             return self.back(trip, send, Err(wicket::Called::Lost), Duration::from_micros(300));
         };
-        if self.now < self.units[at].pausedUntil {
-            let until = self.units[at].pausedUntil;
+        if self.now < self.units[at].paused_until {
+            let until = self.units[at].paused_until;
             return self.at(until, Action::UnitCall { trip, send, cut });
         }
         let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
         let now = self.now;
         let unit = &mut self.units[at];
         let arrived = Fact::Arrived {
-            tryId: order.tryId.clone(),
+            try_id: order.try_id.clone(),
             service: order.path.into(),
             instance: unit.instance.clone(),
             locality: unit.place.locality.clone(),
@@ -286,30 +286,30 @@
         let probed = node.zip(mark).map(|(node, mark)| Fact::Probed { node, mark });
         probed.into_iter().for_each(|probed| self.note(probed));
         if runs {
-            self.note(Fact::Ran { work: order.work.clone(), tryId: order.tryId.clone(), once });
+            self.note(Fact::Ran { work: order.work.clone(), try_id: order.try_id.clone(), once });
             let (least, most) = self.load.takes;
-            let slow = if self.load.someSlow && at % 6 == 5 { 3 } else { 1 };
+            let slow = if self.load.some_slow && at % 6 == 5 { 3 } else { 1 };
             let takes = (least + Duration::from_micros(self.dice.below((most - least).as_micros() as u64))) * slow;
             self.after(takes, Action::UnitDone { trip, send, unit: at, life });
         } else {
             self.back(
                 trip,
                 send,
-                Ok(Reply::sealed(&order.tryId, &instance, 503, "not run")),
+                Ok(Reply::sealed(&order.try_id, &instance, 503, "not run")),
                 Duration::from_micros(500),
             );
         }
     }
 
     pub(super) fn unit_done(&mut self, trip: u64, send: u32, at: usize, life: u64) {
-        let lost = self.dice.below(1000) < self.units[at].losesPerMille;
-        let garbled = self.dice.below(1000) < self.units[at].garblesPerMille;
+        let lost = self.dice.below(1000) < self.units[at].loses_per_mille;
+        let garbled = self.dice.below(1000) < self.units[at].garbles_per_mille;
         let alive = self.units[at].up && self.units[at].life == life;
         if alive {
             self.units[at].busy = self.units[at].busy.saturating_sub(1);
         }
         let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
-        let mut reply = Reply::sealed(&order.tryId, &self.units[at].instance, 200, &order.work);
+        let mut reply = Reply::sealed(&order.try_id, &self.units[at].instance, 200, &order.work);
         if garbled {
             // Cut short, or the whole and well sealed verdict of somebody else's try.
             if self.dice.below(2) == 0 {
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -31,14 +31,14 @@
     Disk { node: usize, life: u64 },
     Beat { unit: usize, life: u64 },
     BeatAgain { unit: usize, life: u64, beat: u64 },
-    BeatAnswer { unit: usize, life: u64, beat: u64, sentAt: Duration, sheet: Sheet },
+    BeatAnswer { unit: usize, life: u64, beat: u64, sent_at: Duration, sheet: Sheet },
     UnitConnect { trip: u64, send: u32, address: String, cut: bool },
     UnitCall { trip: u64, send: u32, cut: bool },
     UnitDone { trip: u64, send: u32, unit: usize, life: u64 },
     OriginStart,
     OriginTry { work: u64 },
-    OriginTold { work: u64, listing: Option<gazetteer::Listing>, askedAt: Duration },
-    OriginAnswer { work: u64, tryNumber: u32, answer: super::path::Reply },
+    OriginTold { work: u64, listing: Option<gazetteer::Listing>, asked_at: Duration },
+    OriginAnswer { work: u64, try_number: u32, answer: super::path::Reply },
     Operator,
     OperatorAsk { submission: usize },
     OperatorAnswer { submission: usize, answer: postmaster::Answer },
@@ -76,46 +76,46 @@
 /// What a deliberately broken system does wrong, to show that the checkers see it. The default is the real one.
 #[derive(Clone, Copy, Debug)]
 pub struct Weakness {
-    pub staleAfter: Duration,
+    pub stale_after: Duration,
     pub lifetime: Duration,
     /// Disks tell that they synced, and lose it in a power cut.
-    pub disksLie: bool,
+    pub disks_lie: bool,
     /// Proxies pass on whatever an upstream says, and call a lost verdict busy.
     pub trusting: bool,
     /// Upstreams hold their shares this much longer than they may.
-    pub holdsOn: Duration,
+    pub holds_on: Duration,
     /// The operators' setups leave the home regions out.
     pub homeless: bool,
     /// Upstreams that leave say so to nobody.
-    pub leavesQuietly: bool,
+    pub leaves_quietly: bool,
     /// Proxies do not judge again, once connected, what they chose.
     pub hasty: bool,
     /// Clocks stand still while a machine is suspended.
-    pub standsStill: bool,
+    pub stands_still: bool,
     /// Nobody asks the nodes which edition they have: only traffic shows it.
     pub unwatched: bool,
     /// Proxies have no budget for resends.
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
-    pub forgetsWarmUp: bool,
+    pub forgets_warm_up: bool,
 }
 
 impl Default for Weakness {
     fn default() -> Self {
         let span = Duration::from_millis(2000);
         Weakness {
-            staleAfter: span,
+            stale_after: span,
             lifetime: span,
-            disksLie: false,
+            disks_lie: false,
             trusting: false,
-            holdsOn: Duration::ZERO,
+            holds_on: Duration::ZERO,
             homeless: false,
-            leavesQuietly: false,
+            leaves_quietly: false,
             hasty: false,
-            standsStill: false,
+            stands_still: false,
             unwatched: false,
             spendthrift: false,
-            forgetsWarmUp: false,
+            forgets_warm_up: false,
         }
     }
 }
@@ -127,17 +127,17 @@
     pub slots: u32,
     /// Least and most that a piece of work takes; every sixth upstream is three times as slow.
     pub takes: (Duration, Duration),
-    pub someSlow: bool,
+    pub some_slow: bool,
     /// How long requests may wait for a seat.
-    pub waitFor: Duration,
+    pub wait_for: Duration,
     /// Origins come back after this, whatever they are told.
-    pub comeBack: Option<Duration>,
+    pub come_back: Option<Duration>,
 }
 
 impl Default for Load {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        Load { slots: 16, takes: (ms(3), ms(7)), someSlow: false, waitFor: ms(150), comeBack: None }
+        Load { slots: 16, takes: (ms(3), ms(7)), some_slow: false, wait_for: ms(150), come_back: None }
     }
 }
 
@@ -149,14 +149,14 @@
     pub ended: Vec<Ended>,
     pub violations: Vec<Violation>,
     /// When the last fault was healed.
-    pub healedAt: Duration,
+    pub healed_at: Duration,
     /// How long after that the last piece of work failed.
-    pub resumedAfter: Duration,
+    pub resumed_after: Duration,
     /// Of the work started before the first fault, between it and the last healing, and after that, in
     /// thousandths, how much was served.
-    pub servedPerMille: [u64; 3],
+    pub served_per_mille: [u64; 3],
     pub parcels: u64,
-    pub parcelBytes: u64,
+    pub parcel_bytes: u64,
     pub lasted: Duration,
     /// True where at the end every node had the same edition, and every carrier the same reservations and marks.
     pub agreed: bool,
@@ -172,7 +172,7 @@
     pub(super) dice: Dice,
     pub(super) shape: Shape,
     pub(super) net: Net,
-    pub(super) hotKey: bool,
+    pub(super) hot_key: bool,
     pub(super) weak: Weakness,
     pub(super) nodes: Vec<Node>,
     pub(super) units: Vec<Unit>,
@@ -182,8 +182,8 @@
     pub(super) seen: Vec<Seen>,
     pub(super) ended: Vec<Ended>,
     pub(super) parcels: u64,
-    pub(super) parcelBytes: u64,
-    pub(super) nextId: u64,
+    pub(super) parcel_bytes: u64,
+    pub(super) next_id: u64,
     /// Requests whose bell rang.
     pub(super) rung: Arc<Mutex<Vec<u64>>>,
     pub(super) load: Load,
@@ -210,7 +210,7 @@
             now: Duration::ZERO,
             dice,
             net: Net::default(),
-            hotKey: false,
+            hot_key: false,
             weak: Weakness::default(),
             nodes: Vec::new(),
             units: Vec::new(),
@@ -220,8 +220,8 @@
             seen: Vec::new(),
             ended: Vec::new(),
             parcels: 0,
-            parcelBytes: 0,
-            nextId: 1,
+            parcel_bytes: 0,
+            next_id: 1,
             rung: Arc::default(),
             load: Load::default(),
             grown: Vec::new(),
@@ -236,8 +236,8 @@
     }
 
     pub(super) fn id(&mut self) -> u64 {
-        self.nextId += 1;
-        self.nextId
+        self.next_id += 1;
+        self.next_id
     }
 
     pub(super) fn at(&mut self, at: Duration, action: Action) {
@@ -256,7 +256,7 @@
     /// The same world with something taken away that the rules rest on.
     pub fn weakened(seed: u64, plan: Plan, weak: Weakness) -> World {
         let mut world = World::new(seed, Some(plan), ROADWISE);
-        world.nodes.iter_mut().for_each(|node| node.site.staleAfter = weak.staleAfter);
+        world.nodes.iter_mut().for_each(|node| node.site.stale_after = weak.stale_after);
         world.weak = weak;
         world
     }
@@ -264,15 +264,15 @@
     /// The same world with upstreams that can bear so much.
     pub fn loaded(seed: u64, plan: Plan, shape: Shape, load: Load) -> World {
         let mut world = World::new(seed, Some(plan), shape);
-        world.nodes.iter_mut().for_each(|node| node.site.waitFor = load.waitFor);
+        world.nodes.iter_mut().for_each(|node| node.site.wait_for = load.wait_for);
         world.load = load;
         world
     }
 
     /// Runs to the end and judges.
     pub fn run(mut self) -> Outcome {
-        let healedAt = self.plan.steps.iter().map(|step| step.until).max().unwrap_or(Duration::ZERO).max(LOAD_FROM);
-        let loadUntil = healedAt + RESUME_WITHIN + AFTERWARDS;
+        let healed_at = self.plan.steps.iter().map(|step| step.until).max().unwrap_or(Duration::ZERO).max(LOAD_FROM);
+        let load_until = healed_at + RESUME_WITHIN + AFTERWARDS;
         self.at(LOAD_FROM, Action::OriginStart);
         self.at(Duration::from_secs(3), Action::Operator);
         self.at(Duration::ZERO, Action::Watch);
@@ -282,38 +282,38 @@
             self.at(until, Action::Heal { at });
         });
         while let Some(Reverse(item)) = self.queue.pop() {
-            if item.at > loadUntil + Duration::from_secs(5) {
+            if item.at > load_until + Duration::from_secs(5) {
                 break;
             }
             self.now = item.at;
-            self.act(item.action, loadUntil);
+            self.act(item.action, load_until);
             self.answer_bells();
         }
-        self.finish(healedAt)
+        self.finish(healed_at)
     }
 
-    fn act(&mut self, action: Action, loadUntil: Duration) {
+    fn act(&mut self, action: Action, load_until: Duration) {
         match action {
             Action::Tick { node, life } => self.tick(node, life),
             Action::Deliver { node, event } => self.deliver(node, event),
             Action::Disk { node, life } => self.disk_done(node, life),
             Action::Beat { unit, life } => self.beat(unit, life),
             Action::BeatAgain { unit, life, beat } => self.beat_again(unit, life, beat),
-            Action::BeatAnswer { unit, life, beat, sentAt, sheet } => {
-                self.beat_answer(unit, life, beat, sentAt, &sheet)
+            Action::BeatAnswer { unit, life, beat, sent_at, sheet } => {
+                self.beat_answer(unit, life, beat, sent_at, &sheet)
             }
             Action::UnitConnect { trip, send, address, cut } => self.unit_connect(trip, send, &address, cut),
             Action::UnitCall { trip, send, cut } => self.unit_call(trip, send, cut),
             Action::UnitDone { trip, send, unit, life } => self.unit_done(trip, send, unit, life),
             Action::OriginStart => {
-                if self.now < loadUntil {
-                    self.after(Duration::from_micros(1_000_000 / self.shape.perSecond), Action::OriginStart);
+                if self.now < load_until {
+                    self.after(Duration::from_micros(1_000_000 / self.shape.per_second), Action::OriginStart);
                     self.origin_start();
                 }
             }
             Action::OriginTry { work } => self.origin_try(work),
-            Action::OriginTold { work, listing, askedAt } => self.origin_told(work, listing, askedAt),
-            Action::OriginAnswer { work, tryNumber, answer } => self.origin_answer(work, tryNumber, answer),
+            Action::OriginTold { work, listing, asked_at } => self.origin_told(work, listing, asked_at),
+            Action::OriginAnswer { work, try_number, answer } => self.origin_answer(work, try_number, answer),
             Action::Operator => self.operate(),
             Action::OperatorAsk { submission } => self.ask_submission(submission),
             Action::OperatorAnswer { submission, answer } => self.operator_told(submission, answer),
@@ -323,7 +323,7 @@
                 if !self.weak.unwatched {
                     self.watch();
                 }
-                if self.now < loadUntil && self.now.as_millis().is_multiple_of(300) {
+                if self.now < load_until && self.now.as_millis().is_multiple_of(300) {
                     self.probe();
                 }
                 self.after(Duration::from_millis(100), Action::Watch);
@@ -339,7 +339,7 @@
             .filter(|node| node.up && node.frozen.is_none())
             .filter_map(|node| {
                 let view = node.carrier()?.view();
-                view.is_fresh(node.local(self.now), self.weak.staleAfter).then(|| (node.name.clone(), view.edition))
+                view.is_fresh(node.local(self.now), self.weak.stale_after).then(|| (node.name.clone(), view.edition))
             })
             .collect();
         serving.into_iter().for_each(|(node, edition)| self.note(Fact::InForce { node, edition }));
@@ -359,34 +359,34 @@
         editions.windows(2).all(|two| two[0] == two[1]) && places.windows(2).all(|two| two[0] == two[1])
     }
 
-    fn finish(self, healedAt: Duration) -> Outcome {
+    fn finish(self, healed_at: Duration) -> Outcome {
         let violations = judge(&self.seen, &self.shape.terms());
-        let startedAt = |ended: &Ended| ended.at.saturating_sub(ended.took);
+        let started_at = |ended: &Ended| ended.at.saturating_sub(ended.took);
         let failed = self.ended.iter().filter(|ended| ended.code != 1000);
-        let lastFailed = failed.map(startedAt).max().unwrap_or(Duration::ZERO);
+        let last_failed = failed.map(started_at).max().unwrap_or(Duration::ZERO);
         // What was under way when the fault came belongs to the fault.
-        let brokenAt = self.plan.steps.iter().map(|step| step.at).min().unwrap_or(healedAt);
-        let brokenAt = brokenAt.saturating_sub(Duration::from_secs(3));
+        let broken_at = self.plan.steps.iter().map(|step| step.at).min().unwrap_or(healed_at);
+        let broken_at = broken_at.saturating_sub(Duration::from_secs(3));
         let served = |from: Duration, until: Duration| {
-            let part = self.ended.iter().filter(|ended| (from..until).contains(&startedAt(ended)));
+            let part = self.ended.iter().filter(|ended| (from..until).contains(&started_at(ended)));
             let counts = part.fold((0, 0), |(all, served), ended| (all + 1, served + u64::from(ended.code == 1000)));
             (counts.1 * 1000u64).checked_div(counts.0).unwrap_or(1000)
         };
-        let servedPerMille =
-            [served(Duration::ZERO, brokenAt), served(brokenAt, healedAt), served(healedAt, Duration::MAX)];
+        let served_per_mille =
+            [served(Duration::ZERO, broken_at), served(broken_at, healed_at), served(healed_at, Duration::MAX)];
         let agreed = self.agreed();
         let digest = parcel::digest(format!("{:?}", self.seen).as_bytes());
         Outcome {
             seed: self.seed,
             plan: self.plan,
-            servedPerMille,
+            served_per_mille,
             seen: self.seen,
             ended: self.ended,
             violations,
-            healedAt,
-            resumedAfter: lastFailed.saturating_sub(healedAt),
+            healed_at,
+            resumed_after: last_failed.saturating_sub(healed_at),
             parcels: self.parcels,
-            parcelBytes: self.parcelBytes,
+            parcel_bytes: self.parcel_bytes,
             lasted: self.now,
             agreed,
             digest,
@@ -400,7 +400,7 @@
         // A site that denies everything breaks no rule; so it must serve all before, and all in time after.
         self.violations.is_empty()
             && self.agreed
-            && self.resumedAfter <= RESUME_WITHIN
-            && self.servedPerMille[0] == 1000
+            && self.resumed_after <= RESUME_WITHIN
+            && self.served_per_mille[0] == 1000
     }
 }
--- a/crates/drill/src/upstreams.rs
+++ b/crates/drill/src/upstreams.rs
@@ -49,13 +49,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ill {
     /// Of a thousand verdicts, how many are cut short, another's, noise or never sent, after the work was done.
-    pub garblesPerMille: u64,
+    pub garbles_per_mille: u64,
     /// Does nothing, and tells nothing, before this.
-    pub pausedUntil: Duration,
+    pub paused_until: Duration,
     /// Requests of these proxies never come through.
-    pub deafTo: Vec<String>,
+    pub deaf_to: Vec<String>,
     /// Verdicts for these proxies never come through.
-    pub muteTo: Vec<String>,
+    pub mute_to: Vec<String>,
 }
 
 /// The slots, with their epochs, that the answer to a beat names.
@@ -134,7 +134,7 @@
     }
 
     async fn pause(&self) {
-        let left = self.ill().pausedUntil.saturating_sub(self.clock.now());
+        let left = self.ill().paused_until.saturating_sub(self.clock.now());
         if !left.is_zero() {
             tokio::time::sleep(left).await;
         }
@@ -153,9 +153,9 @@
             self.pause().await;
             let known = self.holder.load(Ordering::Acquire);
             let taken = self.beat_once(&caller, &node).await;
-            let newHolder = self.work.keyed && self.holder.load(Ordering::Acquire) != known;
+            let new_holder = self.work.keyed && self.holder.load(Ordering::Acquire) != known;
             // The next beat proves that it knows the new holder: the sooner, the less runs out.
-            let pause = if taken && !newHolder { BEAT_EVERY } else { BEAT_AGAIN };
+            let pause = if taken && !new_holder { BEAT_EVERY } else { BEAT_AGAIN };
             let closed = async {
                 let _ = closing.wait_for(|closing| *closing).await;
             };
@@ -168,15 +168,15 @@
 
     /// Sends one beat; true where the node took it.
     pub async fn beat_once(&self, caller: &Caller, node: &str) -> bool {
-        let sentAt = self.clock.now();
-        let body = self.describe(sentAt).to_string();
+        let sent_at = self.clock.now();
+        let body = self.describe(sent_at).to_string();
         let called = caller.call(node, "POST", "/beats", &[], body.into(), BEAT_WITHIN, false).await;
         let reply = called.ok().filter(|reply| reply.status == 200);
         let sheet = reply
             .as_ref()
             .and_then(|reply| std::str::from_utf8(&reply.body).ok())
             .and_then(|text| Sheet::read(text).ok());
-        sheet.iter().for_each(|sheet| self.take_shares(sentAt, sheet));
+        sheet.iter().for_each(|sheet| self.take_shares(sent_at, sheet));
         reply.is_some()
     }
 
@@ -212,10 +212,10 @@
     }
 
     /// An answer that names shares says all that it holds from now on, counted from when the beat was sent.
-    fn take_shares(&self, sentAt: Duration, sheet: &Sheet) {
+    fn take_shares(&self, sent_at: Duration, sheet: &Sheet) {
         sheet.count("holder").into_iter().for_each(|holder| self.holder.store(holder, Ordering::Release));
-        let Some(spanMs) = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some()) else { return };
-        let until = sentAt + Duration::from_millis(spanMs);
+        let Some(span_ms) = sheet.count("spanMs").filter(|_| sheet.get("shares").is_some()) else { return };
+        let until = sent_at + Duration::from_millis(span_ms);
         let now = self.clock.now();
         let given = given_slots(sheet);
         let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
@@ -250,12 +250,12 @@
         self.pause().await;
         let ill = self.ill();
         let lost = |proxies: &[String]| proxies.iter().any(|proxy| proxy == enquiry.header("x-proxy"));
-        if lost(&ill.deafTo) {
+        if lost(&ill.deaf_to) {
             return std::future::pending().await;
         }
-        let tryId = enquiry.header("x-try-id").to_owned();
+        let try_id = enquiry.header("x-try-id").to_owned();
         let arrived = Fact::Arrived {
-            tryId: tryId.clone(),
+            try_id: try_id.clone(),
             service: enquiry.path.trim_start_matches('/').into(),
             instance: self.instance.clone(),
             locality: self.locality.clone(),
@@ -270,7 +270,7 @@
         let runs = busy < SLOTS && self.may_run(&enquiry);
         let body = if runs {
             let work = String::from_utf8_lossy(&enquiry.body).into_owned();
-            let ran = Fact::Ran { work: work.clone(), tryId: tryId.clone(), once: self.work.once };
+            let ran = Fact::Ran { work: work.clone(), try_id: try_id.clone(), once: self.work.once };
             self.record.note(self.clock.now(), ran);
             tokio::time::sleep(WORK_TAKES).await;
             work
@@ -279,26 +279,26 @@
         };
         self.busy.fetch_sub(1, Ordering::AcqRel);
         let status = if runs { 200 } else { 503 };
-        let mut dice = Dice::new(address::spread(&tryId));
-        let garbled = dice.below(1000) < ill.garblesPerMille;
-        match (lost(&ill.muteTo), garbled.then(|| dice.below(4))) {
+        let mut dice = Dice::new(address::spread(&try_id));
+        let garbled = dice.below(1000) < ill.garbles_per_mille;
+        match (lost(&ill.mute_to), garbled.then(|| dice.below(4))) {
             (true, _) | (_, Some(0)) => std::future::pending().await,
             (_, Some(1)) => self.sealed("try-of-another", status, "work-of-another".into()),
             (_, Some(2)) => Response::new(Full::new(Bytes::from("noise"))),
             (_, Some(_)) => {
-                let mut short = self.sealed(&tryId, status, body.clone());
+                let mut short = self.sealed(&try_id, status, body.clone());
                 *short.body_mut() = Full::new(Bytes::from(body[..body.len() / 2].to_owned()));
                 short
             }
-            _ => self.sealed(&tryId, status, body),
+            _ => self.sealed(&try_id, status, body),
         }
     }
 
-    fn sealed(&self, tryId: &str, status: u16, body: String) -> Response<Full<Bytes>> {
-        let seal = parcel::seal(tryId, &self.instance, status, body.as_bytes());
+    fn sealed(&self, try_id: &str, status: u16, body: String) -> Response<Full<Bytes>> {
+        let seal = parcel::seal(try_id, &self.instance, status, body.as_bytes());
         let mut response = Response::new(Full::new(Bytes::from(body)));
         *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
-        let named = [("x-try-id", tryId.to_owned()), ("x-instance", self.instance.clone()), ("x-seal", seal)];
+        let named = [("x-try-id", try_id.to_owned()), ("x-instance", self.instance.clone()), ("x-seal", seal)];
         named.into_iter().for_each(|(name, value)| {
             value.parse().into_iter().for_each(|value: hyper::header::HeaderValue| {
                 response.headers_mut().insert(name, value);
--- a/crates/drill/tests/seeds.rs
+++ b/crates/drill/tests/seeds.rs
@@ -14,7 +14,7 @@
         std::iter::from_fn(|| jobs.get(next.fetch_add(1, Ordering::Relaxed)))
             .filter_map(|(name, seed)| {
                 let outcome = run(*seed, name.as_ref().and_then(|name| Plan::named(name, *seed)), ROADWISE);
-                let told = format!("{name:?} seed {seed}: {:?} after {:?}", outcome.violations, outcome.resumedAfter);
+                let told = format!("{name:?} seed {seed}: {:?} after {:?}", outcome.violations, outcome.resumed_after);
                 (!outcome.fine()).then_some(told)
             })
             .collect::<Vec<_>>()
@@ -95,7 +95,7 @@
     ["rolling-restart", "kill-placement"].into_iter().for_each(|plan| {
         (1..4).for_each(|seed| {
             let outcome = run(seed, Plan::named(plan, seed), ROADWISE);
-            assert_eq!(outcome.servedPerMille, [1000; 3], "{plan} seed {seed}");
+            assert_eq!(outcome.served_per_mille, [1000; 3], "{plan} seed {seed}");
         });
     });
 }
@@ -123,7 +123,7 @@
     [false, true].into_iter().flat_map(steps).for_each(|step| {
         let outcome = run(5, Some(Plan { steps: vec![step.clone()] }), ROADWISE);
         assert_eq!(outcome.violations, vec![], "{step:?}");
-        assert!(outcome.fine(), "{step:?}: served again only after {:?}", outcome.resumedAfter);
+        assert!(outcome.fine(), "{step:?}: served again only after {:?}", outcome.resumed_after);
     });
 }
 
@@ -134,7 +134,7 @@
     let wiped = |machine| Step { at, until: at + Duration::from_secs(5), fault: Fault::WipeMachine(machine) };
     (1..9).for_each(|seed| {
         let outcome = run(seed, Some(Plan { steps: (0..3).map(wiped).collect() }), ROADWISE);
-        assert!(outcome.fine(), "seed {seed}: {:?} after {:?}", outcome.violations, outcome.resumedAfter);
+        assert!(outcome.fine(), "seed {seed}: {:?} after {:?}", outcome.violations, outcome.resumed_after);
         let digests =
             |at: &dyn Fn(&Fact) -> Option<String>| outcome.seen.iter().filter_map(|(_, fact)| at(fact)).last();
         let accepted = digests(&|fact| match fact {
@@ -154,7 +154,7 @@
     (1..9).for_each(|seed| {
         let outcome = run(seed, Some(blackout()), ROADWISE);
         assert_eq!(outcome.violations, vec![], "seed {seed}");
-        assert!(outcome.fine(), "seed {seed}: served again only after {:?}", outcome.resumedAfter);
+        assert!(outcome.fine(), "seed {seed}: served again only after {:?}", outcome.resumed_after);
     });
 }
 
@@ -174,19 +174,19 @@
     let cases = [
         ("garble+lose-answers", Weakness { trusting: true, ..Weakness::default() }, vec![1, 2, 3]),
         ("quiet", Weakness { lifetime: Duration::from_secs(7), ..Weakness::default() }, vec![4]),
-        ("evacuate-cut", Weakness { staleAfter: long, ..Weakness::default() }, vec![6, 7]),
-        ("cut-zone+setup-storm", Weakness { staleAfter: long, unwatched: true, ..Weakness::default() }, vec![7]),
-        ("release", Weakness { leavesQuietly: true, ..Weakness::default() }, vec![5]),
+        ("evacuate-cut", Weakness { stale_after: long, ..Weakness::default() }, vec![6, 7]),
+        ("cut-zone+setup-storm", Weakness { stale_after: long, unwatched: true, ..Weakness::default() }, vec![7]),
+        ("release", Weakness { leaves_quietly: true, ..Weakness::default() }, vec![5]),
         ("quiet", Weakness { homeless: true, ..Weakness::default() }, vec![12]),
-        ("blackout", Weakness { disksLie: true, ..Weakness::default() }, vec![8]),
+        ("blackout", Weakness { disks_lie: true, ..Weakness::default() }, vec![8]),
         ("ambush-leave", Weakness { hasty: true, ..Weakness::default() }, vec![5]),
         ("ambush-evacuate", Weakness { hasty: true, ..Weakness::default() }, vec![6]),
-        ("ambush-leave", Weakness { standsStill: true, ..Weakness::default() }, vec![5]),
-        ("ambush-evacuate", Weakness { standsStill: true, ..Weakness::default() }, vec![6]),
-        ("pause-unit", Weakness { standsStill: true, ..Weakness::default() }, vec![11]),
+        ("ambush-leave", Weakness { stands_still: true, ..Weakness::default() }, vec![5]),
+        ("ambush-evacuate", Weakness { stands_still: true, ..Weakness::default() }, vec![6]),
+        ("pause-unit", Weakness { stands_still: true, ..Weakness::default() }, vec![11]),
         ("bad-release", Weakness { spendthrift: true, ..Weakness::default() }, vec![9]),
-        ("cold-all", Weakness { forgetsWarmUp: true, ..Weakness::default() }, vec![10]),
-        ("pause-unit", Weakness { holdsOn: long, ..Weakness::default() }, vec![11]),
+        ("cold-all", Weakness { forgets_warm_up: true, ..Weakness::default() }, vec![10]),
+        ("pause-unit", Weakness { holds_on: long, ..Weakness::default() }, vec![11]),
     ];
     let missed = cases.into_iter().filter_map(|(plan, weak, rules)| {
         let broken = broken_by(plan, weak);
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -22,9 +22,9 @@
 
 struct Entry {
     upstream: Upstream,
-    heardAt: Duration,
+    heard_at: Duration,
     /// On this process's clock, in milliseconds; it may lie before the start of the process.
-    bornAtMs: i64,
+    born_at_ms: i64,
     /// Gone because another one took its address, not by its own word.
     evicted: bool,
 }
@@ -60,8 +60,8 @@
     /// ```
     pub fn take(&mut self, now: Duration, told: Upstream) -> bool {
         let id = (told.service.clone(), told.instance.clone());
-        let bornAtMs = now.as_millis() as i64 - told.bornMs.min(i64::MAX as u64 / 2) as i64;
-        let heardAt = now.saturating_sub(Duration::from_millis(told.ageMs));
+        let born_at_ms = now.as_millis() as i64 - told.born_ms.min(i64::MAX as u64 / 2) as i64;
+        let heard_at = now.saturating_sub(Duration::from_millis(told.age_ms));
         let back = self.comes_back(now, &id, &told);
         let known = self.entries.get(&id);
         if known.is_some_and(|entry| (entry.upstream.condition == GONE && !back) || told.beat <= entry.upstream.beat)
@@ -71,16 +71,16 @@
         }
         let known = known.filter(|_| !back);
         let condition = told.condition.max(known.map(|entry| entry.upstream.condition).unwrap_or(READY));
-        let bornAtMs = known.map(|entry| entry.bornAtMs.min(bornAtMs)).unwrap_or(bornAtMs);
-        let upstream = Upstream { condition, ageMs: 0, bornMs: 0, ..told };
+        let born_at_ms = known.map(|entry| entry.born_at_ms.min(born_at_ms)).unwrap_or(born_at_ms);
+        let upstream = Upstream { condition, age_ms: 0, born_ms: 0, ..told };
         let same = known.is_some_and(|entry| Self::news(&entry.upstream) == Self::news(&upstream));
-        self.settle_address(&id, &upstream, bornAtMs).into_iter().for_each(|loser| {
+        self.settle_address(&id, &upstream, born_at_ms).into_iter().for_each(|loser| {
             self.end(&loser);
         });
         let lost = self.addresses.get(&upstream.address).is_some_and(|tenant| *tenant != id);
         let condition = if lost { GONE } else { condition };
         let upstream = Upstream { condition, ..upstream };
-        self.entries.insert(id.clone(), Entry { upstream, heardAt, bornAtMs, evicted: lost });
+        self.entries.insert(id.clone(), Entry { upstream, heard_at, born_at_ms, evicted: lost });
         if !same || lost {
             self.changed.insert(id);
         }
@@ -94,7 +94,7 @@
         let tenant = self.addresses.get(&told.address).filter(|tenant| *tenant != id);
         let silent = tenant
             .and_then(|tenant| self.entries.get(tenant))
-            .is_none_or(|tenant| tenant.upstream.condition == GONE || now >= tenant.heardAt + TENANT_SILENT);
+            .is_none_or(|tenant| tenant.upstream.condition == GONE || now >= tenant.heard_at + TENANT_SILENT);
         evicted && silent && told.condition != GONE
     }
 
@@ -115,12 +115,12 @@
     }
 
     /// An address belongs to its youngest registration that is not gone; gives the one that lost it.
-    fn settle_address(&mut self, id: &Id, upstream: &Upstream, bornAtMs: i64) -> Option<Id> {
+    fn settle_address(&mut self, id: &Id, upstream: &Upstream, born_at_ms: i64) -> Option<Id> {
         let tenant = self.addresses.get(&upstream.address).filter(|tenant| *tenant != id).cloned();
         let older = tenant.as_ref().and_then(|tenant| self.entries.get(tenant)).is_none_or(|entry| {
             entry.upstream.condition == GONE
                 || self.entries.get(id).is_some_and(|mine| mine.evicted)
-                || (entry.bornAtMs, entry.upstream.instance.as_str()) < (bornAtMs, id.1.as_str())
+                || (entry.born_at_ms, entry.upstream.instance.as_str()) < (born_at_ms, id.1.as_str())
         });
         let older = older && (upstream.condition != GONE || tenant.is_none());
         if older {
@@ -148,10 +148,10 @@
     /// assert!(roll.all(Duration::from_secs(4)).is_empty());
     /// assert_eq!(roll.changes(Duration::from_secs(4))[0].condition, enrolment::GONE);
     /// ```
-    pub fn sweep(&mut self, now: Duration, silentFor: Duration) {
+    pub fn sweep(&mut self, now: Duration, silent_for: Duration) {
         let over = |entry: &Entry| {
-            let patience = if entry.upstream.condition == GONE { REMEMBERED } else { silentFor };
-            now >= entry.heardAt + patience
+            let patience = if entry.upstream.condition == GONE { REMEMBERED } else { silent_for };
+            now >= entry.heard_at + patience
         };
         let due: Vec<Id> = self.entries.iter().filter(|(_, entry)| over(entry)).map(|(id, _)| id.clone()).collect();
         due.into_iter().for_each(|id| {
@@ -199,14 +199,14 @@
     /// assert!(enrolment::Roll::default().farewells(std::time::Duration::ZERO).is_empty());
     /// ```
     pub fn farewells(&self, now: Duration) -> Vec<Upstream> {
-        let fresh = |entry: &&Entry| entry.upstream.condition == GONE && now < entry.heardAt + Duration::from_secs(8);
+        let fresh = |entry: &&Entry| entry.upstream.condition == GONE && now < entry.heard_at + Duration::from_secs(8);
         self.entries.values().filter(fresh).map(|entry| Self::aged(entry, now)).collect()
     }
 
     fn aged(entry: &Entry, now: Duration) -> Upstream {
-        let ageMs = now.saturating_sub(entry.heardAt).as_millis() as u64;
-        let bornMs = (now.as_millis() as i64 - entry.bornAtMs).max(0) as u64;
-        Upstream { ageMs, bornMs, ..entry.upstream.clone() }
+        let age_ms = now.saturating_sub(entry.heard_at).as_millis() as u64;
+        let born_ms = (now.as_millis() as i64 - entry.born_at_ms).max(0) as u64;
+        Upstream { age_ms, born_ms, ..entry.upstream.clone() }
     }
 }
 
@@ -217,13 +217,13 @@
     /// What a postmaster that just started is told, in whatever order: the live tenant keeps the address.
     #[test]
     fn a_gone_instance_takes_no_address_back() {
-        let told = |instance: &str, condition, bornMs| Upstream {
+        let told = |instance: &str, condition, born_ms| Upstream {
             service: "s".into(),
             instance: instance.into(),
             address: "127.0.0.1:9".into(),
             beat: 4,
             condition,
-            bornMs,
+            born_ms,
             ..Upstream::default()
         };
         let (old, new) = (told("unit-3", GONE, 90_000), told("unit-27", READY, 40_000));
@@ -261,12 +261,12 @@
     /// Ages beyond the start of this process still tell the younger from the older.
     #[test]
     fn the_younger_registration_has_the_address() {
-        let told = |instance: &str, bornMs| Upstream {
+        let told = |instance: &str, born_ms| Upstream {
             service: "s".into(),
             instance: instance.into(),
             address: "127.0.0.1:9".into(),
             beat: 4,
-            bornMs,
+            born_ms,
             ..Upstream::default()
         };
         let mut roll = Roll::default();
--- a/crates/enrolment/src/shares.rs
+++ b/crates/enrolment/src/shares.rs
@@ -26,8 +26,8 @@
 /// Who holds which slots of one service.
 pub struct Shares {
     /// Nothing free is given before this: what an earlier holder of the duty gave must have run out.
-    quietUntil: Duration,
-    claimEpoch: u64,
+    quiet_until: Duration,
+    claim_epoch: u64,
     span: Duration,
     epoch: u64,
     slots: BTreeMap<u32, Slot>,
@@ -54,12 +54,12 @@
     /// let given = shares.beat(now, &unit("a", 2), &ready).unwrap();
     /// assert_eq!(given.iter().map(|share| share.until - share.from).sum::<u32>(), address::SLOTS / 2);
     /// ```
-    pub fn new(now: Duration, span: Duration, claimEpoch: u64) -> Self {
+    pub fn new(now: Duration, span: Duration, claim_epoch: u64) -> Self {
         Shares {
-            quietUntil: now + span + span / 6,
-            claimEpoch,
+            quiet_until: now + span + span / 6,
+            claim_epoch,
             span,
-            epoch: claimEpoch << 32,
+            epoch: claim_epoch << 32,
             slots: BTreeMap::new(),
             beats: BTreeMap::new(),
         }
@@ -103,8 +103,8 @@
         };
         // What it no longer names, it has let go; what ran out is free.
         self.slots.retain(|slot, owned| now < owned.until && (owned.owner != *me || holds(*slot, owned.epoch)));
-        if now < self.quietUntil {
-            if upstream.holder != self.claimEpoch {
+        if now < self.quiet_until {
+            if upstream.holder != self.claim_epoch {
                 return None;
             }
             self.adopt(now, upstream);
@@ -120,7 +120,7 @@
             self.slots.entry(*slot).and_modify(|owned| owned.until = until);
         });
         let room = fair - kept.len();
-        let room = if now < self.quietUntil { 0 } else { room };
+        let room = if now < self.quiet_until { 0 } else { room };
         let free: Vec<u32> = (0..SLOTS).filter(|slot| !self.slots.contains_key(slot)).take(room).collect();
         if !free.is_empty() {
             self.epoch += 1;
@@ -154,7 +154,7 @@
     /// assert!(!shares.is_quiet(Duration::from_secs(9)));
     /// ```
     pub fn is_quiet(&self, now: Duration) -> bool {
-        now < self.quietUntil
+        now < self.quiet_until
     }
 
     /// Everything that is given out and not run out.
--- a/crates/enrolment/tests/arbitrary.rs
+++ b/crates/enrolment/tests/arbitrary.rs
@@ -67,20 +67,20 @@
                     31..=75 if !wire.is_empty() => {
                         let next = noise.int_in_range(0..=wire.len().min(4) - 1)?;
                         match wire.remove(next) {
-                            Parcel::Beat(at, sentAt, upstream) => {
+                            Parcel::Beat(at, sent_at, upstream) => {
                                 let count = noise.int_in_range(1..=UNITS)?;
                                 let ready: BTreeSet<String> = (0..count).map(|at| format!("u{at}")).collect();
                                 let told = shares.beat(now, &upstream, &ready);
-                                wire.push(Parcel::Answer(at, upstream.beat, sentAt, told, claim));
+                                wire.push(Parcel::Answer(at, upstream.beat, sent_at, told, claim));
                             }
-                            Parcel::Answer(at, beat, sentAt, told, claim) => {
+                            Parcel::Answer(at, beat, sent_at, told, claim) => {
                                 let unit = &mut units[at];
                                 let latest = unit.beat == beat;
                                 if latest {
                                     unit.holder = claim;
                                 }
                                 if let Some(told) = told.filter(|_| latest) {
-                                    let until = sentAt + span;
+                                    let until = sent_at + span;
                                     let slots = told
                                         .iter()
                                         .flat_map(|run| (run.from..run.until).map(|slot| (slot, (run.epoch, until))));
--- a/crates/gazetteer/src/placement.rs
+++ b/crates/gazetteer/src/placement.rs
@@ -9,8 +9,8 @@
 /// Placement's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    pub leastStay: Duration,
-    pub markLifetime: Duration,
+    pub least_stay: Duration,
+    pub mark_lifetime: Duration,
 }
 
 /// What placement decides from.
@@ -36,7 +36,7 @@
 
 /// The holder's working state.
 pub struct Placer {
-    claimEpoch: u64,
+    claim_epoch: u64,
     number: u64,
     epoch: u64,
     times: Times,
@@ -50,22 +50,22 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// let times = gazetteer::Times { leastStay: Duration::from_secs(4), markLifetime: Duration::from_secs(60) };
+    /// let times = gazetteer::Times { least_stay: Duration::from_secs(4), mark_lifetime: Duration::from_secs(60) };
     /// let placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
     /// assert!(placer.placement(Duration::ZERO, vec![]).reservations.is_empty());
     /// ```
-    pub fn new(now: Duration, claimEpoch: u64, last: &Placement, times: Times) -> Self {
-        let at = |ageMs: u64| now.saturating_sub(Duration::from_millis(ageMs));
+    pub fn new(now: Duration, claim_epoch: u64, last: &Placement, times: Times) -> Self {
+        let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         let owned = last.reservations.iter().map(|known| {
-            let Reservation { name, locality, epoch, ageMs } = known.clone();
-            (name, Owned { locality, epoch, since: at(ageMs) })
+            let Reservation { name, locality, epoch, age_ms } = known.clone();
+            (name, Owned { locality, epoch, since: at(age_ms) })
         });
         let left = last.marks.iter().map(|known| {
-            let Mark { name, from, to, epoch, ageMs } = known.clone();
-            ((name, from), Left { to, epoch, since: at(ageMs) })
+            let Mark { name, from, to, epoch, age_ms } = known.clone();
+            ((name, from), Left { to, epoch, since: at(age_ms) })
         });
         let (owned, left): (BTreeMap<_, _>, BTreeMap<_, _>) = (owned.collect(), left.collect());
-        Placer { claimEpoch, number: 0, epoch: claimEpoch << 32, times, owned, left }
+        Placer { claim_epoch, number: 0, epoch: claim_epoch << 32, times, owned, left }
     }
 
     /// Decides anew; true where something moved.
@@ -74,11 +74,11 @@
     /// use gazetteer::{Needs, Placer, Times};
     /// use parcel::Upstream;
     /// use std::time::Duration;
-    /// let times = Times { leastStay: Duration::from_secs(4), markLifetime: Duration::from_secs(60) };
-    /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "homeRegions": ["n"]}],
+    /// let times = Times { least_stay: Duration::from_secs(4), mark_lifetime: Duration::from_secs(60) };
+    /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "home_regions": ["n"]}],
     ///     "routes": [{"id": "r", "name": "book", "path": "/", "service": "s"}]}"#).unwrap();
     /// let unit = |name: &str, place: &str| Upstream { service: "s".into(), instance: name.into(),
-    ///     locality: place.into(), freeSlots: 4, warm: true, ..Default::default() };
+    ///     locality: place.into(), free_slots: 4, warm: true, ..Default::default() };
     /// let upstreams = [unit("a", "n/1"), unit("b", "n/1"), unit("c", "n/2"), unit("d", "s/1"), unit("e", "s/1"),
     ///     unit("f", "s/1")];
     /// let served = ["n/1".to_owned(), "n/2".to_owned(), "s/1".to_owned()].into_iter().collect();
@@ -98,7 +98,7 @@
         let names = needs.setup.names();
         let before = self.owned.len() + self.left.len();
         self.owned.retain(|name, _| names.contains_key(name.as_str()));
-        let lifetime = self.times.markLifetime;
+        let lifetime = self.times.mark_lifetime;
         self.left.retain(|(name, _), left| names.contains_key(name.as_str()) && now < left.since + lifetime);
         let capacity = Self::capacity(needs);
         let dropped = before != self.owned.len() + self.left.len();
@@ -151,7 +151,7 @@
             let here = scores.get(&owned.locality).copied().unwrap_or(0);
             let most = best.map(|(_, weight)| *weight).unwrap_or(0);
             let forced = here == 0;
-            let worth = now >= owned.since + self.times.leastStay && most > here + here / 2;
+            let worth = now >= owned.since + self.times.least_stay && most > here + here / 2;
             !forced && !worth
         });
         if stays || (owned.is_none() && best.is_none()) {
@@ -179,7 +179,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = gazetteer::Times { leastStay: Duration::ZERO, markLifetime: Duration::ZERO };
+    /// # let times = gazetteer::Times { least_stay: Duration::ZERO, mark_lifetime: Duration::ZERO };
     /// let mut placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
     /// placer.count();
     /// assert_eq!(placer.placement(Duration::ZERO, vec![]).number, 1);
@@ -190,17 +190,17 @@
             name: name.clone(),
             locality: owned.locality.clone(),
             epoch: owned.epoch,
-            ageMs: age(owned.since),
+            age_ms: age(owned.since),
         });
         let marks = self.left.iter().map(|((name, from), left)| Mark {
             name: name.clone(),
             from: from.clone(),
             to: left.to.clone(),
             epoch: left.epoch,
-            ageMs: age(left.since),
+            age_ms: age(left.since),
         });
         Placement {
-            epoch: self.claimEpoch,
+            epoch: self.claim_epoch,
             number: self.number,
             reservations: reservations.collect(),
             marks: marks.collect(),
@@ -212,7 +212,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = gazetteer::Times { leastStay: Duration::ZERO, markLifetime: Duration::ZERO };
+    /// # let times = gazetteer::Times { least_stay: Duration::ZERO, mark_lifetime: Duration::ZERO };
     /// let mut placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
     /// assert_eq!(placer.placement(Duration::ZERO, vec![]).number, 0);
     /// placer.count();
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Senders {
     /// Proxies (node ids, in order) by service.
-    byService: BTreeMap<String, Vec<String>>,
+    by_service: BTreeMap<String, Vec<String>>,
     /// Since when these are they: until the others' views have caught up, more may send than are named here.
     pub since: Duration,
 }
@@ -36,7 +36,7 @@
     /// assert_eq!(gazetteer::Senders::default().of("s", "proxy-1"), None);
     /// ```
     pub fn of(&self, service: &str, proxy: &str) -> Option<(usize, usize)> {
-        let senders = self.byService.get(service)?;
+        let senders = self.by_service.get(service)?;
         senders.iter().position(|sender| sender == proxy).map(|rank| (senders.len(), rank))
     }
 }
@@ -55,12 +55,12 @@
     pub marks: Arc<BTreeMap<(String, String), Mark>>,
     /// By service.
     pub shares: Arc<BTreeMap<String, Vec<Share>>>,
-    pub placementAt: (u64, u64),
+    pub placement_at: (u64, u64),
     pub proxies: Arc<Vec<Proxy>>,
     /// Which proxies send to a service's upstreams: those where its names are owned.
     pub senders: Arc<Senders>,
     /// The moment that this view is surely no older than: its own ask, less the age it was told.
-    pub asOf: Option<Duration>,
+    pub as_of: Option<Duration>,
 }
 
 impl View {
@@ -68,13 +68,13 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// let view = gazetteer::View { asOf: Some(Duration::from_secs(1)), ..Default::default() };
+    /// let view = gazetteer::View { as_of: Some(Duration::from_secs(1)), ..Default::default() };
     /// assert!(view.is_fresh(Duration::from_secs(2), Duration::from_secs(2)));
     /// assert!(!view.is_fresh(Duration::from_secs(3), Duration::from_secs(2)));
     /// assert!(!gazetteer::View::default().is_fresh(Duration::ZERO, Duration::from_secs(2)));
     /// ```
-    pub fn is_fresh(&self, now: Duration, staleAfter: Duration) -> bool {
-        self.asOf.is_some_and(|asOf| now < asOf + staleAfter)
+    pub fn is_fresh(&self, now: Duration, stale_after: Duration) -> bool {
+        self.as_of.is_some_and(|as_of| now < as_of + stale_after)
     }
 
     /// Takes in a piece of news. An image replaces all that control tells; membership stays. A setup that
@@ -120,10 +120,10 @@
     /// A placement of a lower claim epoch, or an earlier one of the same, is dropped.
     fn place(&mut self, placement: Placement) {
         let at = (placement.epoch, placement.number);
-        if at < self.placementAt {
+        if at < self.placement_at {
             return;
         }
-        self.placementAt = at;
+        self.placement_at = at;
         let reservations = placement.reservations.into_iter().map(|r| (r.name.clone(), r));
         self.reservations = Arc::new(reservations.collect());
         let marks = placement.marks.into_iter().map(|m| ((m.name.clone(), m.from.clone()), m));
@@ -144,14 +144,14 @@
             self.reservations.get(&route.name).map(|owned| (route.service.as_str(), owned.locality.as_str()))
         });
         let places: BTreeSet<(&str, &str)> = owners.collect();
-        let mut byService: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        let mut by_service: BTreeMap<String, Vec<String>> = BTreeMap::new();
         places.into_iter().for_each(|(service, place)| {
             let there = self.proxies.iter().filter(|proxy| proxy.locality == *place);
-            byService.entry(service.to_owned()).or_default().extend(there.map(|proxy| proxy.node.clone()));
+            by_service.entry(service.to_owned()).or_default().extend(there.map(|proxy| proxy.node.clone()));
         });
-        byService.values_mut().for_each(|senders| senders.sort());
-        if byService != self.senders.byService {
-            self.senders = Arc::new(Senders { byService, since: now });
+        by_service.values_mut().for_each(|senders| senders.sort());
+        if by_service != self.senders.by_service {
+            self.senders = Arc::new(Senders { by_service, since: now });
         }
     }
 }
@@ -160,12 +160,12 @@
 ///
 /// ```
 /// use tariff::Service;
-/// let service = Service { name: "s".into(), repeatable: true, keyed: false, warmUpPerSecond: 1,
-///     homeRegions: vec!["north".into()], mostBytes: 1, concurrency: 1 };
+/// let service = Service { name: "s".into(), repeatable: true, keyed: false, warm_up_per_second: 1,
+///     home_regions: vec!["north".into()], most_bytes: 1, concurrency: 1 };
 /// assert!(gazetteer::is_home(&service, "north/n1"));
 /// assert!(!gazetteer::is_home(&service, "south/s1"));
 /// ```
 pub fn is_home(service: &Service, locality: &str) -> bool {
     let region = locality.split('/').next().unwrap_or_default();
-    service.homeRegions.is_empty() || service.homeRegions.iter().any(|home| home == region)
+    service.home_regions.is_empty() || service.home_regions.iter().any(|home| home == region)
 }
--- a/crates/parcel/src/frames.rs
+++ b/crates/parcel/src/frames.rs
@@ -12,7 +12,7 @@
 /// use bytes::BytesMut;
 /// use parcel::{Frames, Parcel};
 /// use tokio_util::codec::{Decoder, Encoder};
-/// let mut frames = Frames { mostBytes: 1024 };
+/// let mut frames = Frames { most_bytes: 1024 };
 /// let mut wire = BytesMut::new();
 /// let sent = Parcel { from: "pm-1".into(), ..Parcel::default() };
 /// frames.encode(sent.clone(), &mut wire).unwrap();
@@ -21,7 +21,7 @@
 /// assert!(frames.decode(&mut absurd).is_err());
 /// ```
 pub struct Frames {
-    pub mostBytes: usize,
+    pub most_bytes: usize,
 }
 
 impl Decoder for Frames {
@@ -33,7 +33,7 @@
             return Ok(None);
         }
         let length = (&wire[..4]).get_u32() as usize;
-        if length > self.mostBytes {
+        if length > self.most_bytes {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
         }
         if wire.len() < 4 + length {
@@ -52,7 +52,7 @@
 
     fn encode(&mut self, parcel: Parcel, wire: &mut BytesMut) -> io::Result<()> {
         let length = parcel.encoded_len();
-        if length > self.mostBytes {
+        if length > self.most_bytes {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "frame too large"));
         }
         wire.reserve(4 + length);
--- a/crates/parcel/src/lib.rs
+++ b/crates/parcel/src/lib.rs
@@ -50,9 +50,9 @@
 /// assert_ne!(seal, parcel::seal("try-2", "unit-3", 200, b"booked"));
 /// assert_ne!(seal, parcel::seal("try-1", "unit-3", 200, b"booke"));
 /// ```
-pub fn seal(tryId: &str, instance: &str, status: u16, body: &[u8]) -> String {
+pub fn seal(try_id: &str, instance: &str, status: u16, body: &[u8]) -> String {
     let mut hash = Sha256::new();
-    [tryId.as_bytes(), instance.as_bytes(), &status.to_be_bytes(), body].iter().for_each(|part| {
+    [try_id.as_bytes(), instance.as_bytes(), &status.to_be_bytes(), body].iter().for_each(|part| {
         hash.update((part.len() as u64).to_be_bytes());
         hash.update(part);
     });
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -139,12 +139,12 @@
     #[prost(message, required, tag = "4")]
     pub promised: Ballot,
     #[prost(message, required, tag = "5")]
-    pub acceptedAt: Ballot,
+    pub accepted_at: Ballot,
     #[prost(message, required, tag = "6")]
     pub accepted: Word,
     /// The highest claim epoch this voter ever granted.
     #[prost(uint64, tag = "7")]
-    pub claimEpoch: u64,
+    pub claim_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -162,13 +162,13 @@
     #[prost(message, required, tag = "2")]
     pub promised: Ballot,
     #[prost(message, required, tag = "3")]
-    pub acceptedAt: Ballot,
+    pub accepted_at: Ballot,
     #[prost(message, required, tag = "4")]
     pub accepted: Word,
     #[prost(uint64, tag = "5")]
     pub disk: u64,
     #[prost(uint64, tag = "6")]
-    pub claimEpoch: u64,
+    pub claim_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -192,7 +192,7 @@
     pub done: bool,
     /// The voter lacks the setup's bytes.
     #[prost(bool, tag = "4")]
-    pub wantsBytes: bool,
+    pub wants_bytes: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -209,7 +209,7 @@
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
     #[prost(message, required, tag = "2")]
-    pub acceptedAt: Ballot,
+    pub accepted_at: Ballot,
     #[prost(message, optional, tag = "3")]
     pub accepted: Option<Word>,
 }
@@ -288,13 +288,13 @@
     pub roles: String,
     /// Where UDP probes go.
     #[prost(string, tag = "6")]
-    pub probeAddress: String,
+    pub probe_address: String,
     /// Where other processes connect.
     #[prost(string, tag = "7")]
-    pub linkAddress: String,
+    pub link_address: String,
     /// Where HTTP is served.
     #[prost(string, tag = "8")]
-    pub httpAddress: String,
+    pub http_address: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -347,10 +347,10 @@
     #[prost(bool, tag = "3")]
     pub granted: bool,
     #[prost(uint64, tag = "4")]
-    pub highestEpoch: u64,
+    pub highest_epoch: u64,
     /// Where denied: how long until asking again may help.
     #[prost(uint64, tag = "5")]
-    pub waitMs: u64,
+    pub wait_ms: u64,
 }
 
 /// Gives a claim, or a candidate's votes, back before the end.
@@ -372,7 +372,7 @@
     #[prost(string, tag = "4")]
     pub locality: String,
     #[prost(uint32, tag = "5")]
-    pub freeSlots: u32,
+    pub free_slots: u32,
     #[prost(bool, tag = "6")]
     pub warm: bool,
     /// 0 ready, 1 leaving, 2 gone (signed off, replaced or silent too long).
@@ -382,13 +382,13 @@
     pub beat: u64,
     /// How old this beat is at its sender.
     #[prost(uint64, tag = "9")]
-    pub ageMs: u64,
+    pub age_ms: u64,
     /// Key shares the upstream says it holds.
     #[prost(message, repeated, tag = "10")]
     pub holds: Vec<Share>,
     /// How long ago the sender first heard of it: of two registrations of one address the younger counts.
     #[prost(uint64, tag = "11")]
-    pub bornMs: u64,
+    pub born_ms: u64,
     /// The epoch of the holder that answered its last beat.
     #[prost(uint64, tag = "12")]
     pub holder: u64,
@@ -425,7 +425,7 @@
     #[prost(message, required, tag = "2")]
     pub placement: Placement,
     #[prost(string, tag = "3")]
-    pub placedBy: String,
+    pub placed_by: String,
 }
 
 /// Who holds the placement duty from now on.
@@ -450,7 +450,7 @@
     #[prost(message, repeated, tag = "2")]
     pub shares: Vec<Share>,
     #[prost(uint64, tag = "3")]
-    pub spanMs: u64,
+    pub span_ms: u64,
     #[prost(uint64, tag = "4")]
     pub holder: u64,
 }
@@ -466,7 +466,7 @@
     pub epoch: u64,
     /// How long ago the span began, at the sender.
     #[prost(uint64, tag = "4")]
-    pub ageMs: u64,
+    pub age_ms: u64,
 }
 
 /// Left where a name used to live: it lives at `to` now.
@@ -482,7 +482,7 @@
     pub epoch: u64,
     /// How long ago the name left, at the sender.
     #[prost(uint64, tag = "5")]
-    pub ageMs: u64,
+    pub age_ms: u64,
 }
 
 /// All that the placement duty decided, under its claim.
@@ -525,7 +525,7 @@
     pub nonce: u64,
     /// How long ago a majority confirmed the edition.
     #[prost(uint64, tag = "2")]
-    pub ageMs: u64,
+    pub age_ms: u64,
     #[prost(uint64, tag = "3")]
     pub stream: u64,
     /// The last number sent on this stream: a carrier that kept less is behind.
--- a/crates/parcel/tests/garbage.rs
+++ b/crates/parcel/tests/garbage.rs
@@ -13,7 +13,7 @@
             let bytes: Vec<u8> = noise.arbitrary()?;
             let _ = Parcel::decode(bytes.as_slice());
             let mut wire = BytesMut::from(bytes.as_slice());
-            let mut frames = Frames { mostBytes: 4096 };
+            let mut frames = Frames { most_bytes: 4096 };
             while let Ok(Some(_)) = frames.decode(&mut wire) {}
             assert!(wire.capacity() <= bytes.len() + 2 * 4096);
             Ok(())
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -15,21 +15,21 @@
 impl Office {
     pub(crate) fn ask(&mut self, now: Duration, token: u64, ask: Ask) {
         match ask {
-            Ask::Submit { id, base, bytes, inForce } => match Setup::read(&bytes) {
+            Ask::Submit { id, base, bytes, in_force } => match Setup::read(&bytes) {
                 Err(complaints) => self.answer(token, Answer::Denied { code: Code::SetupBad, complaints }),
                 Ok(_) => {
                     let digest = parcel::digest(&bytes);
-                    self.wait_for_force(now, token, inForce);
+                    self.wait_for_force(now, token, in_force);
                     self.change(now, token, Change::Setup { id, base, digest }, Some(bytes));
                 }
             },
-            Ask::Evacuate { id, locality, back, inForce } => {
-                self.wait_for_force(now, token, inForce);
+            Ask::Evacuate { id, locality, back, in_force } => {
+                self.wait_for_force(now, token, in_force);
                 self.change(now, token, Change::Evacuate { id, locality, back }, None);
             }
             Ask::ReadSetup => {
-                if self.readWaits.len() < MOST_READ_WAITS {
-                    self.readWaits.push(ReadWait { token, askedAt: now });
+                if self.read_waits.len() < MOST_READ_WAITS {
+                    self.read_waits.push(ReadWait { token, asked_at: now });
                     self.run_register(now, registered::Event::Confirm);
                 } else {
                     self.answer(token, Answer::Verdict { code: Code::SetupCrowded, edition: 0 });
@@ -49,7 +49,7 @@
                         ("name", owned.name.as_str().into()),
                         ("locality", owned.locality.as_str().into()),
                         ("epoch", owned.epoch.into()),
-                        ("ageMs", owned.ageMs.into()),
+                        ("ageMs", owned.age_ms.into()),
                     ])
                 });
                 let sheet = sheet.collect();
@@ -73,14 +73,14 @@
 
     /// Answers the read-backs whose word was confirmed since they were asked, and gives up on old ones.
     pub(crate) fn answer_reads(&mut self, now: Duration) {
-        let late = |wait: &ReadWait| now >= wait.askedAt + READ_PATIENCE;
-        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.readWaits)
+        let late = |wait: &ReadWait| now >= wait.asked_at + READ_PATIENCE;
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.read_waits)
             .into_iter()
-            .partition(|wait| self.register.is_confirmed_since(wait.askedAt) || late(wait));
-        self.readWaits = waiting;
+            .partition(|wait| self.register.is_confirmed_since(wait.asked_at) || late(wait));
+        self.read_waits = waiting;
         done.into_iter().for_each(|wait| {
             let edition = self.register.word().edition;
-            let confirmed = self.register.is_confirmed_since(wait.askedAt);
+            let confirmed = self.register.is_confirmed_since(wait.asked_at);
             let answer = match self.register.setup() {
                 _ if !confirmed => Answer::Verdict { code: Code::Stale, edition },
                 None => Answer::Verdict { code: Code::NoWord, edition },
@@ -95,40 +95,40 @@
     }
 
     /// The operator wants to hear only once the change is in force everywhere that still serves.
-    fn wait_for_force(&mut self, now: Duration, token: u64, inForce: bool) {
-        if inForce {
+    fn wait_for_force(&mut self, now: Duration, token: u64, in_force: bool) {
+        if in_force {
             let answer = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
             let until = now + self.times.register.patience * 2;
-            self.waitingForce.push(InForce { token, answer, edition: u64::MAX, until });
+            self.waiting_force.push(InForce { token, answer, edition: u64::MAX, until });
         }
     }
 
     pub(crate) fn decided(&mut self, now: Duration, token: u64, verdict: Verdict) {
         let Verdict { code, edition } = verdict;
         let answer = Answer::Verdict { code, edition };
-        let waiting = self.waitingForce.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
+        let waiting = self.waiting_force.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
         match waiting {
             Some(waiting) => {
                 // Every view that was not told has aged out by then.
-                *waiting = InForce { token, answer, edition, until: now + self.times.staleAfter };
+                *waiting = InForce { token, answer, edition, until: now + self.times.stale_after };
             }
             None => {
-                self.waitingForce.retain(|waiting| waiting.token != token);
+                self.waiting_force.retain(|waiting| waiting.token != token);
                 self.answer(token, answer);
             }
         }
     }
 
     pub(crate) fn tick_waits(&mut self, now: Duration) {
-        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waitingForce)
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting_force)
             .into_iter()
             .partition(|waiting| now >= waiting.until || self.all_kept(waiting.edition));
-        self.waitingForce = waiting;
+        self.waiting_force = waiting;
         done.into_iter().for_each(|done| self.answer(done.token, done.answer));
         let late: Vec<u64> =
-            self.beatWaits.iter().filter(|(_, wait)| now >= wait.until).map(|(nonce, _)| *nonce).collect();
+            self.beat_waits.iter().filter(|(_, wait)| now >= wait.until).map(|(nonce, _)| *nonce).collect();
         late.into_iter().for_each(|nonce| {
-            let wait = self.beatWaits.remove(&nonce);
+            let wait = self.beat_waits.remove(&nonce);
             wait.into_iter().for_each(|wait| self.answer_beat(wait.token, 0, None));
         });
     }
@@ -141,16 +141,16 @@
             self.tell_postmasters(Body::Beats(Beats { upstreams }));
         }
         let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
-        if !keyed || self.placedBy.is_empty() || self.beatWaits.len() >= MOST_BEAT_WAITS {
+        if !keyed || self.placed_by.is_empty() || self.beat_waits.len() >= MOST_BEAT_WAITS {
             return self.answer_beat(token, 0, None);
         }
-        if self.placedBy == self.me.node {
+        if self.placed_by == self.me.node {
             let given = self.give_shares(now, &upstream);
-            return self.answer_beat(token, self.heldEpoch, given);
+            return self.answer_beat(token, self.held_epoch, given);
         }
         let nonce = self.dice.roll();
-        self.beatWaits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
-        let to = self.placedBy.clone();
+        self.beat_waits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
+        let to = self.placed_by.clone();
         self.effects.push_back(Effect::Send { to, body: Body::SharesAsk(SharesAsk { nonce, upstream }) });
     }
 
@@ -158,14 +158,14 @@
         self.roll.take(now, ask.upstream.clone());
         let Some(epoch) = self.claims.holds(now) else { return };
         let shares = self.give_shares(now, &ask.upstream);
-        let spanMs = shares.as_ref().map(|_| self.times.shareSpan.as_millis() as u64).unwrap_or(0);
-        let given = SharesGiven { nonce: ask.nonce, shares: shares.unwrap_or_default(), spanMs, holder: epoch };
+        let span_ms = shares.as_ref().map(|_| self.times.share_span.as_millis() as u64).unwrap_or(0);
+        let given = SharesGiven { nonce: ask.nonce, shares: shares.unwrap_or_default(), span_ms, holder: epoch };
         self.effects.push_back(Effect::Send { to: from, body: Body::SharesGiven(given) });
     }
 
     pub(crate) fn shares_given(&mut self, given: SharesGiven) {
-        let wait = self.beatWaits.remove(&given.nonce);
-        let shares = Some(given.shares).filter(|_| given.spanMs > 0);
+        let wait = self.beat_waits.remove(&given.nonce);
+        let shares = Some(given.shares).filter(|_| given.span_ms > 0);
         wait.into_iter().for_each(|wait| self.answer_beat(wait.token, given.holder, shares.clone()));
     }
 
@@ -185,7 +185,7 @@
                     ("code", u64::from(Code::Fine.number()).into()),
                     ("holder", holder.into()),
                     ("shares", runs.collect()),
-                    ("spanMs", (self.times.shareSpan.as_millis() as u64).into()),
+                    ("spanMs", (self.times.share_span.as_millis() as u64).into()),
                 ])
             }
         };
@@ -205,7 +205,7 @@
                 ("node", member.node.as_str().into()),
                 ("roles", member.roles.as_str().into()),
                 ("locality", member.locality.as_str().into()),
-                ("http", member.httpAddress.as_str().into()),
+                ("http", member.http_address.as_str().into()),
                 ("condition", if member.condition == rounds::ALIVE { "alive" } else { "suspect" }.into()),
             ])
         });
@@ -223,8 +223,8 @@
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
             ("roster", self.register.roster().iter().map(|voter| Sheet::from(voter.as_str())).collect()),
-            ("placement", self.placedBy.as_str().into()),
-            ("placementEpoch", self.heldEpoch.into()),
+            ("placement", self.placed_by.as_str().into()),
+            ("placementEpoch", self.held_epoch.into()),
             ("counts", self.show_counts()),
             ("members", members.collect()),
             ("readers", readers.collect()),
@@ -240,9 +240,9 @@
             ("roundsLost", tally.lost.into()),
             ("writes", tally.writes.into()),
             ("beats", counts.beats.into()),
-            ("claimsHeld", counts.claimsHeld.into()),
-            ("placementsTold", counts.placementsTold.into()),
-            ("namesMoved", counts.namesMoved.into()),
+            ("claimsHeld", counts.claims_held.into()),
+            ("placementsTold", counts.placements_told.into()),
+            ("namesMoved", counts.names_moved.into()),
             ("images", counts.images.into()),
             ("changes", counts.changes.into()),
         ])
@@ -260,10 +260,10 @@
         ("instance", upstream.instance.as_str().into()),
         ("address", upstream.address.as_str().into()),
         ("locality", upstream.locality.as_str().into()),
-        ("freeSlots", u64::from(upstream.freeSlots).into()),
+        ("freeSlots", u64::from(upstream.free_slots).into()),
         ("warm", upstream.warm.into()),
         ("condition", condition.into()),
         ("beat", upstream.beat.into()),
-        ("ageMs", upstream.ageMs.into()),
+        ("ageMs", upstream.age_ms.into()),
     ])
 }
