--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -13,7 +13,7 @@
 pub(crate) struct Reader {
     stream: u64,
     number: u64,
-    askedAt: Duration,
+    asked_at: Duration,
     word: Word,
     placement: Placement,
     /// The edition in force there, as acknowledged.
@@ -35,10 +35,10 @@
             self.send_image(now, &from);
         }
         if let Some(reader) = self.readers.get_mut(&from) {
-            reader.askedAt = now;
+            reader.asked_at = now;
             let fresh = Fresh {
                 nonce: ask.nonce,
-                ageMs: self.register.age(now).map(|age| age.as_millis() as u64 + 1).unwrap_or(u64::MAX),
+                age_ms: self.register.age(now).map(|age| age.as_millis() as u64 + 1).unwrap_or(u64::MAX),
                 stream: reader.stream,
                 number: reader.number,
                 edition: self.register.word().edition,
@@ -60,15 +60,15 @@
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
         };
-        let reader = Reader { stream, number: 0, askedAt: now, word, placement, edition };
+        let reader = Reader { stream, number: 0, asked_at: now, word, placement, edition };
         self.readers.insert(to.to_owned(), reader);
         self.effects.push_back(Effect::Send { to: to.to_owned(), body: Body::News(image) });
     }
 
     pub(crate) fn tick_news(&mut self, now: Duration) {
-        if now >= self.nextNews {
-            self.nextNews = now + NEWS_EVERY;
-            self.readers.retain(|_, reader| now < reader.askedAt + READER_PATIENCE);
+        if now >= self.next_news {
+            self.next_news = now + NEWS_EVERY;
+            self.readers.retain(|_, reader| now < reader.asked_at + READER_PATIENCE);
             self.tell_news(now);
         }
     }
@@ -78,16 +78,16 @@
         let word = self.register.word();
         let placement = self.bare_placement();
         for (node, reader) in &mut self.readers {
-            let newWord = Some(word).filter(|word| **word != reader.word);
-            let newSetup = newWord.filter(|word| word.digest != reader.word.digest).and(self.register.setup());
-            let newPlacement = Some(&placement).filter(|placement| **placement != reader.placement);
+            let new_word = Some(word).filter(|word| **word != reader.word);
+            let new_setup = new_word.filter(|word| word.digest != reader.word.digest).and(self.register.setup());
+            let new_placement = Some(&placement).filter(|placement| **placement != reader.placement);
             let news = News {
                 stream: reader.stream,
                 number: reader.number + 1,
-                word: newWord.cloned(),
-                setup: newSetup.map(<[u8]>::to_vec),
+                word: new_word.cloned(),
+                setup: new_setup.map(<[u8]>::to_vec),
                 upstreams: changed.clone(),
-                placement: newPlacement.cloned(),
+                placement: new_placement.cloned(),
             };
             if news.word.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
@@ -105,8 +105,8 @@
     fn bare_placement(&self) -> Placement {
         let mut bare = self.placement.clone();
         bare.number = 0;
-        bare.reservations.iter_mut().for_each(|reservation| reservation.ageMs = 0);
-        bare.marks.iter_mut().for_each(|mark| mark.ageMs = 0);
+        bare.reservations.iter_mut().for_each(|reservation| reservation.age_ms = 0);
+        bare.marks.iter_mut().for_each(|mark| mark.age_ms = 0);
         bare
     }
 
@@ -140,5 +140,5 @@
 
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
-    Upstream { ageMs: 0, bornMs: 0, holder: 0, holds: Vec::new(), ..upstream }
+    Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), ..upstream }
 }
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -21,16 +21,16 @@
     pub rounds: rounds::Times,
     pub claims: claims::Times,
     pub placement: gazetteer::Times,
-    pub shareSpan: Duration,
-    pub upstreamSilent: Duration,
-    pub staleAfter: Duration,
+    pub share_span: Duration,
+    pub upstream_silent: Duration,
+    pub stale_after: Duration,
 }
 
 /// What a postmaster starts from.
 pub struct Start {
     pub me: Member,
     pub seeds: Vec<String>,
-    pub rosterSize: usize,
+    pub roster_size: usize,
     pub seed: u64,
     pub durable: Durable,
     pub setups: BTreeMap<String, Vec<u8>>,
@@ -40,8 +40,8 @@
 /// What operators and upstreams ask over HTTP.
 #[derive(Clone, Debug)]
 pub enum Ask {
-    Submit { id: String, base: Option<u64>, bytes: Vec<u8>, inForce: bool },
-    Evacuate { id: String, locality: String, back: bool, inForce: bool },
+    Submit { id: String, base: Option<u64>, bytes: Vec<u8>, in_force: bool },
+    Evacuate { id: String, locality: String, back: bool, in_force: bool },
     ReadSetup,
     Status,
     Upstreams,
@@ -111,7 +111,7 @@
 /// A read-back that waits for a confirmation asked after it.
 pub(crate) struct ReadWait {
     pub token: u64,
-    pub askedAt: Duration,
+    pub asked_at: Duration,
 }
 
 pub(crate) struct BeatWait {
@@ -123,9 +123,9 @@
 #[derive(Default)]
 pub(crate) struct Counts {
     pub beats: u64,
-    pub claimsHeld: u64,
-    pub placementsTold: u64,
-    pub namesMoved: u64,
+    pub claims_held: u64,
+    pub placements_told: u64,
+    pub names_moved: u64,
     pub images: u64,
     pub changes: u64,
 }
@@ -142,22 +142,22 @@
     pub(crate) duty: Option<Duty>,
     /// The last placement heard of, and who holds the duty.
     pub(crate) placement: Placement,
-    pub(crate) placedBy: String,
+    pub(crate) placed_by: String,
     pub(crate) setup: Arc<Setup>,
     pub(crate) members: Vec<Member>,
     pub(crate) readers: BTreeMap<String, Reader>,
     /// The edition that each carrier acknowledged, to whichever postmaster.
     pub(crate) kept: BTreeMap<String, u64>,
-    pub(crate) waitingForce: Vec<InForce>,
-    pub(crate) readWaits: Vec<ReadWait>,
-    pub(crate) beatWaits: BTreeMap<u64, BeatWait>,
-    pub(crate) nextSweep: Duration,
-    pub(crate) nextNews: Duration,
+    pub(crate) waiting_force: Vec<InForce>,
+    pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
+    pub(crate) next_sweep: Duration,
+    pub(crate) next_news: Duration,
     pub(crate) effects: VecDeque<Effect>,
     told: Standing,
     /// True once another postmaster told all it knows of upstreams, or all of them had time to beat.
-    pub(crate) rollTold: bool,
-    pub(crate) heldEpoch: u64,
+    pub(crate) roll_told: bool,
+    pub(crate) held_epoch: u64,
     pub(crate) counts: Counts,
     /// True once it was told to end: whoever asks is sent elsewhere.
     closing: bool,
@@ -168,16 +168,16 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
     ///     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
         let mut dice = Dice::new(start.seed);
-        let Start { me, seeds, rosterSize, durable, setups, times, .. } = start;
+        let Start { me, seeds, roster_size, durable, setups, times, .. } = start;
         let register = Register::new(registered::Start {
             me: me.node.clone(),
-            rosterSize,
+            roster_size,
             seed: dice.roll(),
             durable,
             setups,
@@ -195,18 +195,18 @@
             roll: Roll::default(),
             duty: None,
             placement: Placement::default(),
-            placedBy: String::new(),
+            placed_by: String::new(),
             setup: Arc::default(),
             readers: BTreeMap::new(),
             kept: BTreeMap::new(),
-            waitingForce: Vec::new(),
-            readWaits: Vec::new(),
-            beatWaits: BTreeMap::new(),
-            nextSweep: Duration::ZERO,
-            nextNews: Duration::ZERO,
+            waiting_force: Vec::new(),
+            read_waits: Vec::new(),
+            beat_waits: BTreeMap::new(),
+            next_sweep: Duration::ZERO,
+            next_news: Duration::ZERO,
             effects: VecDeque::new(),
-            rollTold: false,
-            heldEpoch: 0,
+            roll_told: false,
+            held_epoch: 0,
             counts: Counts::default(),
             closing: false,
         }
@@ -216,7 +216,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
@@ -228,11 +228,11 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// use postmaster::{Answer, Ask, Effect, Event, Office};
     /// let mut office = Office::new(start);
-    /// let ask = Ask::Submit { id: "a".into(), base: None, bytes: b"{".to_vec(), inForce: false };
+    /// let ask = Ask::Submit { id: "a".into(), base: None, bytes: b"{".to_vec(), in_force: false };
     /// let effects = office.step(Default::default(), Event::Ask { token: 7, ask });
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
@@ -270,9 +270,9 @@
             self.run_claims(now, claims::Event::Roster { roster, epoch });
             self.run_claims(now, claims::Event::Tick);
         }
-        if now >= self.nextSweep {
-            self.nextSweep = now + Duration::from_millis(500);
-            self.roll.sweep(now, self.times.upstreamSilent);
+        if now >= self.next_sweep {
+            self.next_sweep = now + Duration::from_millis(500);
+            self.roll.sweep(now, self.times.upstream_silent);
             if !self.is_settled(now) {
                 self.tell_postmasters(Body::RollAsk(RollAsk {}));
             }
@@ -337,7 +337,7 @@
             self.members = self.rounds.members().cloned().collect();
             let present = |node: &String| self.members.iter().any(|member| member.node == *node);
             self.kept.retain(|node, _| present(node));
-            let book = self.members.iter().map(|member| (member.node.clone(), member.linkAddress.clone()));
+            let book = self.members.iter().map(|member| (member.node.clone(), member.link_address.clone()));
             self.effects.push_back(Effect::Addresses(book.collect()));
         }
         let peers = self.members.iter().filter(|member| member.roles == "postmaster");
@@ -375,7 +375,7 @@
     fn adopted(&mut self) {
         let read = self.register.setup().map(Setup::read).and_then(Result::ok);
         self.setup = read.map(Arc::new).unwrap_or_default();
-        self.nextNews = Duration::ZERO;
+        self.next_news = Duration::ZERO;
         let edition = self.register.word().edition;
         self.effects.push_back(Effect::Note(format!("edition {edition} is in force")));
     }
@@ -392,13 +392,13 @@
 
     /// True once this node knows the upstreams well enough to tell carriers of them.
     pub(crate) fn is_settled(&self, now: Duration) -> bool {
-        self.rollTold || now >= self.times.upstreamSilent
+        self.roll_told || now >= self.times.upstream_silent
     }
 
     fn roll_asked(&mut self, now: Duration, from: String) {
         if self.is_settled(now) {
-            let (placement, placedBy) = (self.placement.clone(), self.placedBy.clone());
-            let told = RollTold { upstreams: self.roll.all(now), placement, placedBy };
+            let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
+            let told = RollTold { upstreams: self.roll.all(now), placement, placed_by };
             self.effects.push_back(Effect::Send { to: from, body: Body::RollTold(told) });
         }
     }
@@ -407,12 +407,12 @@
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
-        self.take_placement(told.placedBy, told.placement);
-        self.rollTold = true;
+        self.take_placement(told.placed_by, told.placement);
+        self.roll_told = true;
     }
 
     /// True while a majority confirmed the word lately.
     pub(crate) fn is_current(&self, now: Duration) -> bool {
-        self.register.age(now).is_some_and(|age| age < self.times.staleAfter)
+        self.register.age(now).is_some_and(|age| age < self.times.stale_after)
     }
 }
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -16,12 +16,12 @@
 /// The holder's working state, thrown away when the claim ends.
 pub(crate) struct Duty {
     epoch: u64,
-    listenUntil: Duration,
+    listen_until: Duration,
     placer: Option<Placer>,
     shares: BTreeMap<String, Shares>,
     told: Vec<ServiceShares>,
-    nextDecide: Duration,
-    nextTell: Duration,
+    next_decide: Duration,
+    next_tell: Duration,
 }
 
 impl Office {
@@ -29,7 +29,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], rosterSize: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert!(!postmaster::Office::new(start).holds_placement(Default::default()));
     /// ```
@@ -43,26 +43,26 @@
             self.effects.extend(lost);
             return;
         };
-        if epoch > self.heldEpoch {
+        if epoch > self.held_epoch {
             // Beats find their way here at once, long before the first decision.
             let me = self.me.node.clone();
-            self.counts.claimsHeld += 1;
+            self.counts.claims_held += 1;
             self.effects.push_back(Effect::Note(format!("placement: held under epoch {epoch}")));
             self.hear_holder(me, epoch);
             self.tell_postmasters(Body::Holder(Holder { epoch }));
         }
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
-            listenUntil: now + LISTEN,
+            listen_until: now + LISTEN,
             placer: None,
             shares: BTreeMap::new(),
             told: Vec::new(),
-            nextDecide: now,
-            nextTell: now,
+            next_decide: now,
+            next_tell: now,
         });
         // Without a current word it might decide from an old one.
-        if now >= duty.nextDecide && now >= duty.listenUntil && self.is_current(now) {
-            duty.nextDecide = now + DECIDE_EVERY;
+        if now >= duty.next_decide && now >= duty.listen_until && self.is_current(now) {
+            duty.next_decide = now + DECIDE_EVERY;
             self.decide(now, &mut duty);
         }
         self.duty = Some(duty);
@@ -79,12 +79,12 @@
         let moved = placer.decide(now, &needs);
         duty.shares.retain(|service, _| self.setup.services.get(service).is_some_and(|service| service.keyed));
         let shares = self.told_shares(now, duty);
-        self.counts.namesMoved += u64::from(moved);
-        if moved || shares != duty.told || now >= duty.nextTell {
-            duty.nextTell = now + TELL_EVERY;
+        self.counts.names_moved += u64::from(moved);
+        if moved || shares != duty.told || now >= duty.next_tell {
+            duty.next_tell = now + TELL_EVERY;
             duty.told = shares.clone();
             placer.count();
-            self.counts.placementsTold += 1;
+            self.counts.placements_told += 1;
             let placement = placer.placement(now, shares);
             let me = self.me.node.clone();
             self.tell_postmasters(Body::Placement(placement.clone()));
@@ -123,16 +123,16 @@
 
     /// Who holds the duty; a lower epoch was overtaken.
     pub(crate) fn hear_holder(&mut self, from: String, epoch: u64) {
-        if epoch > self.heldEpoch {
-            self.heldEpoch = epoch;
-            self.placedBy = from;
+        if epoch > self.held_epoch {
+            self.held_epoch = epoch;
+            self.placed_by = from;
         }
     }
 
     /// Shares for a beat; none where this node does not hold the duty, so that nobody takes it for an answer.
     pub(crate) fn give_shares(&mut self, now: Duration, upstream: &Upstream) -> Option<Vec<Share>> {
         let epoch = self.claims.holds(now)?;
-        let span = self.times.shareSpan;
+        let span = self.times.share_span;
         let ready = self.roll.all(now).into_iter();
         let ready = ready.filter(|other| {
             let evacuated = self.register.word().evacuated.contains(&other.locality);
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -57,19 +57,19 @@
 /// ```
 pub fn times(settings: &Settings) -> Times {
     Times {
-        register: registered::Times { confirmEvery: settings.span("confirm-every-ms"), ..Default::default() },
+        register: registered::Times { confirm_every: settings.span("confirm-every-ms"), ..Default::default() },
         rounds: rounds::Times {
-            probeEvery: settings.span("probe-every-ms"),
-            suspectFor: settings.span("suspect-for-ms"),
+            probe_every: settings.span("probe-every-ms"),
+            suspect_for: settings.span("suspect-for-ms"),
         },
         claims: claims::Times { span: settings.span("claim-span-ms"), margin: settings.span("claim-margin-ms") },
         placement: gazetteer::Times {
-            leastStay: settings.span("least-stay-ms"),
-            markLifetime: settings.span("mark-lifetime-ms"),
+            least_stay: settings.span("least-stay-ms"),
+            mark_lifetime: settings.span("mark-lifetime-ms"),
         },
-        shareSpan: settings.span("share-span-ms"),
-        upstreamSilent: settings.span("upstream-silent-ms"),
-        staleAfter: settings.span("stale-after-ms"),
+        share_span: settings.span("share-span-ms"),
+        upstream_silent: settings.span("upstream-silent-ms"),
+        stale_after: settings.span("stale-after-ms"),
     }
 }
 
@@ -94,8 +94,8 @@
 #[derive(Default)]
 struct DiskSpans {
     writes: AtomicU64,
-    lastMs: AtomicU64,
-    mostMs: AtomicU64,
+    last_ms: AtomicU64,
+    most_ms: AtomicU64,
 }
 
 /// Runs a postmaster until it is told to close. An error is why it could not start.
@@ -119,9 +119,9 @@
         node: settings.get("node").into(),
         locality: settings.get("locality").into(),
         roles: "postmaster".into(),
-        probeAddress: told.clone(),
-        linkAddress: told,
-        httpAddress: settings.get("http").into(),
+        probe_address: told.clone(),
+        link_address: told,
+        http_address: settings.get("http").into(),
         ..Member::default()
     };
     let node = me.node.clone();
@@ -129,7 +129,7 @@
     let mut office = Office::new(Start {
         me,
         seeds: settings.list("seeds"),
-        rosterSize: settings.count("roster-size") as usize,
+        roster_size: settings.count("roster-size") as usize,
         seed: wicket::chance(),
         durable: contents.durable,
         setups: contents.setups,
@@ -157,8 +157,8 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = std::pin::pin!(wicket::stop_signal());
     let mut datagram = vec![0u8; 65_536];
-    let mut endAt = None;
-    while endAt.is_none_or(|endAt| clock.now() < endAt) {
+    let mut end_at = None;
+    while end_at.is_none_or(|end_at| clock.now() < end_at) {
         let event = tokio::select! {
             _ = tick.tick() => Event::Tick,
             Some((event, answer)) = inbox.recv() => {
@@ -177,11 +177,11 @@
                     None => continue,
                 }
             }
-            _ = &mut stop, if endAt.is_none() => {
+            _ = &mut stop, if end_at.is_none() => {
                 log::info!("close: asked to stop");
                 shared.closing.store(true, Ordering::Relaxed);
                 // What is said now must still leave the process, and what was on its way be answered.
-                endAt = Some(clock.now() + LAST_WORDS);
+                end_at = Some(clock.now() + LAST_WORDS);
                 Event::Close
             }
         };
@@ -239,15 +239,15 @@
     let (writes, waiting) = std::sync::mpsc::sync_channel(MOST_WRITES);
     std::thread::spawn(move || {
         for write in waiting {
-            let begunAt = clock.now();
+            let begun_at = clock.now();
             let (ticket, done) = match write {
                 Write::State(ticket, durable) => (ticket, vault.keep(&durable)),
                 Write::Setup(ticket, digest, bytes) => (ticket, vault.keep_setup(&digest, &bytes)),
             };
-            let tookMs = (clock.now() - begunAt).as_millis() as u64;
+            let took_ms = (clock.now() - begun_at).as_millis() as u64;
             spans.writes.fetch_add(1, Ordering::Relaxed);
-            spans.lastMs.store(tookMs, Ordering::Relaxed);
-            spans.mostMs.fetch_max(tookMs, Ordering::Relaxed);
+            spans.last_ms.store(took_ms, Ordering::Relaxed);
+            spans.most_ms.fetch_max(took_ms, Ordering::Relaxed);
             let failed = done.map_err(|failure| log::error!("disk: {failure:?}")).is_err();
             let event = if failed { Event::DiskFailed } else { Event::Kept { ticket } };
             if events.blocking_send((event, None)).is_err() || failed {
@@ -271,8 +271,8 @@
                 ("asked", count(&shared.asked)),
                 ("parcels", count(&shared.parcels)),
                 ("diskWrites", count(&shared.disk.writes)),
-                ("diskLastMs", count(&shared.disk.lastMs)),
-                ("diskMostMs", count(&shared.disk.mostMs)),
+                ("diskLastMs", count(&shared.disk.last_ms)),
+                ("diskMostMs", count(&shared.disk.most_ms)),
             ]);
             wicket::json(Code::Fine, &sheet)
         }
@@ -297,10 +297,10 @@
 fn read_ask(enquiry: &Enquiry) -> Result<Ask, (Code, Vec<Complaint>)> {
     let mut complaints = Vec::new();
     let id = enquiry.query("id").to_owned();
-    let inForce = enquiry.query("wait") == "force";
-    let needsId =
+    let in_force = enquiry.query("wait") == "force";
+    let needs_id =
         matches!((enquiry.method.as_str(), enquiry.path.as_str()), ("PUT", "/setup") | ("POST", "/evacuations"));
-    if needsId && !address::is_id(&id) {
+    if needs_id && !address::is_id(&id) {
         complain(&mut complaints, "id", "a submission needs an id of 1 to 64 of a-z A-Z 0-9 - _ .");
     }
     let ask = match (enquiry.method.as_str(), enquiry.path.as_str()) {
@@ -309,7 +309,7 @@
             if matches!(base, Some(Err(_))) {
                 complain(&mut complaints, "base", "must be the edition that the setup was made from");
             }
-            Ask::Submit { id, base: base.and_then(Result::ok), bytes: enquiry.body.to_vec(), inForce }
+            Ask::Submit { id, base: base.and_then(Result::ok), bytes: enquiry.body.to_vec(), in_force }
         }
         ("POST", "/evacuations") => {
             let locality = enquiry.query("locality").to_owned();
@@ -317,7 +317,7 @@
                 complain(&mut complaints, "locality", text);
             }
             let back = enquiry.query("back") == "true";
-            Ask::Evacuate { id, locality, back, inForce }
+            Ask::Evacuate { id, locality, back, in_force }
         }
         ("GET", "/setup") => Ask::ReadSetup,
         ("GET", "/status") => Ask::Status,
@@ -375,20 +375,20 @@
     if complaints.is_empty() && locality.parse::<address::Locality>().is_err() {
         complain(complaints, "/locality", format!("'{locality}' is not a locality; write region/zone"));
     }
-    let (freeSlots, beat) = numbers.map(|(free, beat)| (free as u32, beat)).unwrap_or_default();
+    let (free_slots, beat) = numbers.map(|(free, beat)| (free as u32, beat)).unwrap_or_default();
     Upstream {
         service,
         instance,
         address,
         locality,
-        freeSlots,
+        free_slots,
         warm,
         condition,
         beat,
         holds,
         holder,
-        ageMs: 0,
-        bornMs: 0,
+        age_ms: 0,
+        born_ms: 0,
     }
 }
 
--- a/crates/registered/src/founding.rs
+++ b/crates/registered/src/founding.rs
@@ -21,7 +21,7 @@
             return;
         }
         let asking = matches!(self.standing, Standing::Blank { .. } | Standing::Founding { .. });
-        if asking && now >= self.nextTell {
+        if asking && now >= self.next_tell {
             let endorse = self.endorsement(0);
             let others: Vec<String> = self.peers.iter().filter(|peer| **peer != self.me).cloned().collect();
             others.iter().for_each(|peer| self.send(peer, Body::Endorse(endorse.clone())));
@@ -75,7 +75,7 @@
     fn endorse_if_alone(&mut self) {
         let Standing::Blank { unfounded } = &self.standing else { return };
         let others = self.peers.iter().filter(|peer| **peer != self.me);
-        let full = self.peers.len() == self.rosterSize && self.peers.contains(&self.me);
+        let full = self.peers.len() == self.roster_size && self.peers.contains(&self.me);
         if full && others.into_iter().all(|peer| unfounded.contains(peer)) && self.durable.endorsed.is_empty() {
             self.durable.endorsed = self.peers.clone();
             self.keep(Vec::new());
@@ -124,8 +124,8 @@
     }
 
     fn start_mending(&mut self, now: Duration, roster: Vec<String>) {
-        self.seenRound += 1;
-        let ballot = Ballot { round: self.seenRound, voter: self.me.clone(), stamp: self.stamp };
+        self.seen_round += 1;
+        let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), stamp: self.stamp };
         let others: Vec<String> = roster.iter().filter(|voter| **voter != self.me).cloned().collect();
         let until = now + MEND_PHASE;
         self.stand(Standing::Mending { roster, ballot: ballot.clone(), promises: BTreeMap::new(), until });
@@ -146,17 +146,17 @@
         if promises.len() < majority(roster.len()) || self.durable.disk != 0 {
             return;
         }
-        let newest = promises.values().max_by(|a, b| a.acceptedAt.cmp(&b.acceptedAt)).cloned();
-        let claimEpoch = promises.values().map(|promise| promise.claimEpoch).max().unwrap_or(0);
+        let newest = promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at)).cloned();
+        let claim_epoch = promises.values().map(|promise| promise.claim_epoch).max().unwrap_or(0);
         let (roster, promised) = (roster.clone(), ballot.clone());
-        let Promise { acceptedAt, accepted, .. } = newest.unwrap_or_default();
+        let Promise { accepted_at, accepted, .. } = newest.unwrap_or_default();
         if !accepted.digest.is_empty() && !self.held.contains(&accepted.digest) {
             // First the bytes: the next try finds them.
             return self.send(from, Body::SetupAsk(SetupAsk { digest: accepted.digest }));
         }
         let disk = self.dice.roll().max(1);
         let endorsed = roster.clone();
-        self.durable = Durable { disk, roster, endorsed, promised, acceptedAt, accepted, claimEpoch };
+        self.durable = Durable { disk, roster, endorsed, promised, accepted_at, accepted, claim_epoch };
         self.keep(Vec::new());
     }
 
--- a/crates/registered/src/proposer.rs
+++ b/crates/registered/src/proposer.rs
@@ -43,12 +43,12 @@
     },
     Preparing {
         ballot: Ballot,
-        askedAt: Duration,
+        asked_at: Duration,
         promises: BTreeMap<String, Promise>,
     },
     Accepting {
         ballot: Ballot,
-        askedAt: Duration,
+        asked_at: Duration,
         /// Started this phase.
         since: Duration,
         word: Word,
@@ -90,7 +90,7 @@
         match &self.round {
             Round::Idle if !self.waitlist.is_empty() => self.start_round(now),
             Round::BackingOff { until } if now >= *until => self.turn(Round::Idle),
-            Round::Preparing { askedAt, .. } if now >= *askedAt + phase => self.back_off(now),
+            Round::Preparing { asked_at, .. } if now >= *asked_at + phase => self.back_off(now),
             Round::Accepting { since, .. } if now >= *since + phase => self.back_off(now),
             _ => {}
         }
@@ -117,8 +117,8 @@
 
     fn start_round(&mut self, now: Duration) {
         self.tally.rounds += 1;
-        self.seenRound += 1;
-        let ballot = Ballot { round: self.seenRound, voter: self.me.clone(), stamp: self.stamp };
+        self.seen_round += 1;
+        let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), stamp: self.stamp };
         // A setup's bytes travel once, ahead of the round that needs them.
         let untried: Vec<String> =
             self.waitlist.iter().take(MOST_AT_ONCE).filter(|wish| !wish.tried).filter_map(Wish::digest).collect();
@@ -127,18 +127,18 @@
                 self.send_all(Body::SetupBytes(SetupBytes { digest, bytes }));
             }
         });
-        self.turn(Round::Preparing { ballot: ballot.clone(), askedAt: now, promises: BTreeMap::new() });
+        self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, promises: BTreeMap::new() });
         self.send_all(Body::Prepare(Prepare { ballot }));
     }
 
     fn back_off(&mut self, now: Duration) {
         self.tally.lost += 1;
-        let waitMs = 20 + self.dice.below(180);
-        self.turn(Round::BackingOff { until: now + Duration::from_millis(waitMs) });
+        let wait_ms = 20 + self.dice.below(180);
+        self.turn(Round::BackingOff { until: now + Duration::from_millis(wait_ms) });
     }
 
     pub(crate) fn promise(&mut self, now: Duration, from: &str, promise: Promise) {
-        self.seenRound = self.seenRound.max(promise.promised.round);
+        self.seen_round = self.seen_round.max(promise.promised.round);
         if matches!(self.standing, Standing::Mending { .. }) {
             return self.mend(now, from, promise);
         }
@@ -165,8 +165,8 @@
 
     fn start_accepting(&mut self, now: Duration) {
         let round = std::mem::replace(&mut self.round, Round::Idle);
-        let Round::Preparing { ballot, askedAt, promises } = round else { return };
-        let highest = promises.values().max_by(|a, b| a.acceptedAt.cmp(&b.acceptedAt));
+        let Round::Preparing { ballot, asked_at, promises } = round else { return };
+        let highest = promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at));
         let mut word = highest.map(|promise| promise.accepted.clone()).unwrap_or_default();
         let verdicts = self
             .waitlist
@@ -181,18 +181,18 @@
             .into_iter()
             .map(|(voter, promise)| (voter, Accept { ballot: ballot.clone(), word: word.clone(), disk: promise.disk }))
             .collect();
-        self.turn(Round::Accepting { ballot, askedAt, since: now, word, verdicts, accepted: BTreeSet::new() });
+        self.turn(Round::Accepting { ballot, asked_at, since: now, word, verdicts, accepted: BTreeSet::new() });
         accepts.into_iter().for_each(|(voter, accept)| self.send(&voter, Body::Accept(accept)));
     }
 
     pub(crate) fn accepted(&mut self, now: Duration, from: &str, answer: Accepted) {
-        self.seenRound = self.seenRound.max(answer.promised.round);
+        self.seen_round = self.seen_round.max(answer.promised.round);
         let voters = majority(self.durable.roster.len());
         let Round::Accepting { ballot, word, accepted, .. } = &mut self.round else { return };
         if *ballot != answer.ballot {
             return;
         }
-        if answer.wantsBytes {
+        if answer.wants_bytes {
             let digest = word.digest.clone();
             return self.resend_setup(from, digest, answer.ballot);
         }
@@ -215,9 +215,9 @@
 
     fn finish_round(&mut self) {
         let round = std::mem::replace(&mut self.round, Round::Idle);
-        let Round::Accepting { ballot, askedAt, word, verdicts, .. } = round else { return };
+        let Round::Accepting { ballot, asked_at, word, verdicts, .. } = round else { return };
         self.waitlist.drain(..verdicts.len());
-        self.adopt(ballot.clone(), word.clone(), Some(askedAt));
+        self.adopt(ballot.clone(), word.clone(), Some(asked_at));
         self.tell_chosen(ballot, word);
         let told = verdicts.into_iter().filter_map(|(token, verdict)| token.map(|token| (token, verdict)));
         self.effects.extend(told.map(|(token, verdict)| Effect::Verdict { token, verdict }));
--- a/crates/registered/src/reading.rs
+++ b/crates/registered/src/reading.rs
@@ -11,7 +11,7 @@
 /// A read under way.
 pub(crate) struct Reading {
     nonce: u64,
-    askedAt: Duration,
+    asked_at: Duration,
     /// The ballot that the question named as known.
     known: (Ballot, Word),
     backs: BTreeMap<String, (Ballot, Word)>,
@@ -19,7 +19,7 @@
 
 impl Register {
     pub(crate) fn tick_reading(&mut self, now: Duration) {
-        if now < self.nextRead {
+        if now < self.next_read {
             return;
         }
         self.finish_if_split(now);
@@ -32,19 +32,19 @@
             return;
         }
         match &self.reading {
-            Some(reading) if reading.askedAt < now => self.readAgain = true,
+            Some(reading) if reading.asked_at < now => self.read_again = true,
             Some(_) => {}
             None => self.start_reading(now),
         }
     }
 
     fn start_reading(&mut self, now: Duration) {
-        self.nextRead = now + self.times.confirmEvery;
-        self.readAgain = false;
+        self.next_read = now + self.times.confirm_every;
+        self.read_again = false;
         let nonce = self.dice.roll();
         let known = (self.current.ballot.clone(), self.current.word.clone());
         let body = Body::Read(Read { nonce, known: known.0.clone() });
-        self.reading = Some(Reading { nonce, askedAt: now, known, backs: BTreeMap::new() });
+        self.reading = Some(Reading { nonce, asked_at: now, known, backs: BTreeMap::new() });
         self.send_all(body);
     }
 
@@ -52,14 +52,14 @@
     fn finish_if_split(&mut self, now: Duration) {
         let voters = majority(self.durable.roster.len());
         let split = self.reading.take().filter(|reading| reading.backs.len() >= voters);
-        let mineToDo = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
-        if mineToDo || (self.waitlist.is_empty() && self.reading_is_old(now) && self.dice.below(4) == 0) {
+        let mine_to_do = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
+        if mine_to_do || (self.waitlist.is_empty() && self.reading_is_old(now) && self.dice.below(4) == 0) {
             self.push_wish(Wish::new(now, None, Change::Finish));
         }
     }
 
     fn reading_is_old(&self, now: Duration) -> bool {
-        self.age(now).is_none_or(|age| age > self.times.confirmEvery * 2)
+        self.age(now).is_none_or(|age| age > self.times.confirm_every * 2)
     }
 
     pub(crate) fn read_back(&mut self, now: Duration, from: &str, back: ReadBack) {
@@ -69,14 +69,14 @@
         let voters = majority(self.durable.roster.len());
         let chosen = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce).and_then(|reading| {
             let word = back.accepted.unwrap_or_else(|| reading.known.1.clone());
-            reading.backs.insert(from.to_owned(), (back.acceptedAt.clone(), word.clone()));
-            let alike = reading.backs.values().filter(|(ballot, _)| *ballot == back.acceptedAt).count();
-            (alike >= voters).then_some((back.acceptedAt, word, reading.askedAt))
+            reading.backs.insert(from.to_owned(), (back.accepted_at.clone(), word.clone()));
+            let alike = reading.backs.values().filter(|(ballot, _)| *ballot == back.accepted_at).count();
+            (alike >= voters).then_some((back.accepted_at, word, reading.asked_at))
         });
-        if let Some((ballot, word, askedAt)) = chosen {
+        if let Some((ballot, word, asked_at)) = chosen {
             self.reading = None;
-            self.adopt(ballot, word, Some(askedAt));
-            if self.readAgain {
+            self.adopt(ballot, word, Some(asked_at));
+            if self.read_again {
                 self.start_reading(now);
             }
         }
--- a/crates/registered/src/register.rs
+++ b/crates/registered/src/register.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
     /// How often a majority confirms the word.
-    pub confirmEvery: Duration,
+    pub confirm_every: Duration,
     /// How long one phase of a round may take.
     pub phase: Duration,
     /// How long a change may wait for its verdict.
@@ -27,7 +27,7 @@
 impl Default for Times {
     fn default() -> Self {
         Times {
-            confirmEvery: Duration::from_millis(500),
+            confirm_every: Duration::from_millis(500),
             phase: Duration::from_millis(700),
             patience: Duration::from_millis(2500),
         }
@@ -38,7 +38,7 @@
 pub struct Start {
     pub me: String,
     /// How many voters a founding needs.
-    pub rosterSize: usize,
+    pub roster_size: usize,
     pub seed: u64,
     /// What the disk holds; default on a blank disk.
     pub durable: Durable,
@@ -134,7 +134,7 @@
     pub ballot: Ballot,
     pub word: Word,
     /// When the question was sent whose answers confirmed it.
-    pub confirmedAt: Option<Duration>,
+    pub confirmed_at: Option<Duration>,
 }
 
 /// What a voter did since its start.
@@ -150,7 +150,7 @@
 /// One voter of the majority register.
 pub struct Register {
     pub(crate) me: String,
-    pub(crate) rosterSize: usize,
+    pub(crate) roster_size: usize,
     pub(crate) times: Times,
     pub(crate) dice: Dice,
     pub(crate) stamp: u64,
@@ -163,14 +163,14 @@
     pub(crate) setups: BTreeMap<String, Vec<u8>>,
     pub(crate) held: BTreeSet<String>,
     pub(crate) current: Current,
-    pub(crate) seenRound: u64,
+    pub(crate) seen_round: u64,
     pub(crate) round: Round,
     pub(crate) waitlist: VecDeque<Wish>,
     pub(crate) reading: Option<Reading>,
-    pub(crate) nextRead: Duration,
+    pub(crate) next_read: Duration,
     /// Somebody asked for a confirmation after the read under way was begun.
-    pub(crate) readAgain: bool,
-    pub(crate) nextTell: Duration,
+    pub(crate) read_again: bool,
+    pub(crate) next_tell: Duration,
     writes: VecDeque<Write>,
     ticket: u64,
     inbox: VecDeque<Body>,
@@ -184,7 +184,7 @@
     /// ```
     /// use registered::{Register, Standing, Start, Times};
     /// let register = Register::new(Start {
-    ///     me: "pm-1".into(), rosterSize: 1, seed: 7, durable: Default::default(),
+    ///     me: "pm-1".into(), roster_size: 1, seed: 7, durable: Default::default(),
     ///     setups: Default::default(), times: Times::default(),
     /// });
     /// assert!(matches!(register.standing(), Standing::Blank { .. }));
@@ -199,24 +199,24 @@
         };
         Register {
             me: start.me,
-            rosterSize: start.rosterSize,
+            roster_size: start.roster_size,
             times: start.times,
             dice,
             stamp,
             peers: Vec::new(),
             standing,
             synced: start.durable.clone(),
-            seenRound: start.durable.promised.round,
+            seen_round: start.durable.promised.round,
             durable: start.durable,
             held: start.setups.keys().cloned().collect(),
             setups: start.setups,
-            current: Current { ballot: Ballot::default(), word: Word::default(), confirmedAt: None },
+            current: Current { ballot: Ballot::default(), word: Word::default(), confirmed_at: None },
             round: Round::Idle,
             waitlist: VecDeque::new(),
             reading: None,
-            nextRead: Duration::ZERO,
-            readAgain: false,
-            nextTell: Duration::ZERO,
+            next_read: Duration::ZERO,
+            read_again: false,
+            next_tell: Duration::ZERO,
             writes: VecDeque::new(),
             ticket: 0,
             inbox: VecDeque::new(),
@@ -232,7 +232,7 @@
     /// use std::time::Duration;
     /// // A roster of one founds itself once its endorsement and its mark are synced.
     /// let mut register = Register::new(Start {
-    ///     me: "pm-1".into(), rosterSize: 1, seed: 7, durable: Default::default(),
+    ///     me: "pm-1".into(), roster_size: 1, seed: 7, durable: Default::default(),
     ///     setups: Default::default(), times: Times::default(),
     /// });
     /// let mut effects = register.step(Duration::ZERO, Event::Peers(vec!["pm-1".into()]));
@@ -275,8 +275,8 @@
             self.tick_reading(now);
             self.tick_round(now);
         }
-        if now >= self.nextTell {
-            self.nextTell = now + Duration::from_millis(300);
+        if now >= self.next_tell {
+            self.next_tell = now + Duration::from_millis(300);
             self.ask_missing_setup();
         }
     }
@@ -307,7 +307,7 @@
     ///
     /// ```
     /// # use registered::{Event, Register, Standing, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// let mut register = Register::new(start);
     /// register.step(Default::default(), Event::DiskFailed);
@@ -321,7 +321,7 @@
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).word().edition, 0);
     /// ```
@@ -333,7 +333,7 @@
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).setup(), None);
     /// ```
@@ -345,31 +345,31 @@
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).age(Default::default()), None);
     /// ```
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.current.confirmedAt.map(|at| now.saturating_sub(at))
+        self.current.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
     /// True where a majority confirmed the word by answers to a question sent at this moment or later.
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert!(!Register::new(start).is_confirmed_since(Default::default()));
     /// ```
-    pub fn is_confirmed_since(&self, askedAt: Duration) -> bool {
-        self.current.confirmedAt.is_some_and(|at| at >= askedAt)
+    pub fn is_confirmed_since(&self, asked_at: Duration) -> bool {
+        self.current.confirmed_at.is_some_and(|at| at >= asked_at)
     }
 
     /// What it did since its start.
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).tally().rounds, 0);
     /// ```
@@ -381,7 +381,7 @@
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert!(Register::new(start).roster().is_empty());
     /// ```
@@ -393,12 +393,12 @@
     ///
     /// ```
     /// # use registered::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), rosterSize: 3, seed: 1, durable: Default::default(),
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).claim_epoch(), 0);
     /// ```
     pub fn claim_epoch(&self) -> u64 {
-        self.synced.claimEpoch
+        self.synced.claim_epoch
     }
 
     pub(crate) fn send(&mut self, to: &str, body: Body) {
@@ -448,8 +448,8 @@
 
     fn raise_epoch(&mut self, epoch: u64, token: u64) {
         let able = self.standing == Standing::Voting && self.disk_is_free();
-        if able && epoch >= self.durable.claimEpoch {
-            self.durable.claimEpoch = epoch;
+        if able && epoch >= self.durable.claim_epoch {
+            self.durable.claim_epoch = epoch;
             self.keep(vec![Effect::EpochKept { token }]);
         }
     }
@@ -470,12 +470,12 @@
     }
 
     fn drop_spare_setups(&mut self) {
-        let inRound: BTreeSet<String> = self.waitlist.iter().filter_map(|wish| wish.digest()).collect();
+        let in_round: BTreeSet<String> = self.waitlist.iter().filter_map(|wish| wish.digest()).collect();
         let used = |digest: &String| {
             *digest == self.durable.accepted.digest
                 || *digest == self.synced.accepted.digest
                 || *digest == self.current.word.digest
-                || inRound.contains(digest)
+                || in_round.contains(digest)
                 || !self.held.contains(digest)
         };
         let spare: Vec<String> = self.setups.keys().filter(|digest| !used(digest)).cloned().collect();
@@ -501,7 +501,7 @@
     }
 
     /// Takes a chosen word into force, unless a newer one is or its setup is not here yet.
-    pub(crate) fn adopt(&mut self, ballot: Ballot, word: Word, confirmedAt: Option<Duration>) {
+    pub(crate) fn adopt(&mut self, ballot: Ballot, word: Word, confirmed_at: Option<Duration>) {
         let complete = word.digest.is_empty() || self.setups.contains_key(&word.digest);
         if ballot < self.current.ballot {
             return;
@@ -511,8 +511,8 @@
             return;
         }
         let changed = ballot > self.current.ballot && word != self.current.word;
-        let confirmedAt = confirmedAt.max(self.current.confirmedAt);
-        self.current = Current { ballot, word, confirmedAt };
+        let confirmed_at = confirmed_at.max(self.current.confirmed_at);
+        self.current = Current { ballot, word, confirmed_at };
         if changed {
             self.effects.push(Effect::Adopted);
         }
--- a/crates/registered/src/testament.rs
+++ b/crates/registered/src/testament.rs
@@ -69,8 +69,8 @@
 /// use registered::{Unsettled, settle};
 /// let roster: Vec<String> = ["a", "b", "c", "d"].map(String::from).to_vec();
 /// let word = Word { edition: 7, digest: parcel::digest(b"{}"), ..Word::default() };
-/// let acceptedAt = Ballot { round: 3, ..Ballot::default() };
-/// let durable = Durable { disk: 1, roster, accepted: word, acceptedAt, ..Durable::default() };
+/// let accepted_at = Ballot { round: 3, ..Ballot::default() };
+/// let durable = Durable { disk: 1, roster, accepted: word, accepted_at, ..Durable::default() };
 /// let one = |node: &str| Testament { node: node.into(), durable: durable.clone(), setup: b"{}".to_vec() };
 /// let lost: Vec<String> = ["b", "c", "d"].map(String::from).to_vec();
 /// let inheritance = settle(&[one("a")], &lost).unwrap();
@@ -97,19 +97,19 @@
     open.map_or(Ok(()), |node| Err(Unsettled::MayLive { node: node.clone() }))?;
     let (count, of) = (testaments.len(), roster.len());
     (count < majority(of)).then_some(()).ok_or(Unsettled::StillMajority { count, of })?;
-    let newest = testaments.iter().max_by(|a, b| a.durable.acceptedAt.cmp(&b.durable.acceptedAt));
+    let newest = testaments.iter().max_by(|a, b| a.durable.accepted_at.cmp(&b.durable.accepted_at));
     let accepted = newest.unwrap_or(first).durable.accepted.clone();
     let bytes = testaments.iter().map(|testament| &testament.setup);
     let setup = bytes.into_iter().find(|bytes| accepted.digest.is_empty() || parcel::digest(bytes) == accepted.digest);
     let setup = setup.ok_or(Unsettled::SetupMissing { digest: accepted.digest.clone() })?.clone();
     let highest = |of: fn(&Durable) -> u64| testaments.iter().map(|t| of(&t.durable)).max().unwrap_or(0) + LEAP;
-    let round = highest(|durable| durable.promised.round.max(durable.acceptedAt.round));
+    let round = highest(|durable| durable.promised.round.max(durable.accepted_at.round));
     let ballot = Ballot { round, ..Ballot::default() };
     let durable = Durable {
         promised: ballot.clone(),
-        acceptedAt: ballot,
+        accepted_at: ballot,
         accepted: Word { edition: highest(|durable| durable.accepted.edition), ..accepted },
-        claimEpoch: highest(|durable| durable.claimEpoch),
+        claim_epoch: highest(|durable| durable.claim_epoch),
         ..Durable::default()
     };
     Ok(Testament { node: String::new(), durable, setup })
--- a/crates/registered/src/voter.rs
+++ b/crates/registered/src/voter.rs
@@ -5,7 +5,7 @@
 
 impl Register {
     pub(crate) fn prepare(&mut self, from: &str, prepare: Prepare) {
-        self.seenRound = self.seenRound.max(prepare.ballot.round);
+        self.seen_round = self.seen_round.max(prepare.ballot.round);
         if self.standing != Standing::Voting || !self.disk_is_free() {
             return;
         }
@@ -16,10 +16,10 @@
         let body = Body::Promise(Promise {
             ballot: prepare.ballot,
             promised: self.durable.promised.clone(),
-            acceptedAt: self.durable.acceptedAt.clone(),
+            accepted_at: self.durable.accepted_at.clone(),
             accepted: self.durable.accepted.clone(),
             disk: self.durable.disk,
-            claimEpoch: self.durable.claimEpoch,
+            claim_epoch: self.durable.claim_epoch,
         });
         if given {
             self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
@@ -30,20 +30,20 @@
 
     pub(crate) fn accept(&mut self, from: &str, accept: Accept) {
         let Accept { ballot, word, disk } = accept;
-        self.seenRound = self.seenRound.max(ballot.round);
+        self.seen_round = self.seen_round.max(ballot.round);
         if self.standing != Standing::Voting || !self.disk_is_free() {
             return;
         }
         let mine = disk == self.durable.disk && ballot >= self.durable.promised;
-        let wantsBytes = !word.digest.is_empty() && !self.setups.contains_key(&word.digest);
-        let done = mine && !wantsBytes;
+        let wants_bytes = !word.digest.is_empty() && !self.setups.contains_key(&word.digest);
+        let done = mine && !wants_bytes;
         if done {
             self.durable.promised = ballot.clone();
-            self.durable.acceptedAt = ballot.clone();
+            self.durable.accepted_at = ballot.clone();
             self.durable.accepted = word;
         }
         let promised = self.durable.promised.clone();
-        let body = Body::Accepted(Accepted { ballot, promised, done, wantsBytes: mine && wantsBytes });
+        let body = Body::Accepted(Accepted { ballot, promised, done, wants_bytes: mine && wants_bytes });
         if done {
             // The setup's bytes were handed to the disk earlier, and the disk works in order.
             self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
@@ -54,9 +54,9 @@
 
     pub(crate) fn read(&mut self, from: &str, read: Read) {
         if self.standing == Standing::Voting {
-            let acceptedAt = self.synced.acceptedAt.clone();
-            let accepted = Some(self.synced.accepted.clone()).filter(|_| acceptedAt != read.known);
-            self.send(from, Body::ReadBack(ReadBack { nonce: read.nonce, acceptedAt, accepted }));
+            let accepted_at = self.synced.accepted_at.clone();
+            let accepted = Some(self.synced.accepted.clone()).filter(|_| accepted_at != read.known);
+            self.send(from, Body::ReadBack(ReadBack { nonce: read.nonce, accepted_at, accepted }));
         }
     }
 }
--- a/crates/registered/tests/arbitrary.rs
+++ b/crates/registered/tests/arbitrary.rs
@@ -20,7 +20,7 @@
     disk: Durable,
     setups: BTreeMap<String, Vec<u8>>,
     writes: VecDeque<Write>,
-    bornAt: Duration,
+    born_at: Duration,
     seen: u64,
 }
 
@@ -41,19 +41,19 @@
 fn born(at: usize, seed: u64, durable: Durable, setups: BTreeMap<String, Vec<u8>>, now: Duration) -> Node {
     let start = Start {
         me: name(at),
-        rosterSize: VOTERS,
+        roster_size: VOTERS,
         seed,
         durable: durable.clone(),
         setups: setups.clone(),
         times: Times::default(),
     };
     let register = Register::new(start);
-    Node { register, disk: durable, setups, writes: VecDeque::new(), bornAt: now, seen: 0 }
+    Node { register, disk: durable, setups, writes: VecDeque::new(), born_at: now, seen: 0 }
 }
 
 impl Site {
     fn step(&mut self, at: usize, event: Event) {
-        let local = self.now - self.nodes[at].bornAt;
+        let local = self.now - self.nodes[at].born_at;
         let effects = self.nodes[at].register.step(local, event);
         effects.into_iter().for_each(|effect| match effect {
             Effect::Send { to, body } => {
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -24,8 +24,8 @@
 /// Membership's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    pub probeEvery: Duration,
-    pub suspectFor: Duration,
+    pub probe_every: Duration,
+    pub suspect_for: Duration,
 }
 
 /// What happens to membership.
@@ -62,7 +62,7 @@
 /// Where the probe under way stands.
 enum Probing {
     Resting,
-    Asked { nonce: u64, node: String, askedAt: Duration },
+    Asked { nonce: u64, node: String, asked_at: Duration },
     SecondOpinion { nonce: u64, node: String },
 }
 
@@ -83,10 +83,10 @@
     turn: Vec<String>,
     probing: Probing,
     favours: Vec<Favour>,
-    nextProbe: Duration,
-    lastTick: Duration,
-    slowUntil: Duration,
-    seedTurn: usize,
+    next_probe: Duration,
+    last_tick: Duration,
+    slow_until: Duration,
+    seed_turn: usize,
     effects: Vec<Effect>,
 }
 
@@ -96,14 +96,14 @@
     /// ```
     /// use rounds::{Event, Rounds, Times};
     /// use std::time::Duration;
-    /// let times = Times { probeEvery: Duration::from_millis(300), suspectFor: Duration::from_millis(1500) };
-    /// let me = parcel::Member { node: "a".into(), probeAddress: "127.0.0.1:1".into(), ..Default::default() };
+    /// let times = Times { probe_every: Duration::from_millis(300), suspect_for: Duration::from_millis(1500) };
+    /// let me = parcel::Member { node: "a".into(), probe_address: "127.0.0.1:1".into(), ..Default::default() };
     /// let mut rounds = Rounds::new(me, vec!["127.0.0.1:2".into()], times, 7);
     /// let effects = rounds.step(Duration::ZERO, Event::Tick);
     /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
     /// ```
     pub fn new(me: Member, seeds: Vec<String>, times: Times, seed: u64) -> Self {
-        let seeds = seeds.into_iter().filter(|address| *address != me.probeAddress).collect();
+        let seeds = seeds.into_iter().filter(|address| *address != me.probe_address).collect();
         Rounds {
             me: Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me },
             seeds,
@@ -113,10 +113,10 @@
             turn: Vec::new(),
             probing: Probing::Resting,
             favours: Vec::new(),
-            nextProbe: Duration::ZERO,
-            lastTick: Duration::ZERO,
-            slowUntil: Duration::ZERO,
-            seedTurn: 0,
+            next_probe: Duration::ZERO,
+            last_tick: Duration::ZERO,
+            slow_until: Duration::ZERO,
+            seed_turn: 0,
             effects: Vec::new(),
         }
     }
@@ -126,8 +126,8 @@
     /// ```
     /// use rounds::{Effect, Event, Rounds, Times};
     /// use std::time::Duration;
-    /// let times = Times { probeEvery: Duration::from_millis(300), suspectFor: Duration::from_millis(1500) };
-    /// let node = |name: &str| parcel::Member { node: name.into(), probeAddress: name.into(), ..Default::default() };
+    /// let times = Times { probe_every: Duration::from_millis(300), suspect_for: Duration::from_millis(1500) };
+    /// let node = |name: &str| parcel::Member { node: name.into(), probe_address: name.into(), ..Default::default() };
     /// let mut a = Rounds::new(node("a"), vec!["b".into()], times, 1);
     /// let mut b = Rounds::new(node("b"), vec![], times, 2);
     /// let effects = a.step(Duration::ZERO, Event::Tick);
@@ -148,7 +148,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = rounds::Times { probeEvery: Duration::from_millis(9), suspectFor: Duration::from_millis(9) };
+    /// # let times = rounds::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
     /// let me = parcel::Member { node: "a".into(), ..Default::default() };
     /// let rounds = rounds::Rounds::new(me, vec![], times, 7);
     /// assert_eq!(rounds.members().count(), 1);
@@ -163,17 +163,17 @@
 
     fn tick(&mut self, now: Duration) {
         // A node that was itself frozen must not blame the others for its own silence.
-        if now.saturating_sub(self.lastTick) > self.times.probeEvery * 3 && self.lastTick > Duration::ZERO {
-            self.slowUntil = now + self.times.suspectFor;
+        if now.saturating_sub(self.last_tick) > self.times.probe_every * 3 && self.last_tick > Duration::ZERO {
+            self.slow_until = now + self.times.suspect_for;
             self.probing = Probing::Resting;
             let waking = self.known.values_mut().filter(|known| known.member.condition == SUSPECT);
             waking.for_each(|known| known.since = now);
         }
-        self.lastTick = now;
+        self.last_tick = now;
         self.escalate(now);
         self.bury(now);
-        if now >= self.nextProbe {
-            self.nextProbe = now + self.times.probeEvery;
+        if now >= self.next_probe {
+            self.next_probe = now + self.times.probe_every;
             self.suspect_silent(now);
             self.probe_next(now);
             self.probe_seed();
@@ -182,9 +182,9 @@
 
     /// No word half-way through the turn: ask third parties.
     fn escalate(&mut self, now: Duration) {
-        let half = self.times.probeEvery / 2;
+        let half = self.times.probe_every / 2;
         let late = match &self.probing {
-            Probing::Asked { nonce, node, askedAt } if now >= *askedAt + half => Some((*nonce, node.clone())),
+            Probing::Asked { nonce, node, asked_at } if now >= *asked_at + half => Some((*nonce, node.clone())),
             _ => None,
         };
         late.into_iter().for_each(|(nonce, node)| {
@@ -192,7 +192,7 @@
                 .known
                 .values()
                 .filter(|known| known.member.condition == ALIVE && known.member.node != node)
-                .map(|known| known.member.probeAddress.clone())
+                .map(|known| known.member.probe_address.clone())
                 .collect();
             while others.len() > SECOND_OPINIONS {
                 let drop = self.dice.below(others.len() as u64) as usize;
@@ -209,7 +209,7 @@
 
     fn suspect_silent(&mut self, now: Duration) {
         let silent = match std::mem::replace(&mut self.probing, Probing::Resting) {
-            Probing::SecondOpinion { node, .. } if now >= self.slowUntil => Some(node),
+            Probing::SecondOpinion { node, .. } if now >= self.slow_until => Some(node),
             _ => None,
         };
         let suspect = silent.and_then(|node| self.known.get(&node)).map(|known| known.member.clone());
@@ -220,7 +220,7 @@
 
     /// Suspects that did not refute in time are gone; those long gone are forgotten.
     fn bury(&mut self, now: Duration) {
-        let patience = if now < self.slowUntil { self.times.suspectFor * 2 } else { self.times.suspectFor };
+        let patience = if now < self.slow_until { self.times.suspect_for * 2 } else { self.times.suspect_for };
         let due: Vec<Member> = self
             .known
             .values()
@@ -247,27 +247,27 @@
         }
         let next = self.turn.pop().and_then(|node| {
             let known = self.known.get(&node).filter(|known| known.member.condition < GONE);
-            known.map(|known| (node, known.member.probeAddress.clone()))
+            known.map(|known| (node, known.member.probe_address.clone()))
         });
         next.into_iter().for_each(|(node, address)| {
             let nonce = self.dice.roll();
             self.send_probe(address, nonce, Some(&node));
-            self.probing = Probing::Asked { nonce, node, askedAt: now };
+            self.probing = Probing::Asked { nonce, node, asked_at: now };
         });
     }
 
     /// Seeds and gone nodes are still tried now and then, so that a split heals.
     fn probe_seed(&mut self) {
         let reached = |address: &String| {
-            self.known.values().any(|known| known.member.condition < GONE && known.member.probeAddress == *address)
+            self.known.values().any(|known| known.member.condition < GONE && known.member.probe_address == *address)
         };
         let gone = self.known.values().filter(|known| known.member.condition == GONE);
         let mut lost: Vec<String> = self.seeds.clone();
-        lost.extend(gone.map(|known| known.member.probeAddress.clone()));
+        lost.extend(gone.map(|known| known.member.probe_address.clone()));
         lost.retain(|address| !reached(address));
         lost.dedup();
-        self.seedTurn = self.seedTurn.wrapping_add(1);
-        let next = self.seedTurn.checked_rem(lost.len()).and_then(|at| lost.get(at).cloned());
+        self.seed_turn = self.seed_turn.wrapping_add(1);
+        let next = self.seed_turn.checked_rem(lost.len()).and_then(|at| lost.get(at).cloned());
         next.into_iter().for_each(|address| {
             let nonce = self.dice.roll();
             self.send_probe(address, nonce, None);
@@ -308,7 +308,7 @@
             }
             Body::ProbeFor(ProbeFor { nonce, target, members }) => {
                 self.learn_all(now, members);
-                let known = self.known.get(&target).map(|known| known.member.probeAddress.clone());
+                let known = self.known.get(&target).map(|known| known.member.probe_address.clone());
                 known.filter(|_| self.favours.len() < MOST_FAVOURS * 2).into_iter().for_each(|to| {
                     let mine = self.dice.roll();
                     let excess = (self.favours.len() + 1).saturating_sub(MOST_FAVOURS);
@@ -367,8 +367,8 @@
     /// Says good-bye to everybody.
     fn leave(&mut self) {
         self.me.condition = LEFT;
-        let addresses: Vec<String> = self.members().map(|member| member.probeAddress.clone()).collect();
-        let own = self.me.probeAddress.clone();
+        let addresses: Vec<String> = self.members().map(|member| member.probe_address.clone()).collect();
+        let own = self.me.probe_address.clone();
         addresses.into_iter().filter(|address| *address != own).for_each(|address| {
             let nonce = self.dice.roll();
             self.send_probe(address, nonce, None);
--- a/crates/rounds/tests/arbitrary.rs
+++ b/crates/rounds/tests/arbitrary.rs
@@ -13,8 +13,8 @@
 }
 
 fn born(at: usize, seed: u64) -> Rounds {
-    let me = Member { node: name(at), probeAddress: name(at), ..Member::default() };
-    Rounds::new(me, vec![name(0), name(1), name(2)], Times { probeEvery: MS(300), suspectFor: MS(1500) }, seed)
+    let me = Member { node: name(at), probe_address: name(at), ..Member::default() };
+    Rounds::new(me, vec![name(0), name(1), name(2)], Times { probe_every: MS(300), suspect_for: MS(1500) }, seed)
 }
 
 fn step(nodes: &mut [Rounds], wire: &mut Vec<(usize, usize, Body)>, now: Duration, at: usize, event: Event) {
--- a/crates/sorting/src/board.rs
+++ b/crates/sorting/src/board.rs
@@ -122,19 +122,19 @@
 /// Counts for one upstream at this proxy.
 #[derive(Default)]
 pub struct Seat {
-    pub inFlight: AtomicU32,
+    pub in_flight: AtomicU32,
     /// Another instance answered at its address: it is not there any more, whatever the view says.
     pub replaced: AtomicBool,
     failures: AtomicU32,
-    ejectedUntilMs: AtomicU64,
-    nextWarmMs: AtomicU64,
+    ejected_until_ms: AtomicU64,
+    next_warm_ms: AtomicU64,
     /// The beat whose room is being used, and how many places were taken when it was heard.
     told: AtomicU64,
     /// The most free places it ever told of.
     room: AtomicU32,
     /// It sealed that it has no room: until when it is believed, and how many places were taken then.
-    fullUntilMs: AtomicU64,
-    fullAt: AtomicU32,
+    full_until_ms: AtomicU64,
+    full_at: AtomicU32,
 }
 
 impl Seat {
@@ -161,16 +161,16 @@
         let taken = if told >> 32 == number {
             (told & 0xffff_ffff) as u32
         } else {
-            let taken = self.inFlight.load(Ordering::Acquire);
+            let taken = self.in_flight.load(Ordering::Acquire);
             self.told.store(number << 32 | u64::from(taken), Ordering::Release);
             taken
         };
         let room = self.room.fetch_max(free, Ordering::AcqRel).max(free);
-        let full = (now.as_millis() as u64) < self.fullUntilMs.load(Ordering::Acquire);
+        let full = (now.as_millis() as u64) < self.full_until_ms.load(Ordering::Acquire);
         // Each may have one where there are fewer places than proxies; the upstream denies what is too much.
         let fair = room.div_ceil(proxies.max(1));
         let most = taken.saturating_add(part(free)).max(fair);
-        if full { most.min(self.fullAt.load(Ordering::Acquire)) } else { most }
+        if full { most.min(self.full_at.load(Ordering::Acquire)) } else { most }
     }
 
     /// It sealed that it did not run what was sent: it has no room beyond the others that are there. `least` places are
@@ -180,8 +180,8 @@
     /// sorting::Seat::default().full(std::time::Duration::ZERO, 0);
     /// ```
     pub fn full(&self, now: Duration, least: u32) {
-        self.fullAt.store(self.inFlight.load(Ordering::Acquire).saturating_sub(1).max(least), Ordering::Release);
-        self.fullUntilMs.store((now + FULL_FOR).as_millis() as u64, Ordering::Release);
+        self.full_at.store(self.in_flight.load(Ordering::Acquire).saturating_sub(1).max(least), Ordering::Release);
+        self.full_until_ms.store((now + FULL_FOR).as_millis() as u64, Ordering::Release);
     }
 
     /// Takes one place if fewer than `most` are taken.
@@ -195,22 +195,22 @@
     /// ```
     pub fn sit(&self, most: u32) -> bool {
         let more = |taken: u32| Some(taken + 1).filter(|taken| *taken <= most);
-        self.inFlight.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).is_ok()
+        self.in_flight.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).is_ok()
     }
 
     fn copy(&self) -> Seat {
         let word = |from: &AtomicU64| AtomicU64::new(from.load(Ordering::Acquire));
         let count = |from: &AtomicU32| AtomicU32::new(from.load(Ordering::Acquire));
         Seat {
-            inFlight: count(&self.inFlight),
+            in_flight: count(&self.in_flight),
             replaced: AtomicBool::new(self.replaced.load(Ordering::Acquire)),
             failures: count(&self.failures),
-            ejectedUntilMs: word(&self.ejectedUntilMs),
-            nextWarmMs: word(&self.nextWarmMs),
+            ejected_until_ms: word(&self.ejected_until_ms),
+            next_warm_ms: word(&self.next_warm_ms),
             told: word(&self.told),
             room: count(&self.room),
-            fullUntilMs: word(&self.fullUntilMs),
-            fullAt: count(&self.fullAt),
+            full_until_ms: word(&self.full_until_ms),
+            full_at: count(&self.full_at),
         }
     }
 
@@ -220,11 +220,11 @@
     /// let seat = sorting::Seat::default();
     /// seat.sit(1);
     /// seat.rise();
-    /// assert_eq!(seat.inFlight.load(std::sync::atomic::Ordering::Relaxed), 0);
+    /// assert_eq!(seat.in_flight.load(std::sync::atomic::Ordering::Relaxed), 0);
     /// ```
     pub fn rise(&self) {
         let fewer = |taken: u32| Some(taken.saturating_sub(1));
-        let _ = self.inFlight.fetch_update(Ordering::AcqRel, Ordering::Acquire, fewer);
+        let _ = self.in_flight.fetch_update(Ordering::AcqRel, Ordering::Acquire, fewer);
     }
 
     /// Notes how a call went; an instance that fails is left out for a growing while.
@@ -243,7 +243,7 @@
         }
         let failures = self.failures.fetch_add(1, Ordering::AcqRel).min(6);
         let span = (Duration::from_millis(250) * 2u32.pow(failures)).min(MOST_EJECTION);
-        self.ejectedUntilMs.fetch_max((now + span).as_millis() as u64, Ordering::AcqRel);
+        self.ejected_until_ms.fetch_max((now + span).as_millis() as u64, Ordering::AcqRel);
     }
 
     /// True while it is left out.
@@ -252,7 +252,7 @@
     /// assert!(!sorting::Seat::default().is_ejected(std::time::Duration::ZERO));
     /// ```
     pub fn is_ejected(&self, now: Duration) -> bool {
-        (now.as_millis() as u64) < self.ejectedUntilMs.load(Ordering::Acquire)
+        (now.as_millis() as u64) < self.ejected_until_ms.load(Ordering::Acquire)
     }
 
     /// Takes one first send of a cold upstream's warm-up rate, of which this proxy has one part in `proxies`;
@@ -267,19 +267,19 @@
     /// assert!(!seat.warm_up(now + Duration::from_millis(600), 2, 4, 1));
     /// assert!(seat.warm_up(now + Duration::from_millis(2500), 2, 4, 1));
     /// ```
-    pub fn warm_up(&self, now: Duration, perSecond: u64, proxies: u64, rank: u64) -> bool {
-        let nowMs = now.as_millis() as u64;
-        let everyMs = 1000 * proxies.max(1) / perSecond.max(1);
-        let firstMs = nowMs + everyMs * rank / proxies.max(1);
+    pub fn warm_up(&self, now: Duration, per_second: u64, proxies: u64, rank: u64) -> bool {
+        let now_ms = now.as_millis() as u64;
+        let every_ms = 1000 * proxies.max(1) / per_second.max(1);
+        let first_ms = now_ms + every_ms * rank / proxies.max(1);
         let due = self
-            .nextWarmMs
-            .compare_exchange(0, firstMs.max(1), Ordering::AcqRel, Ordering::Acquire)
-            .map(|_| firstMs)
+            .next_warm_ms
+            .compare_exchange(0, first_ms.max(1), Ordering::AcqRel, Ordering::Acquire)
+            .map(|_| first_ms)
             .unwrap_or_else(|known| known);
-        nowMs >= due
+        now_ms >= due
             && self
-                .nextWarmMs
-                .compare_exchange(due.max(1), nowMs + everyMs, Ordering::AcqRel, Ordering::Acquire)
+                .next_warm_ms
+                .compare_exchange(due.max(1), now_ms + every_ms, Ordering::AcqRel, Ordering::Acquire)
                 .is_ok()
     }
 }
@@ -338,14 +338,14 @@
     /// board.sweep(Duration::from_secs(2), |_| true);
     /// assert!(board.open_try("t", Duration::from_secs(2), Duration::from_secs(1)));
     /// ```
-    pub fn open_try(&self, tryId: &str, now: Duration, life: Duration) -> bool {
+    pub fn open_try(&self, try_id: &str, now: Duration, life: Duration) -> bool {
         if self.tries.len() >= MOST_TRIES {
             return false;
         }
         let until = now + life;
         let mut fresh = false;
         self.tries
-            .entry(tryId.to_owned())
+            .entry(try_id.to_owned())
             .and_modify(|known| {
                 fresh = *known <= now;
                 *known = until.max(*known);
@@ -431,6 +431,6 @@
     /// ```
     pub fn sweep(&self, now: Duration, present: impl Fn(&str) -> bool) {
         self.tries.retain(|_, until| *until > now);
-        self.seats.retain(|instance, seat| present(instance) || seat.inFlight.load(Ordering::Acquire) > 0);
+        self.seats.retain(|instance, seat| present(instance) || seat.in_flight.load(Ordering::Acquire) > 0);
     }
 }
--- a/crates/sorting/src/choosing.rs
+++ b/crates/sorting/src/choosing.rs
@@ -33,7 +33,7 @@
             return self.answer(now, Code::Expired);
         }
         // The view may have aged, or the route changed, while the request waited.
-        if !view.is_fresh(now, self.site.staleAfter) {
+        if !view.is_fresh(now, self.site.stale_after) {
             return self.answer(now, Code::Stale);
         }
         if view.edition != self.edition {
@@ -46,7 +46,7 @@
         }
         let wants = share.as_ref().map(|share| share.instance.as_str());
         // Whoever came before goes first.
-        let behind = self.place.is_none() && self.site.waitFor > Duration::ZERO && desk.has_waiting(wants);
+        let behind = self.place.is_none() && self.site.wait_for > Duration::ZERO && desk.has_waiting(wants);
         let chosen = if behind { None } else { self.seated(now, view, board, &service, share.as_ref()) };
         match chosen {
             None => self.wait(now, &desk, wants),
@@ -67,12 +67,12 @@
 
     /// A place in the waitlist, for a set span and never for more than half of the time left.
     fn wait(&mut self, now: Duration, desk: &Arc<Desk>, wants: Option<&str>) -> Move {
-        let until = *self.waitUntil.get_or_insert(now + self.site.waitFor.min(self.left(now) / 2));
+        let until = *self.wait_until.get_or_insert(now + self.site.wait_for.min(self.left(now) / 2));
         if now >= until {
             return self.answer(now, Code::Busy);
         }
         if self.place.is_none() {
-            let key = address::spread(self.order.key.as_deref().unwrap_or(&self.order.tryId));
+            let key = address::spread(self.order.key.as_deref().unwrap_or(&self.order.try_id));
             let place = desk.join(key, wants, self.order.bell.clone());
             self.place = place.map(|ticket| Place { desk: desk.clone(), ticket });
             if self.place.is_none() {
@@ -126,8 +126,8 @@
     fn rank(&self, now: Duration, seat: &Seat, upstream: &Upstream) -> Rank {
         let place = upstream.locality.as_str();
         let near = if place == self.site.here { 0 } else { 1 + u8::from(region(place) != self.site.locality.region) };
-        let taken = seat.inFlight.load(Ordering::Acquire);
-        let spread = address::spread_all([self.order.tryId.as_str(), upstream.instance.as_str()]);
+        let taken = seat.in_flight.load(Ordering::Acquire);
+        let spread = address::spread_all([self.order.try_id.as_str(), upstream.instance.as_str()]);
         (seat.is_ejected(now), near, taken, spread)
     }
 
@@ -152,11 +152,11 @@
         upstream: &Upstream,
     ) -> Result<(), Why> {
         let (proxies, rank) = self.division(now, view, service);
-        let most = seat.most(now, upstream.beat, upstream.freeSlots, (proxies, rank));
+        let most = seat.most(now, upstream.beat, upstream.free_slots, (proxies, rank));
         if !seat.sit(most) {
             return Err(Why::NoSlot);
         }
-        let warm = upstream.warm || seat.warm_up(now, service.warmUpPerSecond, proxies.into(), rank.into());
+        let warm = upstream.warm || seat.warm_up(now, service.warm_up_per_second, proxies.into(), rank.into());
         if !warm {
             seat.rise();
         }
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -20,15 +20,15 @@
 /// A request as it came in.
 #[derive(Clone, Debug, Default)]
 pub struct Order {
-    pub tryId: String,
+    pub try_id: String,
     /// The name asked for: a name, an id-form name or an alias.
     pub name: String,
     pub path: String,
     pub key: Option<String>,
-    pub arrivedAt: Duration,
+    pub arrived_at: Duration,
     /// How much time the origin gave.
     pub remaining: Duration,
-    pub bodyBytes: u64,
+    pub body_bytes: u64,
     /// True where another proxy forwarded it.
     pub forwarded: bool,
     /// Rung when a seat it waits for may be free.
@@ -42,9 +42,9 @@
     pub locality: Locality,
     /// The locality as text.
     pub(crate) here: String,
-    pub staleAfter: Duration,
+    pub stale_after: Duration,
     /// How long a request may wait for a seat; zero denies at once.
-    pub waitFor: Duration,
+    pub wait_for: Duration,
 }
 
 impl Site {
@@ -55,8 +55,8 @@
     /// let site = sorting::Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
     /// assert_eq!(site.locality.region, "n");
     /// ```
-    pub fn new(node: &str, locality: Locality, staleAfter: Duration, waitFor: Duration) -> Self {
-        Site { node: node.to_owned(), here: locality.to_string(), locality, staleAfter, waitFor }
+    pub fn new(node: &str, locality: Locality, stale_after: Duration, wait_for: Duration) -> Self {
+        Site { node: node.to_owned(), here: locality.to_string(), locality, stale_after, wait_for }
     }
 }
 
@@ -111,7 +111,7 @@
     /// Pass the verdict that came.
     Pass,
     /// Answer with a code, and when to come back where that helps.
-    Answer { code: Code, retryAfter: Option<Duration> },
+    Answer { code: Code, retry_after: Option<Duration> },
 }
 
 /// One request under way.
@@ -131,7 +131,7 @@
     pub(crate) seat: Option<(Arc<Seat>, String)>,
     pub(crate) desk: Option<Arc<Desk>>,
     pub(crate) place: Option<Place>,
-    pub(crate) waitUntil: Option<Duration>,
+    pub(crate) wait_until: Option<Duration>,
     /// A send whose outcome nobody knows: from then on it can't be said that nothing ran.
     doubt: Option<Code>,
     pub(crate) notes: Vec<Note>,
@@ -160,7 +160,7 @@
             seat: None,
             desk: None,
             place: None,
-            waitUntil: None,
+            wait_until: None,
             doubt: None,
             notes: Vec::new(),
         }
@@ -209,13 +209,13 @@
             desk.pressure(now)
         });
         let pressure = pressure.unwrap_or_default();
-        let retryAfter = come_back(code, pressure, &self.order.tryId);
+        let retry_after = come_back(code, pressure, &self.order.try_id);
         self.leave_seat();
         self.leave_place();
         self.leave_desk();
         self.turn(Stage::Answered { code });
         self.notes.push(Note::Answered { code });
-        Move::Answer { code, retryAfter }
+        Move::Answer { code, retry_after }
     }
 
     fn leave_desk(&mut self) {
@@ -237,7 +237,7 @@
     }
 
     pub(crate) fn left(&self, now: Duration) -> Duration {
-        (self.order.arrivedAt + self.order.remaining).saturating_sub(now)
+        (self.order.arrived_at + self.order.remaining).saturating_sub(now)
     }
 
     /// The first decision: deny, forward by a mark, or call.
@@ -252,7 +252,7 @@
     /// assert!(matches!(first, Move::Answer { code: Code::Stale, .. }), "a view that was never confirmed");
     /// ```
     pub fn start(&mut self, now: Duration, view: &View, board: &Board) -> Move {
-        if !view.is_fresh(now, self.site.staleAfter) {
+        if !view.is_fresh(now, self.site.stale_after) {
             return self.answer(now, Code::Stale);
         }
         let name = view.setup.resolve(&self.order.name);
@@ -263,7 +263,7 @@
         };
         self.edition = view.edition;
         self.notes.push(Note::Asked { name: self.order.name.clone(), route: route.clone(), edition: view.edition });
-        if self.order.bodyBytes > service.mostBytes {
+        if self.order.body_bytes > service.most_bytes {
             return self.answer(now, Code::TooLarge);
         }
         if service.keyed && self.order.key.is_none() {
@@ -290,7 +290,7 @@
         self.leave_desk();
         self.desk = Some(desk);
         self.service = Some(service.clone());
-        if !self.opened && !board.open_try(&self.order.tryId, now, self.left(now) + TRY_LIFE) {
+        if !self.opened && !board.open_try(&self.order.try_id, now, self.left(now) + TRY_LIFE) {
             return self.answer(now, Code::Duplicate);
         }
         self.opened = true;
@@ -311,7 +311,7 @@
             .filter(|(place, ..)| able(place))
             .map(|(place, address, suspect)| {
                 let near = if place == owner { 0 } else { 1 + u8::from(self::region(&place) != region) };
-                (suspect, near, address::spread_all([self.order.tryId.as_str(), address.as_str()]), address)
+                (suspect, near, address::spread_all([self.order.try_id.as_str(), address.as_str()]), address)
             })
             .collect();
         able.sort();
@@ -384,7 +384,7 @@
         chosen: &Upstream,
         share: Option<&Share>,
     ) -> Option<Why> {
-        let stale = !view.is_fresh(now, self.site.staleAfter) || view.edition != self.edition;
+        let stale = !view.is_fresh(now, self.site.stale_after) || view.edition != self.edition;
         let late = stale || self.left(now).is_zero();
         let known = view.upstreams.get(&service.name).and_then(|known| known.get(&chosen.instance));
         let known = known.filter(|known| known.address == chosen.address && !late);
@@ -462,7 +462,7 @@
 pub fn suppose(order: Order, site: &Site, now: Duration, view: &View, board: &Board) -> Vec<Note> {
     // A copy of the counts takes what the real ones would have given.
     let copy = board.copy();
-    let mut journey = Journey::new(order, Site { waitFor: Duration::ZERO, ..site.clone() });
+    let mut journey = Journey::new(order, Site { wait_for: Duration::ZERO, ..site.clone() });
     journey.start(now, view, &copy);
     journey.into_notes()
 }
--- a/crates/sorting/src/waitlist.rs
+++ b/crates/sorting/src/waitlist.rs
@@ -70,8 +70,8 @@
     /// assert!(join(&mut list, 8).is_some());
     /// ```
     pub fn join(&mut self, key: u64, wants: Option<&str>, bell: Bell) -> Option<u64> {
-        let ofKey = self.line.iter().filter(|waiting| waiting.key == key).count();
-        if self.line.len() >= MOST_WAITING || ofKey >= MOST_OF_A_KEY {
+        let of_key = self.line.iter().filter(|waiting| waiting.key == key).count();
+        if self.line.len() >= MOST_WAITING || of_key >= MOST_OF_A_KEY {
             return None;
         }
         self.next += 1;
--- a/crates/tariff/src/setup.rs
+++ b/crates/tariff/src/setup.rs
@@ -20,11 +20,11 @@
     /// True where keys are divided among the upstreams.
     pub keyed: bool,
     /// First sends a second that one cold upstream may get, over all proxies together.
-    pub warmUpPerSecond: u64,
+    pub warm_up_per_second: u64,
     /// The only regions where its work may go; empty means anywhere.
-    pub homeRegions: Vec<String>,
+    pub home_regions: Vec<String>,
     /// The largest request body.
-    pub mostBytes: u64,
+    pub most_bytes: u64,
     /// Requests that one proxy serves at a time for this service.
     pub concurrency: u64,
 }
@@ -102,13 +102,13 @@
         let name = fields.id("name");
         let work = fields.text("work");
         let keyed = fields.truth("keyed", false);
-        let warmUpPerSecond = fields.count("warmUpPerSecond", 1..=100_000, Some(5));
-        let mostBytes = fields.count("mostBytes", 1..=1_048_576, Some(65_536));
+        let warm_up_per_second = fields.count("warmUpPerSecond", 1..=100_000, Some(5));
+        let most_bytes = fields.count("mostBytes", 1..=1_048_576, Some(65_536));
         let concurrency = fields.count("concurrency", 1..=10_000, Some(256));
         let regions = fields.list("homeRegions");
         fields.close();
-        let homeRegions: Vec<String> = regions.iter().filter_map(region).collect();
-        if homeRegions.len() != regions.len() {
+        let home_regions: Vec<String> = regions.iter().filter_map(region).collect();
+        if home_regions.len() != regions.len() {
             complain(complaints, &format!("{path}/homeRegions"), "must be a list of region ids");
         }
         let repeatable = work.as_deref().and_then(|work| match work {
@@ -120,10 +120,11 @@
                 None
             }
         });
-        let service = name.zip(repeatable).zip(warmUpPerSecond).zip(mostBytes.zip(concurrency));
-        if let Some((((name, repeatable), warmUpPerSecond), (mostBytes, concurrency))) = service {
+        let service = name.zip(repeatable).zip(warm_up_per_second).zip(most_bytes.zip(concurrency));
+        if let Some((((name, repeatable), warm_up_per_second), (most_bytes, concurrency))) = service {
             let known = name.clone();
-            let service = Service { name, repeatable, keyed, warmUpPerSecond, homeRegions, mostBytes, concurrency };
+            let service =
+                Service { name, repeatable, keyed, warm_up_per_second, home_regions, most_bytes, concurrency };
             if self.services.insert(known.clone(), Arc::new(service)).is_some() {
                 complain(complaints, &format!("{path}/name"), format!("service '{known}' comes twice"));
             }
@@ -136,16 +137,16 @@
         let ids = fields.id("id").zip(fields.id("name"));
         let to = fields.text("path").zip(fields.id("service"));
         fields.close();
-        ids.zip(to).into_iter().for_each(|((id, name), (routePath, service))| {
-            if !is_path(&routePath) {
-                let text = format!("'{routePath}' is no path; start it with / and leave out spaces, ? and #");
+        ids.zip(to).into_iter().for_each(|((id, name), (route_path, service))| {
+            if !is_path(&route_path) {
+                let text = format!("'{route_path}' is no path; start it with / and leave out spaces, ? and #");
                 complain(complaints, &format!("{path}/path"), text);
             }
-            let byPath = self.places.entry(name.clone()).or_default();
-            if byPath.insert(routePath.clone(), id.clone()).is_some() {
-                complain(complaints, &path, format!("name '{name}' and path '{routePath}' come twice"));
+            let by_path = self.places.entry(name.clone()).or_default();
+            if by_path.insert(route_path.clone(), id.clone()).is_some() {
+                complain(complaints, &path, format!("name '{name}' and path '{route_path}' come twice"));
             }
-            let route = Route { id: id.clone(), name, path: routePath, service };
+            let route = Route { id: id.clone(), name, path: route_path, service };
             if self.routes.insert(id.clone(), route).is_some() {
                 complain(complaints, &format!("{path}/id"), format!("route '{id}' comes twice"));
             }
@@ -206,7 +207,7 @@
     /// assert!(tariff::Setup::default().route("book", "/book").is_none());
     /// ```
     pub fn route(&self, name: &str, path: &str) -> Option<&Route> {
-        self.places.get(name).and_then(|byPath| byPath.get(path)).and_then(|id| self.routes.get(id))
+        self.places.get(name).and_then(|by_path| by_path.get(path)).and_then(|id| self.routes.get(id))
     }
 
     /// The services behind one name, once for each of its routes.
@@ -228,7 +229,7 @@
         let service = |id: &String| self.routes.get(id).map(|route| route.service.as_str());
         self.places
             .iter()
-            .map(|(name, byPath)| (name.as_str(), byPath.values().filter_map(service).collect()))
+            .map(|(name, by_path)| (name.as_str(), by_path.values().filter_map(service).collect()))
             .collect()
     }
 }
--- a/crates/tariff/src/sheet.rs
+++ b/crates/tariff/src/sheet.rs
@@ -107,12 +107,12 @@
 
 /// How deep brackets nest outside strings, looked at before parsing.
 fn depth(text: &str) -> usize {
-    let (mut now, mut most, mut inText, mut escaped) = (0usize, 0usize, false, false);
+    let (mut now, mut most, mut in_text, mut escaped) = (0usize, 0usize, false, false);
     for byte in text.bytes() {
-        match (inText, byte) {
+        match (in_text, byte) {
             (true, _) if escaped => escaped = false,
             (true, b'\\') => escaped = true,
-            (_, b'"') => inText = !inText,
+            (_, b'"') => in_text = !in_text,
             (false, b'[' | b'{') => {
                 now += 1;
                 most = most.max(now);
--- a/crates/vault/src/lib.rs
+++ b/crates/vault/src/lib.rs
@@ -123,9 +123,9 @@
     /// ```
     /// let folder = std::env::temp_dir().join(format!("vault-keep-{}", std::process::id()));
     /// let (vault, _) = vault::Vault::open(&folder).unwrap();
-    /// vault.keep(&parcel::Durable { claimEpoch: 3, ..Default::default() }).unwrap();
+    /// vault.keep(&parcel::Durable { claim_epoch: 3, ..Default::default() }).unwrap();
     /// drop(vault);
-    /// assert_eq!(vault::Vault::open(&folder).unwrap().1.durable.claimEpoch, 3);
+    /// assert_eq!(vault::Vault::open(&folder).unwrap().1.durable.claim_epoch, 3);
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
     pub fn keep(&self, durable: &Durable) -> Result<(), Report<Failure>> {
--- a/crates/wicket/src/call.rs
+++ b/crates/wicket/src/call.rs
@@ -83,17 +83,17 @@
         reuse: bool,
     ) -> Result<Reply, Called> {
         if !reuse {
-            let startedAt = tokio::time::Instant::now();
+            let started_at = tokio::time::Instant::now();
             let connection = Connection::open(address, within).await?;
-            let left = within.saturating_sub(startedAt.elapsed());
+            let left = within.saturating_sub(started_at.elapsed());
             return connection.exchange(method, path, headers, body, left).await;
         }
         let request = build(address, method, path, headers, body)?;
-        let startedAt = tokio::time::Instant::now();
-        let (deadline, connectBy) = (startedAt + within, startedAt + CONNECT_WITHIN);
+        let started_at = tokio::time::Instant::now();
+        let (deadline, connect_by) = (started_at + within, started_at + CONNECT_WITHIN);
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => tokio::time::timeout_at(deadline.min(connectBy), connect(address))
+            None => tokio::time::timeout_at(deadline.min(connect_by), connect(address))
                 .await
                 .map_err(|_| Called::NotConnected)?
                 .ok_or(Called::NotConnected)?,
--- a/crates/wicket/src/desk.rs
+++ b/crates/wicket/src/desk.rs
@@ -78,10 +78,10 @@
 /// assert_eq!(response.headers()["retry-after"], "1");
 /// assert_eq!(response.headers()["x-code"], "1201");
 /// ```
-pub fn verdict(code: Code, retryAfter: Option<Duration>) -> Response<Full<Bytes>> {
+pub fn verdict(code: Code, retry_after: Option<Duration>) -> Response<Full<Bytes>> {
     let sheet = Sheet::fields([("code", u64::from(code.number()).into()), ("text", code.text().into())]);
     let mut response = json(code, &sheet);
-    retryAfter.into_iter().for_each(|span| {
+    retry_after.into_iter().for_each(|span| {
         let seconds = (span.as_millis() as u64).div_ceil(1000).max(1);
         response.headers_mut().insert("retry-after", seconds.into());
         response.headers_mut().insert("x-retry-after-ms", (span.as_millis() as u64).into());
@@ -126,12 +126,12 @@
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let room = Arc::new(Semaphore::new(MOST_CONNECTIONS));
-    let mut endBy = None;
+    let mut end_by = None;
     loop {
         let ending = *closing.borrow();
         let accepted = if ending {
             // Connections that the kernel took already are served too.
-            let until = *endBy.get_or_insert_with(|| tokio::time::Instant::now() + ON_THE_WAY);
+            let until = *end_by.get_or_insert_with(|| tokio::time::Instant::now() + ON_THE_WAY);
             match tokio::time::timeout_at(until, socket.accept()).await {
                 Ok(accepted) => accepted,
                 Err(_) => break,
--- a/crates/wicket/src/links.rs
+++ b/crates/wicket/src/links.rs
@@ -136,7 +136,7 @@
     async fn hold(self, stream: TcpStream, dialled: Option<Waitlist>) {
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
-        let frames = || Frames { mostBytes: MOST_FRAME_BYTES };
+        let frames = || Frames { most_bytes: MOST_FRAME_BYTES };
         let mut reader = FramedRead::new(reader, frames());
         let mut writer = FramedWrite::new(writer, frames());
         writer.set_backpressure_boundary(64 * 1024);
--- a/crates/wicket/src/start.rs
+++ b/crates/wicket/src/start.rs
@@ -69,8 +69,8 @@
 /// ```
 pub fn begin(program: &Program) -> Settings {
     match read_flags(program) {
-        Ok((settings, checkOnly)) => {
-            if checkOnly {
+        Ok((settings, check_only)) => {
+            if check_only {
                 println!("{}: the settings are fine", program.name);
                 std::process::exit(exit::FINE);
             }
@@ -86,7 +86,7 @@
 
 fn read_flags(program: &Program) -> Result<(Settings, bool), Vec<Complaint>> {
     let wrong = |path: &str, text: String| vec![Complaint { path: path.to_owned(), text }];
-    let (mut flags, mut file, mut checkOnly, mut level) = (Vec::new(), None, false, LevelFilter::Info);
+    let (mut flags, mut file, mut check_only, mut level) = (Vec::new(), None, false, LevelFilter::Info);
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().map_err(|failure| wrong("flags", failure.to_string()))? {
         use lexopt::Arg::{Long, Short, Value};
@@ -100,7 +100,7 @@
                 std::process::exit(exit::FINE)
             }
             Long("check") => {
-                checkOnly = true;
+                check_only = true;
                 continue;
             }
             Long(name) => name.to_owned(),
@@ -128,7 +128,7 @@
         return Err(complaints);
     }
     let _ = SimpleLogger::init(level, log_shape());
-    Ok((settings, checkOnly))
+    Ok((settings, check_only))
 }
 
 fn log_shape() -> Config {
