--- a/crates/address/src/code.rs
+++ b/crates/address/src/code.rs
@@ -97,6 +97,7 @@
     Lost = 1301, 502, Unknown, "The upstream was sent the request and its verdict was lost.";
     Garbage = 1302, 502, Unknown, "The upstream's verdict was partial, unsealed or foreign.";
     TimedOut = 1303, 504, Unknown, "The upstream did not answer in time.";
+    Failed = 1304, 502, Unknown, "The upstream says that it failed.";
     SetupBad = 1401, 422, NotRun, "The setup breaks the rules; every complaint is listed.";
     SetupBehind = 1402, 409, NotRun, "The setup was based on an older edition.";
     SetupUnknown = 1403, 503, Unknown, "The outcome is unknown; ask again with the same submission id.";
--- a/crates/address/src/lib.rs
+++ b/crates/address/src/lib.rs
@@ -101,6 +101,8 @@
 
 /// Into how many slots a keyed service's keys are divided.
 pub const SLOTS: u32 = 64;
+/// How many keys a service has whose keys are whole numbers: 0 to one less.
+pub const KEYS: u32 = 65_536;
 
 /// The slot of a key.
 ///
--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -1,7 +1,7 @@
 //! What a carrier decides away from the path of requests: whom it follows and how old its view is.
 
 use address::{Dice, Locality};
-use gazetteer::{Proxy, View};
+use gazetteer::{Proxy, SetupReader, View};
 use parcel::{Body, Fresh, Member, News, NewsAsk, NewsKept};
 use rounds::Rounds;
 use std::sync::Arc;
@@ -35,6 +35,8 @@
     pub me: Member,
     pub seeds: Vec<String>,
     pub seed: u64,
+    /// How configurations are read.
+    pub reader: SetupReader,
     pub times: Times,
 }
 
@@ -105,11 +107,11 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().edition, 0);
     /// ```
     pub fn new(start: Start) -> Self {
-        let Start { me, seeds, seed, times } = start;
+        let Start { me, seeds, seed, reader, times } = start;
         let mut dice = Dice::new(seed);
         let rounds = Rounds::new(me.clone(), seeds, times.rounds, dice.roll());
         let mut carrier = Carrier {
@@ -117,7 +119,7 @@
             times,
             dice,
             rounds,
-            view: View::default(),
+            view: View { reader, ..View::default() },
             following: Following::Nobody,
             stream: 0,
             number: 0,
@@ -136,7 +138,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().as_of, None);
     /// ```
     pub fn view(&self) -> &View {
@@ -147,7 +149,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// use carrier::{Event, Phase};
     /// use std::time::Duration;
     /// let mut carrier = carrier::Carrier::new(start);
@@ -171,7 +173,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert!(carrier::Carrier::new(start).postmasters().is_empty());
     /// ```
     pub fn postmasters(&self) -> Vec<String> {
@@ -185,7 +187,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// let mut carrier = carrier::Carrier::new(start);
     /// assert!(carrier.step(Default::default(), carrier::Event::Tick).is_empty(), "nobody to ask");
     /// ```
--- /dev/null
+++ b/crates/carrier/src/dialect.rs
@@ -0,0 +1,151 @@
+//! What a carrier speaks with origins and upstreams, as policies: the product's own way is [`Dialect::own`], and an
+//! adapter to another site's way brings its own.
+
+use address::{Code, Locality};
+use bytes::Bytes;
+use gazetteer::{Listing, SetupReader};
+use http_body_util::Full;
+use hyper::{HeaderMap, Response};
+use parcel::Share;
+use sorting::{Load, Order, Outcome};
+use std::time::Duration;
+use tariff::Sheet;
+use wicket::{Called, Enquiry, Reply};
+
+/// Where a question came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    Front,
+    Directory,
+    Readiness,
+}
+
+/// What a question is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Page {
+    /// A request to a service.
+    Request,
+    /// Where a name lives, for an origin in this place.
+    Listing {
+        name: String,
+        origin: Option<Locality>,
+    },
+    Live,
+    Ready,
+    Counters,
+    Node,
+    /// Why a try went where it went.
+    Trace {
+        try_id: String,
+    },
+    /// Where a request would go.
+    Supposed,
+    /// For a postmaster.
+    Relay,
+    Unknown,
+}
+
+/// One call of a request to an upstream, or to the next proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The proxy that makes it.
+    pub node: &'a str,
+    /// The upstream that is meant; none where it goes to the next proxy.
+    pub instance: Option<&'a str>,
+    pub share: Option<&'a Share>,
+    /// How much time it has.
+    pub within: Duration,
+}
+
+type Policy<In, Out> = Box<dyn Fn(In) -> Out + Send + Sync>;
+type Denial = Box<dyn Fn(Code, Option<Duration>, &str) -> Response<Full<Bytes>> + Send + Sync>;
+type Judge = Box<dyn Fn(&Result<Reply, Called>, &str, Option<&str>) -> Outcome + Send + Sync>;
+
+/// How questions are read and answers written.
+pub struct Dialect {
+    /// What a question is for.
+    pub page: Box<dyn Fn(Door, &Enquiry) -> Page + Send + Sync>,
+    /// A request as its headers tell it; the time of its arrival and the bell are filled in by the proxy.
+    pub order: Box<dyn Fn(&Enquiry) -> Result<Order, Code> + Send + Sync>,
+    /// Path and query at the upstream.
+    pub target: Box<dyn Fn(&Enquiry, &Order) -> String + Send + Sync>,
+    /// Headers of a call.
+    pub headers: Box<dyn Fn(&Enquiry, &Order, Call) -> HeaderMap + Send + Sync>,
+    /// What a reply to this try is worth, from this upstream where one is meant.
+    pub judge: Judge,
+    /// What an upstream's reply tells of its load.
+    pub load: Box<dyn Fn(&Reply) -> Option<Load> + Send + Sync>,
+    /// An upstream's verdict, for the origin.
+    pub pass: Box<dyn Fn(&Reply) -> Response<Full<Bytes>> + Send + Sync>,
+    /// An answer of the proxy's own to a try, with when to come back.
+    pub deny: Denial,
+    /// Where a name lives.
+    pub listing: Policy<Listing, Response<Full<Bytes>>>,
+    /// How configurations are read.
+    pub reader: SetupReader,
+    /// How many addresses a directory answer names at most.
+    pub most_addresses: usize,
+}
+
+impl Dialect {
+    /// The product's own interface, as docs/interface.md has it.
+    ///
+    /// ```
+    /// let reply = wicket::Reply { status: 200, headers: Default::default(), body: Default::default() };
+    /// assert_eq!((carrier::Dialect::own().load)(&reply), None);
+    /// ```
+    pub fn own() -> Dialect {
+        Dialect {
+            page: Box::new(|_, enquiry| own_page(enquiry)),
+            order: Box::new(crate::serve::own_order),
+            target: Box::new(|_, order| order.path.clone()),
+            headers: Box::new(crate::serve::own_headers),
+            judge: Box::new(crate::serve::judge),
+            load: Box::new(|_| None),
+            pass: Box::new(crate::serve::own_pass),
+            deny: Box::new(|code, retry_after, try_id| {
+                let mut response = wicket::verdict(code, retry_after);
+                if let (true, Ok(value)) = (!try_id.is_empty(), try_id.parse()) {
+                    response.headers_mut().insert("x-try-id", value);
+                }
+                response
+            }),
+            listing: Box::new(|listing| {
+                let proxies = listing.proxies.iter().map(|address| Sheet::from(address.as_str())).collect();
+                let sheet = Sheet::fields([
+                    ("code", u64::from(Code::Fine.number()).into()),
+                    ("name", listing.name.into()),
+                    ("locality", listing.locality.into()),
+                    ("epoch", listing.epoch.into()),
+                    ("proxies", proxies),
+                    ("lifetimeMs", (listing.lifetime.as_millis() as u64).into()),
+                ]);
+                wicket::json(Code::Fine, &sheet)
+            }),
+            reader: SetupReader::default(),
+            most_addresses: 3,
+        }
+    }
+}
+
+fn own_page(enquiry: &Enquiry) -> Page {
+    match (enquiry.method.as_str(), enquiry.path.as_str()) {
+        (_, path) if path.starts_with("/r/") => Page::Request,
+        ("GET", "/directory") => {
+            let origin = format!("{}/{}", enquiry.query("region"), enquiry.query("zone")).parse().ok();
+            Page::Listing { name: enquiry.query("name").to_owned(), origin }
+        }
+        ("GET", "/live") => Page::Live,
+        ("GET", "/ready") => Page::Ready,
+        ("GET", "/counters") => Page::Counters,
+        ("GET", "/node") => Page::Node,
+        ("GET", "/trace") if enquiry.query("name").is_empty() => {
+            Page::Trace { try_id: enquiry.query("try").to_owned() }
+        }
+        ("GET", "/trace") => Page::Supposed,
+        ("GET", "/setup" | "/status" | "/upstreams" | "/reservations" | "/marks")
+        | ("PUT", "/setup")
+        | ("POST", "/evacuations" | "/beats") => Page::Relay,
+        _ => Page::Unknown,
+    }
+}
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -2,11 +2,13 @@
 //! view it publishes.
 
 mod core;
+mod dialect;
 mod relay;
 mod serve;
 pub mod shell;
 mod traces;
 
 pub use core::{Carrier, Effect, Event, Phase, Start, Times};
+pub use dialect::{Call, Dialect, Door, Page};
 pub use serve::{judge, service_headers};
 pub use traces::Traces;
--- a/crates/carrier/src/main.rs
+++ b/crates/carrier/src/main.rs
@@ -3,5 +3,5 @@
 #[tokio::main]
 async fn main() {
     let settings = wicket::begin(&carrier::shell::PROGRAM);
-    wicket::end("carrier", carrier::shell::run(settings).await);
+    wicket::end("carrier", carrier::shell::run(settings, carrier::Dialect::own()).await);
 }
--- a/crates/carrier/src/serve.rs
+++ b/crates/carrier/src/serve.rs
@@ -1,10 +1,11 @@
 //! One request through a proxy: enrol, resolve, choose, send, check, answer.
 
+use crate::dialect::Call;
 use crate::shell::Node;
 use address::Code;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
+use hyper::{HeaderMap, Response};
 use sorting::{Bell, Journey, Move, Order, Outcome};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -65,17 +66,68 @@
     }
 }
 
+/// A request in the product's own way.
+pub(crate) fn own_order(enquiry: &Enquiry) -> Result<Order, Code> {
+    let (name, path) = enquiry
+        .path
+        .strip_prefix("/r/")
+        .and_then(|rest| rest.find('/').map(|at| rest.split_at(at)))
+        .ok_or(Code::NoSuchName)?;
+    let try_id = Some(enquiry.header("x-try-id")).filter(|try_id| address::is_id(try_id)).ok_or(Code::MissingTry)?;
+    let remaining = enquiry
+        .header("x-remaining-ms")
+        .parse::<u64>()
+        .ok()
+        .filter(|remaining| (1..=MOST_REMAINING_MS).contains(remaining))
+        .ok_or(Code::MissingRemaining)?;
+    Ok(Order {
+        try_id: try_id.to_owned(),
+        name: name.to_owned(),
+        path: path.to_owned(),
+        key: Some(enquiry.header("x-key")).filter(|key| !key.is_empty()).map(str::to_owned),
+        remaining: Duration::from_millis(remaining),
+        forwarded: !enquiry.header("x-forwarded-hop").is_empty(),
+        ..Order::default()
+    })
+}
+
+/// Headers of a call in the product's own way.
+pub(crate) fn own_headers(_: &Enquiry, order: &Order, call: Call) -> HeaderMap {
+    let remaining = (call.within.as_millis() as u64).to_string();
+    let epoch = call.share.map(|share| share.epoch.to_string());
+    let mut headers =
+        vec![("x-try-id", order.try_id.as_str()), ("x-remaining-ms", remaining.as_str()), ("x-proxy", call.node)];
+    headers.extend(order.key.as_deref().map(|key| ("x-key", key)));
+    headers.extend(epoch.as_deref().map(|epoch| ("x-share-epoch", epoch)));
+    headers.extend(Some(("x-forwarded-hop", "1")).filter(|_| call.instance.is_none()));
+    wicket::headers(&headers)
+}
+
+/// An upstream's verdict in the product's own way.
+pub(crate) fn own_pass(reply: &Reply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(reply.body.clone()));
+    *response.status_mut() = hyper::StatusCode::from_u16(reply.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    headers.insert("x-code", Code::Fine.number().into());
+    service_headers().into_iter().for_each(|name| {
+        let value = reply.headers.get(name).cloned();
+        value.into_iter().for_each(|value| {
+            headers.insert(name, value);
+        });
+    });
+    response
+}
+
 impl Node {
-    /// Serves `/r/{name}{path}`.
+    /// Serves a request.
     pub(crate) async fn carry(&self, enquiry: Enquiry) -> Response<Full<Bytes>> {
         let called = Arc::new(Notify::new());
         let ring = called.clone();
         let order = match self.enrol(&enquiry, Bell::new(move || ring.notify_one())) {
             Ok(order) => order,
-            Err(code) => {
+            Err((code, try_id)) => {
                 self.count(code);
-                let try_id = enquiry.header("x-try-id");
-                return self.stamp(wicket::verdict(code, sorting::come_back(code, 0.0, try_id)), try_id);
+                return self.deny(code, sorting::come_back(code, 0.0, &try_id), &try_id);
             }
         };
         let try_id = order.try_id.clone();
@@ -84,8 +136,8 @@
         let (mut connection, mut reply) = (None, None);
         let response = loop {
             let outcome = match next {
-                Move::Connect { upstream, within } => match Connection::open(&upstream.address, within).await {
-                    Err(failed) => judge(&Err(failed), &try_id, None),
+                Move::Connect { upstream, within } => match self.connect(&upstream.address, within).await {
+                    Err(failed) => (self.dialect.judge)(&Err(failed), &try_id, None),
                     Ok(open) => {
                         connection = Some((open, upstream.instance.clone()));
                         next = journey.connected(self.clock.now(), &self.view.load(), &self.board);
@@ -93,10 +145,18 @@
                     }
                 },
                 Move::Send { share, within } => {
-                    let Some((open, instance)) = connection.take() else { break wicket::verdict(Code::Lost, None) };
-                    let epoch = share.map(|share| share.epoch.to_string());
-                    let called = self.send(&enquiry, &order, open, &order.path, within, epoch).await;
-                    let outcome = judge(&called, &try_id, Some(&instance));
+                    let Some((open, instance)) = connection.take() else {
+                        break self.deny(Code::Lost, None, &try_id);
+                    };
+                    let target = (self.dialect.target)(&enquiry, &order);
+                    let call = Call { node: &self.site.node, instance: Some(&instance), share: share.as_ref(), within };
+                    let (called, again) = self.send(&enquiry, &order, open, &target, call).await;
+                    let outcome = (self.dialect.judge)(&called, &try_id, Some(&instance));
+                    if outcome != Outcome::Garbage {
+                        again.into_iter().for_each(|connection| self.pool.keep(connection));
+                        let load = called.as_ref().ok().and_then(|reply| (self.dialect.load)(reply));
+                        load.into_iter().for_each(|load| journey.hear(self.clock.now(), load));
+                    }
                     reply = called.ok();
                     outcome
                 }
@@ -111,25 +171,37 @@
                     if last.is_some() {
                         self.counters.forwarded.fetch_add(1, Ordering::Relaxed);
                     }
-                    let judged = judge(&called, &try_id, None);
+                    let judged = (self.dialect.judge)(&called, &try_id, None);
                     let outcome = last.as_ref().map(|_| Outcome::Sealed).unwrap_or(judged);
                     reply = last;
                     outcome
                 }
                 Move::Answer { code, retry_after } => {
                     self.count(code);
-                    break wicket::verdict(code, retry_after);
+                    break self.deny(code, retry_after, &try_id);
                 }
                 Move::Pass => {
-                    let passed = reply.as_ref().map(pass);
+                    let passed = reply.as_ref().map(|reply| (self.dialect.pass)(reply));
                     self.count(if passed.is_some() { Code::Fine } else { Code::Lost });
-                    break passed.unwrap_or_else(|| wicket::verdict(Code::Lost, None));
+                    break passed.unwrap_or_else(|| self.deny(Code::Lost, None, &try_id));
                 }
             };
             next = journey.after(self.clock.now(), &self.view.load(), &self.board, outcome);
         };
-        self.traces.keep(try_id.clone(), journey.into_notes());
-        self.stamp(response, &try_id)
+        self.traces.keep(try_id, journey.into_notes());
+        response
+    }
+
+    pub(crate) fn deny(&self, code: Code, retry_after: Option<Duration>, try_id: &str) -> Response<Full<Bytes>> {
+        (self.dialect.deny)(code, retry_after, try_id)
+    }
+
+    /// An idle connection where one is known to be quiet, else a new one.
+    async fn connect(&self, address: &str, within: Duration) -> Result<Connection, Called> {
+        match self.pool.take(address).await.filter(|_| self.keeps_connections) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address, within).await,
+        }
     }
 
     /// A forwarded request's answer is final: sealed by an upstream, or denied by the other proxy.
@@ -140,34 +212,12 @@
         reply.header("x-try-id") == try_id && (denied || sealed)
     }
 
-    fn enrol(&self, enquiry: &Enquiry, bell: Bell) -> Result<Order, Code> {
-        let (name, path) = enquiry
-            .path
-            .strip_prefix("/r/")
-            .and_then(|rest| rest.find('/').map(|at| rest.split_at(at)))
-            .ok_or(Code::NoSuchName)?;
-        let try_id =
-            Some(enquiry.header("x-try-id")).filter(|try_id| address::is_id(try_id)).ok_or(Code::MissingTry)?;
-        let remaining = enquiry
-            .header("x-remaining-ms")
-            .parse::<u64>()
-            .ok()
-            .filter(|remaining| (1..=MOST_REMAINING_MS).contains(remaining))
-            .ok_or(Code::MissingRemaining)?;
+    fn enrol(&self, enquiry: &Enquiry, bell: Bell) -> Result<Order, (Code, String)> {
+        let order = (self.dialect.order)(enquiry).map_err(|code| (code, enquiry.header("x-try-id").to_owned()))?;
         if self.is_closing() {
-            return Err(Code::Closing);
+            return Err((Code::Closing, order.try_id));
         }
-        Ok(Order {
-            try_id: try_id.to_owned(),
-            name: name.to_owned(),
-            path: path.to_owned(),
-            key: Some(enquiry.header("x-key")).filter(|key| !key.is_empty()).map(str::to_owned),
-            arrived_at: self.clock.now(),
-            remaining: Duration::from_millis(remaining),
-            body_bytes: enquiry.body.len() as u64,
-            forwarded: !enquiry.header("x-forwarded-hop").is_empty(),
-            bell,
-        })
+        Ok(Order { arrived_at: self.clock.now(), body_bytes: enquiry.body.len() as u64, bell, ..order })
     }
 
     async fn send(
@@ -175,24 +225,14 @@
         enquiry: &Enquiry,
         order: &Order,
         connection: Connection,
-        path: &str,
-        within: Duration,
-        epoch: Option<String>,
-    ) -> Result<Reply, Called> {
-        let remaining = (within.as_millis() as u64).to_string();
-        let mut headers = vec![
-            ("x-try-id", order.try_id.as_str()),
-            ("x-remaining-ms", remaining.as_str()),
-            ("x-proxy", self.site.node.as_str()),
-        ];
-        headers.extend(order.key.as_deref().map(|key| ("x-key", key)));
-        headers.extend(epoch.as_deref().map(|epoch| ("x-share-epoch", epoch)));
-        if path != order.path {
-            headers.push(("x-forwarded-hop", "1"));
-        }
-        let method = enquiry.method.as_str();
-        // A connection that dies after a write can't be told from a lost verdict: each request has its own.
-        connection.exchange(method, path, &headers, enquiry.body.clone(), within).await
+        target: &str,
+        call: Call<'_>,
+    ) -> (Result<Reply, Called>, Option<Connection>) {
+        let headers = (self.dialect.headers)(enquiry, order, call);
+        let (called, again) =
+            connection.exchange(enquiry.method.as_str(), target, headers, enquiry.body.clone(), call.within).await;
+        // Without reuse each request has its own: one that dies after a write can't be told from a lost verdict.
+        (called, again.filter(|_| self.keeps_connections))
     }
 
     /// One hop to the locality that owns the name. The next proxy is tried only where none can have been reached.
@@ -205,31 +245,10 @@
     ) -> Result<Reply, Called> {
         for proxy in proxies {
             if let Ok(connection) = Connection::open(proxy, within).await {
-                return self.send(enquiry, order, connection, &enquiry.path, within, None).await;
+                let call = Call { node: &self.site.node, instance: None, share: None, within };
+                return self.send(enquiry, order, connection, &enquiry.target, call).await.0;
             }
         }
         Err(Called::NotConnected)
     }
-
-    fn stamp(&self, mut response: Response<Full<Bytes>>, try_id: &str) -> Response<Full<Bytes>> {
-        let headers = response.headers_mut();
-        if let (true, Ok(value)) = (!try_id.is_empty(), try_id.parse()) {
-            headers.insert("x-try-id", value);
-        }
-        response
-    }
-}
-
-fn pass(reply: &Reply) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(reply.body.clone()));
-    *response.status_mut() = hyper::StatusCode::from_u16(reply.status).unwrap_or_default();
-    let headers = response.headers_mut();
-    headers.insert("x-code", Code::Fine.number().into());
-    service_headers().into_iter().for_each(|name| {
-        let value = reply.headers.get(name).cloned();
-        value.into_iter().for_each(|value| {
-            headers.insert(name, value);
-        });
-    });
-    response
 }
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -1,13 +1,14 @@
 //! The thin shell of a carrier: sockets and timers, and the published view that requests read.
 
 use crate::core::{Carrier, Effect, Event, Phase, Start, Times};
+use crate::dialect::{Dialect, Door, Page};
 use crate::traces::Traces;
 use address::{Code, Locality};
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use dashmap::DashMap;
 use error_stack::{Report, ResultExt};
-use gazetteer::View;
+use gazetteer::{Owners, View};
 use http_body_util::Full;
 use hyper::Response;
 use parcel::{Member, Message, Parcel};
@@ -17,7 +18,7 @@
 use std::time::Duration;
 use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::sync::{mpsc, watch};
-use wicket::{Caller, Clock, Doors, Enquiry, Links, NoStart, Program};
+use wicket::{Caller, Clock, Doors, Enquiry, Links, NoStart, Pool, Program};
 
 const TICK: Duration = Duration::from_millis(20);
 const MOST_ARRIVALS: usize = 1024;
@@ -34,7 +35,25 @@
     setting("http", Shape::Address, None, "where origins, upstreams and operators call (HTTP)"),
     setting("link", Shape::Address, None, "where other processes connect (TCP) and probe (UDP)"),
     setting("told", Shape::Addresses, Some(""), "the link address that others use, where it is not 'link' itself"),
-    setting("seeds", Shape::Addresses, Some(""), "link addresses of other processes"),
+    setting("seeds", Shape::Addresses, Some(""), "addresses of other processes, to find them all by"),
+    setting("seed-port", Shape::Count(0, 65_535), Some("0"), "the port of their links, where 'seeds' names others"),
+    setting("directory", Shape::Addresses, Some(""), "where origins ask for names, where it is not 'http' itself"),
+    setting("readiness", Shape::Addresses, Some(""), "where readiness is asked for, where it is not 'http' itself"),
+    setting(
+        "owners",
+        Shape::OneOf(&["one", "by-caller"]),
+        Some("one"),
+        "who owns a name: one locality, or one for each",
+    ),
+    setting("out-of-touch", Shape::OneOf(&["stop", "serve"]), Some("stop"), "what to do with a view that is too old"),
+    setting(
+        "keep-connections",
+        Shape::OneOf(&["no", "yes"]),
+        Some("no"),
+        "whether connections to upstreams are reused",
+    ),
+    setting("far-zone-ms", Shape::Count(0, 10_000), Some("20"), "what another zone costs beside an upstream's work"),
+    setting("far-region-ms", Shape::Count(0, 10_000), Some("60"), "what another region costs beside its work"),
     setting("serve", Shape::SomeOf(&["proxy", "directory"]), Some("proxy,directory"), "its roles"),
 ];
 
@@ -79,6 +98,10 @@
     pub postmasters: ArcSwap<Vec<String>>,
     pub board: Board,
     pub caller: Caller,
+    /// Connections to upstreams that wait for their next request.
+    pub pool: Pool,
+    pub keeps_connections: bool,
+    pub dialect: Dialect,
     pub traces: Traces,
     pub counters: Counters,
     roles: String,
@@ -91,10 +114,10 @@
 ///
 /// ```no_run
 /// # async fn run(settings: tariff::Settings) {
-/// carrier::shell::run(settings).await.unwrap();
+/// carrier::shell::run(settings, carrier::Dialect::own()).await.unwrap();
 /// # }
 /// ```
-pub async fn run(settings: Settings) -> Result<(), Report<NoStart>> {
+pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let locality = settings.get("locality").parse::<Locality>();
@@ -111,13 +134,21 @@
     };
     log::info!("start: carrier {} in {locality}, serving {}", me.node, me.roles);
     let lifetime = settings.span("address-lifetime-ms");
+    let mut site = Site::new(&me.node, locality, settings.span("stale-after-ms"), settings.span("wait-ms"));
+    site.owners = if settings.get("owners") == "one" { Owners::One } else { Owners::ByCaller };
+    site.serves_on = settings.get("out-of-touch") == "serve";
+    site.far_ms = (settings.count("far-zone-ms") as f64, settings.count("far-region-ms") as f64);
+    let reader = dialect.reader;
     let node = Arc::new(Node {
-        site: Site::new(&me.node, locality, settings.span("stale-after-ms"), settings.span("wait-ms")),
+        site,
         clock,
         view: ArcSwap::default(),
         postmasters: ArcSwap::default(),
         board: Board::default(),
         caller: Caller::default(),
+        pool: Pool::default(),
+        keeps_connections: settings.get("keep-connections") == "yes",
+        dialect,
         traces: Traces::default(),
         counters: Counters::default(),
         roles: me.roles.clone(),
@@ -127,11 +158,24 @@
     });
     let (arrivals, mut arrived) = mpsc::channel(MOST_ARRIVALS);
     let links = Links::open(me.node.clone(), Some(link), arrivals);
-    let mut carrier =
-        Carrier::new(Start { me, seeds: settings.list("seeds"), seed: wicket::chance(), times: times(&settings) });
+    let mut carrier = Carrier::new(Start {
+        me,
+        seeds: wicket::seeds(&settings),
+        seed: wicket::chance(),
+        reader,
+        times: times(&settings),
+    });
     let (close, closing) = watch::channel(false);
-    let handler = node.clone();
-    let server = tokio::spawn(wicket::serve(http, closing, move |enquiry| serve(handler.clone(), enquiry)));
+    let doors = [("directory", Door::Directory), ("readiness", Door::Readiness)];
+    let mut sockets = vec![(Door::Front, http)];
+    for (name, door) in doors.into_iter().filter(|(name, _)| !settings.get(name).is_empty()) {
+        sockets.push((door, wicket::listen(&settings, name).await?));
+    }
+    let servers = sockets.into_iter().map(|(door, socket)| {
+        let handler = node.clone();
+        tokio::spawn(wicket::serve(socket, closing.clone(), move |enquiry| serve(handler.clone(), door, enquiry)))
+    });
+    let server = futures::future::join_all(servers.collect::<Vec<_>>());
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = std::pin::pin!(wicket::stop_signal());
@@ -173,6 +217,7 @@
         if now >= next_sweep {
             next_sweep = now + Duration::from_secs(1);
             let view = node.view.load();
+            node.pool.sweep();
             node.board.sweep(now, |instance| view.upstreams.values().any(|known| known.contains_key(instance)));
         }
         if carrier.phase() == Phase::Denying {
@@ -194,7 +239,7 @@
     }
 
     fn ready(&self) -> Code {
-        let fresh = self.view.load().is_fresh(self.clock.now(), self.site.stale_after);
+        let fresh = self.site.may_use(&self.view.load(), self.clock.now());
         match (self.closing.load(Ordering::Acquire), fresh) {
             (true, _) => Code::Closing,
             (false, false) => Code::Stale,
@@ -202,30 +247,20 @@
         }
     }
 
-    fn list(&self, enquiry: &Enquiry) -> Response<Full<Bytes>> {
+    fn list(&self, name: &str, origin: Option<Locality>) -> Response<Full<Bytes>> {
         self.counters.listings.fetch_add(1, Ordering::Relaxed);
-        let origin = format!("{}/{}", enquiry.query("region"), enquiry.query("zone")).parse::<Locality>();
         let view = self.view.load();
-        let Ok(origin) = origin else { return wicket::verdict(Code::Malformed, None) };
-        let salt = format!("{}{origin}", enquiry.query("name"));
-        if !view.is_fresh(self.clock.now(), self.site.stale_after) {
-            return wicket::verdict(Code::Stale, sorting::come_back(Code::Stale, 0.0, &salt));
-        }
-        match gazetteer::list(&view, enquiry.query("name"), &origin, self.lifetime) {
-            Err(code) => wicket::verdict(code, sorting::come_back(code, 0.0, &salt)),
-            Ok(listing) => {
-                let proxies = listing.proxies.iter().map(|address| Sheet::from(address.as_str())).collect();
-                let sheet = Sheet::fields([
-                    ("code", u64::from(Code::Fine.number()).into()),
-                    ("name", listing.name.into()),
-                    ("locality", listing.locality.into()),
-                    ("epoch", listing.epoch.into()),
-                    ("proxies", proxies),
-                    ("lifetimeMs", (listing.lifetime.as_millis() as u64).into()),
-                ]);
-                wicket::json(Code::Fine, &sheet)
-            }
-        }
+        let Some(origin) = origin else { return self.deny(Code::Malformed, None, "") };
+        let listed = if self.site.may_use(&view, self.clock.now()) {
+            gazetteer::list(&view, name, &origin, self.lifetime, (self.site.owners, self.dialect.most_addresses))
+        } else {
+            Err(Code::Stale)
+        };
+        let salt = || format!("{name}{origin}");
+        listed.map_or_else(
+            |code| self.deny(code, sorting::come_back(code, 0.0, &salt()), ""),
+            |listing| (self.dialect.listing)(listing),
+        )
     }
 
     fn show_counters(&self) -> Response<Full<Bytes>> {
@@ -304,24 +339,22 @@
     }
 }
 
-async fn serve(node: Arc<Node>, enquiry: Enquiry) -> Response<Full<Bytes>> {
+async fn serve(node: Arc<Node>, door: Door, enquiry: Enquiry) -> Response<Full<Bytes>> {
     let retry = Some(Duration::from_secs(1));
     let serves = |role: &str| node.roles.contains(role);
-    match (enquiry.method.as_str(), enquiry.path.as_str()) {
-        (_, path) if path.starts_with("/r/") && serves("proxy") => node.carry(enquiry).await,
-        ("GET", "/directory") if serves("directory") => node.list(&enquiry),
-        ("GET", "/live") => wicket::verdict(Code::Fine, None),
-        ("GET", "/ready") => {
+    match (node.dialect.page)(door, &enquiry) {
+        Page::Request if serves("proxy") => node.carry(enquiry).await,
+        Page::Listing { name, origin } if serves("directory") => node.list(&name, origin),
+        Page::Live => wicket::verdict(Code::Fine, None),
+        Page::Ready => {
             let code = node.ready();
             wicket::verdict(code, retry.filter(|_| code != Code::Fine))
         }
-        ("GET", "/counters") => node.show_counters(),
-        ("GET", "/node") => node.show_node(),
-        ("GET", "/trace") if enquiry.query("name").is_empty() => node.show_trace(enquiry.query("try")),
-        ("GET", "/trace") => node.show_supposed(&enquiry),
-        ("GET", "/setup" | "/status" | "/upstreams" | "/reservations" | "/marks")
-        | ("PUT", "/setup")
-        | ("POST", "/evacuations" | "/beats") => node.relay(enquiry).await,
+        Page::Counters => node.show_counters(),
+        Page::Node => node.show_node(),
+        Page::Trace { try_id } => node.show_trace(&try_id),
+        Page::Supposed => node.show_supposed(&enquiry),
+        Page::Relay => node.relay(enquiry).await,
         _ => wicket::verdict(Code::NoSuchPage, None),
     }
 }
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -170,11 +170,15 @@
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
             let times = postmaster::shell::times(&settings);
-            let start = postmaster::Start { me, seeds, roster_size, seed, durable, setups, times };
+            let start =
+                postmaster::Start { me, seeds, roster_size, seed, reader: Default::default(), durable, setups, times };
             Core::Office(Box::new(Office::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
-            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, times })), Box::default())
+            Core::Carrier(
+                Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader: Default::default(), times })),
+                Box::default(),
+            )
         };
         let life = node.life;
         // Not all tick at the same moment.
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -210,7 +210,8 @@
         let origin: Locality = place.parse().unwrap_or_default();
         let view = node.carrier().map(|carrier| carrier.view());
         let fresh = view.filter(|view| view.is_fresh(node.local(self.now), stale_after));
-        let listing = fresh.and_then(|view| gazetteer::list(view, name, &origin, lifetime).ok());
+        let listing =
+            fresh.and_then(|view| gazetteer::list(view, name, &origin, lifetime, (gazetteer::Owners::One, 3)).ok());
         self.after(Duration::from_millis(8), Action::OriginTold { work, listing, asked_at });
     }
 
--- a/crates/gazetteer/src/answer.rs
+++ b/crates/gazetteer/src/answer.rs
@@ -1,12 +1,10 @@
 //! A directory node's answer: the owning locality's proxies, for a short lifetime.
 
-use crate::view::{View, is_home};
+use crate::view::{Proxy, View, is_home};
 use address::{Code, Locality};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How many addresses one answer names.
-const MOST_PROXIES: usize = 3;
-
 /// Where a name lives, for an origin.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
@@ -17,37 +15,48 @@
     pub lifetime: Duration,
 }
 
+/// Who owns a name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Owners {
+    /// One locality for everybody; the placement duty decides which.
+    #[default]
+    One,
+    /// One for the callers of each zone: their own where it can serve, else the nearest that can.
+    ByCaller,
+}
+
 /// Answers a directory question. Aliases go through the id form; the owner's own proxies come first, and
 /// where it has none alive, the nearest others that its work may pass through.
 ///
 /// ```
 /// use address::Code;
+/// use gazetteer::Owners;
 /// use std::time::Duration;
 /// let view = gazetteer::View::default();
-/// let asked = gazetteer::list(&view, "book", &"north/n1".parse().unwrap(), Duration::from_secs(2));
+/// let asked = gazetteer::list(&view, "book", &"north/n1".parse().unwrap(), Duration::from_secs(2), (Owners::One, 3));
 /// assert_eq!(asked, Err(Code::NoSuchName));
 /// ```
-pub fn list(view: &View, asked: &str, origin: &Locality, lifetime: Duration) -> Result<Listing, Code> {
+pub fn list(
+    view: &View,
+    asked: &str,
+    origin: &Locality,
+    lifetime: Duration,
+    (owners, most): (Owners, usize),
+) -> Result<Listing, Code> {
     let name = view.setup.resolve(asked).ok_or(Code::NoSuchName)?;
-    let reservation = view
-        .reservations
-        .get(name)
-        .filter(|reservation| !view.evacuated.contains(&reservation.locality))
-        .ok_or(Code::NoOwner)?;
-    let owner: Locality = reservation.locality.parse().map_err(|_| Code::NoOwner)?;
-    let services: Vec<_> = view.setup.services_of(name).collect();
-    let mut proxies: Vec<_> = view
-        .proxies
-        .iter()
-        .filter(|proxy| {
-            let place = proxy.locality.to_string();
-            !view.evacuated.contains(&place) && services.iter().all(|service| is_home(service, &place))
-        })
+    let (owner, epoch) = match owners {
+        Owners::One => {
+            let owned = view.reservations.get(name);
+            let owned = owned.filter(|owned| !view.evacuated.contains(&owned.locality)).ok_or(Code::NoOwner)?;
+            (owned.locality.parse().map_err(|_| Code::NoOwner)?, owned.epoch)
+        }
+        Owners::ByCaller => (owner_for(view, name, origin).ok_or(Code::NoOwner)?, view.edition),
+    };
+    let mut proxies: Vec<_> = able(view, name)
         .map(|proxy| {
-            let near = (proxy.locality != owner, proxy.locality.region != owner.region);
+            let near = (proxy.suspect, proxy.locality != owner, proxy.locality.region != owner.region);
             let far = proxy.locality.region != origin.region;
-            let near = (proxy.suspect, near.0, near.1);
-            (near, far, address::spread(&format!("{asked}{origin}{}", proxy.node)), proxy)
+            (near, far, address::spread_all([asked, &origin.region, &origin.zone, &proxy.node]), proxy)
         })
         .collect();
     proxies.sort_by_key(|(near, far, spread, _)| (*near, *far, *spread));
@@ -55,14 +64,31 @@
     let proxies = proxies
         .into_iter()
         .take_while(|(near, ..)| *near == best)
-        .take(MOST_PROXIES)
+        .take(most)
         .map(|(.., proxy)| proxy.address.clone())
         .collect();
-    Ok(Listing {
-        name: name.to_owned(),
-        locality: reservation.locality.clone(),
-        epoch: reservation.epoch,
-        proxies,
-        lifetime,
+    Ok(Listing { name: name.to_owned(), locality: owner.to_string(), epoch, proxies, lifetime })
+}
+
+/// The proxies that may carry a name's work: not evacuated, and at home for all of its services.
+fn able<'a>(view: &'a View, name: &'a str) -> impl Iterator<Item = &'a Proxy> {
+    let services: Vec<_> = view.setup.services_of(name).collect();
+    view.proxies.iter().filter(move |proxy| {
+        let place = proxy.locality.to_string();
+        !view.evacuated.contains(&place) && services.iter().all(|service| is_home(service, &place))
     })
 }
+
+/// The zone that owns a name for the callers of one zone: their own where a proxy of it is alive, else one of their
+/// region, else any; among equals the one with the most proxies, ties broken by a spread over name and zones.
+fn owner_for(view: &View, name: &str, origin: &Locality) -> Option<Locality> {
+    let counts = able(view, name).fold(BTreeMap::new(), |mut counts: BTreeMap<&Locality, u64>, proxy| {
+        *counts.entry(&proxy.locality).or_insert(0) += if proxy.suspect { 1 } else { 1000 };
+        counts
+    });
+    let rank = |(place, count): &(&Locality, u64)| {
+        let spread = address::spread_all([name, &origin.zone, &place.zone]);
+        (*count >= 1000, *place == origin, place.region == origin.region, *count, spread)
+    };
+    counts.into_iter().max_by_key(rank).map(|(place, _)| place.clone())
+}
--- a/crates/gazetteer/src/lib.rs
+++ b/crates/gazetteer/src/lib.rs
@@ -4,6 +4,6 @@
 mod placement;
 mod view;
 
-pub use answer::{Listing, list};
+pub use answer::{Listing, Owners, list};
 pub use placement::{Needs, Placer, Times};
-pub use view::{Proxy, Senders, Upstreams, View, is_home};
+pub use view::{Proxy, Senders, SetupReader, Upstreams, View, is_home, is_within};
--- a/crates/gazetteer/src/placement.rs
+++ b/crates/gazetteer/src/placement.rs
@@ -75,7 +75,7 @@
     /// use parcel::Upstream;
     /// use std::time::Duration;
     /// let times = Times { least_stay: Duration::from_secs(4), mark_lifetime: Duration::from_secs(60) };
-    /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "home_regions": ["n"]}],
+    /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "homeRegions": ["n"]}],
     ///     "routes": [{"id": "r", "name": "book", "path": "/", "service": "s"}]}"#).unwrap();
     /// let unit = |name: &str, place: &str| Upstream { service: "s".into(), instance: name.into(),
     ///     locality: place.into(), free_slots: 4, warm: true, ..Default::default() };
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -41,9 +41,21 @@
     }
 }
 
+/// How a configuration's bytes are read and checked.
+#[derive(Clone, Copy)]
+pub struct SetupReader(pub fn(&[u8]) -> Result<Setup, Vec<Complaint>>);
+
+impl Default for SetupReader {
+    fn default() -> Self {
+        SetupReader(Setup::read)
+    }
+}
+
 /// One edition of the world, as requests read it. What a change leaves alone is shared by the editions.
 #[derive(Clone, Default)]
 pub struct View {
+    /// How configurations are read here.
+    pub reader: SetupReader,
     pub edition: u64,
     pub digest: String,
     pub setup: Arc<Setup>,
@@ -90,8 +102,8 @@
     /// assert!(view.upstreams["s"].is_empty());
     /// ```
     pub fn take(&mut self, news: News, image: bool) -> Result<(), Vec<Complaint>> {
-        let setup = news.setup.map(|bytes| Setup::read(&bytes).map(Arc::new)).transpose()?;
-        if image {
+        let setup = news.setup.map(|bytes| (self.reader.0)(&bytes).map(Arc::new)).transpose()?;
+        if image && !news.keeps_upstreams {
             self.upstreams = Arc::default();
         }
         // An older edition never follows a newer one.
@@ -140,8 +152,9 @@
     /// assert_eq!(view.senders.since, Duration::ZERO, "nothing changed");
     /// ```
     pub fn settle_senders(&mut self, now: Duration) {
-        let owners = self.setup.routes.values().filter_map(|route| {
-            self.reservations.get(&route.name).map(|owned| (route.service.as_str(), owned.locality.as_str()))
+        let owners = self.setup.routes.values().flat_map(|route| {
+            let owned = self.reservations.get(&route.name);
+            owned.into_iter().flat_map(|owned| route.services().map(|service| (service, owned.locality.as_str())))
         });
         let places: BTreeSet<(&str, &str)> = owners.collect();
         let mut by_service: BTreeMap<String, Vec<String>> = BTreeMap::new();
@@ -160,12 +173,21 @@
 ///
 /// ```
 /// use tariff::Service;
-/// let service = Service { name: "s".into(), repeatable: true, keyed: false, warm_up_per_second: 1,
-///     home_regions: vec!["north".into()], most_bytes: 1, concurrency: 1 };
+/// let service = Service { home_regions: vec!["north".into()], ..Default::default() };
 /// assert!(gazetteer::is_home(&service, "north/n1"));
 /// assert!(!gazetteer::is_home(&service, "south/s1"));
 /// ```
 pub fn is_home(service: &Service, locality: &str) -> bool {
+    is_within(&service.home_regions, locality)
+}
+
+/// True where a locality (text form: region/zone) lies in one of these regions, or none are named.
+///
+/// ```
+/// assert!(gazetteer::is_within(&[], "north/n1"));
+/// assert!(!gazetteer::is_within(&["south".to_owned()], "north/n1"));
+/// ```
+pub fn is_within(regions: &[String], locality: &str) -> bool {
     let region = locality.split('/').next().unwrap_or_default();
-    service.home_regions.is_empty() || service.home_regions.iter().any(|home| home == region)
+    regions.is_empty() || regions.iter().any(|home| home == region)
 }
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -107,6 +107,9 @@
     /// The latest submissions with their verdicts, oldest first.
     #[prost(message, repeated, tag = "4")]
     pub submissions: Vec<Submission>,
+    /// The operator's own number of the setup; 0 where there is none.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
 }
 
 /// A submission that was decided.
@@ -392,6 +395,9 @@
     /// The epoch of the holder that answered its last beat.
     #[prost(uint64, tag = "12")]
     pub holder: u64,
+    /// How many requests it runs at a time, where it tells its load in answers; else zero.
+    #[prost(uint32, tag = "13")]
+    pub slots: u32,
 }
 
 /// A range of key slots (`from` up to, not including, `until`) held under `epoch`.
@@ -550,6 +556,9 @@
     pub upstreams: Vec<Upstream>,
     #[prost(message, optional, tag = "6")]
     pub placement: Option<Placement>,
+    /// In an image: its sender does not know all upstreams yet, and what is known besides stays.
+    #[prost(bool, tag = "7")]
+    pub keeps_upstreams: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -5,7 +5,7 @@
 use parcel::{Beats, Body, SharesAsk, SharesGiven, Upstream};
 use registered::{Change, Standing, Verdict};
 use std::time::Duration;
-use tariff::{Setup, Sheet};
+use tariff::Sheet;
 
 const MOST_BEAT_WAITS: usize = 4096;
 const MOST_READ_WAITS: usize = 256;
@@ -15,12 +15,13 @@
 impl Office {
     pub(crate) fn ask(&mut self, now: Duration, token: u64, ask: Ask) {
         match ask {
-            Ask::Submit { id, base, bytes, in_force } => match Setup::read(&bytes) {
+            Ask::Submit { id, base, bytes, in_force } => match (self.reader.0)(&bytes) {
                 Err(complaints) => self.answer(token, Answer::Denied { code: Code::SetupBad, complaints }),
-                Ok(_) => {
+                Ok(setup) => {
+                    let number = setup.number;
                     let digest = parcel::digest(&bytes);
                     self.wait_for_force(now, token, in_force);
-                    self.change(now, token, Change::Setup { id, base, digest }, Some(bytes));
+                    self.change(now, token, Change::Setup { id, base, number, digest }, Some(bytes));
                 }
             },
             Ask::Evacuate { id, locality, back, in_force } => {
@@ -68,6 +69,13 @@
                 self.answer(token, Answer::Sheet(sheet));
             }
             Ask::Beat(upstream) => self.beat(now, token, upstream),
+            Ask::SignOff { instance } => {
+                let known = self.roll.all(now).into_iter().find(|upstream| upstream.instance == instance);
+                let beat = known.as_ref().map(|known| known.beat + 1).unwrap_or_default();
+                let gone = known.map(|known| Upstream { condition: enrolment::GONE, beat, ..known });
+                gone.into_iter().for_each(|gone| self.take_beat(now, &gone));
+                self.answer_beat(token, 0, None);
+            }
         }
     }
 
@@ -135,11 +143,7 @@
 
     fn beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
         self.counts.beats += 1;
-        if self.roll.take(now, upstream.clone()) {
-            // With its age as it is known here: this beat may have lain in a frozen process.
-            let upstreams = self.roll.one(now, &upstream).into_iter().collect();
-            self.tell_postmasters(Body::Beats(Beats { upstreams }));
-        }
+        self.take_beat(now, &upstream);
         let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
         if !keyed || self.placed_by.is_empty() || self.beat_waits.len() >= MOST_BEAT_WAITS {
             return self.answer_beat(token, 0, None);
@@ -154,6 +158,14 @@
         self.effects.push_back(Effect::Send { to, body: Body::SharesAsk(SharesAsk { nonce, upstream }) });
     }
 
+    fn take_beat(&mut self, now: Duration, upstream: &Upstream) {
+        if self.roll.take(now, upstream.clone()) {
+            // With its age as it is known here: this beat may have lain in a frozen process.
+            let upstreams = self.roll.one(now, upstream).into_iter().collect();
+            self.tell_postmasters(Body::Beats(Beats { upstreams }));
+        }
+    }
+
     pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesAsk) {
         self.roll.take(now, ask.upstream.clone());
         let Some(epoch) = self.claims.holds(now) else { return };
@@ -171,25 +183,7 @@
 
     /// Without `shares` the upstream learns nothing new, and what it holds runs out by itself.
     fn answer_beat(&mut self, token: u64, holder: u64, shares: Option<Vec<parcel::Share>>) {
-        let sheet = match shares {
-            None => Sheet::fields([("code", u64::from(Code::Fine.number()).into()), ("holder", holder.into())]),
-            Some(shares) => {
-                let runs = shares.iter().map(|share| {
-                    Sheet::fields([
-                        ("from", u64::from(share.from).into()),
-                        ("until", u64::from(share.until).into()),
-                        ("epoch", share.epoch.into()),
-                    ])
-                });
-                Sheet::fields([
-                    ("code", u64::from(Code::Fine.number()).into()),
-                    ("holder", holder.into()),
-                    ("shares", runs.collect()),
-                    ("spanMs", (self.times.share_span.as_millis() as u64).into()),
-                ])
-            }
-        };
-        self.answer(token, Answer::Sheet(sheet));
+        self.answer(token, Answer::Beat { holder, shares, span: self.times.share_span });
     }
 
     fn status(&self, now: Duration) -> Sheet {
--- /dev/null
+++ b/crates/postmaster/src/dialect.rs
@@ -0,0 +1,186 @@
+//! What a postmaster speaks with operators and upstreams, as policies: the product's own way is [`Dialect::own`], and
+//! an adapter to another site's way brings its own.
+
+use crate::office::{Answer, Ask};
+use address::Code;
+use bytes::Bytes;
+use gazetteer::SetupReader;
+use http_body_util::Full;
+use hyper::Response;
+use parcel::Upstream;
+use tariff::{Complaint, Fields, Sheet, complain};
+use wicket::Enquiry;
+
+/// Why a question can't be read.
+pub type Unread = (Code, Vec<Complaint>);
+
+/// How questions are read and answers written.
+pub struct Dialect {
+    /// What is asked.
+    pub ask: Box<dyn Fn(&Enquiry) -> Result<Ask, Unread> + Send + Sync>,
+    /// An answer as it is written.
+    pub show: Box<dyn Fn(Answer) -> Response<Full<Bytes>> + Send + Sync>,
+    /// How configurations are read.
+    pub reader: SetupReader,
+}
+
+impl Dialect {
+    /// The product's own interface, as docs/interface.md has it.
+    ///
+    /// ```
+    /// let answer = postmaster::Answer::Verdict { code: address::Code::Fine, edition: 3 };
+    /// assert_eq!((postmaster::Dialect::own().show)(answer).status(), 200);
+    /// ```
+    pub fn own() -> Dialect {
+        Dialect { ask: Box::new(read_ask), show: Box::new(show), reader: SetupReader::default() }
+    }
+}
+
+fn read_ask(enquiry: &Enquiry) -> Result<Ask, (Code, Vec<Complaint>)> {
+    let mut complaints = Vec::new();
+    let id = enquiry.query("id").to_owned();
+    let in_force = enquiry.query("wait") == "force";
+    let needs_id =
+        matches!((enquiry.method.as_str(), enquiry.path.as_str()), ("PUT", "/setup") | ("POST", "/evacuations"));
+    if needs_id && !address::is_id(&id) {
+        complain(&mut complaints, "id", "a submission needs an id of 1 to 64 of a-z A-Z 0-9 - _ .");
+    }
+    let ask = match (enquiry.method.as_str(), enquiry.path.as_str()) {
+        ("PUT", "/setup") => {
+            let base = Some(enquiry.query("base")).filter(|base| !base.is_empty()).map(str::parse::<u64>);
+            if matches!(base, Some(Err(_))) {
+                complain(&mut complaints, "base", "must be the edition that the setup was made from");
+            }
+            Ask::Submit { id, base: base.and_then(Result::ok), bytes: enquiry.body.to_vec(), in_force }
+        }
+        ("POST", "/evacuations") => {
+            let locality = enquiry.query("locality").to_owned();
+            if let Err(text) = locality.parse::<address::Locality>() {
+                complain(&mut complaints, "locality", text);
+            }
+            let back = enquiry.query("back") == "true";
+            Ask::Evacuate { id, locality, back, in_force }
+        }
+        ("GET", "/setup") => Ask::ReadSetup,
+        ("GET", "/status") => Ask::Status,
+        ("GET", "/upstreams") => Ask::Upstreams,
+        ("GET", "/reservations") => Ask::Reservations,
+        ("GET", "/marks") => Ask::Marks,
+        ("POST", "/beats") => Ask::Beat(read_beat(&enquiry.body, &mut complaints)),
+        _ => return Err((Code::NoSuchPage, Vec::new())),
+    };
+    if complaints.is_empty() { Ok(ask) } else { Err((Code::Malformed, complaints)) }
+}
+
+fn read_beat(body: &[u8], complaints: &mut Vec<Complaint>) -> Upstream {
+    let sheet = std::str::from_utf8(body).map_err(|_| "this is not UTF-8".to_owned()).and_then(Sheet::read);
+    let sheet = sheet.unwrap_or_else(|text| {
+        complain(complaints, "/", text);
+        Sheet::Null
+    });
+    let mut fields = Fields::open(&sheet, "", complaints);
+    let ids = fields.id("service").zip(fields.id("instance"));
+    let place = fields.text("address").zip(fields.text("locality"));
+    let numbers = fields.count("freeSlots", 0..=100_000, None).zip(fields.count("beat", 1..=u64::MAX, None));
+    let warm = fields.truth("warm", false);
+    let condition = fields.text("condition").unwrap_or_default();
+    let holds = fields.list("holds").to_vec();
+    let holder = fields.count("holder", 0..=u64::MAX, Some(0)).unwrap_or(0);
+    fields.close();
+    let holds = holds.iter().enumerate().filter_map(|(at, hold)| {
+        let mut fields = Fields::open(hold, &format!("/holds/{at}"), complaints);
+        let most = u64::from(address::SLOTS);
+        let run = fields.count("from", 0..=most, None).zip(fields.count("until", 0..=most, None));
+        let epoch = fields.count("epoch", 0..=u64::MAX, None);
+        fields.close();
+        run.zip(epoch).map(|((from, until), epoch)| parcel::Share {
+            from: from as u32,
+            until: until as u32,
+            epoch,
+            instance: String::new(),
+        })
+    });
+    let holds = holds.collect();
+    let condition = match condition.as_str() {
+        "ready" => enrolment::READY,
+        "leaving" => enrolment::LEAVING,
+        "gone" => enrolment::GONE,
+        other => {
+            complain(complaints, "/condition", format!("'{other}' is none of ready, leaving, gone"));
+            enrolment::GONE
+        }
+    };
+    let ((service, instance), (address, locality)) = ids.zip(place).unwrap_or_default();
+    if complaints.is_empty() && address.parse::<std::net::SocketAddr>().is_err() {
+        complain(complaints, "/address", format!("'{address}' is not an IP number and a port"));
+    }
+    if complaints.is_empty() && locality.parse::<address::Locality>().is_err() {
+        complain(complaints, "/locality", format!("'{locality}' is not a locality; write region/zone"));
+    }
+    let (free_slots, beat) = numbers.map(|(free, beat)| (free as u32, beat)).unwrap_or_default();
+    Upstream {
+        service,
+        instance,
+        address,
+        locality,
+        free_slots,
+        warm,
+        condition,
+        beat,
+        holds,
+        holder,
+        slots: 0,
+        age_ms: 0,
+        born_ms: 0,
+    }
+}
+
+fn show(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Sheet(sheet) => wicket::json(Code::Fine, &sheet),
+        Answer::Beat { holder, shares, span } => {
+            let mut fields = vec![("code", u64::from(Code::Fine.number()).into()), ("holder", holder.into())];
+            shares.into_iter().for_each(|shares| {
+                let run = |share: parcel::Share| {
+                    Sheet::fields([
+                        ("from", u64::from(share.from).into()),
+                        ("until", u64::from(share.until).into()),
+                        ("epoch", share.epoch.into()),
+                    ])
+                };
+                fields.push(("shares", shares.into_iter().map(run).collect()));
+                fields.push(("spanMs", (span.as_millis() as u64).into()));
+            });
+            let fields = fields.into_iter().map(|(name, sheet): (&str, Sheet)| (name.to_owned(), sheet));
+            wicket::json(Code::Fine, &Sheet::Fields(fields.collect()))
+        }
+        Answer::Setup { edition, bytes } => {
+            let mut response = wicket::answer(Code::Fine, "application/json", bytes.into());
+            response.headers_mut().insert("x-edition", edition.into());
+            response
+        }
+        Answer::Verdict { code, edition } => {
+            let sheet = Sheet::fields([
+                ("code", u64::from(code.number()).into()),
+                ("text", code.text().into()),
+                ("edition", edition.into()),
+            ]);
+            let mut response = wicket::json(code, &sheet);
+            if code.status() == 503 || code.status() == 429 {
+                response.headers_mut().insert("retry-after", 1.into());
+            }
+            response
+        }
+        Answer::Denied { code, complaints } => {
+            let told = complaints.iter().map(|complaint| {
+                Sheet::fields([("path", complaint.path.as_str().into()), ("text", complaint.text.as_str().into())])
+            });
+            let sheet = Sheet::fields([
+                ("code", u64::from(code.number()).into()),
+                ("text", code.text().into()),
+                ("complaints", told.collect()),
+            ]);
+            wicket::json(code, &sheet)
+        }
+    }
+}
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -16,19 +16,23 @@
     asked_at: Duration,
     word: Word,
     placement: Placement,
+    /// False while its image leaves the upstreams it knows as they are: this node does not know them all yet.
+    whole: bool,
     /// The edition in force there, as acknowledged.
     pub(crate) edition: u64,
 }
 
 impl Office {
     pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: NewsAsk) {
-        if !self.is_current(now) || !self.is_settled(now) {
+        if !self.is_current(now) {
             return;
         }
         // What the answer vouches for goes out ahead of it.
         self.tell_news(now);
-        let known =
-            self.readers.get(&from).is_some_and(|reader| reader.stream == ask.stream && ask.number <= reader.number);
+        let settled = self.is_settled(now);
+        let known = self.readers.get(&from).is_some_and(|reader| {
+            reader.stream == ask.stream && ask.number <= reader.number && reader.whole == settled
+        });
         // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
         // asks with stream 0.
         if !known && self.readers.len() < MOST_READERS {
@@ -51,7 +55,7 @@
         self.counts.images += 1;
         let stream = self.dice.roll().max(1);
         let word = self.register.word().clone();
-        let (placement, edition) = (self.bare_placement(), 0);
+        let (placement, edition, whole) = (self.bare_placement(), 0, self.is_settled(now));
         let image = News {
             stream,
             number: 0,
@@ -59,8 +63,9 @@
             word: Some(word.clone()),
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
+            keeps_upstreams: !whole,
         };
-        let reader = Reader { stream, number: 0, asked_at: now, word, placement, edition };
+        let reader = Reader { stream, number: 0, asked_at: now, word, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
         self.effects.push_back(Effect::Send { to: to.to_owned(), body: Body::News(image) });
     }
@@ -88,6 +93,7 @@
                 setup: new_setup.map(<[u8]>::to_vec),
                 upstreams: changed.clone(),
                 placement: new_placement.cloned(),
+                keeps_upstreams: false,
             };
             if news.word.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -6,7 +6,8 @@
 use address::{Code, Dice};
 use claims::Claims;
 use enrolment::Roll;
-use parcel::{Beats, Body, Durable, Member, Placement, RollAsk, RollTold, Upstream};
+use gazetteer::SetupReader;
+use parcel::{Beats, Body, Durable, Member, Placement, RollAsk, RollTold, Share, Upstream};
 use registered::{Change, Register, Standing};
 use rounds::Rounds;
 use std::collections::{BTreeMap, VecDeque};
@@ -32,6 +33,8 @@
     pub seeds: Vec<String>,
     pub roster_size: usize,
     pub seed: u64,
+    /// How configurations are read.
+    pub reader: SetupReader,
     pub durable: Durable,
     pub setups: BTreeMap<String, Vec<u8>>,
     pub times: Times,
@@ -40,22 +43,52 @@
 /// What operators and upstreams ask over HTTP.
 #[derive(Clone, Debug)]
 pub enum Ask {
-    Submit { id: String, base: Option<u64>, bytes: Vec<u8>, in_force: bool },
-    Evacuate { id: String, locality: String, back: bool, in_force: bool },
+    Submit {
+        id: String,
+        base: Option<u64>,
+        bytes: Vec<u8>,
+        in_force: bool,
+    },
+    Evacuate {
+        id: String,
+        locality: String,
+        back: bool,
+        in_force: bool,
+    },
     ReadSetup,
     Status,
     Upstreams,
     Reservations,
     Marks,
     Beat(Upstream),
+    /// An upstream says that it ends now.
+    SignOff {
+        instance: String,
+    },
 }
 
 /// An answer to an [`Ask`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
-    Verdict { code: Code, edition: u64 },
-    Denied { code: Code, complaints: Vec<Complaint> },
-    Setup { edition: u64, bytes: Vec<u8> },
+    Verdict {
+        code: Code,
+        edition: u64,
+    },
+    Denied {
+        code: Code,
+        complaints: Vec<Complaint>,
+    },
+    Setup {
+        edition: u64,
+        bytes: Vec<u8>,
+    },
+    /// To a beat: who holds the duty, and all that the upstream holds from now on, for this span. Without shares it
+    /// learns nothing new.
+    Beat {
+        holder: u64,
+        shares: Option<Vec<Share>>,
+        span: Duration,
+    },
     Sheet(Sheet),
 }
 
@@ -134,6 +167,7 @@
 pub struct Office {
     pub(crate) me: Member,
     pub(crate) times: Times,
+    pub(crate) reader: SetupReader,
     pub(crate) dice: Dice,
     pub(crate) register: Register,
     pub(crate) rounds: Rounds,
@@ -168,13 +202,13 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
+    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
     ///     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
         let mut dice = Dice::new(start.seed);
-        let Start { me, seeds, roster_size, durable, setups, times, .. } = start;
+        let Start { me, seeds, roster_size, reader, durable, setups, times, .. } = start;
         let register = Register::new(registered::Start {
             me: me.node.clone(),
             roster_size,
@@ -190,6 +224,7 @@
             members: vec![me.clone()],
             me,
             times,
+            reader,
             dice,
             register,
             roll: Roll::default(),
@@ -216,7 +251,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
@@ -228,7 +263,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// use postmaster::{Answer, Ask, Effect, Event, Office};
     /// let mut office = Office::new(start);
@@ -373,7 +408,7 @@
 
     /// A newer word is in force: read its setup once, and tell the carriers with the next news.
     fn adopted(&mut self) {
-        let read = self.register.setup().map(Setup::read).and_then(Result::ok);
+        let read = self.register.setup().map(self.reader.0).and_then(Result::ok);
         self.setup = read.map(Arc::new).unwrap_or_default();
         self.next_news = Duration::ZERO;
         let edition = self.register.word().edition;
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -29,7 +29,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1,
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert!(!postmaster::Office::new(start).holds_placement(Default::default()));
     /// ```
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -1,18 +1,19 @@
 //! The thin shell: sockets, timers and the disk thread turn the world into events and carry out effects.
 
+use crate::dialect::Dialect;
 use crate::office::{Answer, Ask, Effect, Event, Office, Start, Times};
 use address::Code;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http_body_util::Full;
 use hyper::Response;
-use parcel::{Durable, Member, Message, Parcel, Upstream};
+use parcel::{Durable, Member, Message, Parcel};
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
-use tariff::{Complaint, Fields, Setting, Settings, Shape, Sheet, complain};
+use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 use vault::Vault;
@@ -32,8 +33,15 @@
     setting("http", Shape::Address, None, "where operators and upstreams call (HTTP)"),
     setting("link", Shape::Address, None, "where other processes connect (TCP) and probe (UDP)"),
     setting("told", Shape::Addresses, Some(""), "the link address that others use, where it is not 'link' itself"),
-    setting("seeds", Shape::Addresses, Some(""), "link addresses of other processes"),
-    setting("roster-size", Shape::Count(1, 31), Some("6"), "how many postmasters vote; a founding needs them all"),
+    setting("seeds", Shape::Addresses, Some(""), "addresses of other processes, to find them all by"),
+    setting("seed-port", Shape::Count(0, 65_535), Some("0"), "the port of their links, where 'seeds' names others"),
+    setting(
+        "roster-size",
+        Shape::Count(0, 31),
+        Some("6"),
+        "how many vote; a founding needs them all; 0: one a locality",
+    ),
+    setting("localities", Shape::Localities, Some(""), "the site's localities"),
     setting("data", Shape::Folder, None, "the data folder"),
 ];
 
@@ -88,6 +96,7 @@
     asked: AtomicU64,
     parcels: AtomicU64,
     disk: Arc<DiskSpans>,
+    dialect: Dialect,
 }
 
 /// How long syncs took.
@@ -102,10 +111,10 @@
 ///
 /// ```no_run
 /// # async fn run(settings: tariff::Settings) {
-/// postmaster::shell::run(settings).await.unwrap();
+/// postmaster::shell::run(settings, postmaster::Dialect::own()).await.unwrap();
 /// # }
 /// ```
-pub async fn run(settings: Settings) -> Result<(), Report<NoStart>> {
+pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let probe = Arc::new(probe);
@@ -128,9 +137,13 @@
     log::info!("start: postmaster {node} in {}", me.locality);
     let mut office = Office::new(Start {
         me,
-        seeds: settings.list("seeds"),
-        roster_size: settings.count("roster-size") as usize,
+        seeds: wicket::seeds(&settings),
+        roster_size: match settings.count("roster-size") {
+            0 => settings.list("localities").len(),
+            size => size as usize,
+        },
         seed: wicket::chance(),
+        reader: dialect.reader,
         durable: contents.durable,
         setups: contents.setups,
         times: times(&settings),
@@ -149,6 +162,7 @@
         asked: AtomicU64::new(0),
         parcels: AtomicU64::new(0),
         disk,
+        dialect,
     });
     let handler = shared.clone();
     let server = tokio::spawn(wicket::serve(http, closing, move |enquiry| serve(handler.clone(), enquiry)));
@@ -276,9 +290,9 @@
             ]);
             wicket::json(Code::Fine, &sheet)
         }
-        _ => match read_ask(&enquiry) {
+        _ => match (shared.dialect.ask)(&enquiry) {
             Ok(ask) => put(&shared, ask).await,
-            Err((code, complaints)) => show(Answer::Denied { code, complaints }),
+            Err((code, complaints)) => (shared.dialect.show)(Answer::Denied { code, complaints }),
         },
     }
 }
@@ -288,140 +302,8 @@
     let (answer, answered) = oneshot::channel();
     let event = (Event::Ask { token, ask }, Some(answer));
     if shared.events.try_send(event).is_err() {
-        return wicket::verdict(Code::SetupCrowded, Some(Duration::from_secs(1)));
-    }
-    let answered = tokio::time::timeout(ASK_WITHIN, answered).await;
-    answered.ok().and_then(Result::ok).map(show).unwrap_or_else(|| wicket::verdict(Code::SetupUnknown, None))
-}
-
-fn read_ask(enquiry: &Enquiry) -> Result<Ask, (Code, Vec<Complaint>)> {
-    let mut complaints = Vec::new();
-    let id = enquiry.query("id").to_owned();
-    let in_force = enquiry.query("wait") == "force";
-    let needs_id =
-        matches!((enquiry.method.as_str(), enquiry.path.as_str()), ("PUT", "/setup") | ("POST", "/evacuations"));
-    if needs_id && !address::is_id(&id) {
-        complain(&mut complaints, "id", "a submission needs an id of 1 to 64 of a-z A-Z 0-9 - _ .");
-    }
-    let ask = match (enquiry.method.as_str(), enquiry.path.as_str()) {
-        ("PUT", "/setup") => {
-            let base = Some(enquiry.query("base")).filter(|base| !base.is_empty()).map(str::parse::<u64>);
-            if matches!(base, Some(Err(_))) {
-                complain(&mut complaints, "base", "must be the edition that the setup was made from");
-            }
-            Ask::Submit { id, base: base.and_then(Result::ok), bytes: enquiry.body.to_vec(), in_force }
-        }
-        ("POST", "/evacuations") => {
-            let locality = enquiry.query("locality").to_owned();
-            if let Err(text) = locality.parse::<address::Locality>() {
-                complain(&mut complaints, "locality", text);
-            }
-            let back = enquiry.query("back") == "true";
-            Ask::Evacuate { id, locality, back, in_force }
-        }
-        ("GET", "/setup") => Ask::ReadSetup,
-        ("GET", "/status") => Ask::Status,
-        ("GET", "/upstreams") => Ask::Upstreams,
-        ("GET", "/reservations") => Ask::Reservations,
-        ("GET", "/marks") => Ask::Marks,
-        ("POST", "/beats") => Ask::Beat(read_beat(&enquiry.body, &mut complaints)),
-        _ => return Err((Code::NoSuchPage, Vec::new())),
-    };
-    if complaints.is_empty() { Ok(ask) } else { Err((Code::Malformed, complaints)) }
-}
-
-fn read_beat(body: &[u8], complaints: &mut Vec<Complaint>) -> Upstream {
-    let sheet = std::str::from_utf8(body).map_err(|_| "this is not UTF-8".to_owned()).and_then(Sheet::read);
-    let sheet = sheet.unwrap_or_else(|text| {
-        complain(complaints, "/", text);
-        Sheet::Null
-    });
-    let mut fields = Fields::open(&sheet, "", complaints);
-    let ids = fields.id("service").zip(fields.id("instance"));
-    let place = fields.text("address").zip(fields.text("locality"));
-    let numbers = fields.count("freeSlots", 0..=100_000, None).zip(fields.count("beat", 1..=u64::MAX, None));
-    let warm = fields.truth("warm", false);
-    let condition = fields.text("condition").unwrap_or_default();
-    let holds = fields.list("holds").to_vec();
-    let holder = fields.count("holder", 0..=u64::MAX, Some(0)).unwrap_or(0);
-    fields.close();
-    let holds = holds.iter().enumerate().filter_map(|(at, hold)| {
-        let mut fields = Fields::open(hold, &format!("/holds/{at}"), complaints);
-        let most = u64::from(address::SLOTS);
-        let run = fields.count("from", 0..=most, None).zip(fields.count("until", 0..=most, None));
-        let epoch = fields.count("epoch", 0..=u64::MAX, None);
-        fields.close();
-        run.zip(epoch).map(|((from, until), epoch)| parcel::Share {
-            from: from as u32,
-            until: until as u32,
-            epoch,
-            instance: String::new(),
-        })
-    });
-    let holds = holds.collect();
-    let condition = match condition.as_str() {
-        "ready" => enrolment::READY,
-        "leaving" => enrolment::LEAVING,
-        "gone" => enrolment::GONE,
-        other => {
-            complain(complaints, "/condition", format!("'{other}' is none of ready, leaving, gone"));
-            enrolment::GONE
-        }
-    };
-    let ((service, instance), (address, locality)) = ids.zip(place).unwrap_or_default();
-    if complaints.is_empty() && address.parse::<std::net::SocketAddr>().is_err() {
-        complain(complaints, "/address", format!("'{address}' is not an IP number and a port"));
-    }
-    if complaints.is_empty() && locality.parse::<address::Locality>().is_err() {
-        complain(complaints, "/locality", format!("'{locality}' is not a locality; write region/zone"));
-    }
-    let (free_slots, beat) = numbers.map(|(free, beat)| (free as u32, beat)).unwrap_or_default();
-    Upstream {
-        service,
-        instance,
-        address,
-        locality,
-        free_slots,
-        warm,
-        condition,
-        beat,
-        holds,
-        holder,
-        age_ms: 0,
-        born_ms: 0,
-    }
-}
-
-fn show(answer: Answer) -> Response<Full<Bytes>> {
-    match answer {
-        Answer::Sheet(sheet) => wicket::json(Code::Fine, &sheet),
-        Answer::Setup { edition, bytes } => {
-            let mut response = wicket::answer(Code::Fine, "application/json", bytes.into());
-            response.headers_mut().insert("x-edition", edition.into());
-            response
-        }
-        Answer::Verdict { code, edition } => {
-            let sheet = Sheet::fields([
-                ("code", u64::from(code.number()).into()),
-                ("text", code.text().into()),
-                ("edition", edition.into()),
-            ]);
-            let mut response = wicket::json(code, &sheet);
-            if code.status() == 503 || code.status() == 429 {
-                response.headers_mut().insert("retry-after", 1.into());
-            }
-            response
-        }
-        Answer::Denied { code, complaints } => {
-            let told = complaints.iter().map(|complaint| {
-                Sheet::fields([("path", complaint.path.as_str().into()), ("text", complaint.text.as_str().into())])
-            });
-            let sheet = Sheet::fields([
-                ("code", u64::from(code.number()).into()),
-                ("text", code.text().into()),
-                ("complaints", told.collect()),
-            ]);
-            wicket::json(code, &sheet)
-        }
+        return (shared.dialect.show)(Answer::Verdict { code: Code::SetupCrowded, edition: 0 });
     }
+    let answered = tokio::time::timeout(ASK_WITHIN, answered).await.ok().and_then(Result::ok);
+    (shared.dialect.show)(answered.unwrap_or(Answer::Verdict { code: Code::SetupUnknown, edition: 0 }))
 }
--- a/crates/sorting/src/board.rs
+++ b/crates/sorting/src/board.rs
@@ -1,5 +1,6 @@
 //! What a proxy counts: seats at upstreams, resends of services, tries under way.
 
+use crate::load::{Gauge, Load};
 use crate::waitlist::{Bell, Waitlist};
 use crate::window::Window;
 use dashmap::DashMap;
@@ -123,6 +124,8 @@
 #[derive(Default)]
 pub struct Seat {
     pub in_flight: AtomicU32,
+    /// What is known of its load, where it tells any.
+    pub gauge: Gauge,
     /// Another instance answered at its address: it is not there any more, whatever the view says.
     pub replaced: AtomicBool,
     failures: AtomicU32,
@@ -184,6 +187,28 @@
         self.full_until_ms.store((now + FULL_FOR).as_millis() as u64, Ordering::Release);
     }
 
+    /// Requests there by the best guess, this proxy's and others'.
+    ///
+    /// ```
+    /// let seat = sorting::Seat::default();
+    /// seat.sit(1);
+    /// assert_eq!(seat.load(std::time::Duration::ZERO), 1.0);
+    /// ```
+    pub fn load(&self, now: Duration) -> f64 {
+        f64::from(self.in_flight.load(Ordering::Acquire)) + self.gauge.others(now)
+    }
+
+    /// Takes in what it told of its load.
+    ///
+    /// ```
+    /// let seat = sorting::Seat::default();
+    /// seat.hear(std::time::Duration::ZERO, sorting::Load { running: 2, waiting: 0, slots: 3 });
+    /// assert_eq!(seat.load(std::time::Duration::ZERO), 2.0);
+    /// ```
+    pub fn hear(&self, now: Duration, load: Load) {
+        self.gauge.hear(now, load, self.in_flight.load(Ordering::Acquire).saturating_sub(1));
+    }
+
     /// Takes one place if fewer than `most` are taken.
     ///
     /// ```
@@ -203,6 +228,7 @@
         let count = |from: &AtomicU32| AtomicU32::new(from.load(Ordering::Acquire));
         Seat {
             in_flight: count(&self.in_flight),
+            gauge: self.gauge.copy(),
             replaced: AtomicBool::new(self.replaced.load(Ordering::Acquire)),
             failures: count(&self.failures),
             ejected_until_ms: word(&self.ejected_until_ms),
--- a/crates/sorting/src/choosing.rs
+++ b/crates/sorting/src/choosing.rs
@@ -4,7 +4,7 @@
 use crate::journey::{Journey, Move, Stage};
 use crate::notes::{Note, Why};
 use address::Code;
-use gazetteer::{View, is_home};
+use gazetteer::View;
 use parcel::{Share, Upstream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,8 +14,15 @@
 /// Until the others' views have caught up with a change of who sends, all proxies may be sending.
 const SENDERS_SETTLE: Duration = Duration::from_secs(3);
 
-/// Ejected ones last, then nearness, places taken, and an even spread.
-type Rank = (bool, u8, u32, u64);
+/// How long work is thought to take at an upstream that none was seen to end at.
+const USUAL_WORK_MS: f64 = 100.0;
+
+/// An answer is wanted by this part of its target, so that chance leaves most of them in time.
+const WELL_IN_TIME: f64 = 0.6;
+
+/// Ejected ones last, those that would be late behind those in time, then nearness, cost or places taken, and an even
+/// spread.
+type Rank = (bool, bool, u8, u32, u64);
 
 /// A place in a waitlist.
 pub(crate) struct Place {
@@ -33,7 +40,7 @@
             return self.answer(now, Code::Expired);
         }
         // The view may have aged, or the route changed, while the request waited.
-        if !view.is_fresh(now, self.site.stale_after) {
+        if !self.site.may_use(view, now) {
             return self.answer(now, Code::Stale);
         }
         if view.edition != self.edition {
@@ -85,7 +92,7 @@
     }
 
     pub(crate) fn share(&self, view: &View, service: &Service) -> Option<Share> {
-        let slot = self.order.key.as_deref().filter(|_| service.keyed).map(address::slot)?;
+        let slot = self.order.key.as_deref().filter(|_| service.keyed).and_then(|key| service.place(key))?;
         let shares = view.shares.get(&service.name)?;
         shares.iter().find(|share| (share.from..share.until).contains(&slot)).cloned()
     }
@@ -105,7 +112,7 @@
             let seat = board.seat(&upstream.instance);
             let tried = Some(Why::Tried).filter(|_| self.tried.contains(&upstream.instance));
             let replaced = Some(Why::Replaced).filter(|_| seat.replaced.load(Ordering::Acquire));
-            match barred(view, service, share, upstream).or(tried).or(replaced) {
+            match self.barred(view, service, share, upstream).or(tried).or(replaced) {
                 Some(why) => self.notes.push(Note::Passed { upstream: upstream.clone(), why }),
                 None => able.push((self.rank(now, &seat, upstream), seat, upstream)),
             }
@@ -128,7 +135,39 @@
         let near = if place == self.site.here { 0 } else { 1 + u8::from(region(place) != self.site.locality.region) };
         let taken = seat.in_flight.load(Ordering::Acquire);
         let spread = address::spread_all([self.order.try_id.as_str(), upstream.instance.as_str()]);
-        (seat.is_ejected(now), near, taken, spread)
+        if upstream.slots > 0 {
+            let far_ms = [0.0, self.site.far_ms.0, self.site.far_ms.1][usize::from(near.min(2))];
+            let cost = seat.gauge.cost_ms(now, taken, upstream.slots, far_ms, USUAL_WORK_MS);
+            let late = cost.is_none_or(|cost| cost > self.wanted_ms(now));
+            // Bytes that cross are dear, so the near are taken as long as they are in time.
+            let near = if late { 0 } else { near };
+            return (seat.is_ejected(now), late, near, cost.map_or(u32::MAX, |cost| (cost * 10.0) as u32), spread);
+        }
+        (seat.is_ejected(now), false, near, taken, spread)
+    }
+
+    /// How long an answer may take from now on to be well in time, in milliseconds.
+    fn wanted_ms(&self, now: Duration) -> f64 {
+        let target = self.route.as_ref().and_then(|route| route.terms.target).unwrap_or(self.order.remaining);
+        let spent = now.saturating_sub(self.order.arrived_at);
+        target.mul_f64(WELL_IN_TIME).saturating_sub(spent).as_secs_f64() * 1000.0
+    }
+
+    /// What keeps the request from an upstream, whenever it is judged: when it is chosen, and just before the first byte.
+    pub(crate) fn barred(
+        &self,
+        view: &View,
+        service: &Service,
+        share: Option<&Share>,
+        upstream: &Upstream,
+    ) -> Option<Why> {
+        let bars: [(Why, &dyn Fn() -> bool); 4] = [
+            (Why::Leaving, &|| upstream.condition != 0),
+            (Why::Evacuated, &|| view.evacuated.contains(&upstream.locality)),
+            (Why::OutsideHomes, &|| !self.is_home(service, &upstream.locality)),
+            (Why::OtherHolder, &|| share.is_some_and(|share| share.instance != upstream.instance)),
+        ];
+        bars.iter().find(|(_, bars)| bars()).map(|(why, _)| *why)
     }
 
     /// Among how many proxies an upstream's room is divided, and which of them this one is.
@@ -152,10 +191,30 @@
         upstream: &Upstream,
     ) -> Result<(), Why> {
         let (proxies, rank) = self.division(now, view, service);
+        if upstream.slots > 0 {
+            let own = seat.in_flight.load(Ordering::Acquire);
+            let room = seat.gauge.cost_ms(now, own, upstream.slots, 0.0, USUAL_WORK_MS).is_some();
+            if !room || !seat.sit(u32::MAX) {
+                return Err(Why::NoSlot);
+            }
+            return self.warm_seat(now, seat, service, upstream, (proxies, rank));
+        }
         let most = seat.most(now, upstream.beat, upstream.free_slots, (proxies, rank));
         if !seat.sit(most) {
             return Err(Why::NoSlot);
         }
+        self.warm_seat(now, seat, service, upstream, (proxies, rank))
+    }
+
+    /// The seat that was taken is given back where the upstream is cold and this proxy's part of its rate is used up.
+    fn warm_seat(
+        &self,
+        now: Duration,
+        seat: &Seat,
+        service: &Service,
+        upstream: &Upstream,
+        (proxies, rank): (u32, u32),
+    ) -> Result<(), Why> {
         let warm = upstream.warm || seat.warm_up(now, service.warm_up_per_second, proxies.into(), rank.into());
         if !warm {
             seat.rise();
@@ -164,17 +223,6 @@
     }
 }
 
-/// What keeps a request from an upstream, whenever it is judged: when it is chosen, and just before the first byte.
-pub(crate) fn barred(view: &View, service: &Service, share: Option<&Share>, upstream: &Upstream) -> Option<Why> {
-    let bars: [(Why, &dyn Fn() -> bool); 4] = [
-        (Why::Leaving, &|| upstream.condition != 0),
-        (Why::Evacuated, &|| view.evacuated.contains(&upstream.locality)),
-        (Why::OutsideHomes, &|| !is_home(service, &upstream.locality)),
-        (Why::OtherHolder, &|| share.is_some_and(|share| share.instance != upstream.instance)),
-    ];
-    bars.iter().find(|(_, bars)| bars()).map(|(why, _)| *why)
-}
-
 pub(crate) fn region(place: &str) -> &str {
     place.split('/').next().unwrap_or_default()
 }
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -1,17 +1,18 @@
 //! One request's way: an explicit state and one function for every change of it.
 
 use crate::board::{Board, Desk, Seat};
-use crate::choosing::{Place, barred, region};
+use crate::choosing::{Place, region};
 use crate::comeback::come_back;
+use crate::load::Load;
 use crate::notes::{Note, Why};
 use crate::waitlist::Bell;
 use address::{Code, Kind, Locality};
-use gazetteer::{View, is_home};
+use gazetteer::{Owners, View, is_home, is_within};
 use parcel::{Share, Upstream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tariff::Service;
+use tariff::{Route, Service};
 
 /// Most connections tried for one request, those that never came up included.
 const MOST_CALLS: u32 = 4;
@@ -45,6 +46,12 @@
     pub stale_after: Duration,
     /// How long a request may wait for a seat; zero denies at once.
     pub wait_for: Duration,
+    /// Who owns a name; a proxy forwards only where one locality owns it for everybody.
+    pub owners: Owners,
+    /// True where a view that no majority confirms any more is served from all the same.
+    pub serves_on: bool,
+    /// What a request to another zone of the region, and to another region, costs beside work, in milliseconds.
+    pub far_ms: (f64, f64),
 }
 
 impl Site {
@@ -56,7 +63,31 @@
     /// assert_eq!(site.locality.region, "n");
     /// ```
     pub fn new(node: &str, locality: Locality, stale_after: Duration, wait_for: Duration) -> Self {
-        Site { node: node.to_owned(), here: locality.to_string(), locality, stale_after, wait_for }
+        Site {
+            node: node.to_owned(),
+            here: locality.to_string(),
+            locality,
+            stale_after,
+            wait_for,
+            owners: Owners::One,
+            serves_on: false,
+            far_ms: (20.0, 60.0),
+        }
+    }
+
+    /// True while a view may be acted on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut site = sorting::Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let view = gazetteer::View { as_of: Some(Duration::ZERO), ..Default::default() };
+    /// assert!(!site.may_use(&view, Duration::from_secs(9)));
+    /// site.serves_on = true;
+    /// assert!(site.may_use(&view, Duration::from_secs(9)));
+    /// assert!(!site.may_use(&Default::default(), Duration::ZERO), "it was never confirmed at all");
+    /// ```
+    pub fn may_use(&self, view: &View, now: Duration) -> bool {
+        (self.serves_on && view.as_of.is_some()) || view.is_fresh(now, self.stale_after)
     }
 }
 
@@ -94,6 +125,12 @@
     Garbage,
     /// Whole and sealed, but by another instance: the one that was called is not there any more.
     Replaced,
+    /// The same, and what answered says that it did not and will not run it.
+    ReplacedNotRun,
+    /// It does not hold the key, and did not and will not run it.
+    NotHeld,
+    /// A whole verdict that says that it failed.
+    Failed,
     TimedOut,
 }
 
@@ -119,10 +156,15 @@
     pub(crate) order: Order,
     pub(crate) site: Site,
     pub(crate) stage: Stage,
-    /// The service it is for, as of this edition.
+    /// The route and the service it is for, as of this edition.
+    pub(crate) route: Option<Arc<Route>>,
     pub(crate) service: Option<Arc<Service>>,
     pub(crate) edition: u64,
     pub(crate) calls: u32,
+    /// How many upstreams it was written to.
+    sends: u32,
+    /// When it was written last, and to how many requests on how many slots.
+    sent_at: Option<(Duration, f64, u32)>,
     /// True once its try id was noted.
     opened: bool,
     /// True once it was written to any upstream.
@@ -151,9 +193,12 @@
             order,
             site,
             stage: Stage::Waiting,
+            route: None,
             service: None,
             edition: 0,
             calls: 0,
+            sends: 0,
+            sent_at: None,
             opened: false,
             written: false,
             tried: Vec::new(),
@@ -237,7 +282,9 @@
     }
 
     pub(crate) fn left(&self, now: Duration) -> Duration {
-        (self.order.arrived_at + self.order.remaining).saturating_sub(now)
+        let timeout = self.route.as_ref().and_then(|route| route.terms.timeout);
+        let given = timeout.map_or(self.order.remaining, |timeout| timeout.min(self.order.remaining));
+        (self.order.arrived_at + given).saturating_sub(now)
     }
 
     /// The first decision: deny, forward by a mark, or call.
@@ -252,36 +299,64 @@
     /// assert!(matches!(first, Move::Answer { code: Code::Stale, .. }), "a view that was never confirmed");
     /// ```
     pub fn start(&mut self, now: Duration, view: &View, board: &Board) -> Move {
-        if !view.is_fresh(now, self.site.stale_after) {
+        if !self.site.may_use(view, now) {
             return self.answer(now, Code::Stale);
         }
         let name = view.setup.resolve(&self.order.name);
         let route = name.and_then(|name| view.setup.route(name, &self.order.path));
-        let found = route.and_then(|route| view.setup.services.get(&route.service).map(|service| (route, service)));
+        let service = |route: &Arc<Route>| view.setup.services.get(route.pick(&self.order.try_id));
+        let found = route.and_then(|route| service(route).map(|service| (route, service)));
         let Some((route, service)) = found else {
             return self.answer(now, Code::NoSuchName);
         };
         self.edition = view.edition;
         self.notes.push(Note::Asked { name: self.order.name.clone(), route: route.clone(), edition: view.edition });
+        self.route = Some(route.clone());
         if self.order.body_bytes > service.most_bytes {
             return self.answer(now, Code::TooLarge);
         }
         if service.keyed && self.order.key.is_none() {
             return self.answer(now, Code::MissingKey);
         }
+        match self.site.owners {
+            Owners::ByCaller => self.serve(now, view, board, service),
+            Owners::One => self.serve_or_forward(now, view, board, route, service),
+        }
+    }
+
+    /// Where one locality owns the name for everybody: served there, and forwarded from where it was left.
+    fn serve_or_forward(
+        &mut self,
+        now: Duration,
+        view: &View,
+        board: &Board,
+        route: &Route,
+        service: &Arc<Service>,
+    ) -> Move {
         let here = self.site.here.clone();
         let reservation = view.reservations.get(&route.name);
         let Some(reservation) = reservation.filter(|owned| !view.evacuated.contains(&owned.locality)) else {
             return self.answer(now, Code::NoOwner);
         };
         self.notes.push(Note::Owner { locality: reservation.locality.clone(), epoch: reservation.epoch });
-        let home = is_home(service, &here) && !view.evacuated.contains(&here);
+        let home = self.is_home(service, &here) && !view.evacuated.contains(&here);
         let mark = view.marks.get(&(route.name.clone(), here.clone()));
         self.notes.extend(mark.map(|mark| Note::Mark { to: mark.to.clone(), epoch: mark.epoch }));
         let away = reservation.locality != here && (mark.is_some() || !home);
         if away {
             return self.forward(now, view, service, &reservation.locality);
         }
+        self.serve(now, view, board, service)
+    }
+
+    /// True where its work may go there: both its service's and its route's home regions bind.
+    pub(crate) fn is_home(&self, service: &Service, place: &str) -> bool {
+        let route = self.route.as_ref().is_none_or(|route| is_within(&route.terms.home_regions, place));
+        route && is_home(service, place)
+    }
+
+    /// Served by this proxy.
+    fn serve(&mut self, now: Duration, view: &View, board: &Board, service: &Arc<Service>) -> Move {
         let desk = board.desk(&service.name);
         if desk.serving.fetch_add(1, Ordering::AcqRel) >= service.concurrency {
             desk.serving.fetch_sub(1, Ordering::AcqRel);
@@ -303,7 +378,7 @@
         if self.order.forwarded || self.doubt.is_some() {
             return self.answer(now, Code::NotMine);
         }
-        let able = |place: &str| is_home(service, place) && !view.evacuated.contains(place);
+        let able = |place: &str| self.is_home(service, place) && !view.evacuated.contains(place);
         let places =
             view.proxies.iter().map(|proxy| (proxy.locality.to_string(), proxy.address.clone(), proxy.suspect));
         let region = region(owner);
@@ -370,6 +445,8 @@
             self.written = true;
             self.desk.iter().for_each(|desk| desk.firsts.add(now));
         }
+        self.sends += 1;
+        self.sent_at = self.seat.as_ref().map(|(seat, _)| (now, seat.load(now), upstream.slots));
         self.turn(Stage::Sent { instance: upstream.instance.clone() });
         self.notes.push(Note::Sent { upstream });
         Move::Send { share, within }
@@ -384,17 +461,29 @@
         chosen: &Upstream,
         share: Option<&Share>,
     ) -> Option<Why> {
-        let stale = !view.is_fresh(now, self.site.stale_after) || view.edition != self.edition;
+        let stale = !self.site.may_use(view, now) || view.edition != self.edition;
         let late = stale || self.left(now).is_zero();
         let known = view.upstreams.get(&service.name).and_then(|known| known.get(&chosen.instance));
         let known = known.filter(|known| known.address == chosen.address && !late);
         let held = self.share(view, service);
         let other = service.keyed && held.as_ref() != share;
         known
-            .map_or(Some(Why::Gone), |known| barred(view, service, share, known))
+            .map_or(Some(Why::Gone), |known| self.barred(view, service, share, known))
             .or(Some(Why::OtherHolder).filter(|_| other))
     }
 
+    /// What the upstream told of its load with its answer; to be told before the outcome.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Load, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// Journey::new(Order::default(), site).hear(Duration::ZERO, Load::default());
+    /// ```
+    pub fn hear(&self, now: Duration, load: Load) {
+        self.seat.iter().for_each(|(seat, _)| seat.hear(now, load));
+    }
+
     /// What came of the call: pass it, call again where that is safe and allowed, or answer.
     ///
     /// ```
@@ -411,10 +500,18 @@
         // A holder of keys may also deny because a share just moved.
         let least = u32::from(self.service.as_ref().is_some_and(|service| service.keyed));
         self.seat.iter().for_each(|(seat, _)| {
-            seat.note(now, matches!(outcome, Outcome::Sealed | Outcome::SealedNotRun));
+            seat.note(
+                now,
+                matches!(outcome, Outcome::Sealed | Outcome::SealedNotRun | Outcome::NotHeld | Outcome::Failed),
+            );
             match outcome {
                 Outcome::SealedNotRun => seat.full(now, least),
-                Outcome::Replaced => seat.replaced.store(true, Ordering::Release),
+                Outcome::Replaced | Outcome::ReplacedNotRun => seat.replaced.store(true, Ordering::Release),
+                Outcome::Sealed => {
+                    self.sent_at.iter().filter(|(.., slots)| *slots > 0).for_each(|(at, load, slots)| {
+                        seat.gauge.worked(now.saturating_sub(*at), *load, *slots);
+                    })
+                }
                 _ => {}
             }
         });
@@ -424,27 +521,34 @@
                 self.answer(now, Code::Fine);
                 return Move::Pass;
             }
-            Outcome::SealedNotRun => Code::Busy,
+            Outcome::SealedNotRun | Outcome::ReplacedNotRun => Code::Busy,
+            Outcome::NotHeld => Code::NoHolder,
+            Outcome::Failed => Code::Failed,
             Outcome::NotConnected => Code::ResendsSpent,
             Outcome::Lost => Code::Lost,
             Outcome::Garbage | Outcome::Replaced => Code::Garbage,
             Outcome::TimedOut => Code::TimedOut,
         };
         self.doubt = self.doubt.or(Some(code).filter(|code| code.kind() == Kind::Unknown));
-        let repeatable = self.service.as_ref().is_some_and(|service| service.repeatable);
+        let said = self.route.as_ref().and_then(|route| route.terms.repeatable);
+        let repeatable = said.unwrap_or_else(|| self.service.as_ref().is_some_and(|service| service.repeatable));
+        let attempts = self.route.as_ref().and_then(|route| route.terms.attempts).unwrap_or(MOST_CALLS);
         let safe = repeatable || code.kind() == Kind::NotRun;
         let proxies = view.proxies.len();
         // Where no connection came up, nothing was sent: going elsewhere is no resend.
         let again = safe
             && called
             && self.calls < MOST_CALLS
+            && self.sends < attempts
             && !self.left(now).is_zero()
             && (code == Code::ResendsSpent || self.desk.as_ref().is_some_and(|desk| desk.take_resend(now, proxies)));
         if again {
             self.notes.push(Note::Again { after: code });
             return self.choose(now, view, board);
         }
-        self.answer(now, code)
+        let answer = self.answer(now, code);
+        // What it said of its failure is for the origin.
+        if outcome == Outcome::Failed { Move::Pass } else { answer }
     }
 }
 
--- a/crates/sorting/src/notes.rs
+++ b/crates/sorting/src/notes.rs
@@ -42,7 +42,7 @@
 /// One decision on a request's way.
 #[derive(Clone, Debug)]
 pub enum Note {
-    Asked { name: String, route: Route, edition: u64 },
+    Asked { name: String, route: Arc<Route>, edition: u64 },
     Owner { locality: String, epoch: u64 },
     Mark { to: String, epoch: u64 },
     Forwarded { to: String },
@@ -62,7 +62,9 @@
             Note::Asked { name, route, edition } => write!(
                 f,
                 "asked for {name}, which is name {}: route {} of edition {edition}, service {}",
-                route.name, route.id, route.service
+                route.name,
+                route.id,
+                route.services().collect::<Vec<_>>().join(", ")
             ),
             Note::Owner { locality, epoch } => write!(f, "owner {locality} at epoch {epoch}"),
             Note::Mark { to, epoch } => write!(f, "mark here: moved to {to} at epoch {epoch}"),
--- a/crates/tariff/src/lib.rs
+++ b/crates/tariff/src/lib.rs
@@ -7,5 +7,5 @@
 
 pub use check::{Complaint, Fields, complain};
 pub use settings::{Setting, Settings, Shape, TIMES, check_times};
-pub use setup::{Alias, MOST_SETUP_BYTES, Route, Service, Setup};
+pub use setup::{Alias, MOST_SETUP_BYTES, Route, Service, Setup, Terms};
 pub use sheet::Sheet;
--- a/crates/tariff/src/settings.rs
+++ b/crates/tariff/src/settings.rs
@@ -15,6 +15,8 @@
     Address,
     /// Up to three of those, with commas.
     Addresses,
+    /// Localities, with commas.
+    Localities,
     Folder,
     /// Milliseconds, from least to most.
     Span(u64, u64),
@@ -219,6 +221,10 @@
                 "must be up to three of IP:port, with commas",
             )
         }
+        Shape::Localities => truth(
+            value.split(',').filter(|part| !part.is_empty()).all(|part| part.parse::<address::Locality>().is_ok()),
+            "must be localities (region/zone), with commas",
+        ),
         Shape::Folder => truth(!value.is_empty(), "must be a folder"),
         Shape::Span(least, most) => number(least, most, " (milliseconds)"),
         Shape::Count(least, most) => number(least, most, ""),
--- a/crates/tariff/src/setup.rs
+++ b/crates/tariff/src/setup.rs
@@ -4,6 +4,7 @@
 use crate::sheet::Sheet;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The largest setup that is read at all.
 pub const MOST_SETUP_BYTES: usize = 2 * 1024 * 1024;
@@ -19,6 +20,8 @@
     pub repeatable: bool,
     /// True where keys are divided among the upstreams.
     pub keyed: bool,
+    /// True where keys are whole numbers of `address::KEYS`, divided as they are; else they are hashed into slots.
+    pub numbered: bool,
     /// First sends a second that one cold upstream may get, over all proxies together.
     pub warm_up_per_second: u64,
     /// The only regions where its work may go; empty means anywhere.
@@ -29,13 +32,99 @@
     pub concurrency: u64,
 }
 
-/// Ties a name and a path to a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+impl Service {
+    /// The place of a key in the space that this service's upstreams divide; none where it can't be one.
+    ///
+    /// ```
+    /// let service = tariff::Service { numbered: true, ..Default::default() };
+    /// assert_eq!(service.place("65535"), Some(63));
+    /// assert_eq!(service.place("65536"), None);
+    /// assert_eq!(tariff::Service::default().place("any"), Some(address::slot("any")));
+    /// ```
+    pub fn place(&self, key: &str) -> Option<u32> {
+        if self.numbered {
+            let key = key.parse::<u32>().ok().filter(|key| *key < address::KEYS);
+            return key.map(|key| key / (address::KEYS / address::SLOTS));
+        }
+        Some(address::slot(key))
+    }
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Service {
+            name: String::new(),
+            repeatable: false,
+            keyed: false,
+            numbered: false,
+            warm_up_per_second: 5,
+            home_regions: Vec::new(),
+            most_bytes: 65_536,
+            concurrency: 256,
+        }
+    }
+}
+
+/// What a route says of the requests on it, where it says anything.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Terms {
+    /// Whether a request may run more than once; else its service says it.
+    pub repeatable: Option<bool>,
+    /// The longest that a request is held.
+    pub timeout: Option<Duration>,
+    /// An answer within it earns its full worth.
+    pub target: Option<Duration>,
+    /// The most upstreams that one try may be sent to.
+    pub attempts: Option<u32>,
+    /// Its rank; zero is the highest.
+    pub priority: u32,
+    /// The only regions where its work may go, beside what its service says; empty means anywhere.
+    pub home_regions: Vec<String>,
+}
+
+/// Ties a name and a path to a service, or to several by weight.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
 pub struct Route {
     pub id: String,
     pub name: String,
     pub path: String,
+    /// True where it serves all that begins with its path, unless a longer one does.
+    pub prefix: bool,
     pub service: String,
+    /// Services with their weights; empty where there is one only.
+    pub split: Vec<(String, u64)>,
+    pub terms: Terms,
+}
+
+impl Route {
+    /// Every service that it may lead to.
+    ///
+    /// ```
+    /// let route = tariff::Route { service: "s".into(), ..Default::default() };
+    /// assert_eq!(route.services().collect::<Vec<_>>(), ["s"]);
+    /// ```
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let one = Some(self.service.as_str()).filter(|_| self.split.is_empty());
+        one.into_iter().chain(self.split.iter().map(|(service, _)| service.as_str()))
+    }
+
+    /// The service for one request, by weight; the same salt always leads to the same one.
+    ///
+    /// ```
+    /// let split = vec![("a".to_owned(), 0), ("b".to_owned(), 3)];
+    /// let route = tariff::Route { split, ..Default::default() };
+    /// assert_eq!(route.pick("try-1"), "b");
+    /// ```
+    pub fn pick(&self, salt: &str) -> &str {
+        let sum: u64 = self.split.iter().map(|(_, weight)| weight).sum();
+        let mut at = address::spread(salt).checked_rem(sum).unwrap_or(0);
+        let picked = self.split.iter().find(|(_, weight)| {
+            let found = at < *weight;
+            at = at.saturating_sub(*weight);
+            found
+        });
+        picked.map(|(service, _)| service.as_str()).unwrap_or(&self.service)
+    }
 }
 
 /// Another name, linked to a route's id (the id-form name) or to another alias.
@@ -48,8 +137,10 @@
 /// A whole, checked setup.
 #[derive(Clone, Debug, PartialEq, Eq, Default)]
 pub struct Setup {
+    /// The operator's own number of it, where there is one.
+    pub number: Option<u64>,
     pub services: BTreeMap<String, Arc<Service>>,
-    pub routes: BTreeMap<String, Route>,
+    pub routes: BTreeMap<String, Arc<Route>>,
     pub aliases: BTreeMap<String, Alias>,
     /// Route ids by name, then by path.
     places: BTreeMap<String, BTreeMap<String, String>>,
@@ -102,6 +193,7 @@
         let name = fields.id("name");
         let work = fields.text("work");
         let keyed = fields.truth("keyed", false);
+        let numbered = fields.truth("numbered", false);
         let warm_up_per_second = fields.count("warmUpPerSecond", 1..=100_000, Some(5));
         let most_bytes = fields.count("mostBytes", 1..=1_048_576, Some(65_536));
         let concurrency = fields.count("concurrency", 1..=10_000, Some(256));
@@ -111,45 +203,97 @@
         if home_regions.len() != regions.len() {
             complain(complaints, &format!("{path}/homeRegions"), "must be a list of region ids");
         }
-        let repeatable = work.as_deref().and_then(|work| match work {
-            "repeatable" => Some(true),
-            "once" => Some(false),
-            other => {
-                let text = format!("'{other}' is neither 'repeatable' nor 'once'");
-                complain(complaints, &format!("{path}/work"), text);
-                None
-            }
-        });
+        let repeatable = work.as_deref().and_then(|work| repeatable(work, &path, complaints));
         let service = name.zip(repeatable).zip(warm_up_per_second).zip(most_bytes.zip(concurrency));
         if let Some((((name, repeatable), warm_up_per_second), (most_bytes, concurrency))) = service {
             let known = name.clone();
-            let service =
-                Service { name, repeatable, keyed, warm_up_per_second, home_regions, most_bytes, concurrency };
-            if self.services.insert(known.clone(), Arc::new(service)).is_some() {
+            let service = Service {
+                name,
+                repeatable,
+                keyed,
+                numbered,
+                warm_up_per_second,
+                home_regions,
+                most_bytes,
+                concurrency,
+            };
+            if !self.put_service(service) {
                 complain(complaints, &format!("{path}/name"), format!("service '{known}' comes twice"));
             }
         }
     }
 
+    /// Adds a service; false where one of this name is there already.
+    ///
+    /// ```
+    /// let mut setup = tariff::Setup::default();
+    /// assert!(setup.put_service(tariff::Service { name: "s".into(), ..Default::default() }));
+    /// assert!(!setup.put_service(tariff::Service { name: "s".into(), ..Default::default() }));
+    /// ```
+    pub fn put_service(&mut self, service: Service) -> bool {
+        self.services.insert(service.name.clone(), Arc::new(service)).is_none()
+    }
+
+    /// Adds a route, and complains of what clashes.
+    ///
+    /// ```
+    /// let (mut setup, mut complaints) = (tariff::Setup::default(), Vec::new());
+    /// let route = tariff::Route { id: "r".into(), name: "book".into(), path: "/a/".into(), prefix: true,
+    ///     ..Default::default() };
+    /// setup.put_route(route, "/routes/0", &mut complaints);
+    /// assert_eq!(setup.route("book", "/a/b/c").map(|route| route.id.as_str()), Some("r"));
+    /// assert!(setup.route("book", "/b").is_none());
+    /// ```
+    pub fn put_route(&mut self, route: Route, path: &str, complaints: &mut Vec<Complaint>) {
+        if !is_path(&route.path) {
+            let text = format!("'{}' is no path; start it with / and leave out spaces, ? and #", route.path);
+            complain(complaints, &format!("{path}/path"), text);
+        }
+        let by_path = self.places.entry(route.name.clone()).or_default();
+        if by_path.insert(route.path.clone(), route.id.clone()).is_some() {
+            complain(complaints, path, format!("name '{}' and path '{}' come twice", route.name, route.path));
+        }
+        let id = route.id.clone();
+        if self.routes.insert(id.clone(), Arc::new(route)).is_some() {
+            complain(complaints, &format!("{path}/id"), format!("route '{id}' comes twice"));
+        }
+    }
+
     fn add_route(&mut self, sheet: &Sheet, at: usize, complaints: &mut Vec<Complaint>) {
         let path = format!("/routes/{at}");
         let mut fields = Fields::open(sheet, &path, complaints);
         let ids = fields.id("id").zip(fields.id("name"));
-        let to = fields.text("path").zip(fields.id("service"));
+        let to = fields.text("path");
+        let prefix = fields.truth("prefix", false);
+        let split = fields.list("split");
+        let service = if split.is_empty() { fields.id("service") } else { Some(String::new()) };
+        let work = fields.part("work").map(|_| fields.text("work").unwrap_or_default());
+        let mut span = |name| fields.count(name, 0..=600_000, Some(0)).filter(|ms| *ms > 0).map(Duration::from_millis);
+        let (timeout, target) = (span("timeoutMs"), span("targetMs"));
+        let attempts = fields.count("attempts", 0..=100, Some(0)).filter(|most| *most > 0).map(|most| most as u32);
+        let priority = fields.count("priority", 0..=100, Some(0)).unwrap_or(0) as u32;
+        let regions = fields.list("homeRegions");
         fields.close();
-        ids.zip(to).into_iter().for_each(|((id, name), (route_path, service))| {
-            if !is_path(&route_path) {
-                let text = format!("'{route_path}' is no path; start it with / and leave out spaces, ? and #");
-                complain(complaints, &format!("{path}/path"), text);
-            }
-            let by_path = self.places.entry(name.clone()).or_default();
-            if by_path.insert(route_path.clone(), id.clone()).is_some() {
-                complain(complaints, &path, format!("name '{name}' and path '{route_path}' come twice"));
-            }
-            let route = Route { id: id.clone(), name, path: route_path, service };
-            if self.routes.insert(id.clone(), route).is_some() {
-                complain(complaints, &format!("{path}/id"), format!("route '{id}' comes twice"));
-            }
+        let home_regions: Vec<String> = regions.iter().filter_map(region).collect();
+        if home_regions.len() != regions.len() {
+            complain(complaints, &format!("{path}/homeRegions"), "must be a list of region ids");
+        }
+        let repeatable = work.and_then(|work| repeatable(&work, &path, complaints));
+        let split = split.iter().enumerate().filter_map(|(part, sheet)| {
+            let mut fields = Fields::open(sheet, &format!("{path}/split/{part}"), complaints);
+            let share = fields.id("service").zip(fields.count("weight", 0..=1_000_000, None));
+            fields.close();
+            share
+        });
+        let split: Vec<(String, u64)> = split.collect();
+        if !split.is_empty() && split.iter().all(|(_, weight)| *weight == 0) {
+            complain(complaints, &format!("{path}/split"), "the weights sum to 0");
+        }
+        let terms = Terms { repeatable, timeout, target, attempts, priority, home_regions };
+        ids.zip(to.zip(service)).into_iter().for_each(|((id, name), (to, service))| {
+            let split = split.clone();
+            let route = Route { id, name, path: to, prefix, service, split, terms: terms.clone() };
+            self.put_route(route, &path, complaints);
         });
     }
 
@@ -168,11 +312,15 @@
     /// What no single item shows: dangling links, names that clash, loops.
     fn check_links(&self, routes: &[Sheet], aliases: &[Sheet], complaints: &mut Vec<Complaint>) {
         routes.iter().enumerate().for_each(|(at, sheet)| {
-            let service = sheet.text("service").unwrap_or_default();
-            if address::is_id(service) && !self.services.contains_key(service) {
-                complain(complaints, &format!("/routes/{at}/service"), format!("no service '{service}'"));
-            }
             let id = sheet.text("id").unwrap_or_default();
+            let services = self
+                .routes
+                .get(id)
+                .map(|route| route.services().collect())
+                .unwrap_or_else(|| Vec::from_iter(sheet.text("service")));
+            services.into_iter().filter(|name| address::is_id(name) && !self.services.contains_key(*name)).for_each(
+                |name| complain(complaints, &format!("/routes/{at}/service"), format!("no service '{name}'")),
+            );
             if self.places.contains_key(id) {
                 complain(complaints, &format!("/routes/{at}/id"), format!("'{id}' is also a route's name"));
             }
@@ -201,13 +349,18 @@
         route.or_else(|| self.places.get_key_value(id).map(|(name, _)| name.as_str()))
     }
 
-    /// The route that serves a path under a name.
+    /// The route that serves a path under a name: the very path, or else the longest prefix that begins it.
     ///
     /// ```
     /// assert!(tariff::Setup::default().route("book", "/book").is_none());
     /// ```
-    pub fn route(&self, name: &str, path: &str) -> Option<&Route> {
-        self.places.get(name).and_then(|by_path| by_path.get(path)).and_then(|id| self.routes.get(id))
+    pub fn route(&self, name: &str, path: &str) -> Option<&Arc<Route>> {
+        let by_path = self.places.get(name)?;
+        let find = |path: &str| by_path.get(path).and_then(|id| self.routes.get(id));
+        find(path).or_else(|| {
+            let ends = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
+            ends.filter_map(find).find(|route| route.prefix)
+        })
     }
 
     /// The services behind one name, once for each of its routes.
@@ -216,8 +369,18 @@
     /// assert_eq!(tariff::Setup::default().services_of("book").count(), 0);
     /// ```
     pub fn services_of(&self, name: &str) -> impl Iterator<Item = &Arc<Service>> {
+        let services = self.routes_of(name).flat_map(|route| route.services());
+        services.filter_map(|service| self.services.get(service))
+    }
+
+    /// The routes of one name.
+    ///
+    /// ```
+    /// assert_eq!(tariff::Setup::default().routes_of("book").count(), 0);
+    /// ```
+    pub fn routes_of(&self, name: &str) -> impl Iterator<Item = &Arc<Route>> {
         let ids = self.places.get(name).into_iter().flat_map(BTreeMap::values);
-        ids.filter_map(|id| self.routes.get(id)).filter_map(|route| self.services.get(&route.service))
+        ids.filter_map(|id| self.routes.get(id))
     }
 
     /// The services that a name's routes lead to, with its name, for each name.
@@ -226,11 +389,20 @@
     /// assert!(tariff::Setup::default().names().is_empty());
     /// ```
     pub fn names(&self) -> BTreeMap<&str, BTreeSet<&str>> {
-        let service = |id: &String| self.routes.get(id).map(|route| route.service.as_str());
-        self.places
-            .iter()
-            .map(|(name, by_path)| (name.as_str(), by_path.values().filter_map(service).collect()))
-            .collect()
+        let services = |name: &str| self.routes_of(name).flat_map(|route| route.services()).collect();
+        self.places.keys().map(|name| (name.as_str(), services(name))).collect()
+    }
+}
+
+fn repeatable(work: &str, path: &str, complaints: &mut Vec<Complaint>) -> Option<bool> {
+    match work {
+        "repeatable" => Some(true),
+        "once" => Some(false),
+        other => {
+            let text = format!("'{other}' is neither 'repeatable' nor 'once'");
+            complain(complaints, &format!("{path}/work"), text);
+            None
+        }
     }
 }
 
--- a/crates/wicket/src/call.rs
+++ b/crates/wicket/src/call.rs
@@ -8,13 +8,16 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::collections::HashMap;
+use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// A connection that does not come up in this time will not; time is left to go elsewhere.
 pub const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 const MOST_IDLE: usize = 8;
+/// How long a connection may lie idle where the other side does not say.
+const KEEP_IDLE: Duration = Duration::from_secs(6);
 const MOST_REPLY_BYTES: usize = 4 * 1024 * 1024;
 
 /// A whole reply.
@@ -64,7 +67,7 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use std::time::Duration;
+    /// use std::time::{Duration, Instant};
     /// let caller = wicket::Caller::default();
     /// let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
     /// let failed = caller.call(&free, "GET", "/", &[], Default::default(), Duration::from_secs(5), false).await;
@@ -86,9 +89,9 @@
             let started_at = tokio::time::Instant::now();
             let connection = Connection::open(address, within).await?;
             let left = within.saturating_sub(started_at.elapsed());
-            return connection.exchange(method, path, headers, body, left).await;
+            return connection.exchange(method, path, self::headers(headers), body, left).await.0;
         }
-        let request = build(address, method, path, headers, body)?;
+        let request = build(address, method, path, self::headers(headers), body)?;
         let started_at = tokio::time::Instant::now();
         let (deadline, connect_by) = (started_at + within, started_at + CONNECT_WITHIN);
         let mut sender = match self.take_idle(address) {
@@ -122,19 +125,21 @@
     }
 }
 
-/// A new connection, on which nothing was written yet.
+/// A connection for one call after the other, driven by whoever uses it.
 pub struct Connection {
     address: String,
     sender: SendRequest<Full<Bytes>>,
     driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    /// How long the other side keeps it idle, as far as it says.
+    keep_for: Duration,
 }
 
 impl Connection {
-    /// Opens a connection for one call.
+    /// Opens a connection.
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use std::time::Duration;
+    /// use std::time::{Duration, Instant};
     /// let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
     /// assert!(wicket::Connection::open(&free, Duration::from_secs(5)).await.is_err());
     /// # });
@@ -150,14 +155,15 @@
         };
         let opened = tokio::time::timeout(within.min(CONNECT_WITHIN), opened).await.ok().flatten();
         let (sender, driver) = opened.ok_or(Called::NotConnected)?;
-        Ok(Connection { address: address.to_owned(), sender, driver })
+        Ok(Connection { address: address.to_owned(), sender, driver, keep_for: KEEP_IDLE })
     }
 
-    /// Writes the request and reads the reply. All in one task: from this call to the first byte nothing waits.
+    /// Writes the request and reads the reply. All in one task: from this call to the first byte nothing waits. The
+    /// connection comes back where another call may follow on it.
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use std::time::Duration;
+    /// use std::time::{Duration, Instant};
     /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     /// let address = socket.local_addr().unwrap().to_string();
     /// let (_open, closing) = tokio::sync::watch::channel(false);
@@ -166,31 +172,115 @@
     /// }));
     /// let within = Duration::from_secs(5);
     /// let connection = wicket::Connection::open(&address, within).await.unwrap();
-    /// let reply = connection.exchange("POST", "/", &[], "hello".into(), within).await.unwrap();
-    /// assert_eq!(&reply.body[..], b"hello");
+    /// let (reply, again) = connection.exchange("POST", "/", Default::default(), "hello".into(), within).await;
+    /// assert_eq!(&reply.unwrap().body[..], b"hello");
+    /// let (reply, _) = again.unwrap().exchange("POST", "/", Default::default(), "again".into(), within).await;
+    /// assert_eq!(&reply.unwrap().body[..], b"again");
     /// # });
     /// ```
     pub async fn exchange(
-        self,
+        mut self,
         method: &str,
         path: &str,
-        headers: &[(&str, &str)],
+        headers: HeaderMap,
         body: Bytes,
         within: Duration,
-    ) -> Result<Reply, Called> {
-        let Connection { address, mut sender, driver } = self;
-        let request = build(&address, method, path, headers, body)?;
+    ) -> (Result<Reply, Called>, Option<Connection>) {
+        let request = match build(&self.address, method, path, headers, body) {
+            Ok(request) => request,
+            Err(failed) => return (Err(failed), None),
+        };
+        let (sender, driver) = (&mut self.sender, &mut self.driver);
         let exchange = async {
-            let mut exchange = std::pin::pin!(exchange(&mut sender, request));
-            let mut driver = std::pin::pin!(driver);
+            let mut exchange = std::pin::pin!(exchange(sender, request));
             tokio::select! {
                 biased;
-                reply = exchange.as_mut() => return reply,
-                _ = driver.as_mut() => {}
+                reply = exchange.as_mut() => return (reply, true),
+                _ = &mut *driver => {}
             }
-            exchange.await
+            (exchange.await, false)
         };
-        tokio::time::timeout(within, exchange).await.map_err(|_| Called::TimedOut)?
+        let (reply, open) = tokio::time::timeout(within, exchange).await.unwrap_or((Err(Called::TimedOut), false));
+        let keeps = reply.as_ref().ok().filter(|_| open).and_then(keep_for);
+        let again = keeps.map(|keep_for| Connection { keep_for, ..self });
+        (reply, again)
+    }
+
+    /// True where the other side has neither closed it nor sent anything that nobody asked for.
+    async fn is_quiet(&mut self) -> bool {
+        let looked = std::future::poll_fn(|context| {
+            std::task::Poll::Ready(std::pin::Pin::new(&mut self.driver).poll(context).is_pending())
+        });
+        looked.await && self.sender.is_ready()
+    }
+}
+
+/// How long a connection may lie idle after this reply; none where it may not be used again.
+fn keep_for(reply: &Reply) -> Option<Duration> {
+    let closes = reply.header("connection").split(',').any(|word| word.trim().eq_ignore_ascii_case("close"));
+    let told = reply.header("keep-alive").split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let told = told.and_then(|seconds| seconds.trim().parse::<u64>().ok()).map(Duration::from_secs);
+    // A second earlier than the other side: what crosses its close on the way is lost.
+    let keep = told.map_or(KEEP_IDLE, |told| told.saturating_sub(Duration::from_secs(1)).min(KEEP_IDLE));
+    Some(keep).filter(|keep| !closes && !keep.is_zero())
+}
+
+/// Connections that wait for their next call, by address; the last one used is the first taken.
+#[derive(Default)]
+pub struct Pool(Mutex<HashMap<String, Vec<(Instant, Connection)>>>);
+
+impl Pool {
+    fn with<T>(&self, change: impl FnOnce(&mut HashMap<String, Vec<(Instant, Connection)>>) -> T) -> T {
+        change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A connection on which nothing stands against another call; none where a new one must be opened.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// assert!(wicket::Pool::default().take("127.0.0.1:1").await.is_none());
+    /// # });
+    /// ```
+    pub async fn take(&self, address: &str) -> Option<Connection> {
+        loop {
+            let (since, mut connection) = self.with(|idle| idle.get_mut(address).and_then(Vec::pop))?;
+            if since.elapsed() < connection.keep_for && connection.is_quiet().await {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection for the next call.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = socket.local_addr().unwrap().to_string();
+    /// let connection = wicket::Connection::open(&address, std::time::Duration::from_secs(5)).await.unwrap();
+    /// let pool = wicket::Pool::default();
+    /// pool.keep(connection);
+    /// assert!(pool.take(&address).await.is_some());
+    /// # });
+    /// ```
+    pub fn keep(&self, connection: Connection) {
+        self.with(|idle| {
+            let kept = idle.entry(connection.address.clone()).or_default();
+            kept.push((Instant::now(), connection));
+            let excess = kept.len().saturating_sub(MOST_IDLE);
+            kept.drain(..excess);
+        });
+    }
+
+    /// Closes those that lay idle for too long.
+    ///
+    /// ```
+    /// wicket::Pool::default().sweep();
+    /// ```
+    pub fn sweep(&self) {
+        self.with(|idle| {
+            idle.values_mut().for_each(|kept| kept.retain(|(since, kept)| since.elapsed() < kept.keep_for));
+            idle.retain(|_, kept| !kept.is_empty());
+        });
     }
 }
 
@@ -198,12 +288,29 @@
     address: &str,
     method: &str,
     path: &str,
-    headers: &[(&str, &str)],
+    headers: HeaderMap,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, Called> {
-    let start = Request::builder().method(method).uri(path).header("host", address);
-    let request = headers.iter().fold(start, |request, (name, value)| request.header(*name, *value));
-    request.body(Full::new(body)).map_err(|_| Called::NotConnected)
+    let request = Request::builder().method(method).uri(path).body(Full::new(body));
+    let mut request = request.map_err(|_| Called::NotConnected)?;
+    *request.headers_mut() = headers;
+    if let (false, Ok(host)) = (request.headers().contains_key("host"), address.parse()) {
+        request.headers_mut().insert("host", host);
+    }
+    Ok(request)
+}
+
+/// Headers from names and values; what can't be one is left out.
+///
+/// ```
+/// assert_eq!(wicket::headers(&[("x-try-id", "t-1"), ("x-bad", "\n")]).len(), 1);
+/// ```
+pub fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let header = |(name, value): &(&str, &str)| {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        name.ok().zip(value.parse().ok())
+    };
+    pairs.iter().filter_map(header).collect()
 }
 
 async fn connect(address: &str) -> Option<SendRequest<Full<Bytes>>> {
@@ -217,7 +324,12 @@
 }
 
 async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Result<Reply, Called> {
-    let failed = |failure: hyper::Error| if failure.is_parse() { Called::Garbage } else { Called::Lost };
+    let failed = |failure: hyper::Error| match () {
+        () if failure.is_parse() => Called::Garbage,
+        // Given back before a byte of it was written.
+        () if failure.is_canceled() => Called::NotConnected,
+        () => Called::Lost,
+    };
     let response = sender.send_request(request).await.map_err(failed)?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MOST_REPLY_BYTES).collect().await.map_err(|_| Called::Garbage)?;
--- a/crates/wicket/src/desk.rs
+++ b/crates/wicket/src/desk.rs
@@ -30,6 +30,8 @@
 pub struct Enquiry {
     pub method: Method,
     pub path: String,
+    /// Path and query as they came.
+    pub target: String,
     pub query: BTreeMap<String, String>,
     pub headers: hyper::HeaderMap,
     pub body: Bytes,
@@ -39,7 +41,7 @@
     /// A header's text; empty where it is missing or unreadable.
     ///
     /// ```
-    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(), query: Default::default(),
+    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(), target: "/".into(), query: Default::default(),
     ///     headers: Default::default(), body: Default::default() };
     /// assert_eq!(enquiry.header("x-try-id"), "");
     /// ```
@@ -51,7 +53,7 @@
     ///
     /// ```
     /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(),
-    ///     query: [("name".to_owned(), "book".to_owned())].into_iter().collect(),
+    ///     target: "/".into(), query: [("name".to_owned(), "book".to_owned())].into_iter().collect(),
     ///     headers: Default::default(), body: Default::default() };
     /// assert_eq!(enquiry.query("name"), "book");
     /// ```
@@ -200,6 +202,7 @@
     handler(Enquiry {
         method: head.method,
         path: head.uri.path().to_owned(),
+        target: head.uri.path_and_query().map(|target| target.as_str()).unwrap_or("/").to_owned(),
         query: query.map(|(name, value)| (plain(name), plain(value))).collect(),
         headers: head.headers,
         body,
--- a/crates/wicket/src/doors.rs
+++ b/crates/wicket/src/doors.rs
@@ -49,15 +49,30 @@
     /// # });
     /// ```
     pub async fn open(settings: &Settings) -> Result<Doors, Report<NoStart>> {
-        let shut = |name: &str| NoStart::new(format!("{name}: can't listen on {}", settings.get(name)));
+        let shut = || NoStart::new(format!("link: can't listen on {}", settings.get("link")));
         Ok(Doors {
-            http: TcpListener::bind(settings.get("http")).await.change_context_lazy(|| shut("http"))?,
-            link: TcpListener::bind(settings.get("link")).await.change_context_lazy(|| shut("link"))?,
-            probe: UdpSocket::bind(settings.get("link")).await.change_context_lazy(|| shut("link"))?,
+            http: listen(settings, "http").await?,
+            link: listen(settings, "link").await?,
+            probe: UdpSocket::bind(settings.get("link")).await.change_context_lazy(shut)?,
         })
     }
 }
 
+/// Listens on the address of a setting.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// use tariff::{Setting, Settings, Shape};
+/// let table = [Setting { name: "http", shape: Shape::Address, fallback: Some("127.0.0.1:0"), help: "" }];
+/// let settings = Settings::read(&[&table], None, &[]).unwrap();
+/// assert!(wicket::listen(&settings, "http").await.is_ok());
+/// # });
+/// ```
+pub async fn listen(settings: &Settings, name: &str) -> Result<TcpListener, Report<NoStart>> {
+    let shut = || NoStart::new(format!("{name}: can't listen on {}", settings.get(name)));
+    TcpListener::bind(settings.get(name)).await.change_context_lazy(shut)
+}
+
 /// A failure and what led to it, in one line.
 ///
 /// ```
--- a/crates/wicket/src/start.rs
+++ b/crates/wicket/src/start.rs
@@ -152,6 +152,7 @@
             Shape::Locality => "region/zone".into(),
             Shape::Address => "IP:port".into(),
             Shape::Addresses => "up to three IP:port, with commas".into(),
+            Shape::Localities => "some of region/zone, with commas".into(),
             Shape::Folder => "a folder".into(),
         };
         let fallback = setting.fallback.map(|value| format!("default {value}")).unwrap_or("required".into());
@@ -160,6 +161,25 @@
     println!("\nexit codes: 0 fine, 1 failed, 2 flags or settings denied, 3 could not start");
 }
 
+/// Where other processes are reached at first: the seeds, each with the port of links where one is set.
+///
+/// ```
+/// use tariff::{Setting, Settings, Shape};
+/// let table = [
+///     Setting { name: "seeds", shape: Shape::Addresses, fallback: Some("127.0.0.1:1,127.0.0.2:1"), help: "" },
+///     Setting { name: "seed-port", shape: Shape::Count(0, 65_535), fallback: Some("7"), help: "" },
+/// ];
+/// assert_eq!(wicket::seeds(&Settings::read(&[&table], None, &[]).unwrap()), ["127.0.0.1:7", "127.0.0.2:7"]);
+/// ```
+pub fn seeds(settings: &Settings) -> Vec<String> {
+    let port = settings.get("seed-port");
+    let link = |seed: String| match seed.rsplit_once(':') {
+        Some((ip, _)) if !matches!(port, "" | "0") => format!("{ip}:{port}"),
+        _ => seed,
+    };
+    settings.list("seeds").into_iter().map(link).collect()
+}
+
 /// A seed that differs at each start.
 ///
 /// ```
