Ranges of numeric keys: grants, adoption after a lease change, division by load

Services divided by a numeric key need ranges with fences, handover tokens and a division by load; this is the pure state of the placement lease's holder for them.

--- a/crates/enrolment/src/lib.rs
+++ b/crates/enrolment/src/lib.rs
@@ -1,7 +1,16 @@
 //! Back ends: what their beats say, told between postmasters, and who holds which keys.
 
+mod fair;
+mod load;
+mod ranges;
 mod roll;
 mod shares;
+mod table;
 
+pub use load::Load;
+pub use ranges::{
+    Grant, Heartbeat, Holding, LONGEST_HANDOVER, MOST_INSTANCES, MOST_ROWS, Ranges, Released, Row, Terms,
+};
 pub use roll::{GONE, LEAVING, READY, Roll};
 pub use shares::Shares;
+pub use table::MOST_RANGES;
