--- a/crates/enrolment/src/ranges.rs
+++ b/crates/enrolment/src/ranges.rs
@@ -33,8 +33,8 @@
     pub margin: Duration,
     /// Least time between two moves for balance.
     pub settle: Duration,
-    /// An upstream may still take the answer to a heartbeat after it sent a newer one. Then keys that it let go
-    /// wait until no such answer can have an effect.
+    /// An upstream may still take the answer to a heartbeat after it sent a newer one. Then its letting go proves
+    /// nothing, and keys move only once their hold has run out.
     pub late_answers: bool,
 }
 
@@ -244,16 +244,16 @@
 
     /// What becomes of keys that their owner doesn't list.
     fn left(&self, now: Duration, held: Held) -> State {
-        let effect_until = |from: Duration| from + surely(self.terms.answer_within, self.terms.margin);
-        let (waits, end) = (self.terms.late_answers, effect_until(held.told));
-        if !waits || now >= end {
+        let took_by = held.given + surely(self.terms.answer_within, self.terms.margin);
+        if !self.terms.late_answers {
             // A grant that was never taken keeps its token, unless it may have been taken and have run out since.
-            let young = held.dropped || now + self.terms.hold / 2 < held.until;
+            let young = now + self.terms.hold / 2 < held.until;
             freed(&held, young)
-        } else if !held.confirmed && now < effect_until(held.given) {
+        } else if !held.confirmed && now < took_by {
             State::Held(held)
         } else {
-            State::Held(Held { asked_back: true, dropped: true, until: held.until.min(end), ..held })
+            // Nothing shows that this heartbeat was sent after the last answer lost its effect: the hold must run out.
+            State::Held(Held { asked_back: true, dropped: true, ..held })
         }
     }
 
@@ -286,7 +286,6 @@
                 owner: beat.instance.clone(),
                 fence: row.fence,
                 given: now,
-                told: now,
                 until: now + surely(self.terms.hold, self.terms.margin),
                 confirmed: true,
                 asked_back: false,
@@ -334,8 +333,7 @@
                 if let State::Free { handover, .. } = state {
                     let owner = me.to_owned();
                     let (confirmed, asked_back, dropped) = (false, false, false);
-                    let (given, told) = (now, now);
-                    let held = Held { owner, fence, given, told, until, confirmed, asked_back, dropped, handover };
+                    let held = Held { owner, fence, given: now, until, confirmed, asked_back, dropped, handover };
                     self.table.set(from, to, State::Held(held));
                 }
             });
@@ -347,10 +345,6 @@
         self.table.each(|state| match state {
             State::Held(held) if held.owner == me && !held.asked_back => {
                 held.until = until;
-                held.told = now;
-                if held.confirmed {
-                    held.given = now;
-                }
             }
             _ => {}
         });
--- a/crates/enrolment/src/table.rs
+++ b/crates/enrolment/src/table.rs
@@ -11,16 +11,15 @@
 pub(crate) struct Held {
     pub(crate) owner: String,
     pub(crate) fence: u64,
-    /// When the grant was first given, and last told.
+    /// When the grant was first given.
     pub(crate) given: Duration,
-    pub(crate) told: Duration,
     /// From then on the hold has surely run out.
     pub(crate) until: Duration,
     /// The owner has listed it.
     pub(crate) confirmed: bool,
     /// It is left out of the answers, and the owner is to let go.
     pub(crate) asked_back: bool,
-    /// The owner has let go; only an answer that is still under way could renew it.
+    /// The owner has let go; but it may yet take an older answer.
     pub(crate) dropped: bool,
     pub(crate) handover: String,
 }
