--- a/crates/enrolment/tests/ranges.rs
+++ b/crates/enrolment/tests/ranges.rs
@@ -5,7 +5,6 @@
 use arbtest::arbtest;
 use enrolment::{Grant, Heartbeat, Load, Ranges, Released, Row, Terms};
 use std::collections::BTreeMap;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 const KEYS: u32 = 64;
@@ -74,6 +73,8 @@
     load: Load,
     given: usize,
     warm: usize,
+    /// The first key that two held.
+    blame: Option<String>,
 }
 
 fn unit(born: &mut usize, now: Duration, rate: u32) -> Unit {
@@ -101,7 +102,8 @@
         let ranges = Some(Ranges::new(now, terms(announced), KEYS, 1, true));
         let (mail, load, epoch, clock) = (Vec::new(), Load::even(KEYS), 1, 1000);
         let (next_lease, given, warm) = (now, 0, 0);
-        World { fault, late, now, units, born, mail, ranges, epoch, next_lease, clock, load, given, warm }
+        let blame = None;
+        World { fault, late, now, units, born, mail, ranges, epoch, next_lease, clock, load, given, warm, blame }
     }
 
     fn lease_now(&self) -> Duration {
@@ -213,11 +215,10 @@
         holding.map(|unit| unit.name.as_str()).collect()
     }
 
-    fn check(&self) {
-        (0..KEYS).for_each(|key| {
-            let holders = self.holders(key);
-            assert!(holders.len() < 2, "key {key} is held by {holders:?} at {:?}, epoch {}", self.now, self.epoch);
-        });
+    fn check(&mut self) {
+        let twice = (0..KEYS).map(|key| (key, self.holders(key))).find(|(_, holders)| holders.len() > 1);
+        let blame = twice.map(|(key, holders)| format!("key {key}, {holders:?}, {:?}, epoch {}", self.now, self.epoch));
+        self.blame = self.blame.take().or(blame);
     }
 }
 
@@ -271,6 +272,9 @@
     given: usize,
     warm: usize,
     leases: u64,
+    /// Worlds in which a key was held twice, and the first such.
+    twice: usize,
+    blame: Option<String>,
     slowest: Duration,
 }
 
@@ -298,7 +302,14 @@
         world.tick(noise)?;
         whole = (0..KEYS).all(|key| !world.holders(key).is_empty());
     }
-    assert!(whole, "some keys have no holder {:?} after the last disturbance", world.now - calm);
+    tally.twice += usize::from(world.blame.is_some());
+    tally.blame = tally.blame.take().or(world.blame);
+    // A broken world owes nothing.
+    assert!(
+        whole || fault != Fault::None,
+        "some keys have no holder {:?} after the last disturbance",
+        world.now - calm
+    );
     tally.slowest = tally.slowest.max(world.now - calm);
     tally.given += world.given;
     tally.warm += world.warm;
@@ -314,41 +325,35 @@
     tally
 }
 
-/// How many worlds of some the check finds fault with.
-fn caught(fault: Fault, late: bool, count: u64) -> usize {
-    let broken = |number: &u64| {
-        let one = || {
-            arbtest(|noise| run(fault, late, noise, &mut Tally::default())).seed(number << 32 | 6_000);
-        };
-        let blame = catch_unwind(AssertUnwindSafe(one)).err();
-        blame.is_some_and(|blame| blame.downcast_ref::<String>().is_some_and(|text| text.contains("is held by")))
-    };
-    (1..=count).filter(broken).count()
+fn sound(late: bool) {
+    let tally = runs(Fault::None, late, 400);
+    println!("{} given, {} warm, {} leases, {:?} to whole", tally.given, tally.warm, tally.leases, tally.slowest);
+    assert_eq!(tally.blame, None);
+    assert!(tally.given > 100_000 && tally.warm > 100 && tally.leases > 1_000);
+    assert!(tally.slowest < MS(7000), "{:?}", tally.slowest);
 }
 
 #[test]
 fn no_key_is_held_twice() {
-    let tally = runs(Fault::None, false, 400);
-    println!("{} given, {} warm, {} leases, {:?} to whole", tally.given, tally.warm, tally.leases, tally.slowest);
-    assert!(tally.given > 100_000 && tally.warm > 100 && tally.leases > 1_000);
+    sound(false);
 }
 
 #[test]
 fn nor_where_overtaken_answers_count() {
-    let tally = runs(Fault::None, true, 400);
-    println!("{} given, {} warm, {} leases, {:?} to whole", tally.given, tally.warm, tally.leases, tally.slowest);
-    assert!(tally.given > 100_000 && tally.warm > 100 && tally.leases > 1_000);
+    sound(true);
 }
 
 #[test]
 fn the_check_can_fail() {
     let broken = [
-        ("gives at once", caught(Fault::GivesAtOnce, false, 20)),
-        ("late answers unannounced", caught(Fault::LateUnannounced, true, 60)),
-        ("slow clocks", caught(Fault::SlowClocks, false, 60)),
-        ("adopts at once", caught(Fault::AdoptsAtOnce, false, 400)),
-        ("adopts at once, late answers", caught(Fault::AdoptsAtOnce, true, 400)),
+        ("gives at once", runs(Fault::GivesAtOnce, false, 20)),
+        ("late answers unannounced", runs(Fault::LateUnannounced, true, 60)),
+        ("slow clocks", runs(Fault::SlowClocks, false, 120)),
+        ("adopts at once", runs(Fault::AdoptsAtOnce, false, 400)),
+        ("adopts at once, late answers", runs(Fault::AdoptsAtOnce, true, 400)),
     ];
-    println!("{broken:?}");
-    broken.iter().for_each(|(fault, count)| assert!(*count > 0, "{fault}: not caught"));
+    broken.iter().for_each(|(fault, tally)| {
+        println!("{fault}: {}", tally.twice);
+        assert!(tally.twice > 0, "{fault}: not caught");
+    });
 }
