Keys of numeric services are divided by load, in ranges, through the office

Change: Office gives ranges where a service's keys are numbers; carriers count requests by key and tell them with their question for news, postmasters tell them on to the duty holder each half second, where they fade with 6 s. Found on the way: the simulator read a beat's answer as a sheet and gave keyed upstreams nothing once the answer had a type of its own; it now writes the product's own answer (14 tests of seeds failed first, all pass now).

--- a/crates/address/src/lib.rs
+++ b/crates/address/src/lib.rs
@@ -103,6 +103,8 @@
 pub const SLOTS: u32 = 64;
 /// How many keys a service has whose keys are whole numbers: 0 to one less.
 pub const KEYS: u32 = 65_536;
+/// Over how many equal parts of those keys requests are counted.
+pub const KEY_PARTS: u32 = 1024;
 
 /// The slot of a key.
 ///
--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -2,7 +2,7 @@
 
 use address::{Dice, Locality};
 use gazetteer::{Proxy, SetupReader, View};
-use parcel::{Body, Fresh, Member, News, NewsAsk, NewsKept};
+use parcel::{Body, Fresh, KeyLoad, Member, News, NewsAsk, NewsKept};
 use rounds::Rounds;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,8 +44,16 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel { from: String, body: Body },
-    Datagram { address: String, body: Body },
+    Parcel {
+        from: String,
+        body: Body,
+    },
+    Datagram {
+        address: String,
+        body: Body,
+    },
+    /// Requests by key since the last time.
+    Counted(Vec<KeyLoad>),
     Close,
 }
 
@@ -99,6 +107,8 @@
     misses: usize,
     postmasters: Vec<Member>,
     phase: Phase,
+    /// To be told with the next question.
+    loads: Vec<KeyLoad>,
     effects: Vec<Effect>,
 }
 
@@ -127,6 +137,7 @@
             misses: 0,
             postmasters: Vec::new(),
             phase: Phase::Serving,
+            loads: Vec::new(),
             effects: Vec::new(),
         };
         carrier.learn_members(Duration::ZERO);
@@ -205,6 +216,7 @@
             Event::Parcel { from, body: Body::News(news) } => self.news(now, from, news),
             Event::Parcel { from, body: Body::Fresh(fresh) } => self.fresh(now, from, fresh),
             Event::Parcel { .. } => {}
+            Event::Counted(loads) => self.loads = loads,
             Event::Close => {
                 let effects = self.rounds.step(now, rounds::Event::Leave);
                 self.run_rounds(now, effects);
@@ -301,7 +313,7 @@
         }
         let nonce = self.dice.roll();
         self.next_ask = now + self.times.ask_every;
-        let ask = NewsAsk { nonce, stream: self.stream, number: self.number };
+        let ask = NewsAsk { nonce, stream: self.stream, number: self.number, loads: std::mem::take(&mut self.loads) };
         self.effects.push(Effect::Send { to: source.clone(), body: Body::NewsAsk(ask) });
         self.follow(Following::Asked { source, nonce, asked_at: now });
     }
--- a/crates/carrier/src/dialect.rs
+++ b/crates/carrier/src/dialect.rs
@@ -57,30 +57,36 @@
     pub within: Duration,
 }
 
-type Policy<In, Out> = Box<dyn Fn(In) -> Out + Send + Sync>;
-type Denial = Box<dyn Fn(Code, Option<Duration>, &str) -> Response<Full<Bytes>> + Send + Sync>;
-type Judge = Box<dyn Fn(&Result<Reply, Called>, &str, Option<&str>) -> Outcome + Send + Sync>;
+type Paging = dyn Fn(Door, &Enquiry) -> Page + Send + Sync;
+type Ordering = dyn Fn(&Enquiry) -> Result<Order, Code> + Send + Sync;
+type Aiming = dyn Fn(&Enquiry, &Order) -> String + Send + Sync;
+type Heading = dyn Fn(&Enquiry, &Order, Call) -> HeaderMap + Send + Sync;
+type Judging = dyn Fn(&Result<Reply, Called>, &str, Option<&str>) -> Outcome + Send + Sync;
+type Weighing = dyn Fn(&Reply) -> Option<Load> + Send + Sync;
+type Passing = dyn Fn(&Reply) -> Response<Full<Bytes>> + Send + Sync;
+type Denying = dyn Fn(Code, Option<Duration>, &str) -> Response<Full<Bytes>> + Send + Sync;
+type Telling = dyn Fn(Listing) -> Response<Full<Bytes>> + Send + Sync;
 
 /// How questions are read and answers written.
 pub struct Dialect {
     /// What a question is for.
-    pub page: Box<dyn Fn(Door, &Enquiry) -> Page + Send + Sync>,
+    pub page: Box<Paging>,
     /// A request as its headers tell it; the time of its arrival and the bell are filled in by the proxy.
-    pub order: Box<dyn Fn(&Enquiry) -> Result<Order, Code> + Send + Sync>,
+    pub order: Box<Ordering>,
     /// Path and query at the upstream.
-    pub target: Box<dyn Fn(&Enquiry, &Order) -> String + Send + Sync>,
+    pub target: Box<Aiming>,
     /// Headers of a call.
-    pub headers: Box<dyn Fn(&Enquiry, &Order, Call) -> HeaderMap + Send + Sync>,
+    pub headers: Box<Heading>,
     /// What a reply to this try is worth, from this upstream where one is meant.
-    pub judge: Judge,
+    pub judge: Box<Judging>,
     /// What an upstream's reply tells of its load.
-    pub load: Box<dyn Fn(&Reply) -> Option<Load> + Send + Sync>,
+    pub load: Box<Weighing>,
     /// An upstream's verdict, for the origin.
-    pub pass: Box<dyn Fn(&Reply) -> Response<Full<Bytes>> + Send + Sync>,
+    pub pass: Box<Passing>,
     /// An answer of the proxy's own to a try, with when to come back.
-    pub deny: Denial,
+    pub deny: Box<Denying>,
     /// Where a name lives.
-    pub listing: Policy<Listing, Response<Full<Bytes>>>,
+    pub listing: Box<Telling>,
     /// How configurations are read.
     pub reader: SetupReader,
     /// How many addresses a directory answer names at most.
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -217,6 +217,7 @@
         if now >= next_sweep {
             next_sweep = now + Duration::from_secs(1);
             let view = node.view.load();
+            carrier.step(now, Event::Counted(node.board.drain_keys()));
             node.pool.sweep();
             node.board.sweep(now, |instance| view.upstreams.values().any(|known| known.contains_key(instance)));
         }
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -170,10 +170,11 @@
     /// A postmaster answered a beat.
     pub(super) fn beat_answered(&mut self, from: (usize, u64, u64, Duration, usize), answer: Answer) {
         let (unit, life, beat, sent_at, node) = from;
-        let Answer::Sheet(sheet) = answer else {
+        let Answer::Beat { holder, shares, span } = answer else {
             // Nobody there, or on its way out: another one, soon.
             return self.after(BEAT_AGAIN, Action::BeatAgain { unit, life, beat });
         };
+        let sheet = postmaster::beat_sheet(holder, shares, span);
         let delay = self.net.delay(&mut self.dice, &self.nodes[node].place, &self.units[unit].place);
         delay.into_iter().for_each(|delay| {
             let sheet = sheet.clone();
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -111,7 +111,7 @@
 
     /// Which part of a beat is worth telling the data plane.
     fn news(upstream: &Upstream) -> Upstream {
-        Upstream { beat: 0, holder: 0, holds: Vec::new(), ..upstream.clone() }
+        Upstream { beat: 0, holder: 0, holds: Vec::new(), released: Vec::new(), ..upstream.clone() }
     }
 
     /// An address belongs to its youngest registration that is not gone; gives the one that lost it.
@@ -203,6 +203,16 @@
         self.entries.values().filter(fresh).map(|entry| Self::aged(entry, now)).collect()
     }
 
+    /// Those that said themselves that they end: what they held is free.
+    ///
+    /// ```
+    /// assert_eq!(enrolment::Roll::default().signed_off().count(), 0);
+    /// ```
+    pub fn signed_off(&self) -> impl Iterator<Item = &Upstream> {
+        let gone = self.entries.values().filter(|entry| entry.upstream.condition == GONE && !entry.evicted);
+        gone.map(|entry| &entry.upstream)
+    }
+
     fn aged(entry: &Entry, now: Duration) -> Upstream {
         let age_ms = now.saturating_sub(entry.heard_at).as_millis() as u64;
         let born_ms = (now.as_millis() as i64 - entry.born_at_ms).max(0) as u64;
--- a/crates/enrolment/src/shares.rs
+++ b/crates/enrolment/src/shares.rs
@@ -47,7 +47,7 @@
     /// let unit = |name: &str, beat| Upstream { instance: name.into(), beat, ..Default::default() };
     /// let ready = ["a".to_owned(), "b".to_owned()].into_iter().collect();
     /// assert_eq!(shares.beat(Duration::from_secs(1), &unit("a", 1), &ready), None, "quiet at first");
-    /// let held = parcel::Share { from: 3, until: 5, epoch: 9, instance: "b".into() };
+    /// let held = parcel::Share { from: 3, until: 5, epoch: 9, instance: "b".into(), ..Default::default() };
     /// let heard = Upstream { holder: 1, holds: vec![held.clone()], ..unit("b", 1) };
     /// assert_eq!(shares.beat(Duration::from_secs(1), &heard, &ready), Some(vec![held]), "but it keeps what it has");
     /// let now = Duration::from_secs(4);
@@ -176,7 +176,8 @@
                     run.until += 1;
                 }
                 _ => {
-                    runs.push(Share { from: *slot, until: slot + 1, epoch: owned.epoch, instance: owned.owner.clone() })
+                    let instance = owned.owner.clone();
+                    runs.push(Share { from: *slot, until: slot + 1, epoch: owned.epoch, instance, ..Share::default() })
                 }
             }
             runs
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -7,7 +7,10 @@
 pub struct Parcel {
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30")]
+    #[prost(
+        oneof = "Body",
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,40"
+    )]
     pub body: Option<Body>,
 }
 
@@ -72,6 +75,8 @@
     Holder(Holder),
     #[prost(message, tag = "30")]
     CarrierKept(CarrierKept),
+    #[prost(message, tag = "40")]
+    KeyLoads(KeyLoads),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -398,6 +403,9 @@
     /// How many requests it runs at a time, where it tells its load in answers; else zero.
     #[prost(uint32, tag = "13")]
     pub slots: u32,
+    /// What it let go since its last acknowledged beat, with tokens for the next holders.
+    #[prost(message, repeated, tag = "14")]
+    pub released: Vec<Share>,
 }
 
 /// A range of key slots (`from` up to, not including, `until`) held under `epoch`.
@@ -411,6 +419,9 @@
     pub epoch: u64,
     #[prost(string, tag = "4")]
     pub instance: String,
+    /// The last holder's token, with which the keys come warm; only in an answer to a beat.
+    #[prost(string, tag = "5")]
+    pub handover: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -523,6 +534,9 @@
     pub stream: u64,
     #[prost(uint64, tag = "3")]
     pub number: u64,
+    /// Requests that came to the carrier since its last question, by key.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<KeyLoad>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -580,3 +594,23 @@
     #[prost(uint64, tag = "2")]
     pub edition: u64,
 }
+
+/// Requests of one service that came in lately, over equal parts of its keys.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyLoad {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Which parts, in order.
+    #[prost(uint32, repeated, tag = "2")]
+    pub parts: Vec<u32>,
+    /// How many requests for each of those.
+    #[prost(uint32, repeated, tag = "3")]
+    pub counts: Vec<u32>,
+}
+
+/// The same, told on to the holder of the placement duty.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyLoads {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: Vec<KeyLoad>,
+}
--- a/crates/postmaster/src/dialect.rs
+++ b/crates/postmaster/src/dialect.rs
@@ -7,17 +7,20 @@
 use gazetteer::SetupReader;
 use http_body_util::Full;
 use hyper::Response;
-use parcel::Upstream;
+use parcel::{Share, Upstream};
+use std::time::Duration;
 use tariff::{Complaint, Fields, Sheet, complain};
 use wicket::Enquiry;
 
 /// Why a question can't be read.
 pub type Unread = (Code, Vec<Complaint>);
 
+type Asking = dyn Fn(&Enquiry) -> Result<Ask, Unread> + Send + Sync;
+
 /// How questions are read and answers written.
 pub struct Dialect {
     /// What is asked.
-    pub ask: Box<dyn Fn(&Enquiry) -> Result<Ask, Unread> + Send + Sync>,
+    pub ask: Box<Asking>,
     /// An answer as it is written.
     pub show: Box<dyn Fn(Answer) -> Response<Full<Bytes>> + Send + Sync>,
     /// How configurations are read.
@@ -93,11 +96,12 @@
         let run = fields.count("from", 0..=most, None).zip(fields.count("until", 0..=most, None));
         let epoch = fields.count("epoch", 0..=u64::MAX, None);
         fields.close();
-        run.zip(epoch).map(|((from, until), epoch)| parcel::Share {
+        run.zip(epoch).map(|((from, until), epoch)| Share {
             from: from as u32,
             until: until as u32,
             epoch,
             instance: String::new(),
+            handover: String::new(),
         })
     });
     let holds = holds.collect();
@@ -130,6 +134,7 @@
         holds,
         holder,
         slots: 0,
+        released: Vec::new(),
         age_ms: 0,
         born_ms: 0,
     }
@@ -138,22 +143,7 @@
 fn show(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
         Answer::Sheet(sheet) => wicket::json(Code::Fine, &sheet),
-        Answer::Beat { holder, shares, span } => {
-            let mut fields = vec![("code", u64::from(Code::Fine.number()).into()), ("holder", holder.into())];
-            shares.into_iter().for_each(|shares| {
-                let run = |share: parcel::Share| {
-                    Sheet::fields([
-                        ("from", u64::from(share.from).into()),
-                        ("until", u64::from(share.until).into()),
-                        ("epoch", share.epoch.into()),
-                    ])
-                };
-                fields.push(("shares", shares.into_iter().map(run).collect()));
-                fields.push(("spanMs", (span.as_millis() as u64).into()));
-            });
-            let fields = fields.into_iter().map(|(name, sheet): (&str, Sheet)| (name.to_owned(), sheet));
-            wicket::json(Code::Fine, &Sheet::Fields(fields.collect()))
-        }
+        Answer::Beat { holder, shares, span } => wicket::json(Code::Fine, &beat_sheet(holder, shares, span)),
         Answer::Setup { edition, bytes } => {
             let mut response = wicket::answer(Code::Fine, "application/json", bytes.into());
             response.headers_mut().insert("x-edition", edition.into());
@@ -184,3 +174,25 @@
         }
     }
 }
+
+/// The answer to a beat in the product's own way.
+///
+/// ```
+/// let sheet = postmaster::beat_sheet(3, None, std::time::Duration::ZERO);
+/// assert_eq!(sheet.to_string(), r#"{"code":1000,"holder":3}"#);
+/// ```
+pub fn beat_sheet(holder: u64, shares: Option<Vec<Share>>, span: Duration) -> Sheet {
+    let mut fields = vec![("code", u64::from(Code::Fine.number()).into()), ("holder", holder.into())];
+    shares.into_iter().for_each(|shares| {
+        let run = |share: Share| {
+            Sheet::fields([
+                ("from", u64::from(share.from).into()),
+                ("until", u64::from(share.until).into()),
+                ("epoch", share.epoch.into()),
+            ])
+        };
+        fields.push(("shares", shares.into_iter().map(run).collect()));
+        fields.push(("spanMs", (span.as_millis() as u64).into()));
+    });
+    Sheet::Fields(fields.into_iter().map(|(name, sheet)| (name.to_owned(), sheet)).collect())
+}
--- /dev/null
+++ b/crates/postmaster/src/keys.rs
@@ -0,0 +1,154 @@
+//! Numeric keys: what carriers count of them, and the division that follows it.
+
+use crate::office::{Effect, Office};
+use crate::placing::Duty;
+use address::{KEY_PARTS, KEYS};
+use enrolment::{Heartbeat, Load, READY, Ranges, Released, Row, Terms};
+use parcel::{Body, KeyLoad, KeyLoads, Share, Upstream};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An upstream that heard no answer for so long asks elsewhere, and takes a later one for nothing.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+const MARGIN: Duration = Duration::from_millis(100);
+/// Least time between two moves for balance.
+const SETTLE: Duration = Duration::from_secs(4);
+/// After this long a request counts for half.
+const HALF_LIFE: Duration = Duration::from_secs(6);
+/// Counts are kept in so many parts of a request.
+const FINE: f64 = 16.0;
+/// Most services whose keys are counted.
+const MOST_SERVICES: usize = 1024;
+
+/// Requests by equal parts of the keys, for each service.
+#[derive(Default)]
+pub(crate) struct KeyCounts(BTreeMap<String, BTreeMap<u32, f64>>);
+
+impl KeyCounts {
+    pub(crate) fn add(&mut self, load: KeyLoad) {
+        if self.0.len() >= MOST_SERVICES && !self.0.contains_key(&load.service) {
+            return;
+        }
+        let counts = self.0.entry(load.service).or_default();
+        load.parts.iter().zip(load.counts).filter(|(part, _)| **part < KEY_PARTS).for_each(|(part, count)| {
+            *counts.entry(*part).or_insert(0.0) += f64::from(count);
+        });
+    }
+
+    /// What was counted, as a message; nothing is left.
+    fn drain(&mut self) -> Vec<KeyLoad> {
+        let load = |(service, counts): (String, BTreeMap<u32, f64>)| {
+            let (parts, counts) = counts.into_iter().map(|(part, count)| (part, count as u32)).unzip();
+            KeyLoad { service, parts, counts }
+        };
+        std::mem::take(&mut self.0).into_iter().map(load).collect()
+    }
+
+    /// Lets what is past count for less.
+    pub(crate) fn fade(&mut self, span: Duration) {
+        let left = 0.5f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.0.values_mut().for_each(|counts| {
+            counts.values_mut().for_each(|count| *count *= left);
+            counts.retain(|_, count| *count > 1.0 / FINE);
+        });
+    }
+
+    /// How a service's requests lie over its keys.
+    fn load(&self, service: &str) -> Load {
+        let counts = self.0.get(service);
+        let count = |part| counts.and_then(|counts| counts.get(&part)).map_or(0, |count| (count * FINE) as u64);
+        Load::new(KEYS, &(0..KEY_PARTS).map(count).collect::<Vec<u64>>())
+    }
+}
+
+impl Office {
+    /// Requests by key that a carrier counted, or another postmaster told on.
+    pub(crate) fn count_keys(&mut self, loads: Vec<KeyLoad>) {
+        match self.duty.as_mut() {
+            Some(duty) => loads.into_iter().for_each(|load| duty.counts.add(load)),
+            None => loads.into_iter().for_each(|load| self.loads.add(load)),
+        }
+    }
+
+    /// Tells them on to the holder of the duty.
+    pub(crate) fn tell_loads(&mut self) {
+        let loads = self.loads.drain();
+        if loads.is_empty() {
+            return;
+        }
+        if self.duty.is_some() {
+            return self.count_keys(loads);
+        }
+        let to = Some(self.placed_by.clone()).filter(|holder| !holder.is_empty() && *holder != self.me.node);
+        let send = to.map(|to| Effect::Send { to, body: Body::KeyLoads(KeyLoads { loads }) });
+        self.effects.extend(send);
+    }
+
+    /// All keys that an upstream holds from now on, in answer to its beat.
+    pub(crate) fn give_ranges(&mut self, now: Duration, upstream: &Upstream, epoch: u64) -> Option<Vec<Share>> {
+        let evacuated = &self.register.word().evacuated;
+        let all = self.roll.all(now).into_iter().filter(|other| {
+            other.service == upstream.service && other.condition == READY && !evacuated.contains(&other.locality)
+        });
+        let ready: BTreeMap<String, u32> =
+            all.map(|other| (other.instance, other.slots.max(other.free_slots).max(1))).collect();
+        let terms = Terms {
+            hold: self.times.share_span,
+            answer_within: ANSWER_WITHIN,
+            margin: MARGIN,
+            settle: SETTLE,
+            late_answers: false,
+        };
+        let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
+        let Duty { since, founding, counts, ranges, .. } = duty;
+        let service = upstream.service.clone();
+        let load = counts.load(&service);
+        let ranges = ranges.entry(service).or_insert_with(|| Ranges::new(*since, terms, KEYS, epoch, *founding));
+        let row = |share: &Share| Row { from: share.from, to: share.until.saturating_sub(1), fence: share.epoch };
+        let released = |share: &Share| Released {
+            from: share.from,
+            to: share.until.saturating_sub(1),
+            handover: share.handover.clone(),
+        };
+        let beat = Heartbeat {
+            instance: upstream.instance.clone(),
+            sequence: upstream.beat,
+            holdings: upstream.holds.iter().filter(|share| share.from < share.until).map(row).collect(),
+            released: upstream.released.iter().filter(|share| share.from < share.until).map(released).collect(),
+        };
+        let grants = ranges.beat(now, &beat, &ready, &load)?;
+        let share = |grant: enrolment::Grant| Share {
+            from: grant.from,
+            until: grant.to + 1,
+            epoch: grant.fence,
+            instance: upstream.instance.clone(),
+            handover: grant.handover,
+        };
+        Some(grants.into_iter().map(share).collect())
+    }
+}
+
+/// Who holds which keys of a service, as shares to be told on.
+pub(crate) fn held(ranges: &Ranges, now: Duration) -> Vec<Share> {
+    let share = |holding: enrolment::Holding| Share {
+        from: holding.from,
+        until: holding.to + 1,
+        epoch: holding.fence,
+        instance: holding.instance,
+        handover: String::new(),
+    };
+    ranges.all(now).into_iter().map(share).collect()
+}
+
+/// The parts of the last told shares that nobody is known to hold.
+pub(crate) fn uncovered(last: &[Share], known: &[Share]) -> Vec<Share> {
+    let cut = |shares: Vec<Share>, known: &Share| {
+        let parts = shares.into_iter().flat_map(|share| {
+            let before = Share { until: share.until.min(known.from), ..share.clone() };
+            let after = Share { from: share.from.max(known.until), ..share };
+            [before, after].into_iter().filter(|share| share.from < share.until)
+        });
+        parts.collect()
+    };
+    known.iter().fold(last.to_vec(), cut)
+}
--- a/crates/postmaster/src/lib.rs
+++ b/crates/postmaster/src/lib.rs
@@ -2,10 +2,11 @@
 
 mod desk;
 mod dialect;
+mod keys;
 mod news;
 mod office;
 mod placing;
 pub mod shell;
 
-pub use dialect::{Dialect, Unread};
+pub use dialect::{Dialect, Unread, beat_sheet};
 pub use office::{Answer, Ask, Effect, Event, Office, Start, Times};
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -24,6 +24,7 @@
 
 impl Office {
     pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: NewsAsk) {
+        self.count_keys(ask.loads);
         if !self.is_current(now) {
             return;
         }
@@ -146,5 +147,5 @@
 
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
-    Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), ..upstream }
+    Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), released: Vec::new(), ..upstream }
 }
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::keys::KeyCounts;
 use crate::news::Reader;
 use crate::placing::Duty;
 use address::{Code, Dice};
@@ -174,6 +175,8 @@
     pub(crate) claims: Claims,
     pub(crate) roll: Roll,
     pub(crate) duty: Option<Duty>,
+    /// Requests by key that carriers told of, to be told on to the holder of the duty.
+    pub(crate) loads: KeyCounts,
     /// The last placement heard of, and who holds the duty.
     pub(crate) placement: Placement,
     pub(crate) placed_by: String,
@@ -229,6 +232,7 @@
             register,
             roll: Roll::default(),
             duty: None,
+            loads: KeyCounts::default(),
             placement: Placement::default(),
             placed_by: String::new(),
             setup: Arc::default(),
@@ -311,6 +315,7 @@
             if !self.is_settled(now) {
                 self.tell_postmasters(Body::RollAsk(RollAsk {}));
             }
+            self.tell_loads();
             let upstreams = self.roll.farewells(now);
             if !upstreams.is_empty() {
                 self.tell_postmasters(Body::Beats(Beats { upstreams }));
@@ -354,6 +359,7 @@
             Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
             Body::SharesGiven(given) => self.shares_given(given),
             Body::Placement(placement) => self.take_placement(from, placement),
+            Body::KeyLoads(told) => self.count_keys(told.loads),
             Body::NewsAsk(ask) => self.news_asked(now, from, ask),
             Body::NewsKept(kept) => self.news_kept(&from, &kept),
             Body::CarrierKept(kept) => self.carrier_kept(kept),
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -1,8 +1,8 @@
 //! The placement duty, done by whichever postmaster holds its claim.
 
+use crate::keys::KeyCounts;
 use crate::office::{Effect, Office};
-use address::SLOTS;
-use enrolment::{READY, Shares};
+use enrolment::{READY, Ranges, Shares};
 use gazetteer::{Needs, Placer};
 use parcel::{Body, Holder, Placement, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +15,15 @@
 
 /// The holder's working state, thrown away when the claim ends.
 pub(crate) struct Duty {
-    epoch: u64,
+    pub(crate) epoch: u64,
+    /// When the claim began: nobody else gives anything from then on.
+    pub(crate) since: Duration,
+    /// True where nothing was ever given before: no configuration was in force when the claim began.
+    pub(crate) founding: bool,
+    /// Requests by key.
+    pub(crate) counts: KeyCounts,
+    /// By service, where keys are numbers.
+    pub(crate) ranges: BTreeMap<String, Ranges>,
     listen_until: Duration,
     placer: Option<Placer>,
     shares: BTreeMap<String, Shares>,
@@ -51,8 +59,13 @@
             self.hear_holder(me, epoch);
             self.tell_postmasters(Body::Holder(Holder { epoch }));
         }
+        let founding = self.register.word().edition == 0 && self.is_current(now);
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
+            since: now,
+            founding,
+            counts: KeyCounts::default(),
+            ranges: BTreeMap::new(),
             listen_until: now + LISTEN,
             placer: None,
             shares: BTreeMap::new(),
@@ -77,7 +90,13 @@
         let evacuated = &self.register.word().evacuated;
         let needs = Needs { setup: &self.setup, evacuated, upstreams: &upstreams, served: &served };
         let moved = placer.decide(now, &needs);
-        duty.shares.retain(|service, _| self.setup.services.get(service).is_some_and(|service| service.keyed));
+        let keyed = |name: &String| self.setup.services.get(name).filter(|service| service.keyed);
+        duty.shares.retain(|name, _| keyed(name).is_some_and(|service| !service.numbered));
+        duty.ranges.retain(|name, _| keyed(name).is_some_and(|service| service.numbered));
+        duty.counts.fade(DECIDE_EVERY);
+        self.roll.signed_off().for_each(|gone| {
+            duty.ranges.get_mut(&gone.service).into_iter().for_each(|ranges| ranges.ended(&gone.instance));
+        });
         let shares = self.told_shares(now, duty);
         self.counts.names_moved += u64::from(moved);
         if moved || shares != duty.told || now >= duty.next_tell {
@@ -98,17 +117,15 @@
     fn told_shares(&self, now: Duration, duty: &Duty) -> Vec<ServiceShares> {
         let keyed = self.setup.services.values().filter(|service| service.keyed);
         let told = keyed.map(|service| {
-            let known = duty.shares.get(&service.name).map(|shares| shares.all(now)).unwrap_or_default();
-            let quiet = duty.shares.get(&service.name).is_none_or(|shares| shares.is_quiet(now));
-            let last = self.placement.shares.iter().find(|last| last.service == service.name && quiet);
-            let covers = |share: &&Share, slot: u32| (share.from..share.until).contains(&slot);
-            let unclaimed = (0..SLOTS).filter(|slot| !known.iter().any(|share| covers(&share, *slot)));
-            let kept = unclaimed.filter_map(|slot| {
-                let share = last.and_then(|last| last.shares.iter().find(|share| covers(share, slot)))?;
-                Some(Share { from: slot, until: slot + 1, ..share.clone() })
-            });
-            let shares = kept.chain(known.iter().cloned()).collect();
-            ServiceShares { service: service.name.clone(), shares }
+            let name = &service.name;
+            let known = match (duty.ranges.get(name), duty.shares.get(name)) {
+                (Some(ranges), _) => Some((crate::keys::held(ranges, now), ranges.is_quiet(now))),
+                (None, shares) => shares.map(|shares| (shares.all(now), shares.is_quiet(now))),
+            };
+            let (known, quiet) = known.unwrap_or((Vec::new(), true));
+            let last = self.placement.shares.iter().find(|last| last.service == *name && quiet);
+            let kept = last.map(|last| crate::keys::uncovered(&last.shares, &known)).unwrap_or_default();
+            ServiceShares { service: name.clone(), shares: kept.into_iter().chain(known).collect() }
         });
         told.collect()
     }
@@ -132,6 +149,9 @@
     /// Shares for a beat; none where this node does not hold the duty, so that nobody takes it for an answer.
     pub(crate) fn give_shares(&mut self, now: Duration, upstream: &Upstream) -> Option<Vec<Share>> {
         let epoch = self.claims.holds(now)?;
+        if self.setup.services.get(&upstream.service).is_some_and(|service| service.numbered) {
+            return self.give_ranges(now, upstream, epoch);
+        }
         let span = self.times.share_span;
         let ready = self.roll.all(now).into_iter();
         let ready = ready.filter(|other| {
--- a/crates/sorting/src/board.rs
+++ b/crates/sorting/src/board.rs
@@ -4,8 +4,9 @@
 use crate::waitlist::{Bell, Waitlist};
 use crate::window::Window;
 use dashmap::DashMap;
+use parcel::KeyLoad;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Resends over 10 s: a tenth of first sends, and this many more over all proxies together.
@@ -23,6 +24,8 @@
     /// Denials for want of room.
     pub denied: Window,
     pub serving: AtomicU64,
+    /// Requests by equal parts of the keys, where keys are numbers; made with the first.
+    keys: OnceLock<Vec<AtomicU32>>,
     waitlist: Mutex<Waitlist>,
     /// How many wait, so that nobody takes the lock to find out that nobody does.
     waiting: AtomicUsize,
@@ -61,6 +64,24 @@
         self.denied.sum(now) as f64 / self.firsts.sum(now).max(1) as f64
     }
 
+    /// Counts a request for a key.
+    ///
+    /// ```
+    /// let board = sorting::Board::default();
+    /// board.desk("s").count_key(65_535);
+    /// board.desk("s").count_key(65_534);
+    /// let told = board.drain_keys();
+    /// assert_eq!((told[0].parts.as_slice(), told[0].counts.as_slice()), (&[1023][..], &[2][..]));
+    /// assert!(board.drain_keys().is_empty(), "told once");
+    /// ```
+    pub fn count_key(&self, key: u32) {
+        let parts = self.keys.get_or_init(|| (0..address::KEY_PARTS).map(|_| AtomicU32::new(0)).collect());
+        let part = parts.get((key / (address::KEYS / address::KEY_PARTS)) as usize);
+        part.into_iter().for_each(|part| {
+            part.fetch_add(1, Ordering::Relaxed);
+        });
+    }
+
     fn line<T>(&self, change: impl FnOnce(&mut Waitlist) -> T) -> T {
         let mut waitlist = self.waitlist.lock().unwrap_or_else(PoisonError::into_inner);
         let changed = change(&mut waitlist);
@@ -437,6 +458,20 @@
         all
     }
 
+    /// Requests by key since the last call, for each service that has any.
+    ///
+    /// ```
+    /// assert!(sorting::Board::default().drain_keys().is_empty());
+    /// ```
+    pub fn drain_keys(&self) -> Vec<KeyLoad> {
+        let drained = self.desks.iter().filter_map(|desk| {
+            let counts = desk.keys.get()?.iter().map(|count| count.swap(0, Ordering::Relaxed));
+            let (parts, counts) = (0..).zip(counts).filter(|(_, count)| *count > 0).unzip();
+            Some(KeyLoad { service: desk.key().clone(), parts, counts })
+        });
+        drained.filter(|load| !load.parts.is_empty()).collect()
+    }
+
     /// Rings once for every service: there may be room that nobody here gave back.
     ///
     /// ```
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -368,6 +368,10 @@
         if !self.opened && !board.open_try(&self.order.try_id, now, self.left(now) + TRY_LIFE) {
             return self.answer(now, Code::Duplicate);
         }
+        if !self.opened && service.numbered {
+            let key = self.order.key.as_deref().and_then(|key| service.place(key));
+            key.zip(self.desk.as_ref()).into_iter().for_each(|(key, desk)| desk.count_key(key));
+        }
         self.opened = true;
         self.choose(now, view, board)
     }
--- a/crates/tariff/src/setup.rs
+++ b/crates/tariff/src/setup.rs
@@ -37,14 +37,13 @@
     ///
     /// ```
     /// let service = tariff::Service { numbered: true, ..Default::default() };
-    /// assert_eq!(service.place("65535"), Some(63));
+    /// assert_eq!(service.place("65535"), Some(65_535));
     /// assert_eq!(service.place("65536"), None);
     /// assert_eq!(tariff::Service::default().place("any"), Some(address::slot("any")));
     /// ```
     pub fn place(&self, key: &str) -> Option<u32> {
         if self.numbered {
-            let key = key.parse::<u32>().ok().filter(|key| *key < address::KEYS);
-            return key.map(|key| key / (address::KEYS / address::SLOTS));
+            return key.parse::<u32>().ok().filter(|key| *key < address::KEYS);
         }
         Some(address::slot(key))
     }
