Membership tells news a few times and compares tables by digest

Cause: every probe and answer bore the sender's record and twelve others of about 140 bytes each, for ever: 69 % of the control bytes between regions.

A record that changed now goes with log2(members) + 2 messages of each node and then no more. A probe bears a digest of the prober's table; where the other's differs it answers with an 8-byte mark for each record, and both tell what the other lacks, at most 48 records a time. An overtaken record is corrected at once. A link address equal to the probe address is told once. Three of four probes stay in the region.

Ruled out: telling the least told records wherever the digests differ (two tables of 19 differ in one record, and twelve went both ways).

--- a/crates/drill/src/sim/net.rs
+++ b/crates/drill/src/sim/net.rs
@@ -1,6 +1,7 @@
 //! The virtual network: delays by place, loss, order on links, cuts.
 
 use address::Dice;
+use parcel::Body;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -44,12 +45,33 @@
     }
 }
 
+/// Bytes that the nodes said to one another, by what they were about: within a zone, between the zones of a region, and
+/// between regions.
+pub type Spoken = BTreeMap<&'static str, [u64; 3]>;
+
+/// What a message is about.
+pub fn about(body: &Body) -> &'static str {
+    match body {
+        Body::Probe(_) | Body::ProbeFor(_) | Body::Heard(_) => "membership",
+        Body::Read(_) | Body::ReadBack(_) => "confirmations",
+        Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "rounds",
+        Body::SetupBytes(_) | Body::SetupAsk(_) => "setups",
+        Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) | Body::Holder(_) => "claims",
+        Body::SharesAsk(_) | Body::SharesGiven(_) => "shares",
+        Body::Placement(_) => "placement",
+        Body::NewsAsk(_) | Body::Fresh(_) | Body::News(_) | Body::NewsKept(_) | Body::CarrierKept(_) => "news",
+        Body::Endorse(_) | Body::Founded(_) => "founding",
+        _ => "upstreams",
+    }
+}
+
 /// The network's state.
 #[derive(Default)]
 pub struct Net {
     pub cuts: Vec<Cut>,
     /// Of a thousand messages, how many are lost.
     pub loss_per_mille: u64,
+    pub spoken: Spoken,
     /// When the last message of a link arrives: links keep their order.
     last: BTreeMap<(usize, usize), Duration>,
 }
@@ -72,6 +94,12 @@
         Some(Duration::from_micros(micros)).filter(|_| !lost)
     }
 
+    /// Counts what was said between two ends.
+    pub fn count(&mut self, from: &Place, to: &Place, body: &Body, bytes: usize) {
+        let far = usize::from(from.locality != to.locality) + usize::from(from.region() != to.region());
+        self.spoken.entry(about(body)).or_default()[far] += bytes as u64;
+    }
+
     /// When a message on a link arrives: never before an earlier one.
     pub fn in_order(&mut self, from: usize, to: usize, at: Duration) -> Duration {
         let last = self.last.entry((from, to)).or_default();
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -395,6 +395,7 @@
         let parcel = Parcel { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
         self.parcel_bytes += parcel.encoded_len() as u64;
         let Some(to) = self.named(to) else { return };
+        self.net.count(&self.nodes[from].place, &self.nodes[to].place, &body, parcel.encoded_len());
         let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
         delay.into_iter().for_each(|delay| {
             let at = self.net.in_order(from, to, self.now + delay);
@@ -405,6 +406,8 @@
 
     fn datagram(&mut self, from: usize, to: &str, body: Body) {
         let Some(to) = self.named(to) else { return };
+        let parcel = Parcel { from: String::new(), body: Some(body.clone()) };
+        self.net.count(&self.nodes[from].place, &self.nodes[to].place, &body, parcel.encoded_len());
         let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
         delay.into_iter().for_each(|delay| {
             let event = NodeEvent::Datagram { address: self.nodes[from].name.clone(), body: body.clone() };
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -1,7 +1,7 @@
 //! The run itself: a queue of actions in virtual time.
 
 use super::faults::Plan;
-use super::net::Net;
+use super::net::{Net, Spoken};
 use super::nodes::{Node, NodeEvent};
 use super::operators::Operators;
 use super::path::{Origins, Trip};
@@ -157,6 +157,8 @@
     pub served_per_mille: [u64; 3],
     pub parcels: u64,
     pub parcel_bytes: u64,
+    /// The same bytes and those of datagrams, by what they were about and how far they went.
+    pub spoken: Spoken,
     pub lasted: Duration,
     /// True where at the end every node had the same edition, and every carrier the same reservations and marks.
     pub agreed: bool,
@@ -387,6 +389,7 @@
             resumed_after: last_failed.saturating_sub(healed_at),
             parcels: self.parcels,
             parcel_bytes: self.parcel_bytes,
+            spoken: self.net.spoken,
             lasted: self.now,
             agreed,
             digest,
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -289,7 +289,7 @@
     /// Where UDP probes go.
     #[prost(string, tag = "6")]
     pub probe_address: String,
-    /// Where other processes connect.
+    /// Where other processes connect; left out on the way where it is the same as for probes.
     #[prost(string, tag = "7")]
     pub link_address: String,
     /// Where HTTP is served.
@@ -301,8 +301,15 @@
 pub struct Probe {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
+    /// News of members; mostly there is none.
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
+    /// Who asks.
+    #[prost(string, tag = "3")]
+    pub node: String,
+    /// A digest of all members that the sender counts as there.
+    #[prost(fixed64, tag = "4")]
+    pub table: u64,
 }
 
 /// Asks a third party for its opinion of `target`.
@@ -325,6 +332,14 @@
     /// Who was heard: the sender, or the target of a `ProbeFor`.
     #[prost(string, tag = "3")]
     pub node: String,
+    /// Where the two tables of members differ: the digests of the sender's records of one part of it.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub marks: Vec<u64>,
+    /// Which part, of how many; 0 parts where no marks are told.
+    #[prost(uint64, tag = "5")]
+    pub part: u64,
+    #[prost(uint64, tag = "6")]
+    pub parts: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -1,19 +1,30 @@
 //! Membership: every node probes the others in turn, asks third parties for a second opinion, and holds a
 //! silent node suspect for a while before it counts as gone.
+//!
+//! A record that changed is told on a few times, with the probes and their answers, and then no more. Each probe
+//! bears a digest of the prober's table; where the other's differs it answers with a mark for each of its records,
+//! and both then tell what the other lacks. So a table at rest costs 8 bytes a probe, and a split heals.
 
 mod members;
 
 pub use members::{ALIVE, GONE, LEFT, SUSPECT, supersedes};
 
 use address::Dice;
+use members::{folded, mark, region, unfolded};
 use parcel::{Body, Heard, Member, Probe, ProbeFor};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How many third parties are asked for a second opinion.
 const SECOND_OPINIONS: usize = 3;
 /// How many members travel on one message.
 const MOST_TOLD: usize = 12;
+/// How many messages of members answer one set of marks.
+const MOST_LACKED: usize = 4 * MOST_TOLD;
+/// How many marks travel on one message.
+const MOST_MARKS: usize = 128;
+/// Of so many probes one goes to another region.
+const FAR_TURNS: u64 = 4;
 /// How long a gone member is remembered.
 const REMEMBERED: Duration = Duration::from_secs(120);
 /// Most second opinions being fetched for others at a time.
@@ -54,6 +65,7 @@
 
 struct Known {
     member: Member,
+    mark: u64,
     since: Duration,
     /// How often this record was told on since it changed.
     told: u32,
@@ -76,11 +88,18 @@
 /// One node's view of the others.
 pub struct Rounds {
     me: Member,
+    /// How often this node's own record was told since it changed.
+    me_told: u32,
     seeds: Vec<String>,
     times: Times,
     dice: Dice,
     known: BTreeMap<String, Known>,
-    turn: Vec<String>,
+    /// Whom to probe next, in the own region and elsewhere.
+    near: Vec<String>,
+    far: Vec<String>,
+    turns: u64,
+    /// Which part of the table is compared next.
+    part: u64,
     probing: Probing,
     favours: Vec<Favour>,
     next_probe: Duration,
@@ -105,12 +124,16 @@
     pub fn new(me: Member, seeds: Vec<String>, times: Times, seed: u64) -> Self {
         let seeds = seeds.into_iter().filter(|address| *address != me.probe_address).collect();
         Rounds {
-            me: Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me },
+            me: unfolded(Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me }),
+            me_told: 0,
             seeds,
             times,
             dice: Dice::new(seed),
             known: BTreeMap::new(),
-            turn: Vec::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            turns: 0,
+            part: 0,
             probing: Probing::Resting,
             favours: Vec::new(),
             next_probe: Duration::ZERO,
@@ -232,20 +255,22 @@
     }
 
     fn probe_next(&mut self, now: Duration) {
-        if self.turn.is_empty() {
-            self.turn = self
-                .known
-                .values()
-                .filter(|known| known.member.condition < GONE)
-                .map(|known| known.member.node.clone())
-                .collect();
-            let count = self.turn.len();
-            (1..count).for_each(|at| {
+        self.turns += 1;
+        let there = |known: &&Known| known.member.condition < GONE;
+        let is_near = |known: &Known| region(&known.member) == region(&self.me);
+        let (near, far): (Vec<&Known>, Vec<&Known>) =
+            self.known.values().filter(there).partition(|known| is_near(known));
+        // Most probes stay within the region; a region that is all dark is found by those of the others.
+        let goes_far = near.is_empty() || (!far.is_empty() && self.turns.is_multiple_of(FAR_TURNS));
+        let (turn, all) = if goes_far { (&mut self.far, far) } else { (&mut self.near, near) };
+        if turn.is_empty() {
+            turn.extend(all.into_iter().map(|known| known.member.node.clone()));
+            (1..turn.len()).for_each(|at| {
                 let other = self.dice.below(at as u64 + 1) as usize;
-                self.turn.swap(at, other);
+                turn.swap(at, other);
             });
         }
-        let next = self.turn.pop().and_then(|node| {
+        let next = turn.pop().and_then(|node| {
             let known = self.known.get(&node).filter(|known| known.member.condition < GONE);
             known.map(|known| (node, known.member.probe_address.clone()))
         });
@@ -275,24 +300,52 @@
     }
 
     fn send_probe(&mut self, address: String, nonce: u64, about: Option<&str>) {
-        let members = self.tell(about);
-        self.effects.push(Effect::Send { address, body: Body::Probe(Probe { nonce, members }) });
+        let mut members = self.tell(about);
+        // Nothing is known of who stands there.
+        if about.is_none() && !members.iter().any(|member| member.node == self.me.node) {
+            members.push(folded(&self.me));
+        }
+        let (node, table) = (self.me.node.clone(), self.table());
+        self.effects.push(Effect::Send { address, body: Body::Probe(Probe { nonce, members, node, table }) });
     }
 
-    /// What one message tells on: this node, the receiver's own record where it is in doubt, then whatever
-    /// was told least often.
+    /// A digest of all that count as there.
+    fn table(&self) -> u64 {
+        self.there().fold(0, |sum: u64, (_, mark)| sum.wrapping_add(mark)).max(1)
+    }
+
+    /// This node and those not known to be gone, with their marks.
+    fn there(&self) -> impl Iterator<Item = (&Member, u64)> {
+        let others = self.known.values().filter(|known| known.member.condition < GONE);
+        others.map(|known| (&known.member, known.mark)).chain([(&self.me, mark(&self.me))])
+    }
+
+    /// The marks of one part of the table.
+    fn marks(&self, part: u64, parts: u64) -> Vec<u64> {
+        let within = |member: &Member| address::spread(&member.node).checked_rem(parts) == Some(part);
+        self.there().filter(|(member, _)| within(member)).map(|(_, mark)| mark).take(2 * MOST_MARKS).collect()
+    }
+
+    /// How often a record that changed is told: every node tells as often, so that it reaches nearly all of them.
+    fn often(&self) -> u32 {
+        (self.known.len() as u32 + 1).ilog2() + 2
+    }
+
+    /// What one message tells on: the receiver's own record where it is in doubt, then news, the least told first.
     fn tell(&mut self, about: Option<&str>) -> Vec<Member> {
-        let mut members = vec![self.me.clone()];
+        let often = self.often();
         let doubt = about.and_then(|node| self.known.get(node)).filter(|known| known.member.condition != ALIVE);
-        members.extend(doubt.map(|known| known.member.clone()));
-        let mut order: Vec<(u32, String)> = self.known.iter().map(|(node, known)| (known.told, node.clone())).collect();
-        order.sort();
-        order.into_iter().take(MOST_TOLD).for_each(|(_, node)| {
-            if let Some(known) = self.known.get_mut(&node) {
-                known.told += 1;
-                if !members.iter().any(|member| member.node == node) {
-                    members.push(known.member.clone());
-                }
+        let mut members: Vec<Member> = doubt.map(|known| folded(&known.member)).into_iter().collect();
+        if self.me_told < often {
+            self.me_told += 1;
+            members.push(folded(&self.me));
+        }
+        let mut news: Vec<&mut Known> = self.known.values_mut().filter(|known| known.told < often).collect();
+        news.sort_by_key(|known| known.told);
+        news.into_iter().take(MOST_TOLD).for_each(|known| {
+            known.told += 1;
+            if !members.iter().any(|member| member.node == known.member.node) {
+                members.push(folded(&known.member));
             }
         });
         members
@@ -300,10 +353,16 @@
 
     fn take(&mut self, now: Duration, address: &str, body: Body) {
         match body {
-            Body::Probe(Probe { nonce, members }) => {
-                let from = members.first().map(|member| member.node.clone());
-                self.learn_all(now, members);
-                let answer = Heard { nonce, members: self.tell(from.as_deref()), node: self.me.node.clone() };
+            Body::Probe(Probe { nonce, members, node, table }) => {
+                let stale = self.learn_all(now, members);
+                let told = self.tell(Some(&node));
+                let mut answer = Heard { nonce, members: with(told, stale), ..self.said() };
+                if table != self.table() {
+                    answer.parts = (self.known.len() as u64 + 1).div_ceil(MOST_MARKS as u64);
+                    self.part = (self.part + 1) % answer.parts;
+                    answer.part = self.part;
+                    answer.marks = self.marks(answer.part, answer.parts);
+                }
                 self.effects.push(Effect::Send { address: address.to_owned(), body: Body::Heard(answer) });
             }
             Body::ProbeFor(ProbeFor { nonce, target, members }) => {
@@ -319,14 +378,38 @@
                     self.send_probe(to, mine, Some(&target));
                 });
             }
-            Body::Heard(Heard { nonce, members, node }) => {
-                self.learn_all(now, members);
-                self.heard(nonce, &node);
+            Body::Heard(heard) => {
+                let stale = self.learn_all(now, heard.members);
+                self.settle(address, heard.nonce, stale, heard.part, heard.parts, heard.marks);
+                self.heard(heard.nonce, &heard.node);
             }
             _ => {}
         }
     }
 
+    fn said(&self) -> Heard {
+        Heard { node: self.me.node.clone(), ..Heard::default() }
+    }
+
+    /// Tells what the other side lacks or has only an older record of, and the own marks where this side lacks
+    /// something. What is told so has nonce 0; it is answered once more at most.
+    fn settle(&mut self, address: &str, nonce: u64, stale: Vec<Member>, part: u64, parts: u64, marks: Vec<u64>) {
+        let theirs: BTreeSet<u64> = marks.into_iter().collect();
+        let within = |member: &Member| address::spread(&member.node).checked_rem(parts) == Some(part);
+        let lacked = self.there().filter(|(member, mark)| within(member) && !theirs.contains(mark));
+        let lacked: Vec<Member> = lacked.take(MOST_LACKED).map(|(member, _)| folded(member)).collect();
+        let mut told = with(stale, lacked);
+        let mine = self.marks(part, parts.max(1));
+        let lacks = nonce != 0 && parts > 0 && theirs.iter().any(|mark| !mine.contains(mark));
+        let mut first = lacks.then(|| Heard { part, parts, marks: mine, ..self.said() });
+        while first.is_some() || !told.is_empty() {
+            let rest = told.split_off(told.len().min(MOST_TOLD));
+            let body = Heard { members: told, ..first.take().unwrap_or_else(|| self.said()) };
+            self.effects.push(Effect::Send { address: address.to_owned(), body: Body::Heard(body) });
+            told = rest;
+        }
+    }
+
     fn heard(&mut self, nonce: u64, node: &str) {
         let mine = match &self.probing {
             Probing::Asked { nonce: asked, node: target, .. }
@@ -338,13 +421,20 @@
         }
         let favour = self.favours.iter().position(|favour| favour.nonce == nonce && favour.node == node);
         favour.map(|at| self.favours.swap_remove(at)).into_iter().for_each(|favour| {
-            let body = Body::Heard(Heard { nonce: favour.theirs, members: Vec::new(), node: favour.node });
+            let body = Body::Heard(Heard { nonce: favour.theirs, node: favour.node, ..Heard::default() });
             self.effects.push(Effect::Send { address: favour.address, body });
         });
     }
 
-    fn learn_all(&mut self, now: Duration, members: Vec<Member>) {
-        members.into_iter().for_each(|member| self.learn(now, member));
+    /// Takes records in; gives what is known better of those that were overtaken.
+    fn learn_all(&mut self, now: Duration, members: Vec<Member>) -> Vec<Member> {
+        let mut stale = Vec::new();
+        members.into_iter().map(unfolded).for_each(|member| {
+            let known = self.known.get(&member.node).map(|known| &known.member);
+            stale.extend(known.filter(|known| supersedes(known, &member)).map(folded));
+            self.learn(now, member);
+        });
+        stale
     }
 
     /// The one place where a member's record changes.
@@ -353,13 +443,15 @@
             // Whatever is told of this node is refuted by a higher incarnation, unless it is what it says itself.
             if member.incarnation >= self.me.incarnation && member != self.me && self.me.condition == ALIVE {
                 self.me.incarnation = member.incarnation + 1;
+                self.me_told = 0;
             }
             return;
         }
         let newer = self.known.get(&member.node).map(|known| supersedes(&member, &known.member));
         let fresh = newer.unwrap_or(member.condition < GONE && self.known.len() < MOST_MEMBERS);
         if fresh && address::is_id(&member.node) {
-            self.known.insert(member.node.clone(), Known { member, since: now, told: 0 });
+            let mark = mark(&member);
+            self.known.insert(member.node.clone(), Known { member, mark, since: now, told: 0 });
             self.effects.push(Effect::Changed);
         }
     }
@@ -367,6 +459,7 @@
     /// Says good-bye to everybody.
     fn leave(&mut self) {
         self.me.condition = LEFT;
+        self.me_told = 0;
         let addresses: Vec<String> = self.members().map(|member| member.probe_address.clone()).collect();
         let own = self.me.probe_address.clone();
         addresses.into_iter().filter(|address| *address != own).for_each(|address| {
@@ -375,3 +468,14 @@
         });
     }
 }
+
+/// Both lists, each node once.
+fn with(mut members: Vec<Member>, more: Vec<Member>) -> Vec<Member> {
+    let new = |members: &[Member], member: &Member| !members.iter().any(|other| other.node == member.node);
+    more.into_iter().for_each(|member| {
+        if new(&members, &member) {
+            members.push(member);
+        }
+    });
+    members
+}
