Upstreams that go on beating are told on in batches of marks

What is news (a new instance; another condition, warmth, address or capacity) still goes to all at once, without the key list that nobody reads there. That the others beat goes every 500 ms as a mark of 8 bytes, a beat and an age, each in two batches, to the own region and to one postmaster of each other region in turn, which tells it on there. Those gone lately go along in short, where they went in full. A mark that differs from what is known is asked for: so lost news, a lost farewell too, heals within half a second. A silent upstream is dropped after upstream-silent-ms and one batch: beats that others heard arrive that much later. An evicted instance comes back after 1.8 s of its tenant's silence, not 1.5 s, for the same reason.

Ruled out: one batch a second (a beat lost would come near the patience).

--- a/crates/enrolment/src/lib.rs
+++ b/crates/enrolment/src/lib.rs
@@ -3,5 +3,5 @@
 mod roll;
 mod shares;
 
-pub use roll::{GONE, LEAVING, READY, Roll};
+pub use roll::{GONE, LEAVING, READY, Roll, mark};
 pub use shares::Shares;
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -1,5 +1,6 @@
 //! The roll of upstreams. Soft state: every beat tells it again.
 
+use address::spread_all;
 use parcel::Upstream;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -13,8 +14,9 @@
 
 /// How long a gone instance is remembered, so that a late beat does not bring it back.
 const REMEMBERED: Duration = Duration::from_secs(60);
-/// A tenant that was not heard for so long may have been told of late: see [`Roll::comes_back`].
-const TENANT_SILENT: Duration = Duration::from_millis(1500);
+/// A tenant that was not heard for so long may have been told of late: see [`Roll::comes_back`]. Longer than a beat and
+/// the batch that it is told on with.
+const TENANT_SILENT: Duration = Duration::from_millis(1800);
 /// Most upstreams kept.
 const MOST_UPSTREAMS: usize = 20_000;
 
@@ -36,6 +38,28 @@
     /// Who holds an address at present.
     addresses: BTreeMap<String, Id>,
     changed: BTreeSet<Id>,
+    /// Whom the first half of a mark means.
+    marked: BTreeMap<u64, Id>,
+}
+
+/// 64 bits that stand for an upstream in batches: the first half for who it is, the second for what else is told of it.
+///
+/// ```
+/// let warm = parcel::Upstream { instance: "a".into(), warm: true, beat: 3, ..Default::default() };
+/// let cold = parcel::Upstream { warm: false, ..warm.clone() };
+/// assert_eq!(enrolment::mark(&warm), enrolment::mark(&parcel::Upstream { beat: 4, ..warm.clone() }));
+/// assert_ne!(enrolment::mark(&warm), enrolment::mark(&cold));
+/// assert_eq!(enrolment::mark(&warm) >> 32, enrolment::mark(&cold) >> 32);
+/// ```
+pub fn mark(upstream: &Upstream) -> u64 {
+    let who = spread_all([upstream.service.as_str(), "/", &upstream.instance]) >> 32;
+    let numbers = format!("/{}/{}/{}", upstream.free_slots, upstream.warm, upstream.condition);
+    let what = match upstream.condition {
+        // How it was before its end no longer matters.
+        GONE => 0,
+        _ => spread_all([upstream.address.as_str(), "/", &upstream.locality, &numbers]) >> 32,
+    };
+    who << 32 | what
 }
 
 impl Roll {
@@ -80,6 +104,7 @@
         let lost = self.addresses.get(&upstream.address).is_some_and(|tenant| *tenant != id);
         let condition = if lost { GONE } else { condition };
         let upstream = Upstream { condition, ..upstream };
+        self.marked.insert(mark(&upstream) >> 32, id.clone());
         self.entries.insert(id.clone(), Entry { upstream, heard_at, born_at_ms, evicted: lost });
         if !same || lost {
             self.changed.insert(id);
@@ -87,6 +112,48 @@
         true
     }
 
+    /// Takes in from a batch that an upstream beat and is still as its mark tells; false where its record is wanted.
+    ///
+    /// ```
+    /// use enrolment::Roll;
+    /// use std::time::Duration;
+    /// let (ms, mut roll) = (Duration::from_millis, Roll::default());
+    /// let told = parcel::Upstream { instance: "a".into(), beat: 1, ..Default::default() };
+    /// let mark = enrolment::mark(&told);
+    /// assert!(!roll.keeps_beating(ms(1000), mark, 1, ms(0)), "nobody knows it");
+    /// roll.take(ms(1000), told);
+    /// assert!(roll.keeps_beating(ms(3000), mark, 2, ms(200)));
+    /// assert_eq!((roll.all(ms(3000))[0].beat, roll.all(ms(3000))[0].age_ms), (2, 200));
+    /// assert!(!roll.keeps_beating(ms(3500), mark ^ 1, 3, ms(0)), "something about it changed");
+    /// assert!(roll.keeps_beating(ms(3500), mark ^ 1, 2, ms(0)), "what is known is no older");
+    /// ```
+    pub fn keeps_beating(&mut self, now: Duration, told: u64, beat: u64, age: Duration) -> bool {
+        let Some(entry) = self.marked.get(&(told >> 32)).and_then(|id| self.entries.get_mut(id)) else {
+            return false;
+        };
+        if beat <= entry.upstream.beat {
+            return true;
+        }
+        if mark(&entry.upstream) != told {
+            return false;
+        }
+        if entry.upstream.condition != GONE {
+            entry.upstream.beat = beat;
+            entry.heard_at = now.saturating_sub(age).max(entry.heard_at);
+        }
+        true
+    }
+
+    /// The upstream that a mark stands for, with its ages.
+    ///
+    /// ```
+    /// assert_eq!(enrolment::Roll::default().marked(std::time::Duration::ZERO, 7), None);
+    /// ```
+    pub fn marked(&self, now: Duration, mark: u64) -> Option<Upstream> {
+        let entry = self.marked.get(&(mark >> 32)).and_then(|id| self.entries.get(id));
+        entry.map(|entry| Self::aged(entry, now))
+    }
+
     /// True where it lost its address to one that is silent, and goes on beating: then that one is the past. So a beat
     /// that lay somewhere for long can't end a live upstream for good.
     fn comes_back(&self, now: Duration, id: &Id, told: &Upstream) -> bool {
@@ -157,6 +224,7 @@
         due.into_iter().for_each(|id| {
             if let Some(entry) = self.entries.remove(&id) {
                 self.addresses.retain(|_, tenant| *tenant != id);
+                self.marked.retain(|_, marked| *marked != id);
                 if entry.upstream.condition != GONE {
                     self.changed.insert(id);
                 }
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -7,7 +7,10 @@
 pub struct Parcel {
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30")]
+    #[prost(
+        oneof = "Body",
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31"
+    )]
     pub body: Option<Body>,
 }
 
@@ -72,6 +75,8 @@
     Holder(Holder),
     #[prost(message, tag = "30")]
     CarrierKept(CarrierKept),
+    #[prost(message, tag = "31")]
+    Alive(Alive),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -428,9 +433,26 @@
     pub upstreams: Vec<Upstream>,
 }
 
-/// A postmaster that just started asks for all that the others know of upstreams.
+/// Upstreams that beat at the sender of late, in short: one place of each list for each.
 #[derive(Clone, PartialEq, Message)]
-pub struct RollAsk {}
+pub struct Alive {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub marks: Vec<u64>,
+    #[prost(uint64, repeated, tag = "2")]
+    pub beats: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub ages_ms: Vec<u64>,
+    /// The receiver tells it on to the postmasters of its region.
+    #[prost(bool, tag = "4")]
+    pub tell_on: bool,
+}
+
+/// A postmaster that just started asks for all that the others know of upstreams; with marks, one asks for just these.
+#[derive(Clone, PartialEq, Message)]
+pub struct RollAsk {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub marks: Vec<u64>,
+}
 
 /// All of it, with the last placement.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office, ReadWait};
 use address::Code;
-use parcel::{Beats, Body, SharesAsk, SharesGiven, Upstream};
+use parcel::{Body, SharesAsk, SharesGiven, Upstream};
 use registered::{Change, Standing, Verdict};
 use std::time::Duration;
 use tariff::{Setup, Sheet};
@@ -135,11 +135,7 @@
 
     fn beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
         self.counts.beats += 1;
-        if self.roll.take(now, upstream.clone()) {
-            // With its age as it is known here: this beat may have lain in a frozen process.
-            let upstreams = self.roll.one(now, &upstream).into_iter().collect();
-            self.tell_postmasters(Body::Beats(Beats { upstreams }));
-        }
+        self.take_beat(now, &upstream);
         let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
         if !keyed || self.placed_by.is_empty() || self.beat_waits.len() >= MOST_BEAT_WAITS {
             return self.answer_beat(token, 0, None);
--- /dev/null
+++ b/crates/postmaster/src/hearsay.rs
@@ -0,0 +1,108 @@
+//! What postmasters tell one another of upstreams: news at once and in full, going on in batches of marks.
+
+use crate::office::{BATCH_EVERY, Effect, Office};
+use parcel::{Alive, Beats, Body, RollAsk, RollTold, Upstream};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Each beat goes with so many batches, so that a lost one does no harm.
+const TOLD_TIMES: u32 = 2;
+/// Most records asked for at a time.
+const MOST_WANTED: usize = 256;
+
+impl Office {
+    /// Takes in a beat that came here; what is news about it goes to all at once.
+    pub(crate) fn take_beat(&mut self, now: Duration, upstream: &Upstream) {
+        let before = self.roll.one(now, upstream).map(|known| enrolment::mark(&known));
+        if !self.roll.take(now, upstream.clone()) {
+            return;
+        }
+        self.heard_here.insert((upstream.service.clone(), upstream.instance.clone()), (upstream.beat, now));
+        // With its age as it is known here: this beat may have lain in a frozen process.
+        let known = self.roll.one(now, upstream);
+        let news = known.filter(|known| Some(enrolment::mark(known)) != before);
+        news.into_iter().for_each(|known| {
+            let upstreams = vec![Upstream { holds: Vec::new(), ..known }];
+            self.tell_postmasters(Body::Beats(Beats { upstreams }));
+        });
+    }
+
+    /// Tells which upstreams beat here lately, and which are gone: to the own region, and to one postmaster of each
+    /// other region, another one each time, which tells it on there.
+    pub(crate) fn tell_alive(&mut self, now: Duration) {
+        self.heard_here.retain(|_, (_, heard_at)| now < *heard_at + BATCH_EVERY * TOLD_TIMES);
+        let heard = self.heard_here.iter().filter_map(|((service, instance), (beat, _))| {
+            let id = Upstream { service: service.clone(), instance: instance.clone(), ..Upstream::default() };
+            // A newer beat went elsewhere, and is told from there.
+            self.roll.one(now, &id).filter(|known| known.beat == *beat)
+        });
+        let here = heard.filter(|upstream| upstream.condition != enrolment::GONE);
+        let told: Vec<Upstream> = here.chain(self.roll.farewells(now)).collect();
+        if told.is_empty() {
+            return;
+        }
+        let alive = Alive {
+            marks: told.iter().map(enrolment::mark).collect(),
+            beats: told.iter().map(|upstream| upstream.beat).collect(),
+            ages_ms: told.iter().map(|upstream| upstream.age_ms).collect(),
+            tell_on: false,
+        };
+        self.batches += 1;
+        let mut regions: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        let there = self.members.iter().filter(|member| member.roles == "postmaster" && member.node != self.me.node);
+        there.for_each(|member| regions.entry(region(&member.locality)).or_default().push(&member.node));
+        let mine = region(&self.me.locality);
+        let sends = regions.into_iter().flat_map(|(there, nodes)| {
+            let (tell_on, count) = (there != mine, nodes.len());
+            let turn = self.batches % count.max(1);
+            let chosen = nodes.into_iter().enumerate().filter(move |(at, _)| !tell_on || *at == turn);
+            let alive = Alive { tell_on: tell_on && count > 1, ..alive.clone() };
+            chosen.map(move |(_, node)| Effect::Send { to: node.to_owned(), body: Body::Alive(alive.clone()) })
+        });
+        let sends: Vec<Effect> = sends.collect();
+        self.effects.extend(sends);
+    }
+
+    /// Takes a batch in, and asks its sender for the records that are not as they are known here.
+    pub(crate) fn alive_told(&mut self, now: Duration, from: String, alive: Alive) {
+        let told = alive.marks.iter().zip(&alive.beats).zip(&alive.ages_ms);
+        let marks: Vec<u64> = told
+            .filter(|((mark, beat), age_ms)| {
+                !self.roll.keeps_beating(now, **mark, **beat, Duration::from_millis(**age_ms))
+            })
+            .map(|((mark, _), _)| *mark)
+            .take(MOST_WANTED)
+            .collect();
+        if alive.tell_on {
+            let mine = region(&self.me.locality);
+            let near = self.members.iter().filter(|member| {
+                member.roles == "postmaster"
+                    && region(&member.locality) == mine
+                    && member.node != self.me.node
+                    && member.node != from
+            });
+            let body = Body::Alive(Alive { tell_on: false, ..alive });
+            let sends = near.map(|member| Effect::Send { to: member.node.clone(), body: body.clone() });
+            self.effects.extend(sends.collect::<Vec<_>>());
+        }
+        if !marks.is_empty() {
+            self.effects.push_back(Effect::Send { to: from, body: Body::RollAsk(RollAsk { marks }) });
+        }
+    }
+
+    pub(crate) fn roll_asked(&mut self, now: Duration, from: String, ask: RollAsk) {
+        if !ask.marks.is_empty() {
+            let wanted = ask.marks.iter().take(MOST_WANTED).filter_map(|mark| self.roll.marked(now, *mark));
+            let upstreams = wanted.map(|known| Upstream { holds: Vec::new(), ..known }).collect();
+            self.effects.push_back(Effect::Send { to: from, body: Body::Beats(Beats { upstreams }) });
+        } else if self.is_settled(now) {
+            let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
+            let told = RollTold { upstreams: self.roll.all(now), placement, placed_by };
+            self.effects.push_back(Effect::Send { to: from, body: Body::RollTold(told) });
+        }
+    }
+}
+
+fn region(locality: &str) -> &str {
+    locality.split('/').next().unwrap_or_default()
+}
--- a/crates/postmaster/src/lib.rs
+++ b/crates/postmaster/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane. [`Office`] is the pure core; `shell` turns the world into events and back.
 
 mod desk;
+mod hearsay;
 mod news;
 mod office;
 mod placing;
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -6,7 +6,7 @@
 use address::{Code, Dice};
 use claims::Claims;
 use enrolment::Roll;
-use parcel::{Beats, Body, Durable, Member, Placement, RollAsk, RollTold, Upstream};
+use parcel::{Body, Durable, Member, Placement, RollAsk, RollTold, Upstream};
 use registered::{Change, Register, Standing};
 use rounds::Rounds;
 use std::collections::{BTreeMap, VecDeque};
@@ -14,6 +14,9 @@
 use std::time::Duration;
 use tariff::{Complaint, Setup, Sheet};
 
+/// How often upstreams that go on beating are told on.
+pub(crate) const BATCH_EVERY: Duration = Duration::from_millis(500);
+
 /// A postmaster's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
@@ -151,6 +154,9 @@
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
+    /// Upstreams whose beats came here of late: which beat, and when.
+    pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
+    pub(crate) batches: usize,
     pub(crate) next_sweep: Duration,
     pub(crate) next_news: Duration,
     pub(crate) effects: VecDeque<Effect>,
@@ -202,6 +208,8 @@
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
             beat_waits: BTreeMap::new(),
+            heard_here: BTreeMap::new(),
+            batches: 0,
             next_sweep: Duration::ZERO,
             next_news: Duration::ZERO,
             effects: VecDeque::new(),
@@ -271,15 +279,13 @@
             self.run_claims(now, claims::Event::Tick);
         }
         if now >= self.next_sweep {
-            self.next_sweep = now + Duration::from_millis(500);
-            self.roll.sweep(now, self.times.upstream_silent);
+            self.next_sweep = now + BATCH_EVERY;
+            // What others hear of comes with their next batch.
+            self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Body::RollAsk(RollAsk {}));
-            }
-            let upstreams = self.roll.farewells(now);
-            if !upstreams.is_empty() {
-                self.tell_postmasters(Body::Beats(Beats { upstreams }));
+                self.tell_postmasters(Body::RollAsk(RollAsk::default()));
             }
+            self.tell_alive(now);
         }
         self.tick_duty(now);
         self.tick_news(now);
@@ -313,7 +319,8 @@
             Body::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
                 self.roll.take(now, upstream);
             }),
-            Body::RollAsk(_) => self.roll_asked(now, from),
+            Body::Alive(alive) => self.alive_told(now, from, alive),
+            Body::RollAsk(ask) => self.roll_asked(now, from, ask),
             Body::RollTold(told) => self.roll_told(now, told),
             Body::Holder(holder) => self.hear_holder(from, holder.epoch),
             Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
@@ -395,14 +402,6 @@
         self.roll_told || now >= self.times.upstream_silent
     }
 
-    fn roll_asked(&mut self, now: Duration, from: String) {
-        if self.is_settled(now) {
-            let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
-            let told = RollTold { upstreams: self.roll.all(now), placement, placed_by };
-            self.effects.push_back(Effect::Send { to: from, body: Body::RollTold(told) });
-        }
-    }
-
     fn roll_told(&mut self, now: Duration, told: RollTold) {
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
