Setups travel squeezed, and batches are told on once

`parcel::squeeze` and `unsqueeze` (raw deflate by flate2 on its pure Rust backend) are used for SetupBytes and News. What comes out is bounded by the largest setup that is read, so that a bomb is denied unread; the digest is that of the setup itself and is checked on what came out. The setup last sent is kept squeezed. Besides: a batch of upstreams is told on only as far as it is new where it is told on, and probes bear nonces of 32 bits.

Conclusion: the tests of rounds, parcel, enrolment, postmaster, carrier, registered and drill pass.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -314,6 +314,13 @@
             return;
         }
         let before = self.view.edition;
+        let squeezed = news.setup.as_deref();
+        let setup = squeezed.map(parcel::unsqueeze);
+        if setup == Some(None) {
+            self.effects.push(Effect::Note("news denied: a damaged setup".into()));
+            return self.want_image(now);
+        }
+        let news = News { setup: setup.flatten(), ..news };
         if let Err(complaints) = self.view.take(news, image) {
             let notes = complaints.iter().map(|complaint| Effect::Note(format!("news denied: {complaint}")));
             self.effects.extend(notes);
--- a/crates/parcel/src/lib.rs
+++ b/crates/parcel/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod frames;
 mod messages;
+mod squeeze;
 
 pub use frames::Frames;
 pub use messages::*;
 pub use prost::Message;
+pub use squeeze::{MOST_SETUP_BYTES, squeeze, unsqueeze};
 
 use sha2::{Digest, Sha256};
 
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -232,8 +232,9 @@
 pub struct SetupBytes {
     #[prost(string, tag = "1")]
     pub digest: String,
+    /// Squeezed; the digest is that of the setup itself.
     #[prost(bytes = "vec", tag = "2")]
-    pub bytes: Vec<u8>,
+    pub squeezed: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -581,6 +582,7 @@
     pub number: u64,
     #[prost(message, optional, tag = "3")]
     pub word: Option<Word>,
+    /// Squeezed on the way.
     #[prost(bytes = "vec", optional, tag = "4")]
     pub setup: Option<Vec<u8>>,
     #[prost(message, repeated, tag = "5")]
--- a/crates/parcel/tests/garbage.rs
+++ b/crates/parcel/tests/garbage.rs
@@ -21,3 +21,20 @@
         .seed(number << 32 | 512);
     });
 }
+
+/// A setup comes out of its squeezed form as it went in, and garbage comes out as nothing or as something bounded.
+#[test]
+fn squeezed_setups_come_back_whole_and_garbage_stays_bounded() {
+    (1..17u64).for_each(|number| {
+        arbtest(|noise| {
+            let bytes = noise.bytes(noise.len())?;
+            assert_eq!(parcel::unsqueeze(&parcel::squeeze(bytes)).as_deref(), Some(bytes));
+            assert!(parcel::unsqueeze(bytes).is_none_or(|out| out.len() <= parcel::MOST_SETUP_BYTES));
+            Ok(())
+        })
+        .seed(number << 32 | 5_000);
+    });
+    let bomb = parcel::squeeze(&vec![b' '; 64 * 1024 * 1024]);
+    assert!(bomb.len() < 100_000);
+    assert_eq!(parcel::unsqueeze(&bomb), None);
+}
--- a/crates/postmaster/src/hearsay.rs
+++ b/crates/postmaster/src/hearsay.rs
@@ -63,17 +63,22 @@
         self.effects.extend(sends);
     }
 
-    /// Takes a batch in, and asks its sender for the records that are not as they are known here.
+    /// Takes a batch in, tells on what is new in it where that is wanted, and asks its sender for the records that are
+    /// not as they are known here.
     pub(crate) fn alive_told(&mut self, now: Duration, from: String, alive: Alive) {
+        let (mut wanted, mut new) = (Vec::new(), Alive::default());
         let told = alive.marks.iter().zip(&alive.beats).zip(&alive.ages_ms);
-        let marks: Vec<u64> = told
-            .filter(|((mark, beat), age_ms)| {
-                !self.roll.keeps_beating(now, **mark, **beat, Duration::from_millis(**age_ms))
-            })
-            .map(|((mark, _), _)| *mark)
-            .take(MOST_WANTED)
-            .collect();
-        if alive.tell_on {
+        told.for_each(|((mark, beat), age_ms)| {
+            if self.roll.marked(now, *mark).is_none_or(|known| known.beat < *beat) {
+                new.marks.push(*mark);
+                new.beats.push(*beat);
+                new.ages_ms.push(*age_ms);
+            }
+            if !self.roll.keeps_beating(now, *mark, *beat, Duration::from_millis(*age_ms)) {
+                wanted.push(*mark);
+            }
+        });
+        if alive.tell_on && !new.marks.is_empty() {
             let mine = region(&self.me.locality);
             let near = self.members.iter().filter(|member| {
                 member.roles == "postmaster"
@@ -81,12 +86,12 @@
                     && member.node != self.me.node
                     && member.node != from
             });
-            let body = Body::Alive(Alive { tell_on: false, ..alive });
-            let sends = near.map(|member| Effect::Send { to: member.node.clone(), body: body.clone() });
+            let sends = near.map(|member| Effect::Send { to: member.node.clone(), body: Body::Alive(new.clone()) });
             self.effects.extend(sends.collect::<Vec<_>>());
         }
-        if !marks.is_empty() {
-            self.effects.push_back(Effect::Send { to: from, body: Body::RollAsk(RollAsk { marks }) });
+        if !wanted.is_empty() {
+            wanted.truncate(MOST_WANTED);
+            self.effects.push_back(Effect::Send { to: from, body: Body::RollAsk(RollAsk { marks: wanted }) });
         }
     }
 
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -55,7 +55,7 @@
         let image = News {
             stream,
             number: 0,
-            setup: self.register.setup().map(<[u8]>::to_vec),
+            setup: self.register.squeezed_setup(),
             word: Some(word.clone()),
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
@@ -75,17 +75,20 @@
 
     fn tell_news(&mut self, now: Duration) {
         let changed: Vec<Upstream> = self.roll.changes(now).into_iter().map(plain).collect();
+        let current = &self.register.word().digest;
+        let wanted = self.readers.values().any(|reader| reader.word.digest != *current);
+        let squeezed = if wanted { self.register.squeezed_setup() } else { None };
         let word = self.register.word();
         let placement = self.bare_placement();
         for (node, reader) in &mut self.readers {
             let new_word = Some(word).filter(|word| **word != reader.word);
-            let new_setup = new_word.filter(|word| word.digest != reader.word.digest).and(self.register.setup());
+            let new_setup = new_word.filter(|word| word.digest != reader.word.digest).and(squeezed.as_ref());
             let new_placement = Some(&placement).filter(|placement| **placement != reader.placement);
             let news = News {
                 stream: reader.stream,
                 number: reader.number + 1,
                 word: new_word.cloned(),
-                setup: new_setup.map(<[u8]>::to_vec),
+                setup: new_setup.cloned(),
                 upstreams: changed.clone(),
                 placement: new_placement.cloned(),
             };
--- /dev/null
+++ b/crates/postmaster/tests/limits.rs
@@ -0,0 +1,6 @@
+//! Limits that two packages share.
+
+#[test]
+fn the_largest_setup_that_is_read_can_travel() {
+    assert_eq!(parcel::MOST_SETUP_BYTES, tariff::MOST_SETUP_BYTES);
+}
--- a/crates/registered/src/proposer.rs
+++ b/crates/registered/src/proposer.rs
@@ -76,7 +76,7 @@
         }
         self.push_wish(Wish::new(now, Some(token), change));
         if let Some(bytes) = bytes {
-            self.take_setup(SetupBytes { digest: parcel::digest(&bytes), bytes });
+            self.keep_setup(parcel::digest(&bytes), bytes);
         }
         self.tick_round(now);
     }
@@ -123,8 +123,8 @@
         let untried: Vec<String> =
             self.waitlist.iter().take(MOST_AT_ONCE).filter(|wish| !wish.tried).filter_map(Wish::digest).collect();
         untried.into_iter().for_each(|digest| {
-            if let Some(bytes) = self.setups.get(&digest).cloned() {
-                self.send_all(Body::SetupBytes(SetupBytes { digest, bytes }));
+            if let Some(squeezed) = self.squeezed(&digest) {
+                self.send_all(Body::SetupBytes(SetupBytes { digest, squeezed }));
             }
         });
         self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, promises: BTreeMap::new() });
@@ -207,8 +207,8 @@
 
     /// A voter came back without the bytes: send them, and ask for its promise again.
     fn resend_setup(&mut self, voter: &str, digest: String, ballot: Ballot) {
-        if let Some(bytes) = self.setups.get(&digest).cloned() {
-            self.send(voter, Body::SetupBytes(SetupBytes { digest, bytes }));
+        if let Some(squeezed) = self.squeezed(&digest) {
+            self.send(voter, Body::SetupBytes(SetupBytes { digest, squeezed }));
             self.send(voter, Body::Prepare(Prepare { ballot }));
         }
     }
--- a/crates/registered/src/register.rs
+++ b/crates/registered/src/register.rs
@@ -161,6 +161,8 @@
     /// What the disk surely holds: questions are answered from it.
     pub(crate) synced: Durable,
     pub(crate) setups: BTreeMap<String, Vec<u8>>,
+    /// The setup that was last sent, by its digest.
+    squeezed: Option<(String, Vec<u8>)>,
     pub(crate) held: BTreeSet<String>,
     pub(crate) current: Current,
     pub(crate) seen_round: u64,
@@ -210,6 +212,7 @@
             durable: start.durable,
             held: start.setups.keys().cloned().collect(),
             setups: start.setups,
+            squeezed: None,
             current: Current { ballot: Ballot::default(), word: Word::default(), confirmed_at: None },
             round: Round::Idle,
             waitlist: VecDeque::new(),
@@ -454,21 +457,47 @@
         }
     }
 
+    fn take_setup(&mut self, setup: SetupBytes) {
+        let wanted = !self.setups.contains_key(&setup.digest) && self.disk_is_free();
+        let bytes = Some(&setup.squeezed).filter(|_| wanted).and_then(|squeezed| parcel::unsqueeze(squeezed));
+        let right = bytes.filter(|bytes| parcel::digest(bytes) == setup.digest);
+        right.into_iter().for_each(|bytes| self.keep_setup(setup.digest.clone(), bytes));
+    }
+
     /// Takes in a setup's bytes; they count as held once synced.
-    pub(crate) fn take_setup(&mut self, setup: SetupBytes) {
-        let known = self.setups.contains_key(&setup.digest);
-        let wanted = !known && self.disk_is_free() && parcel::digest(&setup.bytes) == setup.digest;
-        if wanted {
+    pub(crate) fn keep_setup(&mut self, digest: String, bytes: Vec<u8>) {
+        if !self.setups.contains_key(&digest) && self.disk_is_free() {
             self.ticket += 1;
             let ticket = self.ticket;
-            let digest = Some(setup.digest.clone());
-            self.writes.push_back(Write { ticket, durable: None, digest, then: Vec::new() });
-            self.setups.insert(setup.digest.clone(), setup.bytes.clone());
-            self.effects.push(Effect::KeepSetup { ticket, digest: setup.digest, bytes: setup.bytes });
+            self.writes.push_back(Write { ticket, durable: None, digest: Some(digest.clone()), then: Vec::new() });
+            self.setups.insert(digest.clone(), bytes.clone());
+            self.effects.push(Effect::KeepSetup { ticket, digest, bytes });
             self.drop_spare_setups();
         }
     }
 
+    /// A setup as it travels; the last one is kept so.
+    pub(crate) fn squeezed(&mut self, digest: &str) -> Option<Vec<u8>> {
+        if self.squeezed.as_ref().is_none_or(|(last, _)| last != digest) {
+            let bytes = self.setups.get(digest)?;
+            self.squeezed = Some((digest.to_owned(), parcel::squeeze(bytes)));
+        }
+        self.squeezed.as_ref().map(|(_, squeezed)| squeezed.clone())
+    }
+
+    /// The bytes of the setup in force, as they travel.
+    ///
+    /// ```
+    /// # use registered::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).squeezed_setup(), None);
+    /// ```
+    pub fn squeezed_setup(&mut self) -> Option<Vec<u8>> {
+        let digest = self.current.word.digest.clone();
+        self.squeezed(&digest)
+    }
+
     fn drop_spare_setups(&mut self) {
         let in_round: BTreeSet<String> = self.waitlist.iter().filter_map(|wish| wish.digest()).collect();
         let used = |digest: &String| {
@@ -487,8 +516,8 @@
     }
 
     fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
-        if let Some(bytes) = self.setups.get(&ask.digest).cloned() {
-            self.send(from, Body::SetupBytes(SetupBytes { digest: ask.digest.clone(), bytes }));
+        if let Some(squeezed) = self.squeezed(&ask.digest) {
+            self.send(from, Body::SetupBytes(SetupBytes { digest: ask.digest.clone(), squeezed }));
         }
     }
 
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -275,7 +275,7 @@
             known.map(|known| (node, known.member.probe_address.clone()))
         });
         next.into_iter().for_each(|(node, address)| {
-            let nonce = self.dice.roll();
+            let nonce = self.nonce();
             self.send_probe(address, nonce, Some(&node));
             self.probing = Probing::Asked { nonce, node, asked_at: now };
         });
@@ -294,7 +294,7 @@
         self.seed_turn = self.seed_turn.wrapping_add(1);
         let next = self.seed_turn.checked_rem(lost.len()).and_then(|at| lost.get(at).cloned());
         next.into_iter().for_each(|address| {
-            let nonce = self.dice.roll();
+            let nonce = self.nonce();
             self.send_probe(address, nonce, None);
         });
     }
@@ -369,7 +369,7 @@
                 self.learn_all(now, members);
                 let known = self.known.get(&target).map(|known| known.member.probe_address.clone());
                 known.filter(|_| self.favours.len() < MOST_FAVOURS * 2).into_iter().for_each(|to| {
-                    let mine = self.dice.roll();
+                    let mine = self.nonce();
                     let excess = (self.favours.len() + 1).saturating_sub(MOST_FAVOURS);
                     self.favours.drain(..excess);
                     let favour =
@@ -387,6 +387,11 @@
         }
     }
 
+    /// 32 bits suffice for the few answers that are waited for.
+    fn nonce(&mut self) -> u64 {
+        (self.dice.roll() >> 32).max(1)
+    }
+
     fn said(&self) -> Heard {
         Heard { node: self.me.node.clone(), ..Heard::default() }
     }
@@ -463,7 +468,7 @@
         let addresses: Vec<String> = self.members().map(|member| member.probe_address.clone()).collect();
         let own = self.me.probe_address.clone();
         addresses.into_iter().filter(|address| *address != own).for_each(|address| {
-            let nonce = self.dice.roll();
+            let nonce = self.nonce();
             self.send_probe(address, nonce, None);
         });
     }
