--- a/crates/enrolment/src/lib.rs
+++ b/crates/enrolment/src/lib.rs
@@ -11,6 +11,6 @@
 pub use ranges::{
     Grant, Heartbeat, Holding, LONGEST_HANDOVER, MOST_INSTANCES, MOST_ROWS, Ranges, Released, Row, Terms,
 };
-pub use roll::{GONE, LEAVING, READY, Roll};
+pub use roll::{GONE, LEAVING, READY, Roll, mark};
 pub use shares::Shares;
 pub use table::MOST_RANGES;
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -9,7 +9,7 @@
     pub from: String,
     #[prost(
         oneof = "Body",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,40"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40"
     )]
     pub body: Option<Body>,
 }
@@ -77,6 +77,8 @@
     CarrierKept(CarrierKept),
     #[prost(message, tag = "40")]
     KeyLoads(KeyLoads),
+    #[prost(message, tag = "31")]
+    Alive(Alive),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -235,8 +237,9 @@
 pub struct SetupBytes {
     #[prost(string, tag = "1")]
     pub digest: String,
+    /// Squeezed; the digest is that of the setup itself.
     #[prost(bytes = "vec", tag = "2")]
-    pub bytes: Vec<u8>,
+    pub squeezed: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -297,7 +300,7 @@
     /// Where UDP probes go.
     #[prost(string, tag = "6")]
     pub probe_address: String,
-    /// Where other processes connect.
+    /// Where other processes connect; left out on the way where it is the same as for probes.
     #[prost(string, tag = "7")]
     pub link_address: String,
     /// Where HTTP is served.
@@ -309,8 +312,15 @@
 pub struct Probe {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
+    /// News of members; mostly there is none.
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
+    /// Who asks.
+    #[prost(string, tag = "3")]
+    pub node: String,
+    /// A digest of all members that the sender counts as there.
+    #[prost(fixed64, tag = "4")]
+    pub table: u64,
 }
 
 /// Asks a third party for its opinion of `target`.
@@ -333,6 +343,14 @@
     /// Who was heard: the sender, or the target of a `ProbeFor`.
     #[prost(string, tag = "3")]
     pub node: String,
+    /// Where the two tables of members differ: the digests of the sender's records of one part of it.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub marks: Vec<u64>,
+    /// Which part, of how many; 0 parts where no marks are told.
+    #[prost(uint64, tag = "5")]
+    pub part: u64,
+    #[prost(uint64, tag = "6")]
+    pub parts: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -430,9 +448,26 @@
     pub upstreams: Vec<Upstream>,
 }
 
-/// A postmaster that just started asks for all that the others know of upstreams.
+/// Upstreams that beat at the sender of late, in short: one place of each list for each.
 #[derive(Clone, PartialEq, Message)]
-pub struct RollAsk {}
+pub struct Alive {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub marks: Vec<u64>,
+    #[prost(uint64, repeated, tag = "2")]
+    pub beats: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub ages_ms: Vec<u64>,
+    /// The receiver tells it on to the postmasters of its region.
+    #[prost(bool, tag = "4")]
+    pub tell_on: bool,
+}
+
+/// A postmaster that just started asks for all that the others know of upstreams; with marks, one asks for just these.
+#[derive(Clone, PartialEq, Message)]
+pub struct RollAsk {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub marks: Vec<u64>,
+}
 
 /// All of it, with the last placement.
 #[derive(Clone, PartialEq, Message)]
@@ -564,6 +599,7 @@
     pub number: u64,
     #[prost(message, optional, tag = "3")]
     pub word: Option<Word>,
+    /// Squeezed on the way.
     #[prost(bytes = "vec", optional, tag = "4")]
     pub setup: Option<Vec<u8>>,
     #[prost(message, repeated, tag = "5")]
--- a/crates/postmaster/src/desk.rs
+++ b/crates/postmaster/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office, ReadWait};
 use address::Code;
-use parcel::{Beats, Body, SharesAsk, SharesGiven, Upstream};
+use parcel::{Body, SharesAsk, SharesGiven, Upstream};
 use registered::{Change, Standing, Verdict};
 use std::time::Duration;
 use tariff::Sheet;
@@ -158,14 +158,6 @@
         self.effects.push_back(Effect::Send { to, body: Body::SharesAsk(SharesAsk { nonce, upstream }) });
     }
 
-    fn take_beat(&mut self, now: Duration, upstream: &Upstream) {
-        if self.roll.take(now, upstream.clone()) {
-            // With its age as it is known here: this beat may have lain in a frozen process.
-            let upstreams = self.roll.one(now, upstream).into_iter().collect();
-            self.tell_postmasters(Body::Beats(Beats { upstreams }));
-        }
-    }
-
     pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesAsk) {
         self.roll.take(now, ask.upstream.clone());
         let Some(epoch) = self.claims.holds(now) else { return };
--- a/crates/postmaster/src/lib.rs
+++ b/crates/postmaster/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod desk;
 mod dialect;
+mod hearsay;
 mod keys;
 mod news;
 mod office;
