--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, PartialEq)]
 enum Stand {
     Resting,
-    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
+    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: usize },
     Holding { epoch: u64, until: Duration },
     Renewing { epoch: u64, until: Duration, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
     Closed,
@@ -79,6 +79,10 @@
     granted: Option<Granted>,
     /// Grants that wait for their epoch's sync.
     pending: BTreeMap<u64, (String, ClaimAsk, Duration)>,
+    /// The one epoch that this voter granted, where it never granted another.
+    only_epoch: Option<u64>,
+    /// The epoch under which this node was the first of all holders.
+    founder: Option<u64>,
     /// The highest epoch heard of: a new claim asks for one more.
     seen_epoch: u64,
     /// The highest epoch granted by this voter: a new claim must have a higher one.
@@ -107,6 +111,8 @@
             dice: Dice::new(seed),
             granted: None,
             pending: BTreeMap::new(),
+            only_epoch: None,
+            founder: None,
             seen_epoch: 0,
             granted_epoch: 0,
             stand: Stand::Resting,
@@ -142,6 +148,18 @@
         }
     }
 
+    /// True where nobody can have held the duty before this node got it under this epoch: each voter of a majority
+    /// granted it to nobody else ever.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # let times = claims::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// assert!(!claims::Claims::new("a".into(), times, 1).is_founder(7));
+    /// ```
+    pub fn is_founder(&self, epoch: u64) -> bool {
+        self.founder == Some(epoch)
+    }
+
     /// The one reducer: takes an event in, gives effects out.
     ///
     /// ```
@@ -219,7 +237,7 @@
     fn ask(&mut self, now: Duration) {
         self.seen_epoch += 1;
         let (epoch, nonce) = (self.seen_epoch, self.dice.roll());
-        self.turn(Stand::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new() });
+        self.turn(Stand::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new(), firsts: 0 });
         self.ask_all(now, ClaimAsk { epoch, nonce, renewal: false });
     }
 
@@ -308,13 +326,14 @@
         } else if wait.is_none() && !stale && self.pending.is_empty() {
             let token = self.dice.roll();
             self.seen_epoch = self.seen_epoch.max(ask.epoch);
+            self.only_epoch = Some(ask.epoch).filter(|_| self.granted_epoch == 0);
             self.granted_epoch = ask.epoch;
             self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
             self.pending.insert(token, (from.to_owned(), ask, now));
         } else {
             let wait_ms = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
             let ClaimAsk { epoch, nonce, .. } = ask;
-            let deny = ClaimGrant { epoch, nonce, granted: false, highest_epoch: known, wait_ms };
+            let deny = ClaimGrant { epoch, nonce, granted: false, highest_epoch: known, wait_ms, first: false };
             self.answer(now, from, deny);
         }
     }
@@ -323,7 +342,8 @@
         let until = now + self.times.span;
         self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until, renewed: ask.renewal });
         let ClaimAsk { epoch, nonce, .. } = *ask;
-        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highest_epoch: epoch, wait_ms: 0 });
+        let first = self.only_epoch == Some(epoch);
+        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highest_epoch: epoch, wait_ms: 0, first });
     }
 
     fn answer(&mut self, now: Duration, to: &str, grant: ClaimGrant) {
@@ -339,7 +359,7 @@
         self.seen_epoch = self.seen_epoch.max(grant.highest_epoch);
         let voters = majority(self.roster.len());
         let (nonce, asked_at, epoch, grants) = match &mut self.stand {
-            Stand::Asking { nonce, asked_at, epoch, grants }
+            Stand::Asking { nonce, asked_at, epoch, grants, .. }
             | Stand::Renewing { nonce, asked_at, epoch, grants, .. } => (*nonce, *asked_at, *epoch, grants),
             _ => return,
         };
@@ -347,8 +367,14 @@
             return;
         }
         if grant.granted && self.roster.iter().any(|voter| voter == from) {
-            grants.insert(from.to_owned());
-            if grants.len() >= voters {
+            let new = grants.insert(from.to_owned());
+            let enough = grants.len() >= voters;
+            if let Stand::Asking { firsts, .. } = &mut self.stand {
+                *firsts += usize::from(new && grant.first);
+                // Any earlier holder had a majority too, and some voter of it is in this one.
+                self.founder = Some(epoch).filter(|_| *firsts >= voters).or(self.founder);
+            }
+            if enough {
                 self.next_ask = asked_at + self.times.span / 3;
                 self.turn(Stand::Holding { epoch, until: asked_at + self.times.span - self.times.margin });
             }
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -377,6 +377,9 @@
     /// Where denied: how long until asking again may help.
     #[prost(uint64, tag = "5")]
     pub wait_ms: u64,
+    /// This voter never granted any claim before.
+    #[prost(bool, tag = "6")]
+    pub first: bool,
 }
 
 /// Gives a claim, or a candidate's votes, back before the end.
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -18,7 +18,7 @@
     pub(crate) epoch: u64,
     /// When the claim began: nobody else gives anything from then on.
     pub(crate) since: Duration,
-    /// True where nothing was ever given before: no configuration was in force when the claim began.
+    /// True where nothing was ever given before: nobody held the claim before.
     pub(crate) founding: bool,
     /// Requests by key.
     pub(crate) counts: KeyCounts,
@@ -59,7 +59,7 @@
             self.hear_holder(me, epoch);
             self.tell_postmasters(Body::Holder(Holder { epoch }));
         }
-        let founding = self.register.word().edition == 0 && self.is_current(now);
+        let founding = self.claims.is_founder(epoch);
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
             since: now,
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -25,6 +25,13 @@
 const MOST_MARKS: usize = 128;
 /// Of so many probes one goes to another region.
 const FAR_TURNS: u64 = 4;
+/// How many more probes go to another region for each of its nodes that falls silent, and at most.
+const MINDED: u64 = 2;
+const MOST_MINDED: u64 = 4;
+/// How long a node counts as just started, how often it then asks others, and how many at a time.
+const YOUNG: Duration = Duration::from_millis(1500);
+const INTRODUCE_EVERY: Duration = Duration::from_millis(120);
+const INTRODUCED: usize = 2;
 /// How long a gone member is remembered.
 const REMEMBERED: Duration = Duration::from_secs(120);
 /// Most second opinions being fetched for others at a time.
@@ -103,6 +110,10 @@
     probing: Probing,
     favours: Vec<Favour>,
     next_probe: Duration,
+    /// How many of the next probes go to other regions, since something is wrong there.
+    far_next: u64,
+    started_at: Option<Duration>,
+    next_introduction: Duration,
     last_tick: Duration,
     slow_until: Duration,
     seed_turn: usize,
@@ -137,6 +148,9 @@
             probing: Probing::Resting,
             favours: Vec::new(),
             next_probe: Duration::ZERO,
+            far_next: 0,
+            started_at: None,
+            next_introduction: Duration::ZERO,
             last_tick: Duration::ZERO,
             slow_until: Duration::ZERO,
             seed_turn: 0,
@@ -193,6 +207,7 @@
             waking.for_each(|known| known.since = now);
         }
         self.last_tick = now;
+        self.introduce(now);
         self.escalate(now);
         self.bury(now);
         if now >= self.next_probe {
@@ -261,7 +276,9 @@
         let (near, far): (Vec<&Known>, Vec<&Known>) =
             self.known.values().filter(there).partition(|known| is_near(known));
         // Most probes stay within the region; a region that is all dark is found by those of the others.
-        let goes_far = near.is_empty() || (!far.is_empty() && self.turns.is_multiple_of(FAR_TURNS));
+        let due = self.far_next > 0 || self.turns.is_multiple_of(FAR_TURNS);
+        self.far_next = self.far_next.saturating_sub(1);
+        let goes_far = near.is_empty() || (!far.is_empty() && due);
         let (turn, all) = if goes_far { (&mut self.far, far) } else { (&mut self.near, near) };
         if turn.is_empty() {
             turn.extend(all.into_iter().map(|known| known.member.node.clone()));
@@ -281,6 +298,26 @@
         });
     }
 
+    /// A node that just started asks seeds and whoever it knows in quick turn, until it knows them all.
+    fn introduce(&mut self, now: Duration) {
+        let started_at = *self.started_at.get_or_insert(now);
+        if now >= started_at + YOUNG || now < self.next_introduction {
+            return;
+        }
+        self.next_introduction = now + INTRODUCE_EVERY;
+        let known = self.known.values().filter(|known| known.member.condition < GONE);
+        let mut all: Vec<String> = known.map(|known| known.member.probe_address.clone()).collect();
+        all.extend(self.seeds.iter().filter(|seed| !all.contains(seed)).cloned().collect::<Vec<_>>());
+        (0..INTRODUCED).for_each(|_| {
+            let at = self.dice.below(all.len() as u64) as usize;
+            let next = all.get(at).cloned();
+            next.into_iter().for_each(|address| {
+                let nonce = self.nonce();
+                self.send_probe(address, nonce, None);
+            });
+        });
+    }
+
     /// Seeds and gone nodes are still tried now and then, so that a split heals.
     fn probe_seed(&mut self) {
         let reached = |address: &String| {
@@ -455,12 +492,31 @@
         let newer = self.known.get(&member.node).map(|known| supersedes(&member, &known.member));
         let fresh = newer.unwrap_or(member.condition < GONE && self.known.len() < MOST_MEMBERS);
         if fresh && address::is_id(&member.node) {
+            self.mind_region(&member);
             let mark = mark(&member);
             self.known.insert(member.node.clone(), Known { member, mark, since: now, told: 0 });
             self.effects.push(Effect::Changed);
         }
     }
 
+    /// Where one of another region falls silent, others there may have: they are looked at next.
+    fn mind_region(&mut self, member: &Member) {
+        let there = region(member);
+        if member.condition != SUSPECT || there == region(&self.me) {
+            return;
+        }
+        let alive = |known: &&Known| known.member.condition == ALIVE && known.member.node != member.node;
+        let others = self.known.values().filter(alive).filter(|known| region(&known.member) == there);
+        let mut others: Vec<String> = others.map(|known| known.member.node.clone()).collect();
+        (1..others.len()).for_each(|at| {
+            let other = self.dice.below(at as u64 + 1) as usize;
+            others.swap(at, other);
+        });
+        self.far.retain(|node| !others.contains(node));
+        self.far.extend(others);
+        self.far_next = (self.far_next + MINDED).min(MOST_MINDED);
+    }
+
     /// Says good-bye to everybody.
     fn leave(&mut self) {
         self.me.condition = LEFT;
