A read-back leaves out the ballot where it is the known one

The answer now names ballot and word only where they differ from what the question named as known; else both are the question's, which the asker keeps with its nonce. Nothing else about reads changed: each postmaster still asks a majority itself, and explicit reads ask anew. The nonce keeps its 64 bits, as a late answer must not count for a later question.

Sharing one read within a region is not done.

--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -213,8 +213,9 @@
 pub struct ReadBack {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    #[prost(message, required, tag = "2")]
-    pub accepted_at: Ballot,
+    /// None where it is what the question named as known; then the word is left out too.
+    #[prost(message, optional, tag = "2")]
+    pub accepted_at: Option<Ballot>,
     #[prost(message, optional, tag = "3")]
     pub accepted: Option<Word>,
 }
--- a/crates/registered/src/reading.rs
+++ b/crates/registered/src/reading.rs
@@ -68,10 +68,10 @@
         }
         let voters = majority(self.durable.roster.len());
         let chosen = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce).and_then(|reading| {
-            let word = back.accepted.unwrap_or_else(|| reading.known.1.clone());
-            reading.backs.insert(from.to_owned(), (back.accepted_at.clone(), word.clone()));
-            let alike = reading.backs.values().filter(|(ballot, _)| *ballot == back.accepted_at).count();
-            (alike >= voters).then_some((back.accepted_at, word, reading.asked_at))
+            let (ballot, word) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
+            reading.backs.insert(from.to_owned(), (ballot.clone(), word.clone()));
+            let alike = reading.backs.values().filter(|(other, _)| *other == ballot).count();
+            (alike >= voters).then_some((ballot, word, reading.asked_at))
         });
         if let Some((ballot, word, asked_at)) = chosen {
             self.reading = None;
--- a/crates/registered/src/voter.rs
+++ b/crates/registered/src/voter.rs
@@ -54,8 +54,9 @@
 
     pub(crate) fn read(&mut self, from: &str, read: Read) {
         if self.standing == Standing::Voting {
-            let accepted_at = self.synced.accepted_at.clone();
-            let accepted = Some(self.synced.accepted.clone()).filter(|_| accepted_at != read.known);
+            let other = self.synced.accepted_at != read.known;
+            let accepted_at = other.then(|| self.synced.accepted_at.clone());
+            let accepted = other.then(|| self.synced.accepted.clone());
             self.send(from, Body::ReadBack(ReadBack { nonce: read.nonce, accepted_at, accepted }));
         }
     }
