The first holder of the duty knows that it is the first, and gives keys at once

All voters asked for the first claim in the same moment, voted for themselves, and the second round's grants no longer proved that there was no holder before. Change: a grant tells whether its voter ever granted to anybody who may have held; a candidate that gives up without a majority says so; first claims are asked for one after the other, as later ones were. The example of 'holds' walks its clock in steps now, since the first ask comes at a drawn moment; what it asserts is the same and one thing more.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -79,7 +79,9 @@
     granted: Option<Granted>,
     /// Grants that wait for their epoch's sync.
     pending: BTreeMap<u64, (String, ClaimAsk, Duration)>,
-    /// The one epoch that this voter granted, where it never granted another.
+    /// True while nobody that this voter granted a claim to can have held it.
+    unheld: bool,
+    /// The epoch granted while that was so.
     only_epoch: Option<u64>,
     /// The epoch under which this node was the first of all holders.
     founder: Option<u64>,
@@ -111,6 +113,7 @@
             dice: Dice::new(seed),
             granted: None,
             pending: BTreeMap::new(),
+            unheld: true,
             only_epoch: None,
             founder: None,
             seen_epoch: 0,
@@ -131,9 +134,12 @@
     /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
     /// let mut alone = Claims::new("a".into(), times, 1);
     /// alone.step(Duration::ZERO, Event::Roster { roster: vec!["a".into()], epoch: 4 });
-    /// let now = Duration::from_secs(4);
-    /// (1..400).for_each(|turn| drop(alone.step(turn * Duration::from_millis(10), Event::EpochKept { token: 0 })));
-    /// let effects = alone.step(now, Event::Tick);
+    /// let (mut now, mut effects) = (Duration::ZERO, vec![]);
+    /// while effects.is_empty() {
+    ///     now += Duration::from_millis(10);
+    ///     effects = alone.step(now, Event::Tick);
+    /// }
+    /// assert!(now > times.span, "whom it granted before its start, it may have forgotten");
     /// let Effect::RaiseEpoch { epoch: 5, token, .. } = effects[0] else { panic!("{effects:?}") };
     /// alone.step(now, Event::EpochKept { token });
     /// assert_eq!(alone.holds(now), Some(5));
@@ -149,7 +155,7 @@
     }
 
     /// True where nobody can have held the duty before this node got it under this epoch: each voter of a majority
-    /// granted it to nobody else ever.
+    /// granted it to nobody else ever, but to candidates that gave up without a majority.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -176,6 +182,8 @@
             Event::Roster { roster, epoch } => {
                 self.roster = roster;
                 self.seen_epoch = self.seen_epoch.max(epoch);
+                // The disk knows of grants of an earlier life.
+                self.unheld = self.unheld && epoch <= self.granted_epoch;
                 self.granted_epoch = self.granted_epoch.max(epoch);
             }
             Event::Parcel { from, body } => self.take(now, &from, body),
@@ -222,6 +230,10 @@
             return;
         }
         let phase = self.times.span / 6;
+        if self.next_ask.is_zero() {
+            // All start alike: from the first time on they ask one after the other.
+            self.next_ask = now.max(self.times.span) + self.turn_wait();
+        }
         match &self.stand {
             Stand::Resting if now >= self.next_ask && now >= self.times.span => self.ask(now),
             Stand::Asking { asked_at, .. } if now >= *asked_at + phase => self.give_up(now, Duration::ZERO),
@@ -276,8 +288,9 @@
         };
         epoch.into_iter().for_each(|epoch| {
             let me = self.me.clone();
-            self.dropped(&me, epoch);
-            let drop = Body::ClaimDrop(ClaimDrop { epoch });
+            let unheld = matches!(self.stand, Stand::Asking { .. });
+            self.dropped(&me, epoch, unheld);
+            let drop = Body::ClaimDrop(ClaimDrop { epoch, unheld });
             let others = self.roster.iter().filter(|voter| **voter != me);
             self.effects.extend(others.map(|voter| Effect::Send { to: voter.clone(), body: drop.clone() }));
         });
@@ -289,7 +302,7 @@
             Body::ClaimGrant(grant) => self.answered(now, from, grant),
             Body::ClaimDrop(drop) => {
                 let held = self.granted.as_ref().is_some_and(|granted| granted.renewed && granted.holder == from);
-                self.dropped(from, drop.epoch);
+                self.dropped(from, drop.epoch, drop.unheld);
                 if held && self.stand == Stand::Resting {
                     // The duty is free: no need to wait for the end of its span.
                     self.next_ask = now + self.turn_wait();
@@ -299,7 +312,12 @@
         }
     }
 
-    fn dropped(&mut self, from: &str, epoch: u64) {
+    fn dropped(&mut self, from: &str, epoch: u64, unheld: bool) {
+        let granted = self.granted.as_ref().is_some_and(|granted| granted.holder == from && granted.epoch == epoch);
+        let pending = self.pending.values().any(|(holder, ask, _)| holder == from && ask.epoch == epoch);
+        if unheld && (granted || pending) && self.only_epoch == Some(epoch) {
+            (self.unheld, self.only_epoch) = (true, None);
+        }
         self.granted.take_if(|granted| granted.holder == from && granted.epoch <= epoch);
         self.pending.retain(|_, (holder, ask, _)| holder != from || ask.epoch > epoch);
     }
@@ -326,7 +344,8 @@
         } else if wait.is_none() && !stale && self.pending.is_empty() {
             let token = self.dice.roll();
             self.seen_epoch = self.seen_epoch.max(ask.epoch);
-            self.only_epoch = Some(ask.epoch).filter(|_| self.granted_epoch == 0);
+            self.only_epoch = Some(ask.epoch).filter(|_| self.unheld);
+            self.unheld = false;
             self.granted_epoch = ask.epoch;
             self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
             self.pending.insert(token, (from.to_owned(), ask, now));
--- a/crates/claims/tests/arbitrary.rs
+++ b/crates/claims/tests/arbitrary.rs
@@ -25,6 +25,9 @@
     wire: Vec<(usize, usize, Body)>,
     syncs: Vec<(usize, u64, u64)>,
     held: usize,
+    /// Under which epoch the duty was held first of all, and how often a holder took itself for that one.
+    first_held: Option<u64>,
+    founders: usize,
 }
 
 fn name(at: usize) -> String {
@@ -54,12 +57,18 @@
             }
             Effect::RaiseEpoch { epoch, token } => self.syncs.push((at, epoch, token)),
         });
-        let holders = self.nodes.iter().filter(|node| {
+        let holders = self.nodes.iter().filter_map(|node| {
             let local = (self.now - node.born_at).mul_f64(1.0 + node.drift as f64 / 1000.0);
-            node.claims.holds(local).is_some()
+            node.claims.holds(local).map(|epoch| (epoch, node.claims.is_founder(epoch)))
         });
-        let count = holders.count();
+        let holders: Vec<(u64, bool)> = holders.collect();
+        let count = holders.len();
         assert!(count <= 1, "{count} hold the duty at {:?}", self.now);
+        holders.into_iter().for_each(|(epoch, founder)| {
+            let first = *self.first_held.get_or_insert(epoch);
+            assert!(!founder || epoch == first, "epoch {epoch} takes itself for the first, which was {first}");
+            self.founders += usize::from(founder);
+        });
         self.held += count;
     }
 
@@ -110,19 +119,22 @@
 
 #[test]
 fn the_duty_has_one_holder_at_most() {
-    let mut held = 0;
+    let (mut held, mut founders) = (0, 0);
     (1..60u64).for_each(|number| {
         arbtest(|noise| {
             let drift = |at: usize| [-10, -5, 0, 5, 10][at];
             let nodes = (0..VOTERS).map(|at| born(at, number * 31 + at as u64, 0, Duration::ZERO, drift(at)));
-            let mut site = Site { nodes: nodes.collect(), now: Duration::ZERO, wire: vec![], syncs: vec![], held: 0 };
+            let (nodes, now, wire, syncs) = (nodes.collect(), Duration::ZERO, vec![], vec![]);
+            let mut site = Site { nodes, now, wire, syncs, held: 0, first_held: None, founders: 0 };
             while !noise.is_empty() {
                 site.act(noise)?;
             }
             held += site.held;
+            founders += site.founders;
             Ok(())
         })
         .seed(number << 32 | 12_000);
     });
     assert!(held > 500, "the duty was hardly ever held: {held}");
+    assert!(founders > 100, "hardly ever did the first holder know that it was: {founders}");
 }
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -218,8 +218,9 @@
 pub struct ReadBack {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    #[prost(message, required, tag = "2")]
-    pub accepted_at: Ballot,
+    /// None where it is what the question named as known; then the word is left out too.
+    #[prost(message, optional, tag = "2")]
+    pub accepted_at: Option<Ballot>,
     #[prost(message, optional, tag = "3")]
     pub accepted: Option<Word>,
 }
@@ -387,6 +388,9 @@
 pub struct ClaimDrop {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
+    /// It was never held: the candidate gave up without a majority.
+    #[prost(bool, tag = "2")]
+    pub unheld: bool,
 }
 
 /// One upstream as its beats describe it.
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -10,7 +10,7 @@
 pub use members::{ALIVE, GONE, LEFT, SUSPECT, supersedes};
 
 use address::Dice;
-use members::{folded, mark, region, unfolded};
+use members::{distance, folded, mark, unfolded};
 use parcel::{Body, Heard, Member, Probe, ProbeFor};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,8 +23,8 @@
 const MOST_LACKED: usize = 4 * MOST_TOLD;
 /// How many marks travel on one message.
 const MOST_MARKS: usize = 128;
-/// Of so many probes one goes to another region.
-const FAR_TURNS: u64 = 4;
+/// How far the probes go in turn: 0 within the zone, 1 to the region's other zones, 2 to other regions.
+const TURNS: [usize; 4] = [2, 0, 1, 0];
 /// How many more probes go to another region for each of its nodes that falls silent, and at most.
 const MINDED: u64 = 2;
 const MOST_MINDED: u64 = 4;
@@ -101,9 +101,8 @@
     times: Times,
     dice: Dice,
     known: BTreeMap<String, Known>,
-    /// Whom to probe next, in the own region and elsewhere.
-    near: Vec<String>,
-    far: Vec<String>,
+    /// Whom to probe next, by distance.
+    turn: [Vec<String>; 3],
     turns: u64,
     /// Which part of the table is compared next.
     part: u64,
@@ -141,8 +140,7 @@
             times,
             dice: Dice::new(seed),
             known: BTreeMap::new(),
-            near: Vec::new(),
-            far: Vec::new(),
+            turn: Default::default(),
             turns: 0,
             part: 0,
             probing: Probing::Resting,
@@ -271,17 +269,17 @@
 
     fn probe_next(&mut self, now: Duration) {
         self.turns += 1;
-        let there = |known: &&Known| known.member.condition < GONE;
-        let is_near = |known: &Known| region(&known.member) == region(&self.me);
-        let (near, far): (Vec<&Known>, Vec<&Known>) =
-            self.known.values().filter(there).partition(|known| is_near(known));
-        // Most probes stay within the region; a region that is all dark is found by those of the others.
-        let due = self.far_next > 0 || self.turns.is_multiple_of(FAR_TURNS);
+        let mut all: [Vec<String>; 3] = Default::default();
+        let there = self.known.values().filter(|known| known.member.condition < GONE);
+        there.for_each(|known| all[distance(&self.me, &known.member)].push(known.member.node.clone()));
+        // Most probes stay near; what is all dark is found by those further off.
+        let turn = TURNS[(self.turns % TURNS.len() as u64) as usize];
+        let wanted = if self.far_next > 0 { 2 } else { turn };
         self.far_next = self.far_next.saturating_sub(1);
-        let goes_far = near.is_empty() || (!far.is_empty() && due);
-        let (turn, all) = if goes_far { (&mut self.far, far) } else { (&mut self.near, near) };
+        let reach = [wanted, 0, 1, 2].into_iter().find(|reach| !all[*reach].is_empty()).unwrap_or(wanted);
+        let turn = &mut self.turn[reach];
         if turn.is_empty() {
-            turn.extend(all.into_iter().map(|known| known.member.node.clone()));
+            *turn = std::mem::take(&mut all[reach]);
             (1..turn.len()).for_each(|at| {
                 let other = self.dice.below(at as u64 + 1) as usize;
                 turn.swap(at, other);
@@ -501,19 +499,18 @@
 
     /// Where one of another region falls silent, others there may have: they are looked at next.
     fn mind_region(&mut self, member: &Member) {
-        let there = region(member);
-        if member.condition != SUSPECT || there == region(&self.me) {
+        if member.condition != SUSPECT || distance(&self.me, member) < 2 {
             return;
         }
         let alive = |known: &&Known| known.member.condition == ALIVE && known.member.node != member.node;
-        let others = self.known.values().filter(alive).filter(|known| region(&known.member) == there);
+        let others = self.known.values().filter(alive).filter(|known| distance(member, &known.member) < 2);
         let mut others: Vec<String> = others.map(|known| known.member.node.clone()).collect();
         (1..others.len()).for_each(|at| {
             let other = self.dice.below(at as u64 + 1) as usize;
             others.swap(at, other);
         });
-        self.far.retain(|node| !others.contains(node));
-        self.far.extend(others);
+        self.turn[2].retain(|node| !others.contains(node));
+        self.turn[2].extend(others);
         self.far_next = (self.far_next + MINDED).min(MOST_MINDED);
     }
 
