Shares are told as patches, carriers go home, links count what they send

Change: placements without reservations are told as changes of shares with the number they follow, to postmasters and carriers; whoever missed one asks for the whole. A carrier whose zone has a live postmaster goes back to it. Where each caller's zone has its own owner, no reservations are made. Links count messages and bytes by kind.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How long a carrier stays away from its zone's postmasters at least.
+const HOME_EVERY: Duration = Duration::from_secs(4);
+
 /// A carrier's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
@@ -114,6 +117,8 @@
     left: Option<String>,
     postmasters: Vec<Member>,
     phase: Phase,
+    /// Not before this it goes back to its own zone.
+    next_home: Duration,
     /// To be told with the next question.
     loads: Vec<KeyLoad>,
     effects: Vec<Effect>,
@@ -145,6 +150,7 @@
             left: None,
             postmasters: Vec::new(),
             phase: Phase::Serving,
+            next_home: Duration::ZERO,
             loads: Vec::new(),
             effects: Vec::new(),
         };
@@ -297,15 +303,31 @@
         if late {
             self.leave_source(now);
         }
+        self.turn_home(now);
         let asking = matches!(self.following, Following::Asked { .. });
         if !asking && now >= self.next_ask {
             self.ask(now);
         }
     }
 
+    /// A carrier that follows far away goes back to a postmaster of its own zone, once there is one again.
+    fn turn_home(&mut self, now: Duration) {
+        let Following::Content { source } = &self.following else { return };
+        let place = |member: &&Member| member.locality == self.me.locality && member.condition == rounds::ALIVE;
+        let home = self.postmasters.first().filter(place).filter(|member| member.node != *source);
+        let away = self.postmasters.iter().any(|member| member.node == *source && member.locality != self.me.locality);
+        if home.is_none() || !away || now < self.next_home {
+            return;
+        }
+        self.next_home = now + HOME_EVERY + Duration::from_millis(self.dice.below(1000));
+        (self.left, self.misses, self.stream, self.next_ask) = (None, 0, 0, now);
+        self.follow(Following::Nobody);
+    }
+
     /// Goes on to another postmaster at `next_ask`.
     fn leave_source(&mut self, next_ask: Duration) {
         self.left = self.source().map(str::to_owned);
+        self.next_home = next_ask + HOME_EVERY;
         self.misses += 1;
         self.stream = 0;
         self.follow(Following::Nobody);
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -219,6 +219,7 @@
             let view = node.view.load();
             carrier.step(now, Event::Counted(node.board.drain_keys()));
             node.pool.sweep();
+            log::debug!("links: {:?}", links.sent());
             node.board.sweep(now, |instance| view.upstreams.values().any(|known| known.contains_key(instance)));
         }
         if carrier.phase() == Phase::Denying {
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -170,8 +170,17 @@
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
             let times = postmaster::shell::times(&settings);
-            let start =
-                postmaster::Start { me, seeds, roster_size, seed, reader: Default::default(), durable, setups, times };
+            let start = postmaster::Start {
+                me,
+                seeds,
+                roster_size,
+                seed,
+                reader: Default::default(),
+                owners: Default::default(),
+                durable,
+                setups,
+                times,
+            };
             Core::Office(Box::new(Office::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
--- /dev/null
+++ b/crates/gazetteer/src/patch.rs
@@ -0,0 +1,101 @@
+//! What changed in who holds which keys, so that a change need not be told whole.
+
+use parcel::{Placement, ServiceShares, Share};
+
+/// The parts of some shares that none of the others covers.
+///
+/// ```
+/// use parcel::Share;
+/// let share = |from, until| Share { from, until, instance: "a".into(), ..Default::default() };
+/// let left = gazetteer::uncovered(&[share(0, 10)], &[share(2, 4)]);
+/// assert_eq!(left, [share(0, 2), share(4, 10)]);
+/// ```
+pub fn uncovered(shares: &[Share], by: &[Share]) -> Vec<Share> {
+    let cut = |shares: Vec<Share>, by: &Share| {
+        let parts = shares.into_iter().flat_map(|share| {
+            let before = Share { until: share.until.min(by.from), ..share.clone() };
+            let after = Share { from: share.from.max(by.until), ..share };
+            [before, after].into_iter().filter(|share| share.from < share.until)
+        });
+        parts.collect()
+    };
+    by.iter().fold(shares.to_vec(), cut)
+}
+
+/// What makes one service's shares the new ones: new rows, and rows without an instance where nobody holds any more.
+///
+/// ```
+/// use parcel::Share;
+/// let share = |from, until, who: &str| Share { from, until, instance: who.into(), ..Default::default() };
+/// let (old, new) = ([share(0, 9, "a")], [share(0, 4, "a"), share(6, 9, "b")]);
+/// let patch = gazetteer::patch(&old, &new);
+/// assert_eq!(gazetteer::patched(&old, &patch), new);
+/// ```
+pub fn patch(old: &[Share], new: &[Share]) -> Vec<Share> {
+    let rows = new.iter().filter(|row| !old.contains(row)).cloned();
+    let nobody = |row: Share| Share { epoch: 0, instance: String::new(), handover: String::new(), ..row };
+    rows.chain(uncovered(old, new).into_iter().map(nobody)).collect()
+}
+
+/// The shares after a patch, in the order of their keys.
+///
+/// ```
+/// assert!(gazetteer::patched(&[], &[]).is_empty());
+/// ```
+pub fn patched(old: &[Share], patch: &[Share]) -> Vec<Share> {
+    let kept = uncovered(old, patch);
+    let rows = patch.iter().filter(|row| !row.instance.is_empty()).cloned();
+    let mut shares: Vec<Share> = kept.into_iter().chain(rows).collect();
+    shares.sort_by_key(|share| share.from);
+    shares
+}
+
+/// What changed from one placement to the next, where that is shares alone; else none, and it is to be told whole.
+///
+/// ```
+/// use parcel::Placement;
+/// let old = Placement { epoch: 3, number: 1, ..Default::default() };
+/// let new = Placement { number: 2, ..old.clone() };
+/// assert_eq!(gazetteer::change(&old, &new).map(|change| (change.partial, change.after)), Some((true, 1)));
+/// assert!(gazetteer::change(&old, &Placement { epoch: 4, ..new }).is_none());
+/// ```
+pub fn change(old: &Placement, new: &Placement) -> Option<Placement> {
+    if old.epoch != new.epoch || old.reservations != new.reservations || old.marks != new.marks {
+        return None;
+    }
+    let of = |placement: &Placement, service: &str| {
+        let known = placement.shares.iter().find(|known| known.service == service);
+        known.map(|known| known.shares.clone()).unwrap_or_default()
+    };
+    let mut services: Vec<&str> =
+        old.shares.iter().chain(&new.shares).map(|service| service.service.as_str()).collect();
+    services.sort_unstable();
+    services.dedup();
+    let shares = services.into_iter().map(|service| ServiceShares {
+        service: service.to_owned(),
+        shares: patch(&of(old, service), &of(new, service)),
+    });
+    let shares = shares.filter(|service| !service.shares.is_empty()).collect();
+    Some(Placement {
+        epoch: new.epoch,
+        number: new.number,
+        shares,
+        partial: true,
+        after: old.number,
+        ..Placement::default()
+    })
+}
+
+/// Takes a change of shares into a list of them.
+///
+/// ```
+/// let mut shares = vec![];
+/// gazetteer::take_change(&mut shares, &[parcel::ServiceShares { service: "s".into(), shares: vec![] }]);
+/// assert_eq!(shares.len(), 1);
+/// ```
+pub fn take_change(shares: &mut Vec<ServiceShares>, changes: &[ServiceShares]) {
+    changes.iter().for_each(|change| match shares.iter_mut().find(|known| known.service == change.service) {
+        Some(known) => known.shares = patched(&known.shares, &change.shares),
+        None => shares.push(ServiceShares { service: change.service.clone(), shares: patched(&[], &change.shares) }),
+    });
+}
--- a/crates/gazetteer/src/placement.rs
+++ b/crates/gazetteer/src/placement.rs
@@ -205,6 +205,7 @@
             reservations: reservations.collect(),
             marks: marks.collect(),
             shares,
+            ..Placement::default()
         }
     }
 
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -136,6 +136,14 @@
             return;
         }
         self.placement_at = at;
+        if placement.partial {
+            let shares = Arc::make_mut(&mut self.shares);
+            placement.shares.into_iter().for_each(|change| {
+                let known = shares.entry(change.service).or_default();
+                *known = crate::patch::patched(known, &change.shares);
+            });
+            return;
+        }
         let reservations = placement.reservations.into_iter().map(|r| (r.name.clone(), r));
         self.reservations = Arc::new(reservations.collect());
         let marks = placement.marks.into_iter().map(|m| ((m.name.clone(), m.from.clone()), m));
--- a/crates/parcel/src/lib.rs
+++ b/crates/parcel/src/lib.rs
@@ -1,10 +1,12 @@
 //! What mothspindle's processes say to each other, how it is framed, and the seal on verdicts.
 
 mod frames;
+mod kinds;
 mod messages;
 mod squeeze;
 
 pub use frames::Frames;
+pub use kinds::kind;
 pub use messages::*;
 pub use prost::Message;
 pub use squeeze::{MOST_SETUP_BYTES, squeeze, unsqueeze};
--- a/crates/parcel/src/messages.rs
+++ b/crates/parcel/src/messages.rs
@@ -9,7 +9,7 @@
     pub from: String,
     #[prost(
         oneof = "Body",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41"
     )]
     pub body: Option<Body>,
 }
@@ -79,6 +79,8 @@
     KeyLoads(KeyLoads),
     #[prost(message, tag = "31")]
     Alive(Alive),
+    #[prost(message, tag = "41")]
+    PlacementAsk(PlacementAsk),
 }
 
 /// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
@@ -557,6 +559,12 @@
     pub marks: Vec<Mark>,
     #[prost(message, repeated, tag = "5")]
     pub shares: Vec<ServiceShares>,
+    /// True where it holds changes of shares alone: rows, and rows without an instance where nobody holds any more.
+    #[prost(bool, tag = "6")]
+    pub partial: bool,
+    /// Where partial: the number that it follows.
+    #[prost(uint64, tag = "7")]
+    pub after: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -657,3 +665,7 @@
     #[prost(message, repeated, tag = "1")]
     pub loads: Vec<KeyLoad>,
 }
+
+/// Wants the placement whole: a change did not follow what is known.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlacementAsk {}
--- a/crates/postmaster/src/keys.rs
+++ b/crates/postmaster/src/keys.rs
@@ -139,16 +139,3 @@
     };
     ranges.all(now).into_iter().map(share).collect()
 }
-
-/// The parts of the last told shares that nobody is known to hold.
-pub(crate) fn uncovered(last: &[Share], known: &[Share]) -> Vec<Share> {
-    let cut = |shares: Vec<Share>, known: &Share| {
-        let parts = shares.into_iter().flat_map(|share| {
-            let before = Share { until: share.until.min(known.from), ..share.clone() };
-            let after = Share { from: share.from.max(known.until), ..share };
-            [before, after].into_iter().filter(|share| share.from < share.until)
-        });
-        parts.collect()
-    };
-    known.iter().fold(last.to_vec(), cut)
-}
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -96,7 +96,7 @@
                 word: new_word.cloned(),
                 setup: new_setup.cloned(),
                 upstreams: changed.clone(),
-                placement: new_placement.cloned(),
+                placement: new_placement.map(|new| gazetteer::change(&reader.placement, new).unwrap_or(new.clone())),
                 keeps_upstreams: false,
             };
             if news.word.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
@@ -105,7 +105,7 @@
             reader.number += 1;
             self.counts.changes += 1;
             reader.word = news.word.clone().unwrap_or_else(|| reader.word.clone());
-            reader.placement = news.placement.clone().unwrap_or_else(|| reader.placement.clone());
+            reader.placement.clone_from(&placement);
             self.effects.push_back(Effect::Send { to: node.clone(), body: Body::News(news) });
         }
     }
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -7,7 +7,7 @@
 use address::{Code, Dice};
 use claims::Claims;
 use enrolment::Roll;
-use gazetteer::SetupReader;
+use gazetteer::{Owners, SetupReader};
 use parcel::{Body, Durable, Member, Placement, RollAsk, RollTold, Share, Upstream};
 use registered::{Change, Register, Standing};
 use rounds::Rounds;
@@ -39,6 +39,8 @@
     pub seed: u64,
     /// How configurations are read.
     pub reader: SetupReader,
+    /// Who owns a name.
+    pub owners: Owners,
     pub durable: Durable,
     pub setups: BTreeMap<String, Vec<u8>>,
     pub times: Times,
@@ -172,6 +174,7 @@
     pub(crate) me: Member,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
+    pub(crate) owners: Owners,
     pub(crate) dice: Dice,
     pub(crate) register: Register,
     pub(crate) rounds: Rounds,
@@ -211,13 +214,13 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
+    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     ///     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
         let mut dice = Dice::new(start.seed);
-        let Start { me, seeds, roster_size, reader, durable, setups, times, .. } = start;
+        let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(registered::Start {
             me: me.node.clone(),
             roster_size,
@@ -234,6 +237,7 @@
             me,
             times,
             reader,
+            owners,
             dice,
             register,
             roll: Roll::default(),
@@ -263,7 +267,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert_eq!(postmaster::Office::new(start).edition(), 0);
     /// ```
@@ -275,7 +279,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// use postmaster::{Answer, Ask, Effect, Event, Office};
     /// let mut office = Office::new(start);
@@ -365,6 +369,7 @@
             Body::Holder(holder) => self.hear_holder(from, holder.epoch),
             Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
             Body::SharesGiven(given) => self.shares_given(given),
+            Body::PlacementAsk(_) => self.placement_asked(from),
             Body::Placement(placement) => self.take_placement(from, placement),
             Body::KeyLoads(told) => self.count_keys(told.loads),
             Body::NewsAsk(ask) => self.news_asked(now, from, ask),
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -3,10 +3,11 @@
 use crate::keys::KeyCounts;
 use crate::office::{Effect, Office};
 use enrolment::{READY, Ranges, Shares};
-use gazetteer::{Needs, Placer};
-use parcel::{Body, Holder, Placement, ServiceShares, Share, Upstream};
+use gazetteer::{Needs, Owners, Placer};
+use parcel::{Body, Holder, Placement, PlacementAsk, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use tariff::Setup;
 
 /// How long a new holder listens before it decides, so that beats and the last placement can reach it.
 const LISTEN: Duration = Duration::from_millis(1200);
@@ -37,7 +38,7 @@
     ///
     /// ```
     /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(),
+    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
     /// assert!(!postmaster::Office::new(start).holds_placement(Default::default()));
     /// ```
@@ -88,7 +89,10 @@
         let served: BTreeSet<String> = served.map(|member| member.locality.clone()).collect();
         let upstreams = self.roll.all(now);
         let evacuated = &self.register.word().evacuated;
-        let needs = Needs { setup: &self.setup, evacuated, upstreams: &upstreams, served: &served };
+        // Where each caller's zone has its own owner, no name has one for everybody.
+        let (nothing, all) = (Setup::default(), self.setup.as_ref());
+        let setup = if self.owners == Owners::One { all } else { &nothing };
+        let needs = Needs { setup, evacuated, upstreams: &upstreams, served: &served };
         let moved = placer.decide(now, &needs);
         let keyed = |name: &String| self.setup.services.get(name).filter(|service| service.keyed);
         duty.shares.retain(|name, _| keyed(name).is_some_and(|service| !service.numbered));
@@ -99,19 +103,30 @@
         });
         let shares = self.told_shares(now, duty);
         self.counts.names_moved += u64::from(moved);
-        if moved || shares != duty.told || now >= duty.next_tell {
+        let changed = moved || shares != duty.told;
+        if changed || now >= duty.next_tell {
             duty.next_tell = now + TELL_EVERY;
-            duty.told = shares.clone();
-            placer.count();
-            self.counts.placements_told += 1;
-            let placement = placer.placement(now, shares);
-            let me = self.me.node.clone();
-            self.tell_postmasters(Body::Placement(placement.clone()));
-            self.take_placement(me, placement);
+            self.tell_placement(now, &mut placer, changed, &shares);
+            duty.told = shares;
         }
         duty.placer = Some(placer);
     }
 
+    /// What changed since the last, where that is shares alone; else the whole. Where nothing did, its number alone,
+    /// so that whoever missed one asks.
+    fn tell_placement(&mut self, now: Duration, placer: &mut Placer, changed: bool, shares: &[ServiceShares]) {
+        let ageless = self.placement.reservations.is_empty() && self.placement.marks.is_empty();
+        if changed || !ageless || self.placement.number == 0 {
+            placer.count();
+        }
+        self.counts.placements_told += 1;
+        let placement = placer.placement(now, shares.to_vec());
+        let change = gazetteer::change(&self.placement, &placement).filter(|_| ageless);
+        self.tell_postmasters(Body::Placement(change.unwrap_or_else(|| placement.clone())));
+        let me = self.me.node.clone();
+        self.take_placement(me, placement);
+    }
+
     /// Who holds which keys, to be told on. Until everything given by an earlier holder has run out, what it told of
     /// last is told on for the slots that nobody claimed here yet: their upstreams hold them, or say that they don't.
     fn told_shares(&self, now: Duration, duty: &Duty) -> Vec<ServiceShares> {
@@ -124,20 +139,33 @@
             };
             let (known, quiet) = known.unwrap_or((Vec::new(), true));
             let last = self.placement.shares.iter().find(|last| last.service == *name && quiet);
-            let kept = last.map(|last| crate::keys::uncovered(&last.shares, &known)).unwrap_or_default();
+            let kept = last.map(|last| gazetteer::uncovered(&last.shares, &known)).unwrap_or_default();
             ServiceShares { service: name.clone(), shares: kept.into_iter().chain(known).collect() }
         });
         told.collect()
     }
 
     pub(crate) fn take_placement(&mut self, from: String, placement: Placement) {
-        let newer = (placement.epoch, placement.number) > (self.placement.epoch, self.placement.number);
-        if newer {
-            self.hear_holder(from, placement.epoch);
+        let (at, known) = ((placement.epoch, placement.number), (self.placement.epoch, self.placement.number));
+        if at <= known {
+            return;
+        }
+        self.hear_holder(from.clone(), placement.epoch);
+        if !placement.partial {
             self.placement = placement;
+        } else if (placement.epoch, placement.after) == known {
+            gazetteer::take_change(&mut self.placement.shares, &placement.shares);
+            self.placement.number = placement.number;
+        } else {
+            self.effects.push_back(Effect::Send { to: from, body: Body::PlacementAsk(PlacementAsk {}) });
         }
     }
 
+    pub(crate) fn placement_asked(&mut self, from: String) {
+        let placement = self.placement.clone();
+        self.effects.push_back(Effect::Send { to: from, body: Body::Placement(placement) });
+    }
+
     /// Who holds the duty; a lower epoch was overtaken.
     pub(crate) fn hear_holder(&mut self, from: String, epoch: u64) {
         if epoch > self.held_epoch {
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -5,6 +5,7 @@
 use address::Code;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use gazetteer::Owners;
 use http_body_util::Full;
 use hyper::Response;
 use parcel::{Durable, Member, Message, Parcel};
@@ -42,6 +43,12 @@
         "how many vote; a founding needs them all; 0: one a locality",
     ),
     setting("localities", Shape::Localities, Some(""), "the site's localities"),
+    setting(
+        "owners",
+        Shape::OneOf(&["one", "by-caller"]),
+        Some("one"),
+        "who owns a name: one locality, or one for each",
+    ),
     setting("data", Shape::Folder, None, "the data folder"),
 ];
 
@@ -144,6 +151,7 @@
         },
         seed: wicket::chance(),
         reader: dialect.reader,
+        owners: if settings.get("owners") == "one" { Owners::One } else { Owners::ByCaller },
         durable: contents.durable,
         setups: contents.setups,
         times: times(&settings),
@@ -172,6 +180,7 @@
     let mut stop = std::pin::pin!(wicket::stop_signal());
     let mut datagram = vec![0u8; 65_536];
     let mut end_at = None;
+    let mut next_told = Duration::ZERO;
     while end_at.is_none_or(|end_at| clock.now() < end_at) {
         let event = tokio::select! {
             _ = tick.tick() => Event::Tick,
@@ -206,6 +215,10 @@
         if ticked {
             shared.ready.store(office.is_current(now), Ordering::Relaxed);
             answers.retain(|_, answer| !answer.is_closed());
+            if now >= next_told {
+                next_told = now + Duration::from_secs(5);
+                log::debug!("links: {:?}", links.sent());
+            }
         }
     }
     let _ = close.send(true);
--- a/crates/postmaster/tests/hearsay.rs
+++ b/crates/postmaster/tests/hearsay.rs
@@ -25,6 +25,7 @@
     let place = all.iter().find(|(other, _)| *other == node).map(|(_, place)| *place).unwrap_or_default();
     let mut office = Office::new(Start {
         reader: Default::default(),
+        owners: Default::default(),
         me: member(node, place),
         seeds: vec![],
         roster_size: 4,
--- a/crates/wicket/src/links.rs
+++ b/crates/wicket/src/links.rs
@@ -3,7 +3,7 @@
 
 use futures::{SinkExt, StreamExt};
 use parcel::{Body, Frames, Message, Parcel};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -24,6 +24,9 @@
     addresses: HashMap<String, String>,
 }
 
+/// Messages and bytes sent since the start, by kind.
+pub type Sent = BTreeMap<&'static str, (u64, u64)>;
+
 type Waitlist = (mpsc::Sender<Parcel>, mpsc::Receiver<Parcel>);
 
 /// All links of one process.
@@ -33,6 +36,7 @@
     /// The number that connections go out from, so that the other side sees where they come from.
     source: Option<IpAddr>,
     table: Arc<Mutex<Table>>,
+    sent: Arc<Mutex<Sent>>,
     arrivals: mpsc::Sender<(String, Body)>,
 }
 
@@ -55,7 +59,7 @@
     /// ```
     pub fn open(me: String, socket: Option<TcpListener>, arrivals: mpsc::Sender<(String, Body)>) -> Links {
         let source = socket.as_ref().and_then(|socket| socket.local_addr().ok()).map(|address| address.ip());
-        let links = Links { me, source, table: Arc::default(), arrivals };
+        let links = Links { me, source, table: Arc::default(), sent: Arc::default(), arrivals };
         socket.into_iter().for_each(|socket| {
             let links = links.clone();
             tokio::spawn(async move {
@@ -95,7 +99,13 @@
     /// # });
     /// ```
     pub fn send(&self, to: &str, body: Body) {
+        let kind = parcel::kind(&body);
         let parcel = Parcel { from: self.me.clone(), body: Some(body) };
+        {
+            let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+            let counts = sent.entry(kind).or_default();
+            *counts = (counts.0 + 1, counts.1 + parcel.encoded_len() as u64);
+        }
         let dial = self.with(|table| {
             let open = table.open.get(to).filter(|sender| !sender.is_closed());
             if let Some(sender) = open {
@@ -122,6 +132,19 @@
         });
     }
 
+    /// What was sent since the start, by kind; what was dropped on the way counts too.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// links.send("nobody", parcel::Body::RollAsk(Default::default()));
+    /// assert_eq!(links.sent()["rollAsk"].0, 1);
+    /// # });
+    /// ```
+    pub fn sent(&self) -> Sent {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     async fn connect(&self, address: &str) -> std::io::Result<TcpStream> {
         let to: SocketAddr = address.parse().map_err(std::io::Error::other)?;
         let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
