--- /dev/null
+++ b/crates/drill/src/hollow/count.rs
@@ -0,0 +1,200 @@
+//! What is counted: messages and their encoded bytes by role, kind and reach, and the time spent in step functions.
+
+use parcel::Body;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// What a process does at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    Carrier,
+    /// A postmaster without the placement duty.
+    Voter,
+    /// The postmaster that holds it.
+    Holder,
+    Upstream,
+}
+
+pub const ROLES: [Role; 4] = [Role::Carrier, Role::Voter, Role::Holder, Role::Upstream];
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let name = match self {
+            Role::Carrier => "carrier",
+            Role::Voter => "voter",
+            Role::Holder => "holder",
+            Role::Upstream => "upstream",
+        };
+        f.pad(name)
+    }
+}
+
+/// How far a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    Zone,
+    Region,
+    Far,
+}
+
+pub const REACHES: [Reach; 3] = [Reach::Zone, Reach::Region, Reach::Far];
+
+impl fmt::Display for Reach {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let name = match self {
+            Reach::Zone => "zone",
+            Reach::Region => "region",
+            Reach::Far => "far",
+        };
+        f.pad(name)
+    }
+}
+
+/// Messages and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Flow {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+impl Flow {
+    fn add(&mut self, bytes: u64) {
+        self.messages += 1;
+        self.bytes += bytes;
+    }
+}
+
+impl std::iter::Sum for Flow {
+    fn sum<I: Iterator<Item = Flow>>(flows: I) -> Flow {
+        flows.fold(Flow::default(), |sum, flow| Flow {
+            messages: sum.messages + flow.messages,
+            bytes: sum.bytes + flow.bytes,
+        })
+    }
+}
+
+/// Steps of one kind and the time they took.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Steps {
+    pub count: u64,
+    pub took: Duration,
+    pub most: Duration,
+}
+
+type Way = (Role, Role, &'static str, Reach);
+
+/// All counts of a window.
+#[derive(Default)]
+pub struct Ledger {
+    flows: BTreeMap<Way, Flow>,
+    steps: BTreeMap<(Role, &'static str), Steps>,
+    /// Time in step functions, by process.
+    busy: BTreeMap<(Role, usize), Duration>,
+}
+
+impl Ledger {
+    /// Notes one message on its way.
+    ///
+    /// ```
+    /// use drill::hollow::{Ledger, Reach, Role};
+    /// let mut ledger = Ledger::default();
+    /// ledger.sent((Role::Carrier, Role::Voter, "probe", Reach::Far), 100);
+    /// assert_eq!(ledger.out(Role::Carrier, None).bytes, 100);
+    /// assert_eq!(ledger.into_role(Role::Voter, Some(Reach::Far)).messages, 1);
+    /// assert_eq!(ledger.into_role(Role::Voter, Some(Reach::Zone)).messages, 0);
+    /// ```
+    pub fn sent(&mut self, way: Way, bytes: u64) {
+        self.flows.entry(way).or_default().add(bytes);
+    }
+
+    /// Notes one step of a process.
+    ///
+    /// ```
+    /// use drill::hollow::{Ledger, Role};
+    /// use std::time::Duration;
+    /// let mut ledger = Ledger::default();
+    /// ledger.stepped(Role::Carrier, 3, "tick", Duration::from_micros(5));
+    /// assert_eq!(ledger.busy(Role::Carrier), [Duration::from_micros(5)]);
+    /// ```
+    pub fn stepped(&mut self, role: Role, node: usize, kind: &'static str, took: Duration) {
+        let steps = self.steps.entry((role, kind)).or_default();
+        steps.count += 1;
+        steps.took += took;
+        steps.most = steps.most.max(took);
+        *self.busy.entry((role, node)).or_default() += took;
+    }
+
+    /// What left the processes of a role.
+    pub fn out(&self, role: Role, reach: Option<Reach>) -> Flow {
+        self.sum(|way| way.0 == role && reach.is_none_or(|reach| way.3 == reach))
+    }
+
+    /// What came in to the processes of a role.
+    pub fn into_role(&self, role: Role, reach: Option<Reach>) -> Flow {
+        self.sum(|way| way.1 == role && reach.is_none_or(|reach| way.3 == reach))
+    }
+
+    /// Everything.
+    pub fn all(&self) -> Flow {
+        self.sum(|_| true)
+    }
+
+    fn sum(&self, counts: impl Fn(&Way) -> bool) -> Flow {
+        self.flows.iter().filter(|(way, _)| counts(way)).map(|(_, flow)| *flow).sum()
+    }
+
+    /// Out of and into a role, by kind.
+    pub fn kinds(&self, role: Role) -> BTreeMap<&'static str, (Flow, Flow)> {
+        let mut kinds: BTreeMap<&'static str, (Flow, Flow)> = BTreeMap::new();
+        self.flows.iter().for_each(|((from, to, kind, _), flow)| {
+            let (out, into) = kinds.entry(kind).or_default();
+            *out = [*out, *flow].into_iter().take(1 + usize::from(*from == role)).sum();
+            *into = [*into, *flow].into_iter().take(1 + usize::from(*to == role)).sum();
+        });
+        kinds.retain(|_, (out, into)| out.messages + into.messages > 0);
+        kinds
+    }
+
+    /// The steps of a role by what caused them.
+    pub fn steps(&self, role: Role) -> BTreeMap<&'static str, Steps> {
+        self.steps.iter().filter(|((of, _), _)| *of == role).map(|((_, kind), steps)| (*kind, *steps)).collect()
+    }
+
+    /// The time in step functions of each process of a role.
+    pub fn busy(&self, role: Role) -> Vec<Duration> {
+        self.busy.iter().filter(|((of, _), _)| *of == role).map(|(_, took)| *took).collect()
+    }
+}
+
+/// A message's kind as the tables name it.
+///
+/// ```
+/// assert_eq!(drill::hollow::kind(&parcel::Body::RollAsk(parcel::RollAsk {})), "roll ask");
+/// ```
+pub fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Probe(_) => "probe",
+        Body::ProbeFor(_) => "probe for",
+        Body::Heard(_) => "heard",
+        Body::Read(_) => "read",
+        Body::ReadBack(_) => "read back",
+        Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) => "claim",
+        Body::Beats(_) => "beats told on",
+        Body::SharesAsk(_) => "shares ask",
+        Body::SharesGiven(_) => "shares given",
+        Body::Placement(_) => "placement",
+        Body::NewsAsk(_) => "news ask",
+        Body::Fresh(_) => "fresh",
+        Body::News(news) if news.number == 0 => "news image",
+        Body::News(_) => "news change",
+        Body::NewsKept(_) => "news kept",
+        Body::CarrierKept(_) => "carrier kept",
+        Body::RollAsk(_) => "roll ask",
+        Body::RollTold(_) => "roll told",
+        Body::Holder(_) => "holder",
+        Body::SetupBytes(_) => "setup bytes",
+        Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "round",
+        _ => "other",
+    }
+}
--- /dev/null
+++ b/crates/drill/src/hollow/figures.rs
@@ -0,0 +1,118 @@
+//! What a run comes to: plain figures by name.
+
+use super::count::{Ledger, REACHES, ROLES, Role};
+use super::size::Size;
+use std::time::Duration;
+
+/// Figures in the order of their making.
+#[derive(Clone, Debug, Default)]
+pub struct Figures(pub Vec<(String, f64)>);
+
+impl Figures {
+    /// Adds one.
+    ///
+    /// ```
+    /// let mut figures = drill::hollow::Figures::default();
+    /// figures.add("a", 1.0);
+    /// assert_eq!(figures.get("a"), Some(1.0));
+    /// assert_eq!(figures.to_string(), "a=1");
+    /// ```
+    pub fn add(&mut self, name: impl Into<String>, figure: f64) {
+        self.0.push((name.into(), figure));
+    }
+
+    /// The figure with this name.
+    pub fn get(&self, name: &str) -> Option<f64> {
+        self.0.iter().find(|(known, _)| known == name).map(|(_, figure)| *figure)
+    }
+
+    /// A line as [`Figures`] writes it, read again.
+    ///
+    /// ```
+    /// let read = drill::hollow::Figures::read("size=3 carrier.core%=0.25 noise");
+    /// assert_eq!(read.get("carrier.core%"), Some(0.25));
+    /// ```
+    pub fn read(line: &str) -> Figures {
+        let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
+        Figures(pairs.filter_map(|(name, figure)| Some((name.to_owned(), figure.parse().ok()?))).collect())
+    }
+
+    /// Rates of a window: by role and process, a second.
+    pub fn of(ledger: &Ledger, size: &Size, window: Duration) -> Figures {
+        let mut figures = Figures::default();
+        ROLES.into_iter().for_each(|role| figures.add_role(ledger, size, window, role));
+        figures
+    }
+
+    fn add_role(&mut self, ledger: &Ledger, size: &Size, window: Duration, role: Role) {
+        let count = match role {
+            Role::Carrier => size.nodes,
+            Role::Voter => size.postmasters.saturating_sub(1),
+            Role::Holder => 1,
+            Role::Upstream => size.upstreams,
+        };
+        let each = count.max(1) as f64 * window.as_secs_f64();
+        let (out, into) = (ledger.out(role, None), ledger.into_role(role, None));
+        self.add(format!("{role}.out.msgs"), out.messages as f64 / each);
+        self.add(format!("{role}.in.msgs"), into.messages as f64 / each);
+        self.add(format!("{role}.out.bytes"), out.bytes as f64 / each);
+        self.add(format!("{role}.in.bytes"), into.bytes as f64 / each);
+        REACHES.into_iter().for_each(|reach| {
+            let both = ledger.out(role, Some(reach)).bytes + ledger.into_role(role, Some(reach)).bytes;
+            self.add(format!("{role}.{reach}.bytes"), both as f64 / each);
+        });
+        let shares = ledger.busy(role).into_iter().map(|busy| busy.as_secs_f64() * 100.0 / window.as_secs_f64());
+        let shares: Vec<f64> = shares.collect();
+        if !shares.is_empty() {
+            let held = shares.len() as f64;
+            let mean = shares.iter().sum::<f64>() / held;
+            let spread = (shares.iter().map(|share| (share - mean).powi(2)).sum::<f64>() / held).sqrt();
+            self.add(format!("{role}.core%"), mean);
+            self.add(format!("{role}.core%.spread"), spread);
+            self.add(format!("{role}.core%.most"), shares.iter().copied().fold(0.0, f64::max));
+        }
+    }
+}
+
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let shown = |figure: f64| {
+            let places = if figure.abs() >= 100.0 || figure == figure.trunc() { 0 } else { 4 };
+            format!("{figure:.places$}")
+        };
+        let line: Vec<String> = self.0.iter().map(|(name, figure)| format!("{name}={}", shown(*figure))).collect();
+        f.write_str(&line.join(" "))
+    }
+}
+
+/// Tables of one window by kind of message and cause of step.
+pub fn print_kinds(ledger: &Ledger, size: &Size, window: Duration) {
+    ROLES.into_iter().filter(|role| *role != Role::Upstream).for_each(|role| {
+        let count = match role {
+            Role::Carrier => size.nodes,
+            Role::Voter => size.postmasters.saturating_sub(1),
+            _ => 1,
+        };
+        let each = count.max(1) as f64 * window.as_secs_f64();
+        println!("{role}, one process, a second:");
+        ledger.kinds(role).into_iter().for_each(|(kind, (out, into))| {
+            println!(
+                "  {kind:<14} out {:>10.2} messages {:>12.0} bytes, in {:>10.2} messages {:>12.0} bytes",
+                out.messages as f64 / each,
+                out.bytes as f64 / each,
+                into.messages as f64 / each,
+                into.bytes as f64 / each,
+            );
+        });
+        println!("{role}, steps by cause:");
+        ledger.steps(role).into_iter().for_each(|(kind, steps)| {
+            println!(
+                "  {kind:<14} {:>10.2} a second, {:>10.1} us each, most {:>10.0} us, {:>8.3} % of a core",
+                steps.count as f64 / each,
+                steps.took.as_secs_f64() * 1e6 / steps.count.max(1) as f64,
+                steps.most.as_secs_f64() * 1e6,
+                steps.took.as_secs_f64() * 100.0 / each,
+            );
+        });
+    });
+}
--- /dev/null
+++ b/crates/drill/src/hollow/queue.rs
@@ -0,0 +1,73 @@
+//! What happens when, in virtual time.
+
+use super::units::Answered;
+use parcel::{Body, Durable, Upstream};
+use postmaster::Answer;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// What happens at a moment.
+pub enum Happening {
+    Tick { node: usize, life: u64 },
+    Parcel { node: usize, from: usize, body: Body },
+    Datagram { node: usize, from: usize, body: Body },
+    Synced { node: usize, life: u64, ticket: u64, write: Write },
+    Beat { unit: usize, life: u64 },
+    BeatComes { node: usize, unit: usize, life: u64, told: Box<Upstream> },
+    BeatAnswered { unit: usize, answered: Answered },
+    Submit { bytes: Vec<u8>, asked: u32 },
+    Verdict { asked: u32, answer: Answer },
+}
+
+/// What a disk is asked to keep.
+pub enum Write {
+    State(Durable),
+    Setup(String, Vec<u8>),
+}
+
+struct Item {
+    at: Duration,
+    number: u64,
+    what: Happening,
+}
+
+impl PartialEq for Item {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Item {}
+
+impl PartialOrd for Item {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Item {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Events in their order; those of one moment in the order of their making.
+#[derive(Default)]
+pub struct Queue {
+    items: BinaryHeap<Reverse<Item>>,
+    number: u64,
+}
+
+impl Queue {
+    pub fn push(&mut self, at: Duration, what: Happening) {
+        self.number += 1;
+        self.items.push(Reverse(Item { at, number: self.number, what }));
+    }
+
+    /// The next that happens no later than `until`.
+    pub fn pop(&mut self, until: Duration) -> Option<(Duration, Happening)> {
+        let due = self.items.peek().is_some_and(|Reverse(item)| item.at <= until);
+        Some(()).filter(|()| due).and_then(|()| self.items.pop()).map(|Reverse(item)| (item.at, item.what))
+    }
+}
--- /dev/null
+++ b/crates/drill/src/hollow/request.rs
@@ -0,0 +1,172 @@
+//! What a request costs a proxy's processor away from its sockets: the journey over a view of some size, a directory
+//! look-up, and what a node does with its view in between.
+
+use super::figures::Figures;
+use super::size::Size;
+use gazetteer::{Proxy, View};
+use parcel::{News, Placement, Reservation, Upstream, Word};
+use sorting::{Board, Journey, Move, Order, Outcome, Site};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const REQUESTS: usize = 20_000;
+const NOW: Duration = Duration::from_secs(100);
+
+/// Measures the path at a size.
+///
+/// ```
+/// let figures = drill::hollow::request_path(&drill::hollow::TODAY, 50);
+/// assert_eq!(figures.get("served"), Some(50.0));
+/// ```
+pub fn request_path(size: &Size, requests: usize) -> Figures {
+    let mut view = view(size);
+    let board = Board::default();
+    let site = Site::new("carrier-0", view.proxies[0].locality.clone(), Duration::from_secs(2), Duration::ZERO);
+    let mut figures = Figures::default();
+    let mut served = 0;
+    let took: Vec<Duration> = (0..requests)
+        .map(|at| {
+            let order = order(size, at);
+            let started_at = Instant::now();
+            served += usize::from(journey(order, &site, &view, &board));
+            started_at.elapsed()
+        })
+        .collect();
+    figures.add("served", served as f64);
+    spread(&mut figures, "journey", took);
+    let looked = (0..requests.min(2000)).map(|at| {
+        let (name, origin) = (format!("name-{}", at % size.routes), &view.proxies[at % view.proxies.len()].locality);
+        let started_at = Instant::now();
+        let listed = gazetteer::list(&view, &name, origin, Duration::from_secs(2));
+        assert!(black_box(listed).is_ok(), "{name} has an owner");
+        started_at.elapsed()
+    });
+    spread(&mut figures, "look-up", looked.collect());
+    (0..size.upstreams).for_each(|at| drop(board.seat(&format!("unit-{at}"))));
+    let known = |instance: &str| view.upstreams.values().any(|known| known.contains_key(instance));
+    spread(&mut figures, "sweep", times(|| board.sweep(NOW, known)));
+    spread(&mut figures, "publish", times(|| drop(black_box(view.clone()))));
+    let mut moved = view.clone();
+    spread(&mut figures, "settle-senders", times(|| moved.settle_senders(NOW)));
+    // A beat that tells of other room, while requests hold the view before it.
+    let change = || News { upstreams: vec![upstream(size, 7)], ..News::default() };
+    let took = (0..20).map(|_| {
+        let (held, news) = (view.clone(), change());
+        let started_at = Instant::now();
+        let taken = view.take(news, false);
+        let took = started_at.elapsed();
+        assert!(taken.is_ok(), "no setup to misread");
+        drop(held);
+        took
+    });
+    spread(&mut figures, "one-change", took.collect());
+    figures
+}
+
+/// The default number of requests.
+pub fn measured(size: &Size) -> Figures {
+    request_path(size, REQUESTS)
+}
+
+fn order(size: &Size, at: usize) -> Order {
+    Order {
+        try_id: format!("try-{at}"),
+        name: format!("name-{}", at % size.routes),
+        path: "/".into(),
+        key: Some(format!("tenant-{}", at % 82_000)),
+        arrived_at: NOW,
+        remaining: Duration::from_secs(3),
+        ..Order::default()
+    }
+}
+
+/// From the choice to the verdict; true where it was sent.
+fn journey(order: Order, site: &Site, view: &View, board: &Board) -> bool {
+    let mut journey = Journey::new(order, site.clone());
+    match journey.start(NOW, view, board) {
+        Move::Connect { .. } => {
+            let sent = matches!(journey.connected(NOW, view, board), Move::Send { .. });
+            journey.after(NOW, view, board, Outcome::Sealed);
+            sent
+        }
+        _ => false,
+    }
+}
+
+fn times(mut act: impl FnMut()) -> Vec<Duration> {
+    let timed = (0..20).map(|_| {
+        let started_at = Instant::now();
+        act();
+        started_at.elapsed()
+    });
+    timed.collect()
+}
+
+fn spread(figures: &mut Figures, name: &str, mut took: Vec<Duration>) {
+    took.sort();
+    let micros = |part: usize| took[(took.len() * part / 1000).min(took.len() - 1)].as_secs_f64() * 1e6;
+    let mean = took.iter().sum::<Duration>().as_secs_f64() * 1e6 / took.len() as f64;
+    figures.add(format!("{name}.us"), mean);
+    figures.add(format!("{name}.us.p50"), micros(500));
+    figures.add(format!("{name}.us.p99"), micros(990));
+}
+
+fn upstream(size: &Size, at: usize) -> Upstream {
+    Upstream {
+        service: format!("service-{}", at % size.services),
+        instance: format!("unit-{at}"),
+        address: format!("10.{}.{}.{}:8080", at / 62_500, at / 250 % 250, at % 250),
+        locality: size.locality(size.unit_zone(at)),
+        free_slots: 16,
+        warm: true,
+        beat: 1,
+        ..Upstream::default()
+    }
+}
+
+/// A fresh view: the site's setup, and every name owned by the first proxy's zone, as for a proxy that serves them all.
+fn view(size: &Size) -> View {
+    let mut view = View::default();
+    let owned = (0..size.routes).map(|at| Reservation {
+        name: format!("name-{at}"),
+        locality: size.locality(0),
+        epoch: 1,
+        ..Reservation::default()
+    });
+    let shares = (0..size.services).filter(|service| size.is_keyed(*service)).map(|service| {
+        let holders: Vec<usize> = (0..size.upstreams).filter(|at| at % size.services == service).collect();
+        let given = (0..address::SLOTS).filter(|_| !holders.is_empty()).map(|slot| parcel::Share {
+            from: slot,
+            until: slot + 1,
+            epoch: 1,
+            instance: format!("unit-{}", holders[slot as usize % holders.len().max(1)]),
+        });
+        parcel::ServiceShares { service: format!("service-{service}"), shares: given.collect() }
+    });
+    let placement = Placement {
+        epoch: 1,
+        number: 1,
+        reservations: owned.collect(),
+        shares: shares.collect(),
+        ..Placement::default()
+    };
+    let news = News {
+        word: Some(Word { edition: 1, ..Word::default() }),
+        setup: Some(size.setup(0).into_bytes()),
+        upstreams: (0..size.upstreams).map(|at| upstream(size, at)).collect(),
+        placement: Some(placement),
+        ..News::default()
+    };
+    view.take(news, true).expect("the setup is well-formed");
+    let proxies = (0..size.nodes).map(|at| Proxy {
+        node: format!("carrier-{at}"),
+        locality: size.locality(size.zone(at)).parse().unwrap_or_default(),
+        address: format!("10.0.0.{at}:8000"),
+        suspect: false,
+    });
+    view.proxies = Arc::new(proxies.collect());
+    view.settle_senders(Duration::from_secs(1));
+    view.as_of = Some(NOW);
+    view
+}
--- /dev/null
+++ b/crates/drill/src/hollow/size.rs
@@ -0,0 +1,124 @@
+//! How large a hollow site is, and where everything in it stands.
+
+/// The numbers that a site is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    pub nodes: usize,
+    pub postmasters: usize,
+    pub upstreams: usize,
+    pub services: usize,
+    pub routes: usize,
+    pub regions: usize,
+    pub zones: usize,
+}
+
+/// Roadwise as it is.
+pub const TODAY: Size =
+    Size { nodes: 13, postmasters: 6, upstreams: 36, services: 3, routes: 20, regions: 3, zones: 6 };
+
+/// The size that the site is designed for.
+pub const TARGET: Size =
+    Size { nodes: 1200, postmasters: 6, upstreams: 8500, services: 390, routes: 1900, regions: 15, zones: 46 };
+
+impl Size {
+    /// The target shrunk to so many nodes, in everything alike; never smaller than today.
+    ///
+    /// ```
+    /// use drill::hollow::{Size, TARGET};
+    /// assert_eq!(Size::shrunk(1200), TARGET);
+    /// assert_eq!(Size::shrunk(300).upstreams, 2125);
+    /// ```
+    pub fn shrunk(nodes: usize) -> Size {
+        let part = |target: usize, today: usize| (target * nodes / TARGET.nodes).max(today);
+        Size {
+            nodes,
+            postmasters: TARGET.postmasters,
+            upstreams: part(TARGET.upstreams, TODAY.upstreams),
+            services: part(TARGET.services, TODAY.services),
+            routes: part(TARGET.routes, TODAY.routes),
+            regions: part(TARGET.regions, TODAY.regions),
+            zones: part(TARGET.zones, TODAY.zones),
+        }
+    }
+
+    /// The zone of machine number `at`.
+    ///
+    /// ```
+    /// assert_eq!(drill::hollow::TODAY.zone(7), 1);
+    /// ```
+    pub fn zone(&self, at: usize) -> usize {
+        at % self.zones.max(1)
+    }
+
+    /// The zone of upstream number `at`: one service's upstreams stand in as many zones as there are of them.
+    ///
+    /// ```
+    /// use drill::hollow::TODAY;
+    /// let zones: std::collections::BTreeSet<usize> = (0..36).step_by(3).map(|at| TODAY.unit_zone(at)).collect();
+    /// assert_eq!(zones.len(), 6);
+    /// ```
+    pub fn unit_zone(&self, at: usize) -> usize {
+        let services = self.services.max(1);
+        self.zone(at / services + 7 * (at % services))
+    }
+
+    /// The region that a zone lies in.
+    ///
+    /// ```
+    /// assert_eq!(drill::hollow::TODAY.region(4), 1);
+    /// ```
+    pub fn region(&self, zone: usize) -> usize {
+        zone % self.regions.max(1)
+    }
+
+    /// A zone in text form.
+    ///
+    /// ```
+    /// assert_eq!(drill::hollow::TODAY.locality(4), "region-1/zone-4");
+    /// ```
+    pub fn locality(&self, zone: usize) -> String {
+        format!("region-{}/zone-{zone}", self.region(zone))
+    }
+
+    /// True where a service's keys have one holder each: every third, as on the sites of today.
+    ///
+    /// ```
+    /// assert!(drill::hollow::TODAY.is_keyed(2));
+    /// ```
+    pub fn is_keyed(&self, service: usize) -> bool {
+        service % 3 == 2
+    }
+
+    /// A setup with a name for each route; `extra` adds routes.
+    ///
+    /// ```
+    /// let setup = tariff::Setup::read(drill::hollow::TODAY.setup(1).as_bytes()).unwrap();
+    /// assert_eq!(setup.routes.len(), 21);
+    /// ```
+    pub fn setup(&self, extra: usize) -> String {
+        let services = (0..self.services).map(|at| {
+            let work = if at % 3 == 0 { "repeatable" } else { "once" };
+            format!(
+                r#"{{"name": "service-{at}", "work": "{work}", "keyed": {}, "warmUpPerSecond": 5}}"#,
+                self.is_keyed(at)
+            )
+        });
+        let routes = (0..self.routes + extra).map(|at| {
+            let service = at % self.services.max(1);
+            format!(r#"{{"id": "r{at}", "name": "name-{at}", "path": "/", "service": "service-{service}"}}"#)
+        });
+        let list = |items: Vec<String>| items.join(",\n");
+        format!("{{\"services\": [\n{}\n], \"routes\": [\n{}\n]}}\n", list(services.collect()), list(routes.collect()))
+    }
+}
+
+impl std::fmt::Display for Size {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Size { nodes, postmasters, upstreams, services, routes, regions, zones } = self;
+        write!(
+            f,
+            "nodes={nodes} postmasters={postmasters} upstreams={upstreams} services={services} routes={routes} \
+             regions={regions} zones={zones}"
+        )
+    }
+}
--- /dev/null
+++ b/crates/drill/src/hollow/trials.rs
@@ -0,0 +1,187 @@
+//! What is done to a hollow site, and what is noted of it.
+
+use super::figures::{Figures, print_kinds};
+use super::fleet::{Fleet, Load};
+use super::size::Size;
+use std::time::{Duration, Instant};
+
+/// What is tried.
+pub const TRIALS: [(&str, &str); 7] = [
+    ("idle", "nothing happens; upstreams beat"),
+    ("config", "a setup with one further route"),
+    ("node-loss", "one carrier dies without a word"),
+    ("zone-loss", "all processes and upstreams of a zone die"),
+    ("cold-start", "every process is killed and started again on its disk"),
+    ("region-cut", "a region is cut off for the window, then whole again"),
+    ("memory", "twelve further carriers start, and what the process grows by"),
+];
+
+const READY_WITHIN: Duration = Duration::from_secs(60);
+/// Keys are given out anew only so long after a holder's claim.
+const SETTLE: Duration = Duration::from_secs(4);
+const NOTICE_WITHIN: Duration = Duration::from_secs(120);
+
+/// One run's orders.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub size: Size,
+    pub window: Duration,
+    pub seed: u64,
+    pub what: String,
+    pub load: Load,
+    pub kinds: bool,
+}
+
+/// Runs a trial.
+///
+/// ```
+/// use drill::hollow::{Load, Run, Size, TODAY, run};
+/// use std::time::Duration;
+/// let size = Size { nodes: 3, postmasters: 3, upstreams: 6, routes: 3, ..TODAY };
+/// let window = Duration::from_secs(2);
+/// let figures = run(&Run { size, window, seed: 1, what: "idle".into(), load: Load::default(), kinds: false }).unwrap();
+/// assert!(figures.get("carrier.out.msgs").unwrap() > 1.0);
+/// ```
+pub fn run(run: &Run) -> Result<Figures, String> {
+    let started_at = Instant::now();
+    let rss_before = resident();
+    let (mut fleet, ready) = site(run)?;
+    let mut figures = Figures::default();
+    figures.add("up.s", ready.as_secs_f64());
+    fleet.take_ledger();
+    match run.what.as_str() {
+        "idle" => fleet.run_for(run.window),
+        "config" => config(&mut fleet, run, &mut figures),
+        "node-loss" => node_loss(&mut fleet, run, &mut figures),
+        "zone-loss" => zone_loss(&mut fleet, run, &mut figures),
+        "cold-start" => cold_start(&mut fleet, run, &mut figures),
+        "region-cut" => region_cut(&mut fleet, run, &mut figures),
+        "memory" => memory(&mut fleet, run, &mut figures),
+        other => return Err(format!("--what '{other}' is unknown")),
+    }
+    let ledger = fleet.take_ledger();
+    let window = figures.get("window.s").map(Duration::from_secs_f64).unwrap_or(run.window);
+    let all = ledger.all();
+    figures.add("all.msgs", all.messages as f64);
+    figures.add("all.bytes", all.bytes as f64);
+    if run.kinds {
+        print_kinds(&ledger, &run.size, window);
+    }
+    figures.0.extend(Figures::of(&ledger, &run.size, window).0);
+    figures.add("rss.mb", resident().saturating_sub(rss_before) as f64 / 1e6);
+    figures.add("took.s", started_at.elapsed().as_secs_f64());
+    Ok(figures)
+}
+
+/// A site that serves every name at every carrier, and how long that took.
+fn site(run: &Run) -> Result<(Fleet, Duration), String> {
+    let mut fleet = Fleet::new(run.size, run.seed, run.load);
+    fleet.run_for(Duration::from_secs(3));
+    fleet.submit(0);
+    let all = run.size.nodes;
+    let ready = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == all);
+    let ready = ready.ok_or_else(|| format!("{} of {all} carriers serve after {READY_WITHIN:?}", fleet.serving()))?;
+    fleet.run_for(SETTLE);
+    Ok((fleet, ready + Duration::from_secs(3)))
+}
+
+fn seconds(took: Option<Duration>) -> f64 {
+    took.map(|took| took.as_secs_f64()).unwrap_or(f64::NAN)
+}
+
+/// Until the edition is in force at every carrier, counted from the asking.
+fn config(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    fleet.submit(1);
+    let first = fleet.run_until(READY_WITHIN, |fleet| fleet.accepted().is_some());
+    let edition = fleet.accepted().unwrap_or(u64::MAX);
+    let all = fleet.run_until(READY_WITHIN, |fleet| fleet.in_force(edition) == run.size.nodes);
+    let (first, all) = (seconds(first), seconds(all));
+    figures.add("accepted.s", first);
+    figures.add("in-force.s", first + all);
+    let rest = run.window.saturating_sub(Duration::from_secs_f64((first + all).max(0.0)));
+    fleet.run_for(rest);
+}
+
+fn node_loss(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    let lost = [run.size.nodes / 2];
+    let lost_at = fleet.now();
+    fleet.kill(lost[0]);
+    fleet.watch(&lost);
+    noticed(fleet, lost_at, figures);
+}
+
+/// Until the first, half and all of those left hold all that are watched for gone.
+fn noticed(fleet: &mut Fleet, lost_at: Duration, figures: &mut Figures) {
+    fleet.run_until(NOTICE_WITHIN, |fleet| fleet.noticed().len() == fleet.up());
+    let (times, up) = (fleet.noticed(), fleet.up());
+    let at = |rank: usize| times.get(rank).map(|at| at.saturating_sub(lost_at));
+    figures.add("first-knows.s", seconds(at(0)));
+    figures.add("half-know.s", seconds(at(up / 2)));
+    figures.add("all-know.s", seconds(at(up - 1)));
+    figures.add("window.s", (fleet.now() - lost_at).as_secs_f64());
+}
+
+fn zone_loss(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    // The last: where there are more zones than postmasters, one without a postmaster.
+    let zone = run.size.zones - 1;
+    let (nodes, units) = fleet.in_zone(zone);
+    let (place, lost_at) = (run.size.locality(zone), fleet.now());
+    nodes.iter().for_each(|at| fleet.kill(*at));
+    units.iter().for_each(|at| fleet.crash_unit(*at));
+    fleet.watch(&nodes);
+    let moved = fleet.run_until(NOTICE_WITHIN, |fleet| {
+        fleet.views().all(|(_, _, view)| view.reservations.values().all(|owned| owned.locality != place))
+    });
+    figures.add("lost.nodes", nodes.len() as f64);
+    figures.add("lost.upstreams", units.len() as f64);
+    figures.add("names-moved.s", seconds(moved));
+    noticed(fleet, lost_at, figures);
+}
+
+fn cold_start(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    let all = run.size.nodes + run.size.postmasters;
+    (0..all).for_each(|at| fleet.kill(at));
+    fleet.run_for(Duration::from_secs(10));
+    fleet.take_ledger();
+    (0..all).for_each(|at| fleet.start(at));
+    let first = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() > 0);
+    let rest = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == run.size.nodes);
+    let (first, rest) = (seconds(first), seconds(rest));
+    figures.add("first-serves.s", first);
+    figures.add("all-serve.s", first + rest);
+    figures.add("window.s", (first + rest).max(0.1));
+}
+
+fn region_cut(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    let region = run.size.regions - 1;
+    fleet.cut(Some(region));
+    fleet.run_for(run.window);
+    let during = fleet.take_ledger().all();
+    figures.add("cut.msgs/s", during.messages as f64 / run.window.as_secs_f64());
+    figures.add("cut.bytes/s", during.bytes as f64 / run.window.as_secs_f64());
+    figures.add("cut.serving", fleet.serving() as f64);
+    figures.add("cut.in-force", fleet.in_force(1) as f64);
+    figures.add("cut.names", fleet.views().map(|(_, _, view)| view.reservations.len()).min().unwrap_or(0) as f64);
+    fleet.cut(None);
+    let healed = fleet.run_until(NOTICE_WITHIN, |fleet| fleet.serving() == run.size.nodes);
+    figures.add("healed.s", seconds(healed));
+    figures.add("window.s", seconds(healed).max(0.1));
+}
+
+fn memory(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    const MORE: usize = 12;
+    let before = resident();
+    fleet.grow(MORE);
+    let all = run.size.nodes + MORE;
+    let served = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == all);
+    figures.add("more-serve.s", seconds(served));
+    figures.add("one-more-carrier.mb", resident().saturating_sub(before) as f64 / 1e6 / MORE as f64);
+    fleet.run_for(run.window);
+}
+
+/// The bytes of memory that this process has in use, as the kernel counts it.
+fn resident() -> u64 {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok();
+    let pages = pages.and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -24,6 +24,8 @@
 
        drill overload    a site asked for more than its upstreams can bear, simulated
 
+       drill hollow      hollow nodes by the hundred: what they say and cost; has a --help of its own
+
        drill sim [--shape roadwise|kalam] [--seeds FROM..UNTIL] [--plan PLAN] [--show WHAT]
 
   --seeds    which seeds to run (default 1..50)
@@ -37,6 +39,9 @@
 
 #[tokio::main]
 async fn main() {
+    if std::env::args().nth(1).is_some_and(|verb| verb == "hollow") {
+        std::process::exit(drill::hollow::command());
+    }
     let code = match read_flags() {
         Ok(None) => {
             println!("{HELP}\n\nplans for a fleet:");
