--- /dev/null
+++ b/crates/drill/tests/hollow.rs
@@ -0,0 +1,119 @@
+//! The hollow harness counts rightly, and a hollow site keeps its promises.
+
+use drill::hollow::{Figures, Fleet, Ledger, Load, Reach, Role, Run, Size, kind, run};
+use parcel::{Body, Fresh, Message, NewsAsk, Parcel};
+use std::time::Duration;
+
+const FORTY: Size = Size { nodes: 34, postmasters: 6, upstreams: 60, services: 6, routes: 30, regions: 3, zones: 6 };
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// The site once every carrier could serve every name, with empty counts.
+fn site(seed: u64, load: Load) -> Fleet {
+    let mut fleet = Fleet::new(FORTY, seed, load);
+    fleet.run_for(Duration::from_secs(3));
+    fleet.submit(0);
+    let up = fleet.run_until(Duration::from_secs(10), |fleet| fleet.serving() == FORTY.nodes);
+    assert!(up.is_some(), "{} of {} carriers serve", fleet.serving(), FORTY.nodes);
+    fleet.run_for(Duration::from_secs(4));
+    fleet.take_ledger();
+    fleet
+}
+
+fn counts(ledger: &Ledger, role: Role) -> Vec<(&'static str, u64, u64, u64, u64)> {
+    let kinds = ledger.kinds(role).into_iter();
+    kinds.map(|(kind, (out, into))| (kind, out.messages, out.bytes, into.messages, into.bytes)).collect()
+}
+
+#[test]
+fn what_is_counted_is_what_the_nodes_say() {
+    let mut fleet = site(1, Load::default());
+    fleet.run_for(WINDOW);
+    let ledger = fleet.take_ledger();
+    let carriers = ledger.kinds(Role::Carrier);
+    // Each carrier asks twice a second, by its own clock; each ask is answered.
+    let (asks, answers) = (carriers["news ask"].0, carriers["fresh"].1);
+    let expected = FORTY.nodes as u64 * 2 * WINDOW.as_secs();
+    assert!(asks.messages.abs_diff(expected) <= FORTY.nodes as u64, "{} asks, expected {expected}", asks.messages);
+    assert!(asks.messages.abs_diff(answers.messages) <= FORTY.nodes as u64);
+    // Each upstream beats twice a second.
+    let beats = ledger.out(Role::Upstream, None).messages;
+    assert!(beats.abs_diff(FORTY.upstreams as u64 * 2 * WINDOW.as_secs()) <= FORTY.upstreams as u64, "{beats} beats");
+    // Bytes are those of the encoded message with its frame.
+    let largest = NewsAsk { nonce: u64::MAX, stream: u64::MAX, number: 300 };
+    let parcel = Parcel { from: "carrier-33".into(), body: Some(Body::NewsAsk(largest)) };
+    let (most, least) = (parcel.encoded_len() as u64 + 4, 4 + 12);
+    assert!(asks.bytes <= most * asks.messages && asks.bytes > least * asks.messages);
+    assert_eq!(kind(&Body::Fresh(Fresh::default())), "fresh");
+}
+
+#[test]
+fn what_leaves_comes_in_and_is_split_by_reach() {
+    let mut fleet = site(2, Load { changing_per_mille: 100, cold: false });
+    fleet.run_for(WINDOW);
+    let ledger = fleet.take_ledger();
+    let roles = [Role::Carrier, Role::Voter, Role::Holder, Role::Upstream];
+    let (out, into) = roles.iter().fold((0, 0), |(out, into), role| {
+        (out + ledger.out(*role, None).bytes, into + ledger.into_role(*role, None).bytes)
+    });
+    assert_eq!((out, into), (ledger.all().bytes, ledger.all().bytes));
+    let reaches = [Reach::Zone, Reach::Region, Reach::Far];
+    let split: u64 = reaches.iter().map(|reach| ledger.out(Role::Carrier, Some(*reach)).bytes).sum();
+    assert_eq!(split, ledger.out(Role::Carrier, None).bytes);
+    assert!(ledger.kinds(Role::Carrier).contains_key("news change"), "other room is told");
+    // Every process took steps, and each once for every tick.
+    assert_eq!(ledger.busy(Role::Carrier).len(), FORTY.nodes);
+    let ticks = ledger.steps(Role::Carrier)["tick"].count;
+    assert!(ticks.abs_diff(FORTY.nodes as u64 * 50 * WINDOW.as_secs()) <= FORTY.nodes as u64, "{ticks} ticks");
+}
+
+#[test]
+fn one_seed_gives_one_count() {
+    let count = |seed| {
+        let mut fleet = site(seed, Load::default());
+        fleet.run_for(Duration::from_secs(3));
+        let ledger = fleet.take_ledger();
+        [Role::Carrier, Role::Voter, Role::Holder].map(|role| counts(&ledger, role))
+    };
+    assert_eq!(count(5), count(5));
+    assert_ne!(count(5), count(6));
+}
+
+fn tried(what: &str, load: Load) -> Figures {
+    let wish = Run { size: FORTY, window: WINDOW, seed: 3, what: what.into(), load, kinds: false };
+    run(&wish).expect("a known trial on a site that comes up")
+}
+
+#[test]
+fn a_configuration_is_in_force_everywhere_within_three_seconds() {
+    let took = tried("config", Load::default()).get("in-force.s").expect("it is in force");
+    assert!(took <= 3.0, "{took} s");
+}
+
+#[test]
+fn a_dead_node_is_noticed_by_all() {
+    let figures = tried("node-loss", Load::default());
+    let (first, all) = (figures.get("first-knows.s").unwrap(), figures.get("all-know.s").unwrap());
+    // Nobody is held for gone before a probe failed and the suspicion lasted; a turn through forty takes 12 s.
+    assert!((1.5..=6.0).contains(&first), "first after {first} s");
+    assert!(first <= all && all <= 12.0, "all after {all} s");
+}
+
+#[test]
+fn names_leave_a_dead_zone() {
+    let took = tried("zone-loss", Load::default()).get("names-moved.s").expect("they move");
+    assert!(took <= 10.0, "{took} s");
+}
+
+#[test]
+fn nodes_that_know_only_their_seeds_come_up() {
+    let took = tried("cold-start", Load { cold: true, ..Load::default() }).get("all-serve.s").expect("all serve");
+    assert!(took <= 15.0, "{took} s");
+}
+
+#[test]
+fn the_rest_serves_on_while_a_region_is_cut_off() {
+    let figures = tried("region-cut", Load::default());
+    // A third of the carriers stands in the region that is cut off, and stops.
+    assert_eq!(figures.get("cut.serving"), Some((FORTY.nodes - FORTY.nodes / 3) as f64));
+    assert!(figures.get("healed.s").unwrap() <= 5.0);
+}
