--- a/crates/drill/src/hollow/flags.rs
+++ b/crates/drill/src/hollow/flags.rs
@@ -5,7 +5,7 @@
 use super::fleet::Load;
 use super::request;
 use super::size::{Size, TARGET, TODAY};
-use super::trials::{Run, TRIALS, run};
+use super::trials::{Run, SETTLE, TRIALS, run};
 use super::ways::ways;
 use std::process::Command;
 use std::time::Duration;
@@ -13,7 +13,8 @@
 const HELP: &str = "drill hollow runs many hollow nodes, the daemons' own cores, in one process and in virtual time.
 
 usage: drill hollow [--nodes N] [--postmasters P] [--upstreams U] [--services S] [--routes R] [--regions G]
-                    [--zones Z] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--cold] [--kinds]
+                    [--zones Z] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--settle T] [--cold]
+                    [--kinds]
                     [--grid nodes|upstreams|routes|services|all --sizes A,B,C,D] [--jobs N]
 
   --nodes ...  the site's size (default: Roadwise as it is)
@@ -21,6 +22,7 @@
   --what       one of those below, 'request' for the path of requests, or 'ways' for
                what other ways of telling come to on the wire
   --changing   of a thousand beats, how many tell of other room (default 0)
+  --settle     how long the site has been up before anything is done or counted (default 6)
   --cold       nodes find each other from their seeds; without it each is told of all others at its start
   --kinds      also print messages by kind and steps by cause
   --grid       run sizes in processes of their own, and fit how each figure grows; 'all' shrinks the target alike
@@ -164,6 +166,7 @@
         seed: 1,
         what: "idle".into(),
         load: Load::default(),
+        settle: SETTLE,
         kinds: false,
     };
     let mut wish = Wish { run, grid: None, sizes: Vec::new(), jobs: 1, passed: Vec::new() };
@@ -215,6 +218,7 @@
                 "regions" => size.regions = some(&value)?,
                 "zones" => size.zones = some(&value)?,
                 "seconds" => wish.run.window = Duration::from_secs(some(&value)? as u64),
+                "settle" => wish.run.settle = Duration::from_secs(some(&value)? as u64),
                 "seed" => wish.run.seed = number(&value)? as u64,
                 "changing" => wish.run.load.changing_per_mille = number(&value)? as u64,
                 "what" => wish.run.what = value,
--- a/crates/drill/src/hollow/mod.rs
+++ b/crates/drill/src/hollow/mod.rs
@@ -20,5 +20,5 @@
 pub use fleet::{Fleet, Load};
 pub use request::request_path;
 pub use size::{Size, TARGET, TODAY};
-pub use trials::{Run, TRIALS, run};
+pub use trials::{Run, SETTLE, TRIALS, run};
 pub use ways::ways;
--- a/crates/drill/src/hollow/trials.rs
+++ b/crates/drill/src/hollow/trials.rs
@@ -19,7 +19,7 @@
 
 const READY_WITHIN: Duration = Duration::from_secs(60);
 /// Keys are given out anew only so long after a holder's claim.
-const SETTLE: Duration = Duration::from_secs(6);
+pub const SETTLE: Duration = Duration::from_secs(6);
 const NOTICE_WITHIN: Duration = Duration::from_secs(120);
 
 /// One run's orders.
@@ -30,17 +30,20 @@
     pub seed: u64,
     pub what: String,
     pub load: Load,
+    /// How long the site has been up before anything is done or counted.
+    pub settle: Duration,
     pub kinds: bool,
 }
 
 /// Runs a trial.
 ///
 /// ```
-/// use drill::hollow::{Load, Run, Size, TODAY, run};
+/// use drill::hollow::{Load, Run, SETTLE, Size, TODAY, run};
 /// use std::time::Duration;
 /// let size = Size { nodes: 3, postmasters: 3, upstreams: 6, routes: 3, ..TODAY };
 /// let window = Duration::from_secs(2);
-/// let figures = run(&Run { size, window, seed: 1, what: "idle".into(), load: Load::default(), kinds: false }).unwrap();
+/// let (what, load, settle, kinds) = ("idle".into(), Load::default(), SETTLE, false);
+/// let figures = run(&Run { size, window, seed: 1, what, load, settle, kinds }).unwrap();
 /// assert!(figures.get("carrier.out.msgs").unwrap() > 1.0);
 /// ```
 pub fn run(run: &Run) -> Result<Figures, String> {
@@ -88,7 +91,7 @@
     let all = run.size.nodes;
     let ready = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == all);
     let ready = ready.ok_or_else(|| format!("{} of {all} carriers serve after {READY_WITHIN:?}", fleet.serving()))?;
-    fleet.run_for(SETTLE);
+    fleet.run_for(run.settle);
     Ok((fleet, ready + Duration::from_secs(3)))
 }
 
--- a/crates/drill/tests/hollow.rs
+++ b/crates/drill/tests/hollow.rs
@@ -1,6 +1,6 @@
 //! The hollow harness counts rightly, and a hollow site keeps its promises.
 
-use drill::hollow::{Figures, Fleet, Ledger, Load, Reach, Role, Run, Size, kind, run};
+use drill::hollow::{Figures, Fleet, Ledger, Load, Reach, Role, Run, SETTLE, Size, kind, run};
 use parcel::{Body, Fresh, Message, NewsAsk, Parcel};
 use std::time::Duration;
 
@@ -79,7 +79,7 @@
 }
 
 fn tried(what: &str, load: Load) -> Figures {
-    let wish = Run { size: FORTY, window: WINDOW, seed: 3, what: what.into(), load, kinds: false };
+    let wish = Run { size: FORTY, window: WINDOW, seed: 3, what: what.into(), load, settle: SETTLE, kinds: false };
     run(&wish).expect("a known trial on a site that comes up")
 }
 
