--- a/crates/drill/src/hollow/trials.rs
+++ b/crates/drill/src/hollow/trials.rs
@@ -197,6 +197,7 @@
     figures.add("more-serve.s", seconds(served));
     figures.add("one-more-carrier.mb", resident().saturating_sub(before) as f64 / 1e6 / MORE as f64);
     fleet.run_for(run.window);
+    figures.add("window.s", (served.unwrap_or(READY_WITHIN) + run.window).as_secs_f64());
 }
 
 /// The bytes of memory that this process has in use, as the kernel counts it.
