--- a/crates/drill/src/hollow/fit.rs
+++ b/crates/drill/src/hollow/fit.rs
@@ -1,4 +1,4 @@
-//! Least squares over a few sizes: whether a line, n log n or n² tells best how a figure grows.
+//! Least squares over a few sizes: whether a line, n log n, n² or n³ tells best how a figure grows.
 
 use std::fmt;
 
@@ -8,9 +8,10 @@
     Line,
     NLogN,
     Square,
+    Cube,
 }
 
-const GROWTHS: [Growth; 3] = [Growth::Line, Growth::NLogN, Growth::Square];
+const GROWTHS: [Growth; 4] = [Growth::Line, Growth::NLogN, Growth::Square, Growth::Cube];
 
 impl Growth {
     fn of(self, n: f64) -> f64 {
@@ -18,6 +19,7 @@
             Growth::Line => n,
             Growth::NLogN => n * n.max(1.0).log2(),
             Growth::Square => n * n,
+            Growth::Cube => n * n * n,
         }
     }
 }
@@ -28,6 +30,7 @@
             Growth::Line => "n",
             Growth::NLogN => "n log n",
             Growth::Square => "n^2",
+            Growth::Cube => "n^3",
         })
     }
 }
@@ -63,7 +66,7 @@
     }
 }
 
-/// All three growths fitted to points, the best first.
+/// All growths fitted to points, the best first.
 ///
 /// ```
 /// use drill::hollow::{Growth, fit};
--- a/crates/drill/src/hollow/flags.rs
+++ b/crates/drill/src/hollow/flags.rs
@@ -7,6 +7,7 @@
 use super::size::{Size, TARGET, TODAY};
 use super::trials::{Run, SETTLE, TRIALS, run};
 use super::ways::ways;
+use std::collections::BTreeMap;
 use std::process::Command;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
                     [--zones Z] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--settle T] [--cold]
                     [--kinds]
                     [--grid nodes|upstreams|routes|services|all --sizes A,B,C,D] [--jobs N]
+                    [--recorded FILE]
 
   --nodes ...  the site's size (default: Roadwise as it is)
   --seconds    how much virtual time is counted, once the site is up (default 10)
@@ -28,6 +30,7 @@
   --grid       run sizes in processes of their own, and fit how each figure grows; 'all' shrinks the target alike
   --sizes      what the gridded number is in each run
   --jobs       how many run at once (default 1)
+  --recorded   run nothing: fit the lines of earlier runs in this file, by the gridded number
 
 each line is one run. Rates are of one process of a role and a second; core% is processor time in step functions.
 'zone', 'region' and 'far' are bytes in and out within a zone, between zones and between regions.";
@@ -37,6 +40,7 @@
     grid: Option<String>,
     sizes: Vec<usize>,
     jobs: usize,
+    recorded: Option<String>,
     /// What each run of a grid is told beside its size.
     passed: Vec<String>,
 }
@@ -55,6 +59,7 @@
 
 fn act(wish: &Wish) -> Result<(), String> {
     match &wish.grid {
+        Some(grid) if wish.recorded.is_some() => recorded(grid, wish.recorded.as_deref().unwrap_or_default()),
         Some(grid) => gridded(grid, wish),
         None => {
             let figures = one(&wish.run)?;
@@ -126,6 +131,17 @@
     Ok(())
 }
 
+/// Fits the lines of earlier runs; of two of one size the later counts.
+fn recorded(grid: &str, file: &str) -> Result<(), String> {
+    dimension(&mut TODAY.clone(), grid)?;
+    let text = std::fs::read_to_string(file).map_err(|failure| format!("{file}: {failure}"))?;
+    let number = if grid == "all" { "nodes" } else { grid };
+    let runs = text.lines().filter(|line| line.starts_with("what=")).map(Figures::read);
+    let by_size: BTreeMap<u64, Figures> = runs.filter_map(|run| Some((run.get(number)? as u64, run))).collect();
+    print_fits(grid, &by_size.into_iter().map(|(n, run)| (n as f64, run)).collect::<Vec<_>>());
+    Ok(())
+}
+
 /// How each figure grows, where there are points enough.
 fn print_fits(grid: &str, lines: &[(f64, Figures)]) {
     let target = match grid {
@@ -169,7 +185,7 @@
         settle: SETTLE,
         kinds: false,
     };
-    let mut wish = Wish { run, grid: None, sizes: Vec::new(), jobs: 1, passed: Vec::new() };
+    let mut wish = Wish { run, grid: None, sizes: Vec::new(), jobs: 1, recorded: None, passed: Vec::new() };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().map_err(|failure| failure.to_string())? {
         use lexopt::Arg::{Long, Value};
@@ -205,6 +221,7 @@
     match name {
         "grid" => wish.grid = Some(value),
         "sizes" => wish.sizes = value.split(',').map(some).collect::<Result<_, _>>()?,
+        "recorded" => wish.recorded = Some(value),
         "jobs" => wish.jobs = some(&value)?,
         _ => {
             wish.passed.extend([format!("--{name}"), value.clone()]);
