--- a/crates/drill/src/hollow/flags.rs
+++ b/crates/drill/src/hollow/flags.rs
@@ -16,7 +16,7 @@
 usage: drill hollow [--nodes N] [--postmasters P] [--upstreams U] [--services S] [--routes R] [--regions G]
                     [--zones Z] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--settle T] [--cold]
                     [--kinds]
-                    [--grid nodes|upstreams|routes|services|all --sizes A,B,C,D] [--jobs N]
+                    [--grid nodes|postmasters|upstreams|routes|services|all --sizes A,B,C,D] [--jobs N]
                     [--recorded FILE]
 
   --nodes ...  the site's size (default: Roadwise as it is)
@@ -79,8 +79,9 @@
 
 /// Which number of the site a grid varies.
 fn dimension(size: &mut Size, grid: &str) -> Result<Option<usize>, String> {
-    let known: [(&str, &mut usize); 4] = [
+    let known: [(&str, &mut usize); 5] = [
         ("nodes", &mut size.nodes),
+        ("postmasters", &mut size.postmasters),
         ("upstreams", &mut size.upstreams),
         ("routes", &mut size.routes),
         ("services", &mut size.services),
@@ -148,6 +149,7 @@
         "upstreams" => TARGET.upstreams,
         "routes" => TARGET.routes,
         "services" => TARGET.services,
+        "postmasters" => TARGET.postmasters,
         _ => TARGET.nodes,
     } as f64;
     let (Some((_, first)), true) = (lines.first(), lines.len() >= 4) else {
--- a/crates/drill/src/hollow/trials.rs
+++ b/crates/drill/src/hollow/trials.rs
@@ -165,7 +165,12 @@
     fleet.take_ledger();
     (0..all).for_each(|at| fleet.start(at));
     let first = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() > 0);
+    let soon = fleet.run_until(Duration::from_secs(2), |fleet| fleet.serving() == run.size.nodes);
+    // Those that are late: without a fresh view, or with one that names no owners.
+    figures.add("late.stale", (run.size.nodes - fleet.in_force(1)) as f64);
+    figures.add("late.no-owners", (fleet.in_force(1) - fleet.serving()) as f64);
     let rest = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == run.size.nodes);
+    let rest = rest.map(|rest| rest + soon.unwrap_or(Duration::from_secs(2)));
     let (first, rest) = (seconds(first), seconds(rest));
     figures.add("first-serves.s", first);
     figures.add("all-serve.s", first + rest);
