--- a/crates/drill/src/hollow/figures.rs
+++ b/crates/drill/src/hollow/figures.rs
@@ -22,6 +22,10 @@
     }
 
     /// The figure with this name.
+    ///
+    /// ```
+    /// assert_eq!(drill::hollow::Figures::default().get("a"), None);
+    /// ```
     pub fn get(&self, name: &str) -> Option<f64> {
         self.0.iter().find(|(known, _)| known == name).map(|(_, figure)| *figure)
     }
@@ -38,7 +42,7 @@
     }
 
     /// Rates of a window: by role and process, a second.
-    pub fn of(ledger: &Ledger, size: &Size, window: Duration) -> Figures {
+    pub(crate) fn of(ledger: &Ledger, size: &Size, window: Duration) -> Figures {
         let mut figures = Figures::default();
         ROLES.into_iter().for_each(|role| figures.add_role(ledger, size, window, role));
         figures
@@ -86,7 +90,7 @@
 }
 
 /// Tables of one window by kind of message and cause of step.
-pub fn print_kinds(ledger: &Ledger, size: &Size, window: Duration) {
+pub(crate) fn print_kinds(ledger: &Ledger, size: &Size, window: Duration) {
     ROLES.into_iter().filter(|role| *role != Role::Upstream).for_each(|role| {
         let count = match role {
             Role::Carrier => size.nodes,
--- /dev/null
+++ b/crates/drill/src/hollow/sights.rs
@@ -0,0 +1,143 @@
+//! What is asked of a hollow site from outside, and what is seen of it.
+
+use super::count::Ledger;
+use super::fleet::{Core, Fleet};
+use super::queue::Happening;
+use gazetteer::View;
+use postmaster::{Answer, Ask};
+use std::time::Duration;
+
+const STALE_AFTER: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    /// An operator submits a setup with so many further routes, and asks again until it is accepted.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let mut fleet = Fleet::new(TODAY, 1, Load::default());
+    /// fleet.submit(0);
+    /// assert_eq!(fleet.in_force(1), 0, "nobody has founded the register yet");
+    /// ```
+    pub fn submit(&mut self, extra: usize) {
+        self.accepted = None;
+        self.awaited += 1;
+        let bytes = self.size.setup(extra).into_bytes();
+        self.queue.push(self.now, Happening::Submit { bytes, asked: self.awaited });
+    }
+
+    pub(super) fn ask_to_submit(&mut self, bytes: Vec<u8>, asked: u32) {
+        if asked != self.awaited || self.accepted.is_some() {
+            return;
+        }
+        let Some(at) = self.some_office() else { return };
+        let token = self.token();
+        self.submitted.insert(token, (asked, bytes.clone()));
+        let ask = Ask::Submit { id: format!("setup-{asked}"), base: None, bytes: bytes.clone(), in_force: false };
+        self.queue.push(self.now + Duration::from_secs(3), Happening::Submit { bytes, asked });
+        self.step_office(at, "submit", postmaster::Event::Ask { token, ask });
+    }
+
+    pub(super) fn answered(&mut self, at: usize, token: u64, answer: Answer) {
+        if !self.answer_beat(at, token, &answer) {
+            let asked = self.submitted.remove(&token);
+            asked.into_iter().for_each(|(asked, _)| {
+                self.queue.push(self.now, Happening::Verdict { asked, answer: answer.clone() });
+            });
+        }
+    }
+
+    pub(super) fn verdict(&mut self, asked: u32, answer: &Answer) {
+        if let Answer::Verdict { code: address::Code::Fine, edition } = answer {
+            self.accepted = Some((*edition, self.now)).filter(|_| asked == self.awaited).or(self.accepted);
+        }
+    }
+
+    /// The edition of the last setup, once it was accepted.
+    pub(crate) fn accepted(&self) -> Option<u64> {
+        self.accepted.map(|(edition, _)| edition)
+    }
+
+    pub(super) fn look_up(&mut self, at: usize, book: &[(String, String)]) {
+        if !self.watched.is_empty() {
+            let lacks = !book.iter().any(|(node, _)| self.watched.contains(node));
+            let now = self.now;
+            let node = &mut self.nodes[at];
+            node.lacks = Some(node.lacks.unwrap_or(now)).filter(|_| lacks);
+        }
+    }
+
+    /// From now on it is noted who has these nodes in the book no more.
+    pub(crate) fn watch(&mut self, nodes: &[usize]) {
+        self.watched = nodes.iter().map(|at| self.nodes[*at].name.clone()).collect();
+        self.nodes.iter_mut().for_each(|node| node.lacks = None);
+    }
+
+    /// When each of those that know that all that are watched are gone came to know it, the first of them first.
+    pub(crate) fn noticed(&self) -> Vec<Duration> {
+        let up = self.nodes.iter().filter(|node| !matches!(node.core, Core::Down));
+        let mut times: Vec<Duration> = up.filter_map(|node| node.lacks).collect();
+        times.sort();
+        times
+    }
+
+    /// Virtual time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// How many processes are up.
+    pub(crate) fn up(&self) -> usize {
+        self.nodes.iter().filter(|node| !matches!(node.core, Core::Down)).count()
+    }
+
+    /// The carriers' views with the time that each counts.
+    pub(crate) fn views(&self) -> impl Iterator<Item = (usize, Duration, &View)> {
+        self.nodes.iter().enumerate().filter_map(|(at, node)| match &node.core {
+            Core::Carrier(carrier, _) => Some((at, self.now - node.started_at, carrier.view())),
+            _ => None,
+        })
+    }
+
+    /// How many carriers serve by this edition or a later one.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let fleet = Fleet::new(TODAY, 1, Load::default());
+    /// assert_eq!(fleet.in_force(0), 0, "no view is fresh yet");
+    /// ```
+    pub fn in_force(&self, edition: u64) -> usize {
+        self.views().filter(|(_, now, view)| view.edition >= edition && view.is_fresh(*now, STALE_AFTER)).count()
+    }
+
+    /// How many carriers could serve every name: a fresh view in which each has an owner that is served.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let fleet = Fleet::new(TODAY, 1, Load::default());
+    /// assert_eq!(fleet.serving(), 0);
+    /// ```
+    pub fn serving(&self) -> usize {
+        let routes = self.size.routes;
+        let serves = |(_, now, view): &(usize, Duration, &View)| {
+            view.is_fresh(*now, STALE_AFTER) && view.reservations.len() >= routes
+        };
+        self.views().filter(serves).count()
+    }
+
+    /// The counts since the last call.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let mut fleet = Fleet::new(TODAY, 1, Load::default());
+    /// assert_eq!(fleet.take_ledger().all().messages, 0, "nothing was said yet");
+    /// ```
+    pub fn take_ledger(&mut self) -> Ledger {
+        std::mem::take(&mut self.ledger)
+    }
+
+    /// The processes in a zone, and the upstreams there.
+    pub(crate) fn in_zone(&self, zone: usize) -> (Vec<usize>, Vec<usize>) {
+        let nodes = (0..self.nodes.len()).filter(|at| self.nodes[*at].zone == zone).collect();
+        (nodes, (0..self.units.len()).filter(|at| self.units[*at].zone == zone).collect())
+    }
+}
--- /dev/null
+++ b/crates/drill/src/hollow/steps.rs
@@ -0,0 +1,143 @@
+//! How a hollow node takes a step, and what becomes of its effects.
+
+use super::count::{Reach, Role, Stopwatch, kind};
+use super::fleet::{Core, Fleet};
+use super::queue::{Happening, Write};
+use parcel::{Body, Message, Parcel};
+use std::time::Duration;
+
+const SYNC: Duration = Duration::from_millis(2);
+/// A frame's length on a link.
+const FRAME: usize = 4;
+
+impl Fleet {
+    pub(super) fn step(&mut self, at: usize, kind: &'static str, carrier: carrier::Event, office: postmaster::Event) {
+        match self.nodes[at].role {
+            Role::Carrier => self.step_carrier(at, kind, carrier),
+            _ => self.step_office(at, kind, office),
+        }
+    }
+
+    pub(super) fn parcel(&mut self, at: usize, from: usize, body: Body) {
+        let (from, kind) = (self.nodes[from].name.clone(), kind(&body));
+        match self.nodes[at].role {
+            Role::Carrier => self.step_carrier(at, kind, carrier::Event::Parcel { from, body }),
+            _ => self.step_office(at, kind, postmaster::Event::Parcel { from, body }),
+        }
+    }
+
+    pub(super) fn step_carrier(&mut self, at: usize, kind: &'static str, event: carrier::Event) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let local = now - node.started_at;
+        let Core::Carrier(carrier, view) = &mut node.core else { return };
+        let watch = Stopwatch::start();
+        let effects = carrier.step(local, event);
+        if effects.iter().any(|effect| matches!(effect, carrier::Effect::Publish)) {
+            **view = carrier.view().clone();
+        }
+        self.ledger.stepped(Role::Carrier, at, kind, watch.took());
+        effects.into_iter().for_each(|effect| match effect {
+            carrier::Effect::Send { to, body } => self.send(at, &to, body, true),
+            carrier::Effect::Datagram { address, body } => self.send(at, &address, body, false),
+            carrier::Effect::Addresses(book) => self.look_up(at, &book),
+            _ => {}
+        });
+    }
+
+    pub(super) fn step_office(&mut self, at: usize, kind: &'static str, event: postmaster::Event) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let local = now - node.started_at;
+        let Core::Office(office) = &mut node.core else { return };
+        let watch = Stopwatch::start();
+        let effects = office.step(local, event);
+        let took = watch.took();
+        node.role = if office.holds_placement(local) { Role::Holder } else { Role::Voter };
+        self.ledger.stepped(node.role, at, kind, took);
+        effects.into_iter().for_each(|effect| match effect {
+            postmaster::Effect::Send { to, body } => self.send(at, &to, body, true),
+            postmaster::Effect::Datagram { address, body } => self.send(at, &address, body, false),
+            postmaster::Effect::Keep { ticket, durable } => self.keep(at, ticket, Write::State(durable)),
+            postmaster::Effect::KeepSetup { ticket, digest, bytes } => {
+                self.keep(at, ticket, Write::Setup(digest, bytes));
+            }
+            postmaster::Effect::Answer { token, answer } => self.answered(at, token, answer),
+            postmaster::Effect::Addresses(book) => self.look_up(at, &book),
+            postmaster::Effect::Note(_) => {}
+        });
+    }
+
+    fn keep(&mut self, at: usize, ticket: u64, write: Write) {
+        let node = &mut self.nodes[at];
+        node.synced_at = node.synced_at.max(self.now) + SYNC;
+        let life = node.life;
+        self.queue.push(node.synced_at, Happening::Synced { node: at, life, ticket, write });
+    }
+
+    pub(super) fn synced(&mut self, at: usize, life: u64, ticket: u64, write: Write) {
+        let node = &mut self.nodes[at];
+        if node.life != life {
+            return;
+        }
+        match write {
+            Write::State(durable) => node.durable = durable,
+            Write::Setup(digest, bytes) => drop(node.setups.insert(digest, bytes)),
+        }
+        self.step_office(at, "synced", postmaster::Event::Kept { ticket });
+    }
+
+    /// Sends a message over a link, or as a datagram.
+    fn send(&mut self, from: usize, to: &str, body: Body, linked: bool) {
+        let Some(to) = self.named.get(to).copied() else { return };
+        let kind = kind(&body);
+        let parcel =
+            Parcel { from: if linked { self.nodes[from].name.clone() } else { String::new() }, body: Some(body) };
+        let bytes = parcel.encoded_len() + if linked { FRAME } else { 0 };
+        let (here, there) = (self.nodes[from].zone, self.nodes[to].zone);
+        let way = (self.nodes[from].role, self.nodes[to].role, kind, self.reach(here, there));
+        self.ledger.sent(way, bytes as u64);
+        let (Some(delay), Some(body)) = (self.delay(here, there), parcel.body) else { return };
+        let at = self.now + delay;
+        if linked {
+            let last = self.in_order.entry((from, to)).or_default();
+            *last = at.max(*last + Duration::from_nanos(1));
+            self.queue.push(*last, Happening::Parcel { node: to, from, body });
+        } else {
+            self.queue.push(at, Happening::Datagram { node: to, from, body });
+        }
+    }
+
+    pub(super) fn reach(&self, from: usize, to: usize) -> Reach {
+        match (from == to, self.size.region(from) == self.size.region(to)) {
+            (true, _) => Reach::Zone,
+            (_, true) => Reach::Region,
+            _ => Reach::Far,
+        }
+    }
+
+    /// How long a message takes from zone to zone; none where it is lost.
+    pub(super) fn delay(&mut self, from: usize, to: usize) -> Option<Duration> {
+        let within = |region: usize, zone: usize| self.size.region(zone) == region;
+        let lost = self.cut.is_some_and(|region| within(region, from) != within(region, to));
+        let base = match self.reach(from, to) {
+            Reach::Zone => 200,
+            Reach::Region => 1500,
+            Reach::Far => 20_000,
+        };
+        let micros = base + self.dice.below(base / 2 + 300);
+        Some(Duration::from_micros(micros)).filter(|_| !lost)
+    }
+
+    /// One of the postmasters that are up.
+    pub(super) fn some_office(&mut self) -> Option<usize> {
+        let all = self.offices.clone().filter(|at| !matches!(self.nodes[*at].core, Core::Down));
+        let up: Vec<usize> = all.collect();
+        up.get(self.dice.below(up.len() as u64) as usize).copied()
+    }
+
+    pub(super) fn token(&mut self) -> u64 {
+        self.tokens += 1;
+        self.tokens
+    }
+}
--- a/crates/drill/src/hollow/units.rs
+++ b/crates/drill/src/hollow/units.rs
@@ -50,7 +50,7 @@
     }
 
     /// A unit ends without a word.
-    pub fn crash_unit(&mut self, at: usize) {
+    pub(crate) fn crash_unit(&mut self, at: usize) {
         self.units[at].up = false;
         self.units[at].life += 1;
     }
