--- /dev/null
+++ b/crates/drill/src/hollow/fleet.rs
@@ -0,0 +1,269 @@
+//! Many hollow nodes in one process: the daemons' own cores over a simple network, in virtual time.
+
+use super::count::{Ledger, Role, kind};
+use super::queue::{Happening, Queue};
+use super::size::Size;
+use super::units::Unit;
+use address::Dice;
+use carrier::Carrier;
+use gazetteer::View;
+use parcel::{Body, Durable, Heard, Member};
+use postmaster::Office;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// As often as the daemons' shells.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What the hollow site is asked to bear.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Of a thousand beats, how many tell of other room than the last.
+    pub changing_per_mille: u64,
+    /// True where nodes have to find each other, and are not told of all others at their start.
+    pub cold: bool,
+}
+
+pub(super) enum Core {
+    Office(Box<Office>),
+    /// With the view that requests would read: while they hold it, the next one is a copy.
+    Carrier(Box<Carrier>, Box<View>),
+    Down,
+}
+
+/// One hollow process.
+pub struct Node {
+    pub(super) name: String,
+    pub(super) zone: usize,
+    pub(super) role: Role,
+    pub(super) core: Core,
+    pub(super) life: u64,
+    pub(super) started_at: Duration,
+    pub(super) durable: Durable,
+    pub(super) setups: BTreeMap<String, Vec<u8>>,
+    pub(super) synced_at: Duration,
+    /// Since when its book of members lacks all that are watched for.
+    pub(super) lacks: Option<Duration>,
+}
+
+/// A whole hollow site.
+pub struct Fleet {
+    pub size: Size,
+    pub(super) load: Load,
+    pub(super) now: Duration,
+    pub(super) dice: Dice,
+    pub(super) queue: Queue,
+    pub(super) nodes: Vec<Node>,
+    pub(super) units: Vec<Unit>,
+    /// Unit, life and beat of those that wait for an answer.
+    pub(super) beats: HashMap<u64, (usize, u64, u64)>,
+    pub(super) ledger: Ledger,
+    pub(super) named: HashMap<String, usize>,
+    pub(super) in_order: HashMap<(usize, usize), Duration>,
+    pub(super) tokens: u64,
+    pub(super) submitted: HashMap<u64, (u32, Vec<u8>)>,
+    /// The edition that the last setup was accepted as, and when.
+    pub(super) accepted: Option<(u64, Duration)>,
+    pub(super) awaited: u32,
+    pub(super) watched: BTreeSet<String>,
+    pub(super) cut: Option<usize>,
+    /// Where the postmasters stand among the nodes.
+    pub(super) offices: std::ops::Range<usize>,
+}
+
+impl Fleet {
+    /// A site that is about to start, on blank disks.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let mut fleet = Fleet::new(TODAY, 1, Load::default());
+    /// fleet.run_for(std::time::Duration::from_millis(100));
+    /// assert_eq!(fleet.in_force(1), 0);
+    /// ```
+    pub fn new(size: Size, seed: u64, load: Load) -> Fleet {
+        let mut fleet = Fleet {
+            size,
+            load,
+            now: Duration::ZERO,
+            dice: Dice::new(seed),
+            queue: Queue::default(),
+            nodes: Vec::new(),
+            units: Vec::new(),
+            beats: HashMap::new(),
+            ledger: Ledger::default(),
+            named: HashMap::new(),
+            in_order: HashMap::new(),
+            tokens: 0,
+            submitted: HashMap::new(),
+            accepted: None,
+            awaited: 0,
+            watched: BTreeSet::new(),
+            cut: None,
+            offices: size.nodes..size.nodes + size.postmasters,
+        };
+        let carriers = (0..size.nodes).map(|at| (format!("carrier-{at}"), size.zone(at), Role::Carrier));
+        let offices = (0..size.postmasters).map(|at| (format!("postmaster-{at}"), size.zone(at), Role::Voter));
+        carriers.chain(offices).for_each(|(name, zone, role)| fleet.push(name, zone, role));
+        (0..fleet.nodes.len()).for_each(|at| fleet.start(at));
+        fleet.lay_out_units();
+        fleet
+    }
+
+    fn push(&mut self, name: String, zone: usize, role: Role) {
+        self.named.insert(name.clone(), self.nodes.len());
+        self.nodes.push(Node {
+            name,
+            zone,
+            role,
+            core: Core::Down,
+            life: 0,
+            started_at: Duration::ZERO,
+            durable: Durable::default(),
+            setups: BTreeMap::new(),
+            synced_at: Duration::ZERO,
+            lacks: None,
+        });
+    }
+
+    fn member(&self, at: usize) -> Member {
+        let node = &self.nodes[at];
+        let roles = if node.role == Role::Carrier { "proxy,directory" } else { "postmaster" };
+        let port = |port: u32| format!("10.{}.{}.{}:{port}", 100 + at / 62_500, at / 250 % 250, at % 250);
+        // Links are found by node id here; the address only has its true length.
+        Member {
+            node: node.name.clone(),
+            incarnation: 1,
+            locality: self.size.locality(node.zone),
+            roles: roles.into(),
+            probe_address: port(7100),
+            link_address: port(7000),
+            http_address: port(8000),
+            ..Member::default()
+        }
+    }
+
+    /// Starts a process on whatever its disk holds.
+    pub(crate) fn start(&mut self, at: usize) {
+        let me = self.member(at);
+        self.named.insert(me.probe_address.clone(), at);
+        let seeds = self.offices.clone().take(3).map(|at| self.member(at).probe_address).collect();
+        let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
+        let seed = self.dice.roll();
+        let roster_size = self.size.postmasters;
+        let node = &mut self.nodes[at];
+        node.life += 1;
+        node.started_at = self.now;
+        node.synced_at = self.now;
+        node.lacks = None;
+        node.core = if node.role == Role::Carrier {
+            let times = carrier::shell::times(&settings);
+            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, times })), Box::default())
+        } else {
+            node.role = Role::Voter;
+            let (durable, setups) = (node.durable.clone(), node.setups.clone());
+            let times = postmaster::shell::times(&settings);
+            Core::Office(Box::new(Office::new(postmaster::Start {
+                me,
+                seeds,
+                roster_size,
+                seed,
+                durable,
+                setups,
+                times,
+            })))
+        };
+        let life = node.life;
+        let first = self.now + Duration::from_micros(self.dice.below(TICK.as_micros() as u64));
+        if !self.load.cold {
+            let members = (0..self.nodes.len()).map(|at| self.member(at)).collect();
+            let body = Body::Heard(Heard { members, ..Heard::default() });
+            self.queue.push(first, Happening::Datagram { node: at, from: at, body });
+        }
+        self.queue.push(first, Happening::Tick { node: at, life });
+    }
+
+    /// Ends a process at once; its disk keeps what was synced.
+    pub(crate) fn kill(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.life += 1;
+        node.core = Core::Down;
+        if node.role == Role::Holder {
+            node.role = Role::Voter;
+        }
+    }
+
+    /// Further carriers start.
+    pub(crate) fn grow(&mut self, count: usize) {
+        (0..count).for_each(|_| {
+            let at = self.nodes.len();
+            self.push(format!("carrier-{at}"), self.size.zone(at), Role::Carrier);
+            self.start(at);
+        });
+    }
+
+    /// Everything within a region talks to nothing outside, or all is whole again.
+    pub(crate) fn cut(&mut self, region: Option<usize>) {
+        self.cut = region;
+    }
+
+    /// Lets some virtual time pass.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let mut fleet = Fleet::new(TODAY, 1, Load::default());
+    /// fleet.run_for(std::time::Duration::from_secs(1));
+    /// assert!(fleet.take_ledger().all().messages > 0);
+    /// ```
+    pub fn run_for(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some((at, what)) = self.queue.pop(until) {
+            self.now = at;
+            self.happen(what);
+        }
+        self.now = until;
+    }
+
+    /// Lets time pass until something is so; how long that took, none where the limit came first.
+    ///
+    /// ```
+    /// use drill::hollow::{Fleet, Load, TODAY};
+    /// let mut fleet = Fleet::new(TODAY, 1, Load::default());
+    /// let took = fleet.run_until(std::time::Duration::from_millis(50), |_| false);
+    /// assert_eq!(took, None);
+    /// ```
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Fleet) -> bool) -> Option<Duration> {
+        let (from, each) = (self.now, Duration::from_millis(10));
+        while !done(self) {
+            if self.now >= from + limit {
+                return None;
+            }
+            self.run_for(each);
+        }
+        Some(self.now - from)
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Tick { node, life } => {
+                if self.nodes[node].life == life {
+                    self.queue.push(self.now + TICK, Happening::Tick { node, life });
+                    self.step(node, "tick", carrier::Event::Tick, postmaster::Event::Tick);
+                }
+            }
+            Happening::Parcel { node, from, body } => self.parcel(node, from, body),
+            Happening::Datagram { node, from, body } => {
+                let (address, kind) = (self.member(from).probe_address, kind(&body));
+                match self.nodes[node].role {
+                    Role::Carrier => self.step_carrier(node, kind, carrier::Event::Datagram { address, body }),
+                    _ => self.step_office(node, kind, postmaster::Event::Datagram { address, body }),
+                }
+            }
+            Happening::Synced { node, life, ticket, write } => self.synced(node, life, ticket, write),
+            Happening::Beat { unit, life } => self.beat(unit, life),
+            Happening::BeatComes { node, unit, life, told } => self.beat_comes(node, unit, life, *told),
+            Happening::BeatAnswered { unit, answered } => self.beat_answered(unit, answered),
+            Happening::Submit { bytes, asked } => self.ask_to_submit(bytes, asked),
+            Happening::Verdict { asked, answer } => self.verdict(asked, &answer),
+        }
+    }
+}
