--- a/crates/drill/src/hollow/count.rs
+++ b/crates/drill/src/hollow/count.rs
@@ -281,6 +281,8 @@
         Body::RollAsk(_) => "roll ask",
         Body::RollTold(_) => "roll told",
         Body::Holder(_) => "holder",
+        Body::Alive(_) => "alive",
+        Body::KeyLoads(_) => "key loads",
         Body::SetupBytes(_) => "setup bytes",
         Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "round",
         _ => "other",
--- a/crates/drill/src/hollow/fleet.rs
+++ b/crates/drill/src/hollow/fleet.rs
@@ -157,7 +157,10 @@
         node.lacks = None;
         node.core = if node.role == Role::Carrier {
             let times = carrier::shell::times(&settings);
-            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, times })), Box::default())
+            Core::Carrier(
+                Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader: Default::default(), times })),
+                Box::default(),
+            )
         } else {
             node.role = Role::Voter;
             let (durable, setups) = (node.durable.clone(), node.setups.clone());
@@ -167,6 +170,8 @@
                 seeds,
                 roster_size,
                 seed,
+                reader: Default::default(),
+                owners: Default::default(),
                 durable,
                 setups,
                 times,
--- a/crates/drill/src/hollow/request.rs
+++ b/crates/drill/src/hollow/request.rs
@@ -39,7 +39,7 @@
     let looked = (0..requests.min(2000)).map(|at| {
         let (name, origin) = (format!("name-{}", at % size.routes), &view.proxies[at % view.proxies.len()].locality);
         let watch = Stopwatch::start();
-        let listed = gazetteer::list(&view, &name, origin, Duration::from_secs(2));
+        let listed = gazetteer::list(&view, &name, origin, Duration::from_secs(2), (gazetteer::Owners::One, 3));
         assert!(black_box(listed).is_ok(), "{name} has an owner");
         watch.took()
     });
@@ -141,6 +141,7 @@
             until: slot + 1,
             epoch: 1,
             instance: format!("unit-{}", holders[slot as usize % holders.len().max(1)]),
+            ..parcel::Share::default()
         });
         parcel::ServiceShares { service: format!("service-{service}"), shares: given.collect() }
     });
--- a/crates/drill/src/hollow/units.rs
+++ b/crates/drill/src/hollow/units.rs
@@ -91,7 +91,8 @@
     /// True where the answer was one to a beat.
     pub(super) fn answer_beat(&mut self, node: usize, token: u64, answer: &Answer) -> bool {
         let Some((unit, life, beat)) = self.beats.remove(&token) else { return false };
-        let Answer::Sheet(sheet) = answer else { return true };
+        let Answer::Beat { holder, shares, span } = answer else { return true };
+        let sheet = postmaster::beat_sheet(*holder, shares.clone(), *span);
         let (from, to) = (self.nodes[node].zone, self.units[unit].zone);
         let (role, reach) = (self.nodes[node].role, self.reach(from, to));
         self.ledger.sent((role, Role::Upstream, "beat answer", reach), sheet.to_string().len() as u64);
--- a/crates/drill/src/hollow/ways.rs
+++ b/crates/drill/src/hollow/ways.rs
@@ -69,7 +69,7 @@
             http_address: format!("10.100.0.{}:8000", at % 250),
             ..Member::default()
         });
-        Body::Probe(Probe { nonce: u64::MAX, members: members.collect() })
+        Body::Probe(Probe { nonce: u64::MAX, members: members.collect(), ..Probe::default() })
     };
     add("probe.thirteen-records.bytes", probe(13), 1);
     add("probe.own-record.bytes", probe(1), 1);
