--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How often a carrier without any view asks for one.
+const FIRST_EVERY: Duration = Duration::from_millis(200);
 /// How long a carrier stays away from its zone's postmasters at least.
 const HOME_EVERY: Duration = Duration::from_secs(4);
 
@@ -297,6 +299,8 @@
             self.turn(Phase::Denying);
         }
         let late = match &self.following {
+            // Without any view there is nothing to lose by asking on.
+            Following::Asked { .. } if self.view.as_of.is_none() => now >= self.next_ask,
             Following::Asked { asked_at, .. } => now >= *asked_at + self.times.answer_within,
             _ => false,
         };
@@ -353,7 +357,8 @@
             self.stream = 0;
         }
         let nonce = self.dice.roll();
-        self.next_ask = now + self.times.ask_every;
+        let every = self.times.ask_every;
+        self.next_ask = now + if self.view.as_of.is_some() { every } else { every.min(FIRST_EVERY) };
         let ask = NewsAsk { nonce, stream: self.stream, number: self.number, loads: std::mem::take(&mut self.loads) };
         self.effects.push(Effect::Send { to: source.clone(), body: Body::NewsAsk(ask) });
         self.follow(Following::Asked { source, nonce, asked_at: now });
--- a/crates/drill/tests/hollow.rs
+++ b/crates/drill/tests/hollow.rs
@@ -39,7 +39,7 @@
     let beats = ledger.out(Role::Upstream, None).messages;
     assert!(beats.abs_diff(FORTY.upstreams as u64 * 2 * WINDOW.as_secs()) <= FORTY.upstreams as u64, "{beats} beats");
     // Bytes are those of the encoded message with its frame.
-    let largest = NewsAsk { nonce: u64::MAX, stream: u64::MAX, number: 300 };
+    let largest = NewsAsk { nonce: u64::MAX, stream: u64::MAX, number: 300, ..NewsAsk::default() };
     let parcel = Parcel { from: "carrier-33".into(), body: Some(Body::NewsAsk(largest)) };
     let (most, least) = (parcel.encoded_len() as u64 + 4, 4 + 12);
     assert!(asks.bytes <= most * asks.messages && asks.bytes > least * asks.messages);
--- a/crates/postmaster/src/keys.rs
+++ b/crates/postmaster/src/keys.rs
@@ -12,7 +12,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 const MARGIN: Duration = Duration::from_millis(100);
 /// Least time between two moves for balance.
-const SETTLE: Duration = Duration::from_secs(4);
+const SETTLE: Duration = Duration::from_millis(2500);
 /// After this long a request counts for half.
 const HALF_LIFE: Duration = Duration::from_secs(6);
 /// Counts are kept in so many parts of a request.
--- a/crates/registered/src/reading.rs
+++ b/crates/registered/src/reading.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// How often the word is asked for until it is confirmed for the first time.
+const FIRST_EVERY: Duration = Duration::from_millis(150);
+
 /// A read under way.
 pub(crate) struct Reading {
     nonce: u64,
@@ -39,7 +42,9 @@
     }
 
     fn start_reading(&mut self, now: Duration) {
-        self.next_read = now + self.times.confirm_every;
+        // Until the first confirmation nobody here can do anything: answers may have been lost for want of peers.
+        let every = self.times.confirm_every;
+        self.next_read = now + if self.current.confirmed_at.is_some() { every } else { every.min(FIRST_EVERY) };
         self.read_again = false;
         let nonce = self.dice.roll();
         let known = (self.current.ballot.clone(), self.current.word.clone());
