A name whose routes have home regions is owned by a zone at home

Cause: bookings are the heaviest bytes, and those of one region's callers crossed regions twice a request: the owner for their zone was their zone, while the route's homes are elsewhere. Change: only proxies inside the homes of all of a name's routes, and of their services, are named.

--- a/crates/gazetteer/src/answer.rs
+++ b/crates/gazetteer/src/answer.rs
@@ -1,6 +1,6 @@
 //! A directory node's answer: the owning locality's proxies, for a short lifetime.
 
-use crate::view::{Proxy, View, is_home};
+use crate::view::{Proxy, View, is_home, is_within};
 use address::{Code, Locality};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -73,9 +73,12 @@
 /// The proxies that may carry a name's work: not evacuated, and at home for all of its services.
 fn able<'a>(view: &'a View, name: &'a str) -> impl Iterator<Item = &'a Proxy> {
     let services: Vec<_> = view.setup.services_of(name).collect();
+    let regions: Vec<_> = view.setup.routes_of(name).map(|route| &route.terms.home_regions).collect();
     view.proxies.iter().filter(move |proxy| {
         let place = proxy.locality.to_string();
-        !view.evacuated.contains(&place) && services.iter().all(|service| is_home(service, &place))
+        !view.evacuated.contains(&place)
+            && services.iter().all(|service| is_home(service, &place))
+            && regions.iter().all(|regions| is_within(regions, &place))
     })
 }
 
