After all control nodes restarted, keys are found by the upstreams' own word

Change: while a postmaster knows no placement it tells carriers what upstreams list in their beats, and beats told on carry their lists then; the later grant counts. It gives nothing, and a wrong address is not run.

--- a/crates/postmaster/src/hearsay.rs
+++ b/crates/postmaster/src/hearsay.rs
@@ -21,8 +21,11 @@
         // With its age as it is known here: this beat may have lain in a frozen process.
         let known = self.roll.one(now, upstream);
         let news = known.filter(|known| Some(enrolment::mark(known)) != before);
-        news.into_iter().for_each(|known| {
-            let upstreams = vec![Upstream { holds: Vec::new(), released: Vec::new(), ..known }];
+        // Which keys it holds is worth telling only while no placement says so.
+        let unplaced = self.placement.epoch == 0;
+        news.into_iter().for_each(|mut known| {
+            known.holds.retain(|_| unplaced);
+            let upstreams = vec![Upstream { released: Vec::new(), ..known }];
             self.tell_postmasters(Body::Beats(Beats { upstreams }));
         });
     }
--- a/crates/postmaster/src/keys.rs
+++ b/crates/postmaster/src/keys.rs
@@ -4,7 +4,7 @@
 use crate::placing::Duty;
 use address::{KEY_PARTS, KEYS};
 use enrolment::{Heartbeat, Load, READY, Ranges, Released, Row, Terms};
-use parcel::{Body, KeyLoad, KeyLoads, Share, Upstream};
+use parcel::{Body, KeyLoad, KeyLoads, ServiceShares, Share, Upstream};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -84,6 +84,37 @@
         self.effects.extend(send);
     }
 
+    /// Who holds which numeric keys by the upstreams' own word: what is told while no placement is known here, as after
+    /// all postmasters started anew. It gives nothing; a request that comes to the wrong one is not run.
+    pub(crate) fn heard_shares(&self, now: Duration) -> Vec<ServiceShares> {
+        let numbered = self.setup.services.values().filter(|service| service.keyed && service.numbered);
+        let names: Vec<&str> = numbered.map(|service| service.name.as_str()).collect();
+        if names.is_empty() {
+            return Vec::new();
+        }
+        let span_ms = self.times.share_span.as_millis() as u64;
+        let all = self.roll.all(now).into_iter();
+        let live: Vec<Upstream> =
+            all.filter(|known| known.condition != enrolment::GONE && known.age_ms < span_ms).collect();
+        let of = |name: &str| {
+            let mine = live.iter().filter(|known| known.service == name);
+            let mut rows: Vec<Share> = mine
+                .flat_map(|known| {
+                    known.holds.iter().map(|share| Share { instance: known.instance.clone(), ..share.clone() })
+                })
+                .collect();
+            // Where two say that they hold a key, the later grant counts.
+            rows.sort_by_key(|share| std::cmp::Reverse(share.epoch));
+            let mut shares = rows.iter().fold(Vec::new(), |mut known: Vec<Share>, row| {
+                known.extend(gazetteer::uncovered(std::slice::from_ref(row), &known));
+                known
+            });
+            shares.sort_by_key(|share| share.from);
+            ServiceShares { service: name.to_owned(), shares }
+        };
+        names.into_iter().map(of).collect()
+    }
+
     /// All keys that an upstream holds from now on, in answer to its beat.
     pub(crate) fn give_ranges(&mut self, now: Duration, upstream: &Upstream, epoch: u64) -> Option<Vec<Share>> {
         let evacuated = &self.register.word().evacuated;
--- a/crates/postmaster/src/news.rs
+++ b/crates/postmaster/src/news.rs
@@ -56,7 +56,7 @@
         self.counts.images += 1;
         let stream = self.dice.roll().max(1);
         let word = self.register.word().clone();
-        let (placement, edition, whole) = (self.bare_placement(), 0, self.is_settled(now));
+        let (placement, edition, whole) = (self.bare_placement(now), 0, self.is_settled(now));
         let image = News {
             stream,
             number: 0,
@@ -85,7 +85,7 @@
         let wanted = self.readers.values().any(|reader| reader.word.digest != *current);
         let squeezed = if wanted { self.register.squeezed_setup() } else { None };
         let word = self.register.word();
-        let placement = self.bare_placement();
+        let placement = self.bare_placement(now);
         for (node, reader) in &mut self.readers {
             let new_word = Some(word).filter(|word| **word != reader.word);
             let new_setup = new_word.filter(|word| word.digest != reader.word.digest).and(squeezed.as_ref());
@@ -112,8 +112,11 @@
 
     /// The placement without ages, which change all the time and matter to nobody but the next holder. Its
     /// number is left out too: one epoch's placements reach a carrier in order.
-    fn bare_placement(&self) -> Placement {
+    fn bare_placement(&self, now: Duration) -> Placement {
         let mut bare = self.placement.clone();
+        if bare.epoch == 0 {
+            bare.shares = self.heard_shares(now);
+        }
         bare.number = 0;
         bare.reservations.iter_mut().for_each(|reservation| reservation.age_ms = 0);
         bare.marks.iter_mut().for_each(|mark| mark.age_ms = 0);
--- a/crates/postmaster/src/placing.rs
+++ b/crates/postmaster/src/placing.rs
@@ -131,6 +131,7 @@
     /// last is told on for the slots that nobody claimed here yet: their upstreams hold them, or say that they don't.
     fn told_shares(&self, now: Duration, duty: &Duty) -> Vec<ServiceShares> {
         let keyed = self.setup.services.values().filter(|service| service.keyed);
+        let heard = if self.placement.epoch == 0 { self.heard_shares(now) } else { Vec::new() };
         let told = keyed.map(|service| {
             let name = &service.name;
             let known = match (duty.ranges.get(name), duty.shares.get(name)) {
@@ -138,7 +139,8 @@
                 (None, shares) => shares.map(|shares| (shares.all(now), shares.is_quiet(now))),
             };
             let (known, quiet) = known.unwrap_or((Vec::new(), true));
-            let last = self.placement.shares.iter().find(|last| last.service == *name && quiet);
+            let told = self.placement.shares.iter().chain(&heard);
+            let last = told.into_iter().find(|last| last.service == *name && quiet);
             let kept = last.map(|last| gazetteer::uncovered(&last.shares, &known)).unwrap_or_default();
             ServiceShares { service: name.clone(), shares: kept.into_iter().chain(known).collect() }
         });
