A test sees that no word of the platform stands outside its adapter

Cause: the design page says that a test keeps the platform's words inside platform/ and deploy/; there was none.

46 words (headers, paths, fields of bodies and settings, gaps of templates) are looked for, whatever their case, in all sources and package files of crates/, in docs/ and in the pages at the root; the design page on the platform and docs/incidents/ may carry them, and this test's own file. homeRegions, holdings and released are the product's own words too, hence not in the list; the words are chosen so that the gateway manifests of the operator's tool don't meet them.

A planted word of each kind is found, each word of the list is, and more than 15 of them are found in the adapter itself. Outside it none was found, so nothing had to be moved.

--- a/crates/drill/tests/sources.rs
+++ b/crates/drill/tests/sources.rs
@@ -49,3 +49,109 @@
     let daemons = ["vault", "wicket", "postmaster", "carrier", "clerk"];
     daemons.iter().for_each(|package| none_holds(package, &["std::process::Command", "process::{", "Command::new"]));
 }
+
+/// Words of the first users' platform. Only `platform/` and `deploy/` may carry them, and the pages that tell of it.
+const OF_THE_PLATFORM: [&str; 46] = [
+    // Headers.
+    "x-attempt-id",
+    "x-deadline-ms",
+    "x-expected-instance",
+    "x-server-seal",
+    "x-not-executed",
+    "x-server-load",
+    "x-instance-id",
+    "x-cold-ms",
+    "x-shard-key",
+    // Paths.
+    "/api/",
+    "instances.heartbeat",
+    "instances.deregister",
+    "configuration.replace",
+    "configuration.read",
+    "evacuation.begin",
+    "evacuation.finish",
+    // Fields of bodies.
+    "configversion",
+    "hostname\"",
+    "pathprefix\"",
+    "routekind",
+    "non_idempotent",
+    "weightedsplit",
+    "servicename",
+    "maxattempts",
+    "healthpath",
+    "connectioncap",
+    "coldperiod",
+    "coldrates",
+    "capacityslots",
+    "coldleft",
+    "callseq",
+    "beattarget",
+    "maxheaderbytes",
+    "maxbodybytes",
+    // Fields of the settings file, and the gaps of the templates that they fill.
+    "{{nodename",
+    "{{region}}",
+    "{{zone}}",
+    "selfentry",
+    "listenaddrs",
+    "frontplain",
+    "controlport",
+    "directoryport",
+    "internalports",
+    "seednodes",
+    "datapath",
+    "control_plane",
+];
+
+/// The words of a text that belong to the platform, in whatever case they stand.
+fn platform_words(text: &str) -> Vec<&'static str> {
+    let text = text.to_lowercase();
+    OF_THE_PLATFORM.into_iter().filter(|word| text.contains(word)).collect()
+}
+
+/// Every file below a folder whose name ends so, but for what a build leaves.
+fn files(folder: &Path, endings: &[&str]) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("a folder").flatten().map(|entry| entry.path());
+    let (folders, files): (Vec<PathBuf>, Vec<PathBuf>) = entries.partition(|path| path.is_dir());
+    let named = |path: &PathBuf| endings.iter().any(|ending| path.to_string_lossy().ends_with(ending));
+    let below = folders.iter().filter(|path| !path.ends_with("target")).flat_map(|path| self::files(path, endings));
+    below.chain(files.into_iter().filter(named)).collect()
+}
+
+#[test]
+fn no_word_of_the_platform_stands_outside_its_adapter() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).ancestors().nth(2).expect("the repository");
+    let mut searched = files(&root.join("crates"), &[".rs", "Cargo.toml"]);
+    searched.extend(files(&root.join("docs"), &[".md", ".json"]));
+    searched.extend(["Cargo.toml", "README.md", "CHANGELOG.md"].map(|name| root.join(name)));
+    let tells_of_it = |path: &Path| {
+        path.ends_with("drill/tests/sources.rs")
+            || path.ends_with("docs/design/platform.md")
+            || path.starts_with(root.join("docs/incidents"))
+    };
+    searched.retain(|path| !tells_of_it(path));
+    assert!(searched.len() > 100, "{} files were searched", searched.len());
+    let found: Vec<String> = searched
+        .iter()
+        .flat_map(|path| {
+            let words = platform_words(&fs::read_to_string(path).expect("a text"));
+            words.into_iter().map(|word| format!("{} holds {word}", path.display()))
+        })
+        .collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn a_planted_word_of_the_platform_is_found() {
+    assert_eq!(platform_words("enquiry.header(\"X-Attempt-Id\")"), ["x-attempt-id"]);
+    assert_eq!(platform_words(r#"{"node": "c-{{nodeName}}", "seeds": "{{seedNodes}}"}"#), ["{{nodename", "seednodes"]);
+    assert_eq!(platform_words("GET /api/anything"), ["/api/"]);
+    assert_eq!(platform_words("let path = format!(\"{{{name}}}\"); // PathPrefix, hostnames"), Vec::<&str>::new());
+    OF_THE_PLATFORM.into_iter().for_each(|word| assert!(platform_words(&word.to_uppercase()).contains(&word)));
+    // What the adapter itself says is found, so the list is not made of air.
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).ancestors().nth(2).expect("the repository");
+    let adapter = files(&root.join("platform/src"), &[".rs"]);
+    let spoken = adapter.iter().flat_map(|path| platform_words(&fs::read_to_string(path).expect("a text")));
+    assert!(spoken.collect::<std::collections::BTreeSet<_>>().len() > 15);
+}
