SIGHUP: the settings file is read again, and new seeds are taken over

wicket::reload_signal gives a process its changes: at each SIGHUP flags and file are read as at the start. Other seeds go into the cores as an event, and from there to Rounds::learn_seeds; whom a node knows stays known. Each other setting that changed is named in the log and waits for the next start. A file that is broken or wrong in anything is refused with every complaint, and nothing of it is taken over. From its first moment on a process survives the signal.

Ruled out: taking over time values while running; cores and shells copy them at the start, and the others' margins are built on them.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -54,6 +54,8 @@
     },
     /// Requests by key since the last time.
     Counted(Vec<KeyLoad>),
+    /// The settings name other seeds.
+    Seeds(Vec<String>),
     Close,
 }
 
@@ -225,6 +227,7 @@
             Event::Parcel { from, body: Body::Fresh(fresh) } => self.fresh(now, from, fresh),
             Event::Parcel { .. } => {}
             Event::Counted(loads) => self.loads = loads,
+            Event::Seeds(seeds) => self.rounds.learn_seeds(seeds),
             Event::Close => {
                 let effects = self.rounds.step(now, rounds::Event::Leave);
                 self.run_rounds(now, effects);
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -119,6 +119,7 @@
 /// ```
 pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
+    let mut reload = wicket::reload_signal(&PROGRAM, &settings);
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let locality = settings.get("locality").parse::<Locality>();
     let locality = locality.change_context_lazy(|| NoStart::new("locality"))?;
@@ -191,6 +192,7 @@
                     None => continue,
                 }
             }
+            seeds = reload.seeds() => Event::Seeds(seeds),
             _ = &mut stop, if carrier.phase() == Phase::Serving => Event::Close,
         };
         let now = clock.now();
--- a/crates/postmaster/src/office.rs
+++ b/crates/postmaster/src/office.rs
@@ -100,11 +100,24 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel { from: String, body: Body },
-    Datagram { address: String, body: Body },
-    Ask { token: u64, ask: Ask },
-    Kept { ticket: u64 },
+    Parcel {
+        from: String,
+        body: Body,
+    },
+    Datagram {
+        address: String,
+        body: Body,
+    },
+    Ask {
+        token: u64,
+        ask: Ask,
+    },
+    Kept {
+        ticket: u64,
+    },
     DiskFailed,
+    /// The settings name other seeds.
+    Seeds(Vec<String>),
     Close,
 }
 
@@ -297,6 +310,7 @@
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, registered::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, registered::Event::DiskFailed),
+            Event::Seeds(seeds) => self.rounds.learn_seeds(seeds),
             Event::Close => {
                 self.closing = true;
                 let effects = self.rounds.step(now, rounds::Event::Leave);
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -116,6 +116,7 @@
 /// ```
 pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
+    let mut reload = wicket::reload_signal(&PROGRAM, &settings);
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let probe = Arc::new(probe);
     let folder = PathBuf::from(settings.get("data"));
@@ -191,6 +192,7 @@
                     None => continue,
                 }
             }
+            seeds = reload.seeds() => Event::Seeds(seeds),
             _ = &mut stop, if end_at.is_none() => {
                 log::info!("close: asked to stop");
                 shared.closing.store(true, Ordering::Relaxed);
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -132,11 +132,10 @@
     /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
     /// ```
     pub fn new(me: Member, seeds: Vec<String>, times: Times, seed: u64) -> Self {
-        let seeds = seeds.into_iter().filter(|address| *address != me.probe_address).collect();
-        Rounds {
+        let mut rounds = Rounds {
             me: unfolded(Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me }),
             me_told: 0,
-            seeds,
+            seeds: Vec::new(),
             times,
             dice: Dice::new(seed),
             known: BTreeMap::new(),
@@ -153,7 +152,23 @@
             slow_until: Duration::ZERO,
             seed_turn: 0,
             effects: Vec::new(),
-        }
+        };
+        rounds.learn_seeds(seeds);
+        rounds
+    }
+
+    /// Other seeds than so far; whom it knows stays known.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # let times = rounds::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
+    /// let mut rounds = rounds::Rounds::new(Default::default(), vec!["127.0.0.1:1".into()], times, 7);
+    /// rounds.learn_seeds(vec!["127.0.0.1:2".into()]);
+    /// let effects = rounds.step(Duration::ZERO, rounds::Event::Tick);
+    /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
+    /// ```
+    pub fn learn_seeds(&mut self, seeds: Vec<String>) {
+        self.seeds = seeds.into_iter().filter(|address| *address != self.me.probe_address).collect();
     }
 
     /// The one reducer: takes an event in, gives effects out.
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -4,10 +4,12 @@
 mod desk;
 mod doors;
 mod links;
+mod reload;
 mod start;
 
 pub use call::{CONNECT_WITHIN, Called, Caller, Connection, Pool, Reply, headers};
 pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, serve, verdict};
 pub use doors::{Doors, NoStart, causes, end, listen};
 pub use links::{Links, send_datagram};
+pub use reload::{Reload, reload_signal};
 pub use start::{Clock, Program, begin, chance, exit, seeds, stop_signal};
--- a/crates/wicket/src/start.rs
+++ b/crates/wicket/src/start.rs
@@ -5,6 +5,7 @@
 use simplelog::{Config, ConfigBuilder, SimpleLogger};
 use std::time::Duration;
 use tariff::{Complaint, Setting, Settings, Shape, check_times};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Documented exit codes.
 pub mod exit {
@@ -68,8 +69,13 @@
 /// let settings = wicket::begin(&program);
 /// ```
 pub fn begin(program: &Program) -> Settings {
+    // Until the process listens for it, this signal would end it.
+    if tokio::runtime::Handle::try_current().is_ok() {
+        drop(signal(SignalKind::hangup()));
+    }
     match read_flags(program) {
-        Ok((settings, check_only)) => {
+        Ok((settings, level, check_only)) => {
+            let _ = SimpleLogger::init(level, log_shape());
             if check_only {
                 println!("{}: the settings are fine", program.name);
                 std::process::exit(exit::FINE);
@@ -84,7 +90,8 @@
     }
 }
 
-fn read_flags(program: &Program) -> Result<(Settings, bool), Vec<Complaint>> {
+/// The settings, how much is logged, and whether they are only to be checked.
+pub(crate) fn read_flags(program: &Program) -> Result<(Settings, LevelFilter, bool), Vec<Complaint>> {
     let wrong = |path: &str, text: String| vec![Complaint { path: path.to_owned(), text }];
     let (mut flags, mut file, mut check_only, mut level) = (Vec::new(), None, false, LevelFilter::Info);
     let mut parser = lexopt::Parser::from_env();
@@ -127,8 +134,7 @@
     if !complaints.is_empty() {
         return Err(complaints);
     }
-    let _ = SimpleLogger::init(level, log_shape());
-    Ok((settings, check_only))
+    Ok((settings, level, check_only))
 }
 
 fn log_shape() -> Config {
@@ -199,7 +205,6 @@
 /// # }
 /// ```
 pub async fn stop_signal() {
-    use tokio::signal::unix::{SignalKind, signal};
     let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
         tokio::select! {
