--- a/crates/drill/tests/site.rs
+++ b/crates/drill/tests/site.rs
@@ -109,6 +109,9 @@
     assert_eq!(asked(&nodes[0]).await, Some(Code::NoOwner), "the name is known, and nobody beats for it");
     assert_eq!(place("out", 0).await, Some(Code::Fine));
     assert_eq!(asked(&nodes[0]).await, Some(Code::NoSuchName));
+    // A founding may be quicker than the first claim, which voters grant a span after their start.
+    let placed = || async { call(node, "GET", "/status", &[], "").await.body };
+    while Sheet::read(&String::from_utf8_lossy(&placed().await)).unwrap().text("placement") == Some("") {}
     let (code, site, _) = run("clerk", &["--node", node, "site"]);
     ["edition 4", "evacuated: \"middle/middle-1\" (complete)", "postmaster-0", "voting", "carrier-1"]
         .into_iter()
--- a/crates/postmaster/src/shell.rs
+++ b/crates/postmaster/src/shell.rs
@@ -123,6 +123,7 @@
 /// ```
 pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
+    let mut reload = wicket::reload_signal(&PROGRAM, &settings);
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let probe = Arc::new(probe);
     let folder = PathBuf::from(settings.get("data"));
@@ -200,6 +201,7 @@
                     None => continue,
                 }
             }
+            seeds = reload.seeds() => Event::Seeds(seeds),
             _ = &mut stop, if end_at.is_none() => {
                 log::info!("close: asked to stop");
                 shared.closing.store(true, Ordering::Relaxed);
@@ -221,6 +223,8 @@
             }
         }
     }
+    // Whoever still waits for an answer gets none from here: it is told so now.
+    drop((inbox, answers));
     let _ = close.send(true);
     let _ = tokio::time::timeout(Duration::from_secs(3), server).await;
     return Ok(());
--- a/crates/registered/src/wish.rs
+++ b/crates/registered/src/wish.rs
@@ -39,6 +39,7 @@
 /// let numbered = |number| Change::Setup { id: "".into(), base: None, number: Some(number), digest: "e".into() };
 /// assert_eq!(apply(&mut word, &numbered(7)).edition, 3);
 /// assert_eq!(apply(&mut word, &numbered(5)).edition, 3, "the highest holds");
+/// assert_eq!(apply(&mut parcel::Word::default(), &numbered(0)).edition, 1, "the first is new, whatever its number");
 /// ```
 pub fn apply(word: &mut Word, change: &Change) -> Verdict {
     let (id, asked) = match change {
@@ -70,7 +71,9 @@
 fn change_word(word: &mut Word, change: &Change) -> Code {
     match change {
         Change::Setup { base, .. } if base.is_some_and(|base| base != word.edition) => return Code::SetupBehind,
-        Change::Setup { number: Some(number), .. } if *number <= word.number => return Code::Fine,
+        Change::Setup { number: Some(number), .. } if *number <= word.number && !word.digest.is_empty() => {
+            return Code::Fine;
+        }
         Change::Setup { digest, number, .. } => {
             word.digest = digest.clone();
             word.number = number.unwrap_or(word.number);
