A carrier that just started asks its own zone first for a moment

Change: until any postmaster answered, and for 0.8 s at most, only the nearest is asked, and nobody far.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How long a carrier that just started waits to hear of a postmaster of its own zone.
+const NEAR_WITHIN: Duration = Duration::from_millis(800);
 /// How often a carrier without any view asks for one.
 const FIRST_EVERY: Duration = Duration::from_millis(200);
 /// How long a carrier stays away from its zone's postmasters at least.
@@ -121,6 +123,9 @@
     left: Option<String>,
     postmasters: Vec<Member>,
     phase: Phase,
+    started_at: Option<Duration>,
+    /// True once any postmaster answered.
+    heard: bool,
     /// Not before this it goes back to its own zone.
     next_home: Duration,
     /// To be told with the next question.
@@ -154,6 +159,8 @@
             left: None,
             postmasters: Vec::new(),
             phase: Phase::Serving,
+            started_at: None,
+            heard: false,
             next_home: Duration::ZERO,
             loads: Vec::new(),
             effects: Vec::new(),
@@ -353,6 +360,15 @@
         let known = self.source().map(str::to_owned);
         let known = known.filter(|source| self.postmasters.iter().any(|member| member.node == *source));
         let fresh = known.is_none();
+        // An image from far is dear: one of the own zone may be known, and have something to tell, in a moment.
+        let started_at = *self.started_at.get_or_insert(now);
+        let near = self.postmasters.first().is_some_and(|member| member.locality == self.me.locality);
+        if !self.heard && now < started_at + NEAR_WITHIN {
+            (self.left, self.misses) = (None, 0);
+            if fresh && !near {
+                return;
+            }
+        }
         let Some(source) = known.or_else(|| self.next_source()) else {
             return self.follow(Following::Nobody);
         };
@@ -410,6 +426,7 @@
             Following::Asked { source, nonce, asked_at } if *source == from && *nonce == fresh.nonce => *asked_at,
             _ => return,
         };
+        self.heard = true;
         self.follow(Following::Content { source: from });
         let whole = (fresh.stream, fresh.number) == (self.stream, self.number) && self.view.edition >= fresh.edition;
         let doubted = Duration::from_millis(fresh.age_ms) > DOUBTED;
