Setups may have a number of their own, and the simulator races them and restarts all postmasters

Cause: the register knows numbered configurations, but the product's JSON had no field for the number, and no simulated operator used one; nothing showed what a restart of all postmasters costs. "number" (from 1) is read beside the lists. Operators race with numbers in no order, two with the same, and resend old ones, six times at 150 ms; a second checker of rule 8 holds read-backs to the highest number acknowledged or read before. Numbered setups lead no probes, since their editions can't be told by the number. restart-postmasters ends all postmasters at the moment of the first yes, before a carrier was told, and starts them together 300 ms later. Caught: a reader that loses the number, and postmasters that tell nothing before they know all upstreams. Ruled out: a restart some 0.4 s after the yes; carriers had the setup already, so that the weakened world passed.

--- a/crates/drill/src/breaches.rs
+++ b/crates/drill/src/breaches.rs
@@ -61,6 +61,8 @@
         let (digest, took) = ("d".into(), Duration::ZERO);
         at(edition - 2, Fact::Submitted { edition, digest, mark, took })
     };
+    let offered = |number, digest: &str| at(0, Fact::Offered { number, digest: digest.into() });
+    let numbered = |number| at(0, Fact::Acknowledged { number });
     let submitted = || setup(2, 2);
     let probed = |ms, mark| at(ms, Fact::Probed { node: "c-1".into(), mark });
     let resent = |count: u64| (0..count).map(|ms| at(ms, arrived("t1", "north/n1", false))).collect::<Vec<_>>();
@@ -106,6 +108,16 @@
             vec![at(0, Fact::Accepted { edition: 3 }), at(1, read_back(1, "d"))],
             vec![accepted(), at(1, read_back(2, "d"))],
         ),
+        (
+            8,
+            vec![offered(3, "d"), offered(4, "e"), numbered(4), at(1, read_back(2, "d"))],
+            vec![offered(3, "d"), offered(4, "e"), numbered(3), at(1, read_back(2, "d"))],
+        ),
+        (
+            8,
+            vec![offered(3, "d"), offered(4, "e"), at(0, read_back(2, "e")), at(1, read_back(2, "d"))],
+            vec![offered(3, "d"), offered(4, "e"), at(0, read_back(2, "d")), at(1, read_back(3, "e"))],
+        ),
         (9, resent(12), resent(11)),
         (10, cold(9), cold(8)),
         (
--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -71,6 +71,15 @@
         mark: usize,
         took: Duration,
     },
+    /// An operator asks for a setup with a number of its own.
+    Offered {
+        number: u64,
+        digest: String,
+    },
+    /// The system said yes to such a one, which it may have because a higher one holds.
+    Acknowledged {
+        number: u64,
+    },
     /// A probe through this proxy came to a marking upstream.
     Probed {
         node: String,
--- a/crates/drill/src/rules.rs
+++ b/crates/drill/src/rules.rs
@@ -36,6 +36,7 @@
     (7, "an edition is in force within 3 s and never goes back", editions_only_rise),
     (7, "traffic goes by an edition in force, and never back", traffic_only_rises),
     (8, "an accepted setup is not lost and reads back alike", accepted_is_kept),
+    (8, "the highest acknowledged number holds", highest_number_holds),
     (9, "resends within a fifth and the allowance", resends_are_few),
     (10, "a cold upstream stays within its warm-up rate", warm_up_is_kept),
     (11, "no two upstreams hold a key", keys_have_one_holder),
@@ -229,6 +230,31 @@
     found
 }
 
+/// What is read back has at least the highest number that was acknowledged, or read, before it was asked for.
+fn highest_number_holds(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut numbers: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut known: Vec<(Duration, u64)> = Vec::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Offered { number, digest } => {
+            numbers.insert(digest, *number);
+        }
+        Fact::Acknowledged { number } => known.push((*at, *number)),
+        Fact::ReadBack { node, digest, asked_at, .. } => {
+            let newest = known.iter().filter(|(told, _)| told < asked_at).map(|(_, number)| *number).max();
+            numbers.get(digest.as_str()).into_iter().for_each(|number| {
+                let older = newest.filter(|newest| number < newest);
+                found.extend(
+                    older.map(|newest| violation(8, *at, format!("{node} reads back number {number} after {newest}"))),
+                );
+                known.push((*at, *number));
+            });
+        }
+        _ => {}
+    });
+    found
+}
+
 /// Over any 10 s and per service: arrivals of a try beyond its first, against a fifth of the first ones and 10.
 fn resends_are_few(seen: &[Seen], _: &Terms) -> Vec<Violation> {
     let window = Duration::from_secs(10);
--- a/crates/drill/src/shapes.rs
+++ b/crates/drill/src/shapes.rs
@@ -180,6 +180,20 @@
     /// assert!(tariff::Setup::read(drill::shapes::KALAM.setup(3).as_bytes()).is_ok());
     /// ```
     pub fn setup(&self, extra: usize) -> String {
+        self.written(extra, None)
+    }
+
+    /// The same with an operator's own number, and without `probe`: whether it is in force can't be told by its number.
+    ///
+    /// ```
+    /// let setup = drill::shapes::KALAM.numbered_setup(3, 7);
+    /// assert_eq!(tariff::Setup::read(setup.as_bytes()).unwrap().number, Some(7));
+    /// ```
+    pub fn numbered_setup(&self, extra: usize, number: u64) -> String {
+        self.written(extra, Some(number))
+    }
+
+    fn written(&self, extra: usize, number: Option<u64>) -> String {
         let services = self.services.iter().chain(&MARKS).map(|work| {
             let homes = self.homes(work).iter().map(|home| format!("\"{home}\"")).collect::<Vec<_>>().join(", ");
             format!(
@@ -199,15 +213,18 @@
             .enumerate()
             .map(|(at, work)| route(format!("r{at}"), work.service, format!("/{}", work.service), work.service));
         let marked = MARKS[extra % MARKS.len()].service;
-        let probe = [route("probe-route".into(), "probe", "/probe".into(), marked)];
+        let probe = Some(())
+            .filter(|()| number.is_none())
+            .map(|()| route("probe-route".into(), "probe", "/probe".into(), marked));
         let extras = (0..extra).map(|at| route(format!("x{at}"), "extra", format!("/x{at}"), self.services[0].service));
         let aliases =
             self.services.iter().enumerate().map(|(at, work)| {
                 format!(r#"    {{"alias": "{}.{}.example", "to": "r{at}"}}"#, work.service, self.name)
             });
         let list = |items: Vec<String>| items.join(",\n");
+        let number = number.map(|number| format!("\n  \"number\": {number},")).unwrap_or_default();
         format!(
-            "{{\n  \"services\": [\n{}\n  ],\n  \"routes\": [\n{}\n  ],\n  \"aliases\": [\n{}\n  ]\n}}\n",
+            "{{{number}\n  \"services\": [\n{}\n  ],\n  \"routes\": [\n{}\n  ],\n  \"aliases\": [\n{}\n  ]\n}}\n",
             list(services.collect()),
             list(routes.chain(probe).chain(extras).collect()),
             list(aliases.collect())
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -151,6 +151,18 @@
                 });
             }),
             Fault::HotKey => self.hot_key = true,
+            Fault::NumberRace(times) => {
+                self.race_numbers();
+                let next = self.now + Duration::from_millis(150);
+                if times > 1 {
+                    self.push_step(next, next, Fault::NumberRace(times - 1));
+                }
+            }
+            Fault::RestartPostmasters => {
+                self.submit_setup(0, None);
+                self.restart_due = true;
+            }
+            Fault::KillPostmasters => self.offices().into_iter().for_each(|node| self.kill(node)),
             Fault::LateAnswers => self.late_answers = true,
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
@@ -189,6 +201,7 @@
             | Fault::TearState(_)
             | Fault::WipeTwo(_)
             | Fault::PowerAt { .. }
+            | Fault::KillPostmasters
             | Fault::KillPlacement => {
                 self.nodes.iter_mut().for_each(|node| node.disk.power_at = None);
                 self.rescue();
@@ -247,6 +260,8 @@
             }
             Fault::RollingRestart
             | Fault::MoveNames
+            | Fault::NumberRace(_)
+            | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::OperatorRace
             | Fault::JumpClock(..)
@@ -328,6 +343,13 @@
         });
     }
 
+    /// A postmaster has just accepted something, and told no carrier: the moment that a restart waits for.
+    pub(super) fn spring_restart(&mut self) {
+        if std::mem::take(&mut self.restart_due) {
+            self.push_step(self.now, self.now + Duration::from_millis(300), Fault::KillPostmasters);
+        }
+    }
+
     fn set_disk(&mut self, machine: usize, change: impl Fn(&mut super::nodes::Disk)) {
         self.on_machine(machine).into_iter().for_each(|node| change(&mut self.nodes[node].disk));
     }
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -81,6 +81,11 @@
     JumpPlacement(Duration),
     /// A part of the answers to beats with numeric keys takes up to 1.5 s longer.
     LateAnswers,
+    /// Operators race with numbers of their own, again and again; the step tells how often.
+    NumberRace(u32),
+    /// A setup is accepted, and all postmasters end at that moment.
+    RestartPostmasters,
+    KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
 }
@@ -145,7 +150,11 @@
 ];
 
 /// Further kinds, which no seed draws by itself: so the drawn plans of known seeds stay as they were.
-pub const FURTHER: &[(&str, Drawer)] = &[("late-answers", |_| Fault::LateAnswers)];
+pub const FURTHER: &[(&str, Drawer)] = &[
+    ("late-answers", |_| Fault::LateAnswers),
+    ("number-race", |_| Fault::NumberRace(6)),
+    ("restart-postmasters", |_| Fault::RestartPostmasters),
+];
 
 /// Every kind by name.
 ///
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -5,11 +5,13 @@
 use super::world::{Action, World};
 use address::Locality;
 use carrier::Carrier;
+use gazetteer::SetupReader;
 use parcel::{Body, Durable, Member, Message, Parcel};
 use postmaster::{Answer, Ask, Office};
 use sorting::{Board, Outcome, Site};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
+use tariff::{Complaint, Setup};
 
 const TICK: Duration = Duration::from_millis(50);
 /// How far a clock may run off, in parts of a million: a hundred times what real ones do.
@@ -104,6 +106,14 @@
     }
 }
 
+/// A configuration whose number is lost.
+fn read_unnumbered(bytes: &[u8]) -> Result<Setup, Vec<Complaint>> {
+    Setup::read(bytes).map(|mut setup| {
+        setup.number = None;
+        setup
+    })
+}
+
 impl World {
     pub(super) fn lay_out_nodes(&mut self) {
         let stale_after = self.weak.stale_after;
@@ -153,6 +163,7 @@
             self.nodes.iter().filter(|node| node.is_office).take(3).map(|node| node.name.clone()).collect();
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
         let roster_size = self.shape.disks;
+        let reader = if self.weak.unnumbered { SetupReader(read_unnumbered) } else { SetupReader::default() };
         let now = self.now;
         let node = &mut self.nodes[at];
         node.up = true;
@@ -174,15 +185,11 @@
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
             let times = postmaster::shell::times(&settings);
-            let start =
-                postmaster::Start { me, seeds, roster_size, seed, reader: Default::default(), durable, setups, times };
+            let start = postmaster::Start { me, seeds, roster_size, seed, reader, durable, setups, times };
             Core::Office(Box::new(Office::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
-            Core::Carrier(
-                Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader: Default::default(), times })),
-                Box::default(),
-            )
+            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader, times })), Box::default())
         };
         let life = node.life;
         // Not all tick at the same moment.
@@ -405,6 +412,9 @@
     }
 
     fn send(&mut self, from: usize, to: &str, body: Body) {
+        if self.weak.tells_late && matches!(&body, Body::News(news) if news.keeps_upstreams) {
+            return;
+        }
         self.parcels += 1;
         let parcel = Parcel { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
         self.parcel_bytes += parcel.encoded_len() as u64;
@@ -465,6 +475,9 @@
     }
 
     fn office_answered(&mut self, _at: usize, token: u64, answer: Answer) {
+        if matches!(answer, Answer::Verdict { code: address::Code::Fine, .. }) {
+            self.spring_restart();
+        }
         self.asked(token, answer);
     }
 }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -26,8 +26,20 @@
 
 #[derive(Clone)]
 pub enum What {
-    Setup { bytes: String, base: Option<u64>, mark: usize },
-    Evacuate { locality: String, back: bool },
+    Setup {
+        bytes: String,
+        base: Option<u64>,
+        mark: usize,
+    },
+    /// With the operator's own number.
+    Numbered {
+        bytes: String,
+        number: u64,
+    },
+    Evacuate {
+        locality: String,
+        back: bool,
+    },
 }
 
 /// All operators' state.
@@ -40,6 +52,8 @@
     pub(super) beats: BTreeMap<u64, (usize, u64, u64, Duration, usize)>,
     pub(super) edition: u64,
     setups: usize,
+    /// Numbered setups offered so far.
+    offered: Vec<(u64, String)>,
 }
 
 impl Operators {
@@ -71,6 +85,24 @@
         self.submit(What::Setup { bytes, base, mark: extra % MARKS.len() });
     }
 
+    /// Operators race with their own numbers: new ones in no order, two with the same, and old ones again.
+    pub(super) fn race_numbers(&mut self) {
+        let most = self.operators.offered.iter().map(|(number, _)| *number).max().unwrap_or(0);
+        [3, 1, 5, 5, 4].into_iter().for_each(|ahead| {
+            self.operators.setups += 1;
+            let (number, extra) = (most + ahead, self.operators.setups);
+            let bytes = self.shape.numbered_setup(extra, number);
+            self.note(Fact::Offered { number, digest: parcel::digest(bytes.as_bytes()) });
+            self.operators.offered.push((number, bytes.clone()));
+            self.submit(What::Numbered { bytes, number });
+        });
+        (0..3).for_each(|_| {
+            let at = self.dice.below(self.operators.offered.len() as u64) as usize;
+            let (number, bytes) = self.operators.offered[at].clone();
+            self.submit(What::Numbered { bytes, number });
+        });
+    }
+
     pub(super) fn submit(&mut self, what: What) {
         // Work may go there from the moment it is asked for: the yes comes later.
         if let What::Evacuate { locality, back: true } = &what {
@@ -101,6 +133,7 @@
         let id = submission.id.clone();
         let ask = match submission.what.clone() {
             What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), in_force: false },
+            What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
             What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
         };
         let (node, token) = (self.some_office(), self.id());
@@ -171,6 +204,7 @@
                 let digest = parcel::digest(bytes.as_bytes());
                 self.note(Fact::Submitted { edition, digest, mark, took });
             }
+            What::Numbered { number, .. } => self.note(Fact::Acknowledged { number }),
             What::Evacuate { locality, back: false } => self.note(Fact::Evacuated { locality, back: false }),
             What::Evacuate { back: true, .. } => {}
         }
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -88,6 +88,10 @@
     pub holds_on: Duration,
     /// Upstreams with numeric keys take answers that came late, or to a beat that a newer one overtook.
     pub takes_late: bool,
+    /// Configurations are read without their operators' numbers.
+    pub unnumbered: bool,
+    /// Postmasters tell carriers nothing before they know all upstreams.
+    pub tells_late: bool,
     /// Carriers' counts of requests by key reach nobody.
     pub uncounted: bool,
     /// The operators' setups leave the home regions out.
@@ -116,6 +120,8 @@
             trusting: false,
             holds_on: Duration::ZERO,
             takes_late: false,
+            unnumbered: false,
+            tells_late: false,
             uncounted: false,
             homeless: false,
             leaves_quietly: false,
@@ -184,6 +190,8 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    /// All postmasters end as soon as one of them says yes.
+    pub(super) restart_due: bool,
     pub(super) weak: Weakness,
     pub(super) nodes: Vec<Node>,
     pub(super) units: Vec<Unit>,
@@ -223,6 +231,7 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            restart_due: false,
             weak: Weakness::default(),
             nodes: Vec::new(),
             units: Vec::new(),
@@ -275,6 +284,10 @@
         let mut world = World::new(seed, Some(plan), shape);
         world.nodes.iter_mut().for_each(|node| node.site.stale_after = weak.stale_after);
         world.weak = weak;
+        if weak.unnumbered {
+            (0..world.nodes.len()).for_each(|node| world.kill(node));
+            (0..world.nodes.len()).for_each(|node| world.start(node));
+        }
         world
     }
 
--- a/crates/tariff/src/setup.rs
+++ b/crates/tariff/src/setup.rs
@@ -171,6 +171,8 @@
             .map_err(whole)?;
         let mut complaints = Vec::new();
         let mut fields = Fields::open(&sheet, "", &mut complaints);
+        let numbered = fields.part("number").is_some();
+        let number = fields.count("number", 1..=u64::MAX, Some(1)).filter(|_| numbered);
         let (services, routes, aliases) = (fields.list("services"), fields.list("routes"), fields.list("aliases"));
         fields.close();
         let most = [services.len(), routes.len(), aliases.len()].into_iter().max().unwrap_or(0);
@@ -178,7 +180,7 @@
             complain(&mut complaints, "/", format!("a list of {most}; at most {MOST_ITEMS}"));
             return Err(complaints);
         }
-        let mut setup = Setup::default();
+        let mut setup = Setup { number, ..Setup::default() };
         services.iter().enumerate().for_each(|(at, sheet)| setup.add_service(sheet, at, &mut complaints));
         routes.iter().enumerate().for_each(|(at, sheet)| setup.add_route(sheet, at, &mut complaints));
         aliases.iter().enumerate().for_each(|(at, sheet)| setup.add_alias(sheet, at, &mut complaints));
--- a/crates/tariff/tests/denials.rs
+++ b/crates/tariff/tests/denials.rs
@@ -45,6 +45,8 @@
         ("alias loop", setup(SERVICE, &fine, &loops), "/aliases/0/to"),
         ("alias chain too long", setup(SERVICE, &fine, &chain.join(",")), "/aliases/0/to"),
         ("alias like a name", setup(SERVICE, &fine, &alias("n", "r")), "/aliases/0/alias"),
+        ("number zero", setup(SERVICE, &fine, "").replacen('{', r#"{"number": 0, "#, 1), "/number"),
+        ("number no number", setup(SERVICE, &fine, "").replacen('{', r#"{"number": "7", "#, 1), "/number"),
         ("too large", " ".repeat(MOST_SETUP_BYTES + 1), "/"),
     ];
     cases.into_iter().for_each(|(what, text, path)| {
@@ -55,6 +57,15 @@
     assert!(Setup::read(setup(SERVICE, &fine, &alias("a", "r")).as_bytes()).is_ok());
 }
 
+#[test]
+fn a_setup_may_have_a_number_of_its_own() {
+    let plain = setup(SERVICE, "", "");
+    let numbered = |number: u64| plain.replacen('{', &format!("{{\"number\": {number}, "), 1);
+    let read = |text: &str| Setup::read(text.as_bytes()).map(|setup| setup.number);
+    assert_eq!(read(&plain), Ok(None));
+    [1, 7, u64::MAX].into_iter().for_each(|number| assert_eq!(read(&numbered(number)), Ok(Some(number))));
+}
+
 #[test]
 fn all_complaints_come_at_once() {
     let text = setup(&SERVICE.replace("once", "thrice"), &route("r", "a b", "p", "moon"), &alias("a", "b"));
