--- a/crates/drill/src/hollow/count.rs
+++ b/crates/drill/src/hollow/count.rs
@@ -258,7 +258,7 @@
 /// A message's kind as the tables name it.
 ///
 /// ```
-/// assert_eq!(drill::hollow::kind(&parcel::Body::RollAsk(parcel::RollAsk {})), "roll ask");
+/// assert_eq!(drill::hollow::kind(&parcel::Body::RollAsk(Default::default())), "roll ask");
 /// ```
 pub fn kind(body: &Body) -> &'static str {
     match body {
--- a/crates/enrolment/src/fair.rs
+++ b/crates/enrolment/src/fair.rs
@@ -63,8 +63,11 @@
     let most = others.iter().map(|name| room_of(name)).fold(f64::NEG_INFINITY, f64::max);
     let emptiest = others.iter().map(|name| room_of(name) / capacity(active, name)).fold(f64::NEG_INFINITY, f64::max);
     let mut room = room_of(me);
+    // What all have left once is for whoever comes next; it would lie without a holder for another round.
+    let left = |state: &State| matches!(state, State::Free { passed, .. } if *passed > active.len());
     // Small parts would only be broken off what another is to have.
-    if room < most && room / capacity(active, me) < emptiest / 2.0 {
+    let nothing_left = !table.iter().any(|(_, _, state)| left(state));
+    if nothing_left && room < most && room / capacity(active, me) < emptiest / 2.0 {
         return Vec::new();
     }
     let mine = |key: Option<u32>| {
@@ -72,25 +75,26 @@
         at.is_some_and(|(_, _, state)| state.held_by(me).is_some())
     };
     let free = table.iter().filter_map(|(from, to, state)| match state {
-        State::Free { last, .. } => {
+        State::Free { last, passed, .. } => {
             // What it had first, then what lies next to its own, which it takes from that side.
             let had = last.as_deref() == Some(me);
             let (left, right) = (mine(from.checked_sub(1)), mine(Some(to + 1)));
-            Some((!had, !(left || right), from, to, right && !left))
+            let left_over = *passed > active.len();
+            Some((!had, !(left || right), from, to, right && !left, left_over))
         }
         State::Held(_) => None,
     });
     let mut free: Vec<_> = free.collect();
     free.sort_unstable();
     let mut taken = Vec::new();
-    free.into_iter().for_each(|(_, _, from, to, from_right)| {
+    free.into_iter().for_each(|(_, _, from, to, from_right, left_over)| {
         let pieces: Spans = pieces(load, from, to);
         let ordered: Box<dyn Iterator<Item = (u32, u32)>> =
             if from_right { Box::new(pieces.into_iter().rev()) } else { Box::new(pieces.into_iter()) };
         let fitting = ordered.take_while(|(from, to)| {
             let weight = load.weight(*from, *to);
             // The most room takes what fits nowhere.
-            let fits = weight / 2.0 <= room || room >= most;
+            let fits = left_over || weight / 2.0 <= room || room >= most;
             room -= if fits { weight } else { 0.0 };
             fits
         });
--- a/crates/enrolment/src/ranges.rs
+++ b/crates/enrolment/src/ranges.rs
@@ -264,8 +264,8 @@
             self.table.within(row.from, row.to).into_iter().for_each(|(from, to, state)| {
                 let handover = row.handover.clone();
                 let with_token = match state {
-                    State::Free { last, .. } if last.as_ref().is_none_or(|last| *last == beat.instance) => {
-                        Some(State::Free { last, handover })
+                    State::Free { last, passed, .. } if last.as_ref().is_none_or(|last| *last == beat.instance) => {
+                        Some(State::Free { last, handover, passed })
                     }
                     State::Held(held) if held.dropped && held.owner == beat.instance => {
                         Some(State::Held(Held { handover, ..held }))
@@ -322,6 +322,10 @@
     /// Gives free keys up to its fair part.
     fn give(&mut self, now: Duration, me: &str, active: &BTreeMap<&str, u32>, load: &Load) {
         let parts = fair::takes(&self.table, me, active, load);
+        self.table.each(|state| match state {
+            State::Free { passed, .. } => *passed += 1,
+            State::Held(_) => {}
+        });
         if parts.is_empty() || self.counter + 1 >= 1 << FENCE_BITS {
             return;
         }
@@ -436,7 +440,8 @@
 
 fn freed(held: &Held, with_token: bool) -> State {
     let handover = held.handover.clone();
-    State::Free { last: Some(held.owner.clone()), handover: Some(handover).filter(|_| with_token).unwrap_or_default() }
+    let handover = Some(handover).filter(|_| with_token).unwrap_or_default();
+    State::Free { last: Some(held.owner.clone()), handover, passed: 0 }
 }
 
 type Spans = Vec<(u32, u32)>;
--- a/crates/enrolment/src/table.rs
+++ b/crates/enrolment/src/table.rs
@@ -30,6 +30,8 @@
     Free {
         last: Option<String>,
         handover: String,
+        /// How many heartbeats left it where it is.
+        passed: usize,
     },
     Held(Held),
 }
@@ -55,7 +57,7 @@
 
 impl Table {
     pub(crate) fn new(keys: u32) -> Self {
-        let free = State::Free { last: None, handover: String::new() };
+        let free = State::Free { last: None, handover: String::new(), passed: 0 };
         Table([(0, (keys.max(1) - 1, free))].into())
     }
 
