--- a/crates/address/src/lib.rs
+++ b/crates/address/src/lib.rs
@@ -133,36 +133,36 @@
 pub fn spread_all<'a>(parts: impl IntoIterator<Item = &'a str>) -> u64 {
     let bytes = parts.into_iter().flat_map(str::bytes);
     let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    Dice::new(bytes.fold(0xcbf2_9ce4_8422_2325u64, fold)).roll()
+    Random::new(bytes.fold(0xcbf2_9ce4_8422_2325u64, fold)).next_u64()
 }
 
 /// A small seeded source of random numbers (splitmix64), so that a core's choices can be replayed.
 ///
 /// ```
-/// let mut a = address::Dice::new(7);
-/// let mut b = address::Dice::new(7);
-/// assert_eq!(a.roll(), b.roll());
+/// let mut a = address::Random::new(7);
+/// let mut b = address::Random::new(7);
+/// assert_eq!(a.next_u64(), b.next_u64());
 /// assert!(a.below(10) < 10);
 /// ```
-pub struct Dice(u64);
+pub struct Random(u64);
 
-impl Dice {
+impl Random {
     /// A source that always yields the same numbers for the same seed.
     ///
     /// ```
-    /// assert_ne!(address::Dice::new(1).roll(), address::Dice::new(2).roll());
+    /// assert_ne!(address::Random::new(1).next_u64(), address::Random::new(2).next_u64());
     /// ```
     pub fn new(seed: u64) -> Self {
-        Dice(seed)
+        Random(seed)
     }
 
     /// The next number.
     ///
     /// ```
-    /// let mut dice = address::Dice::new(3);
-    /// assert_ne!(dice.roll(), dice.roll());
+    /// let mut random = address::Random::new(3);
+    /// assert_ne!(random.next_u64(), random.next_u64());
     /// ```
-    pub fn roll(&mut self) -> u64 {
+    pub fn next_u64(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -173,9 +173,9 @@
     /// A number below `bound` (0 when `bound` is 0).
     ///
     /// ```
-    /// assert_eq!(address::Dice::new(3).below(1), 0);
+    /// assert_eq!(address::Random::new(3).below(1), 0);
     /// ```
     pub fn below(&mut self, bound: u64) -> u64 {
-        self.roll().checked_rem(bound).unwrap_or(0)
+        self.next_u64().checked_rem(bound).unwrap_or(0)
     }
 }
--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -1,9 +1,9 @@
 //! What a carrier decides away from the path of requests: whom it follows and how old its view is.
 
-use address::{Dice, Locality};
+use address::{Locality, Random};
 use gazetteer::{Proxy, SetupReader, View};
-use parcel::{Body, Fresh, KeyLoad, Member, News, NewsAsk, NewsKept};
-use rounds::Rounds;
+use membership::Membership;
+use protocol::{Freshness, KeyLoad, Member, Payload, UpdateAck, UpdateRequest, ViewUpdate};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 /// A carrier's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    pub rounds: rounds::Times,
+    pub membership: membership::Times,
     pub ask_every: Duration,
     /// An answer that takes longer means another postmaster.
     pub answer_within: Duration,
@@ -51,13 +51,13 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel {
+    Received {
         from: String,
-        body: Body,
+        body: Payload,
     },
     Datagram {
         address: String,
-        body: Body,
+        body: Payload,
     },
     /// Requests by key since the last time.
     Counted(Vec<KeyLoad>),
@@ -71,11 +71,11 @@
 pub enum Effect {
     Send {
         to: String,
-        body: Body,
+        body: Payload,
     },
     Datagram {
         address: String,
-        body: Body,
+        body: Payload,
     },
     Addresses(Vec<(String, String)>),
     /// The view changed: publish it.
@@ -109,8 +109,8 @@
 pub struct Carrier {
     me: Member,
     times: Times,
-    dice: Dice,
-    rounds: Rounds,
+    random: Random,
+    membership: Membership,
     view: View,
     following: Following,
     /// The stream and number of the last news kept; stream 0 wants an image.
@@ -143,13 +143,13 @@
     /// ```
     pub fn new(start: Start) -> Self {
         let Start { me, seeds, seed, reader, times } = start;
-        let mut dice = Dice::new(seed);
-        let rounds = Rounds::new(me.clone(), seeds, times.rounds, dice.roll());
+        let mut random = Random::new(seed);
+        let membership = Membership::new(me.clone(), seeds, times.membership, random.next_u64());
         let mut carrier = Carrier {
             me,
             times,
-            dice,
-            rounds,
+            random,
+            membership,
             view: View { reader, ..View::default() },
             following: Following::Nobody,
             stream: 0,
@@ -230,22 +230,22 @@
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => {
-                let effects = self.rounds.step(now, rounds::Event::Tick);
-                self.run_rounds(now, effects);
+                let effects = self.membership.step(now, membership::Event::Tick);
+                self.run_membership(now, effects);
                 self.tick(now);
             }
             Event::Datagram { address, body } => {
-                let effects = self.rounds.step(now, rounds::Event::Parcel { address, body });
-                self.run_rounds(now, effects);
+                let effects = self.membership.step(now, membership::Event::Received { address, body });
+                self.run_membership(now, effects);
             }
-            Event::Parcel { from, body: Body::News(news) } => self.news(now, from, news),
-            Event::Parcel { from, body: Body::Fresh(fresh) } => self.fresh(now, from, fresh),
-            Event::Parcel { .. } => {}
+            Event::Received { from, body: Payload::ViewUpdate(news) } => self.news(now, from, news),
+            Event::Received { from, body: Payload::Freshness(fresh) } => self.fresh(now, from, fresh),
+            Event::Received { .. } => {}
             Event::Counted(loads) => self.loads = loads,
-            Event::Seeds(seeds) => self.rounds.learn_seeds(seeds),
+            Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
             Event::Close => {
-                let effects = self.rounds.step(now, rounds::Event::Leave);
-                self.run_rounds(now, effects);
+                let effects = self.membership.step(now, membership::Event::Leave);
+                self.run_membership(now, effects);
                 if self.phase == Phase::Serving {
                     self.turn(Phase::Closing { until: now + self.times.lifetime });
                 }
@@ -254,10 +254,10 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn run_rounds(&mut self, now: Duration, effects: Vec<rounds::Effect>) {
-        let changed = effects.contains(&rounds::Effect::Changed);
+    fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
+        let changed = effects.contains(&membership::Effect::Changed);
         effects.into_iter().for_each(|effect| {
-            if let rounds::Effect::Send { address, body } = effect {
+            if let membership::Effect::Send { address, body } = effect {
                 self.effects.push(Effect::Datagram { address, body });
             }
         });
@@ -267,7 +267,7 @@
     }
 
     fn learn_members(&mut self, now: Duration) {
-        let members: Vec<Member> = self.rounds.members().cloned().collect();
+        let members: Vec<Member> = self.membership.members().cloned().collect();
         let here: Locality = self.me.locality.parse().unwrap_or_default();
         let book = members.iter().map(|member| (member.node.clone(), member.link_address.clone()));
         self.effects.push(Effect::Addresses(book.collect()));
@@ -275,7 +275,7 @@
         let proxies = proxies
             .filter_map(|member| {
                 let locality = member.locality.parse().ok()?;
-                let suspect = member.condition != rounds::ALIVE;
+                let suspect = member.condition != membership::ALIVE;
                 Some(Proxy { node: member.node.clone(), locality, address: member.http_address.clone(), suspect })
             })
             .collect();
@@ -287,7 +287,7 @@
         self.postmasters.sort_by_key(|member| {
             let place: Locality = member.locality.parse().unwrap_or_default();
             let spread = address::spread(&format!("{me}{}", member.node));
-            (member.condition != rounds::ALIVE, place.region != here.region, place != here, spread)
+            (member.condition != membership::ALIVE, place.region != here.region, place != here, spread)
         });
         self.effects.push(Effect::Publish);
     }
@@ -327,13 +327,13 @@
     /// A carrier that follows far away goes back to a postmaster of its own zone, once there is one again.
     fn turn_home(&mut self, now: Duration) {
         let Following::Content { source } = &self.following else { return };
-        let place = |member: &&Member| member.locality == self.me.locality && member.condition == rounds::ALIVE;
+        let place = |member: &&Member| member.locality == self.me.locality && member.condition == membership::ALIVE;
         let home = self.postmasters.first().filter(place).filter(|member| member.node != *source);
         let away = self.postmasters.iter().any(|member| member.node == *source && member.locality != self.me.locality);
         if home.is_none() || !away || now < self.next_home {
             return;
         }
-        self.next_home = now + HOME_EVERY + Duration::from_millis(self.dice.below(1000));
+        self.next_home = now + HOME_EVERY + Duration::from_millis(self.random.below(1000));
         (self.left, self.misses, self.stream, self.next_ask) = (None, 0, 0, now);
         self.follow(Following::Nobody);
     }
@@ -375,15 +375,16 @@
         if fresh {
             self.stream = 0;
         }
-        let nonce = self.dice.roll();
+        let nonce = self.random.next_u64();
         let every = self.times.ask_every;
         self.next_ask = now + if self.view.as_of.is_some() { every } else { every.min(FIRST_EVERY) };
-        let ask = NewsAsk { nonce, stream: self.stream, number: self.number, loads: std::mem::take(&mut self.loads) };
-        self.effects.push(Effect::Send { to: source.clone(), body: Body::NewsAsk(ask) });
+        let ask =
+            UpdateRequest { nonce, stream: self.stream, number: self.number, loads: std::mem::take(&mut self.loads) };
+        self.effects.push(Effect::Send { to: source.clone(), body: Payload::UpdateRequest(ask) });
         self.follow(Following::Asked { source, nonce, asked_at: now });
     }
 
-    fn news(&mut self, now: Duration, from: String, news: News) {
+    fn news(&mut self, now: Duration, from: String, news: ViewUpdate) {
         if self.source() != Some(from.as_str()) {
             return;
         }
@@ -394,12 +395,12 @@
         }
         let before = self.view.edition;
         let squeezed = news.setup.as_deref();
-        let setup = squeezed.map(parcel::unsqueeze);
+        let setup = squeezed.map(protocol::unsqueeze);
         if setup == Some(None) {
             self.effects.push(Effect::Note("news denied: a damaged setup".into()));
             return self.want_image(now);
         }
-        let news = News { setup: setup.flatten(), ..news };
+        let news = ViewUpdate { setup: setup.flatten(), ..news };
         if let Err(complaints) = self.view.take(news, image) {
             let notes = complaints.iter().map(|complaint| Effect::Note(format!("news denied: {complaint}")));
             self.effects.extend(notes);
@@ -411,8 +412,8 @@
         if edition != before {
             self.effects.push(Effect::Note(format!("edition {edition} is in force")));
         }
-        let kept = NewsKept { stream, number, edition };
-        self.effects.push(Effect::Send { to: from, body: Body::NewsKept(kept) });
+        let kept = UpdateAck { stream, number, edition };
+        self.effects.push(Effect::Send { to: from, body: Payload::UpdateAck(kept) });
         self.effects.push(Effect::Publish);
     }
 
@@ -421,7 +422,7 @@
         self.next_ask = now + self.times.ask_every / 10;
     }
 
-    fn fresh(&mut self, now: Duration, from: String, fresh: Fresh) {
+    fn fresh(&mut self, now: Duration, from: String, fresh: Freshness) {
         let asked_at = match &self.following {
             Following::Asked { source, nonce, asked_at } if *source == from && *nonce == fresh.nonce => *asked_at,
             _ => return,
--- a/crates/carrier/src/dialect.rs
+++ b/crates/carrier/src/dialect.rs
@@ -6,11 +6,11 @@
 use gazetteer::{Listing, SetupReader};
 use http_body_util::Full;
 use hyper::{HeaderMap, Response};
-use parcel::Share;
+use protocol::Share;
 use sorting::{Load, Order, Outcome};
 use std::time::Duration;
 use tariff::Sheet;
-use wicket::{Called, Enquiry, Reply};
+use transport::{Called, Enquiry, Reply};
 
 /// Where a question came in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,7 +97,7 @@
     /// The product's own interface, as docs/interface.md has it.
     ///
     /// ```
-    /// let reply = wicket::Reply { status: 200, headers: Default::default(), body: Default::default() };
+    /// let reply = transport::Reply { status: 200, headers: Default::default(), body: Default::default() };
     /// assert_eq!((carrier::Dialect::own().load)(&reply), None);
     /// ```
     pub fn own() -> Dialect {
@@ -110,7 +110,7 @@
             load: Box::new(|_| None),
             pass: Box::new(crate::serve::own_pass),
             deny: Box::new(|code, retry_after, try_id| {
-                let mut response = wicket::verdict(code, retry_after);
+                let mut response = transport::verdict(code, retry_after);
                 if let (true, Ok(value)) = (!try_id.is_empty(), try_id.parse()) {
                     response.headers_mut().insert("x-try-id", value);
                 }
@@ -126,7 +126,7 @@
                     ("proxies", proxies),
                     ("lifetimeMs", (listing.lifetime.as_millis() as u64).into()),
                 ]);
-                wicket::json(Code::Fine, &sheet)
+                transport::json(Code::Fine, &sheet)
             }),
             reader: SetupReader::default(),
             most_addresses: 3,
--- a/crates/carrier/src/main.rs
+++ b/crates/carrier/src/main.rs
@@ -2,6 +2,6 @@
 
 #[tokio::main]
 async fn main() {
-    let settings = wicket::begin(&carrier::shell::PROGRAM);
-    wicket::end("carrier", carrier::shell::run(settings, carrier::Dialect::own()).await);
+    let settings = transport::begin(&carrier::shell::PROGRAM);
+    transport::end("carrier", carrier::shell::run(settings, carrier::Dialect::own()).await);
 }
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use std::time::Duration;
-use wicket::{Called, Enquiry};
+use transport::{Called, Enquiry};
 
 const RELAY_WITHIN: Duration = Duration::from_secs(9);
 
@@ -24,7 +24,7 @@
             match called {
                 Ok(reply) => {
                     let code = reply.header("x-code").parse().ok().and_then(Code::from_number).unwrap_or(Code::Garbage);
-                    let mut response = wicket::answer(code, "application/json", reply.body.clone());
+                    let mut response = transport::answer(code, "application/json", reply.body.clone());
                     ["x-edition", "retry-after"].into_iter().for_each(|name| {
                         let value = reply.headers.get(name).cloned();
                         value.into_iter().for_each(|value| {
@@ -39,10 +39,10 @@
                 }
                 Err(Called::NotConnected) => {}
                 Err(_) if read => {}
-                Err(_) => return wicket::verdict(Code::SetupUnknown, None),
+                Err(_) => return transport::verdict(Code::SetupUnknown, None),
             }
         }
-        last.unwrap_or_else(|| wicket::verdict(Code::NoPostmaster, Some(Duration::from_secs(1))))
+        last.unwrap_or_else(|| transport::verdict(Code::NoPostmaster, Some(Duration::from_secs(1))))
     }
 }
 
--- a/crates/carrier/src/serve.rs
+++ b/crates/carrier/src/serve.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Notify;
-use wicket::{Called, Connection, Enquiry, Reply};
+use transport::{Called, Connection, Enquiry, Reply};
 
 /// No origin waits longer than this.
 const MOST_REMAINING_MS: u64 = 60_000;
@@ -30,8 +30,8 @@
 ///
 /// ```
 /// use sorting::Outcome;
-/// use wicket::{Called, Reply};
-/// let seal = parcel::seal("t", "a", 200, b"fine");
+/// use transport::{Called, Reply};
+/// let seal = protocol::seal("t", "a", 200, b"fine");
 /// let reply = |seal: &str, body: &'static str| {
 ///     let mut headers = hyper::HeaderMap::new();
 ///     headers.insert("x-try-id", "t".parse().unwrap());
@@ -54,7 +54,7 @@
         Ok(reply) => {
             let answered = reply.header("x-instance");
             let whole = reply.header("x-try-id") == try_id
-                && reply.header("x-seal") == parcel::seal(try_id, answered, reply.status, &reply.body);
+                && reply.header("x-seal") == protocol::seal(try_id, answered, reply.status, &reply.body);
             let mine = instance.is_none_or(|instance| instance == answered);
             match (whole, mine, reply.status) {
                 (false, ..) => Outcome::Garbage,
@@ -100,7 +100,7 @@
     headers.extend(order.key.as_deref().map(|key| ("x-key", key)));
     headers.extend(epoch.as_deref().map(|epoch| ("x-share-epoch", epoch)));
     headers.extend(Some(("x-forwarded-hop", "1")).filter(|_| call.instance.is_none()));
-    wicket::headers(&headers)
+    transport::headers(&headers)
 }
 
 /// An upstream's verdict in the product's own way.
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -11,14 +11,14 @@
 use gazetteer::{Owners, View};
 use http_body_util::Full;
 use hyper::Response;
-use parcel::{Member, Message, Parcel};
+use protocol::{Envelope, Member, Message};
 use sorting::{Board, Note, Order, Site};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::sync::{mpsc, watch};
-use wicket::{Caller, Clock, Doors, Enquiry, Links, NoStart, Pool, Program};
+use transport::{Caller, Clock, Doors, Enquiry, Links, NoStart, Pool, Program};
 
 const TICK: Duration = Duration::from_millis(20);
 const MOST_ARRIVALS: usize = 1024;
@@ -77,10 +77,12 @@
 /// ```
 pub fn times(settings: &Settings) -> Times {
     let ask_every = settings.span("confirm-every-ms");
-    let rounds =
-        rounds::Times { probe_every: settings.span("probe-every-ms"), suspect_for: settings.span("suspect-for-ms") };
+    let membership = membership::Times {
+        probe_every: settings.span("probe-every-ms"),
+        suspect_for: settings.span("suspect-for-ms"),
+    };
     let lifetime = settings.span("address-lifetime-ms");
-    Times { rounds, ask_every, answer_within: ask_every.max(Duration::from_millis(200)), lifetime }
+    Times { membership, ask_every, answer_within: ask_every.max(Duration::from_millis(200)), lifetime }
 }
 
 #[derive(Default)]
@@ -119,7 +121,7 @@
 /// ```
 pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
-    let mut reload = wicket::reload_signal(&PROGRAM, &settings);
+    let mut reload = transport::reload_signal(&PROGRAM, &settings);
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let locality = settings.get("locality").parse::<Locality>();
     let locality = locality.change_context_lazy(|| NoStart::new("locality"))?;
@@ -161,8 +163,8 @@
     let links = Links::open(me.node.clone(), Some(link), arrivals);
     let mut carrier = Carrier::new(Start {
         me,
-        seeds: wicket::seeds(&settings),
-        seed: wicket::chance(),
+        seeds: transport::seeds(&settings),
+        seed: transport::chance(),
         reader,
         times: times(&settings),
     });
@@ -170,24 +172,24 @@
     let doors = [("directory", Door::Directory), ("readiness", Door::Readiness)];
     let mut sockets = vec![(Door::Front, http)];
     for (name, door) in doors.into_iter().filter(|(name, _)| !settings.get(name).is_empty()) {
-        sockets.push((door, wicket::listen(&settings, name).await?));
+        sockets.push((door, transport::listen(&settings, name).await?));
     }
     let servers = sockets.into_iter().map(|(door, socket)| {
         let handler = node.clone();
-        tokio::spawn(wicket::serve(socket, closing.clone(), move |enquiry| serve(handler.clone(), door, enquiry)))
+        tokio::spawn(transport::serve(socket, closing.clone(), move |enquiry| serve(handler.clone(), door, enquiry)))
     });
     let server = futures::future::join_all(servers.collect::<Vec<_>>());
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut stop = std::pin::pin!(wicket::stop_signal());
+    let mut stop = std::pin::pin!(transport::stop_signal());
     let mut datagram = vec![0u8; 65_536];
     let mut next_sweep = Duration::ZERO;
     loop {
         let event = tokio::select! {
             _ = tick.tick() => Event::Tick,
-            Some((from, body)) = arrived.recv() => Event::Parcel { from, body },
+            Some((from, body)) = arrived.recv() => Event::Received { from, body },
             Ok((count, address)) = probe.recv_from(&mut datagram) => {
-                match Parcel::decode(&datagram[..count]).ok().and_then(|parcel| parcel.body) {
+                match Envelope::decode(&datagram[..count]).ok().and_then(|parcel| parcel.body) {
                     Some(body) => Event::Datagram { address: address.to_string(), body },
                     None => continue,
                 }
@@ -199,7 +201,7 @@
         let effects = carrier.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
             Effect::Send { to, body } => links.send(&to, body),
-            Effect::Datagram { address, body } => wicket::send_datagram(&probe, &address, body),
+            Effect::Datagram { address, body } => transport::send_datagram(&probe, &address, body),
             Effect::Addresses(book) => {
                 links.learn(book);
                 node.postmasters.store(Arc::new(carrier.postmasters()));
@@ -292,7 +294,7 @@
             ("setAside", self.board.ejected(now).into_iter().map(Sheet::from).collect()),
             ("codes", Sheet::Fields(codes)),
         ]);
-        wicket::json(Code::Fine, &sheet)
+        transport::json(Code::Fine, &sheet)
     }
 
     fn show_node(&self) -> Response<Full<Bytes>> {
@@ -309,7 +311,7 @@
             ("ready", (self.ready() == Code::Fine).into()),
             ("proxies", proxies.collect()),
         ]);
-        wicket::json(Code::Fine, &sheet)
+        transport::json(Code::Fine, &sheet)
     }
 
     /// What would be decided for such a request at this moment. Nothing is sent, and nothing is counted.
@@ -334,12 +336,12 @@
             ("tryId", try_id.into()),
             ("notes", notes.into_iter().map(Sheet::from).collect()),
         ]);
-        wicket::json(Code::Fine, &sheet)
+        transport::json(Code::Fine, &sheet)
     }
 
     fn show_trace(&self, try_id: &str) -> Response<Full<Bytes>> {
         let notes = self.traces.find(try_id);
-        notes.map_or_else(|| wicket::verdict(Code::NoSuchTrace, None), |notes| self.show_notes(try_id, notes))
+        notes.map_or_else(|| transport::verdict(Code::NoSuchTrace, None), |notes| self.show_notes(try_id, notes))
     }
 }
 
@@ -349,16 +351,16 @@
     match (node.dialect.page)(door, &enquiry) {
         Page::Request if serves("proxy") => node.carry(enquiry).await,
         Page::Listing { name, origin } if serves("directory") => node.list(&name, origin),
-        Page::Live => wicket::verdict(Code::Fine, None),
+        Page::Live => transport::verdict(Code::Fine, None),
         Page::Ready => {
             let code = node.ready();
-            wicket::verdict(code, retry.filter(|_| code != Code::Fine))
+            transport::verdict(code, retry.filter(|_| code != Code::Fine))
         }
         Page::Counters => node.show_counters(),
         Page::Node => node.show_node(),
         Page::Trace { try_id } => node.show_trace(&try_id),
         Page::Supposed => node.show_supposed(&enquiry),
         Page::Relay => node.relay(enquiry).await,
-        _ => wicket::verdict(Code::NoSuchPage, None),
+        _ => transport::verdict(Code::NoSuchPage, None),
     }
 }
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -1,7 +1,7 @@
 //! Which postmaster a carrier follows, and when it leaves it.
 
 use carrier::{Carrier, Effect, Event, Start};
-use parcel::{Body, Fresh, Heard, Member, News, NewsAsk, Probe, Word};
+use protocol::{ClusterState, Freshness, Heard, Member, Payload, Probe, UpdateRequest, ViewUpdate};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -33,38 +33,43 @@
     let members = [("far", "south/s1"), ("region", "north/n2"), ("zone", "north/n1")]
         .map(|(node, locality)| member(node, locality, "postmaster"));
     let probe = Probe { members: members.to_vec(), ..Probe::default() };
-    carrier.step(MS(0), Event::Datagram { address: "far".into(), body: Body::Probe(probe) });
+    carrier.step(MS(0), Event::Datagram { address: "far".into(), body: Payload::Probe(probe) });
     carrier
 }
 
 /// Steps to a moment, at which all answer its probes; gives whom it asked.
-fn asked(carrier: &mut Carrier, at: u64) -> Option<(String, NewsAsk)> {
+fn asked(carrier: &mut Carrier, at: u64) -> Option<(String, UpdateRequest)> {
     let effects = carrier.step(MS(at), Event::Tick);
     effects.iter().for_each(|effect| {
-        if let Effect::Datagram { address, body: Body::Probe(probe) } = effect {
+        if let Effect::Datagram { address, body: Payload::Probe(probe) } = effect {
             let heard = Heard { nonce: probe.nonce, node: address.clone(), ..Heard::default() };
-            carrier.step(MS(at), Event::Datagram { address: address.clone(), body: Body::Heard(heard) });
+            carrier.step(MS(at), Event::Datagram { address: address.clone(), body: Payload::Heard(heard) });
         }
     });
     effects.into_iter().find_map(|effect| match effect {
-        Effect::Send { to, body: Body::NewsAsk(ask) } => Some((to, ask)),
+        Effect::Send { to, body: Payload::UpdateRequest(ask) } => Some((to, ask)),
         _ => None,
     })
 }
 
 /// A postmaster answers with an image and the age of its confirmation.
-fn answer(carrier: &mut Carrier, at: u64, asked: &(String, NewsAsk), age_ms: u64) {
+fn answer(carrier: &mut Carrier, at: u64, asked: &(String, UpdateRequest), age_ms: u64) {
     let (from, ask) = asked.clone();
-    let image = News { stream: 7, word: Some(Word::default()), placement: Some(Default::default()), ..News::default() };
+    let image = ViewUpdate {
+        stream: 7,
+        state: Some(ClusterState::default()),
+        placement: Some(Default::default()),
+        ..ViewUpdate::default()
+    };
     if ask.stream == 0 {
-        carrier.step(MS(at), Event::Parcel { from: from.clone(), body: Body::News(image) });
+        carrier.step(MS(at), Event::Received { from: from.clone(), body: Payload::ViewUpdate(image) });
     }
-    let fresh = Fresh { nonce: ask.nonce, age_ms, stream: 7, number: 0, edition: 0 };
-    carrier.step(MS(at), Event::Parcel { from, body: Body::Fresh(fresh) });
+    let fresh = Freshness { nonce: ask.nonce, age_ms, stream: 7, number: 0, edition: 0 };
+    carrier.step(MS(at), Event::Received { from, body: Payload::Freshness(fresh) });
 }
 
 /// Ticks every 50 ms until it asks.
-fn next(carrier: &mut Carrier, from: u64) -> (u64, (String, NewsAsk)) {
+fn next(carrier: &mut Carrier, from: u64) -> (u64, (String, UpdateRequest)) {
     (from..from + 5000).step_by(50).find_map(|at| asked(carrier, at).map(|asked| (at, asked))).expect("it asks")
 }
 
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -8,7 +8,7 @@
 use error_stack::Report;
 use std::time::Duration;
 use tariff::{Complaint, Setup, Sheet};
-use wicket::{Called, Caller, Reply, exit};
+use transport::{Called, Caller, Reply, exit};
 
 /// Nobody can tell whether it was done: ask again with the same id.
 const UNKNOWN: i32 = 4;
@@ -36,8 +36,8 @@
   manifest FILE --services SETUP                    turn manifests in the manner of the Gateway API into a setup
 
   After a majority of the voters is lost for good (docs/operating.md), without a node:
-  testament NODE FOLDER FILE                        write down what a survivor's data folder says
-  settle FILE TESTAMENT ... --lost NODE,...         settle the testaments; every voter is given or lost
+  survivor NODE FOLDER FILE                        write down what a survivor's data folder says
+  settle FILE TESTAMENT ... --lost NODE,...         settle the survivors; every voter is given or lost
   inherit FILE FOLDER                               leave what was settled in a blank data folder
 
   --node may be given several times: the next is tried where one can't be reached.
@@ -125,7 +125,7 @@
 
 fn read_call(flags: &Flags) -> Result<Call, (i32, String)> {
     let words: Vec<&str> = flags.words.iter().map(String::as_str).collect();
-    let id = flags.id.clone().unwrap_or_else(|| format!("clerk-{:016x}", wicket::chance()));
+    let id = flags.id.clone().unwrap_or_else(|| format!("clerk-{:016x}", transport::chance()));
     let wait = if flags.wait { "&wait=force" } else { "" };
     let read = |file: &str| std::fs::read(file).map_err(|failure| (exit::USAGE, format!("{file}: {failure}")));
     let evacuate = |place: &str, back: &str| Call {
@@ -134,7 +134,7 @@
         body: Vec::new(),
     };
     let done = |told: Result<String, Report<rescue::Failure>>| {
-        told.map(|text| (exit::FINE, text)).unwrap_or_else(|failed| (exit::FAILED, wicket::causes(&failed)))
+        told.map(|text| (exit::FINE, text)).unwrap_or_else(|failed| (exit::FAILED, transport::causes(&failed)))
     };
     let call = match words.as_slice() {
         ["manifest", file] => {
@@ -142,8 +142,8 @@
             let text = |file: &str| read(file).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
             return Err(turned(manifest::turn(&text(file)?, &text(services)?)));
         }
-        ["testament", node, folder, file] => return Err(done(rescue::testament(node, folder, file))),
-        ["settle", file, testaments @ ..] => return Err(done(rescue::settle(file, &flags.lost, testaments))),
+        ["testament", node, folder, file] => return Err(done(rescue::survivor(node, folder, file))),
+        ["settle", file, survivors @ ..] => return Err(done(rescue::settle(file, &flags.lost, survivors))),
         ["inherit", file, folder] => return Err(done(rescue::inherit(file, folder))),
         ["check", file] => {
             let complaints = Setup::read(&read(file)?).err().unwrap_or_default();
--- a/crates/clerk/src/rescue.rs
+++ b/crates/clerk/src/rescue.rs
@@ -1,11 +1,11 @@
 //! After a majority of the voters is lost for good: what is left on the survivors' disks, by hand.
 
 use error_stack::{Report, ResultExt, ensure};
-use parcel::{Durable, Testament};
+use protocol::{DurableState, SurvivorState};
 use std::fmt;
 use std::fs;
 use std::path::Path;
-use vault::{Contents, Vault};
+use storage::{Contents, Storage};
 
 /// Why a step of the rescue was not done; the causes are attached.
 #[derive(Debug)]
@@ -23,34 +23,34 @@
     Failure(text.into())
 }
 
-fn open(folder: &str) -> Result<(Vault, Contents), Report<Failure>> {
-    Vault::open(Path::new(folder)).change_context_lazy(|| failure(format!("{folder}: can't be opened")))
+fn open(folder: &str) -> Result<(Storage, Contents), Report<Failure>> {
+    Storage::open(Path::new(folder)).change_context_lazy(|| failure(format!("{folder}: can't be opened")))
 }
 
-fn write(file: &str, testament: &Testament) -> Result<(), Report<Failure>> {
-    fs::write(file, parcel::pack(testament)).change_context_lazy(|| failure(format!("{file}: can't be written")))
+fn write(file: &str, survivor: &SurvivorState) -> Result<(), Report<Failure>> {
+    fs::write(file, protocol::pack(survivor)).change_context_lazy(|| failure(format!("{file}: can't be written")))
 }
 
-fn read(file: &str) -> Result<Testament, Report<Failure>> {
+fn read(file: &str) -> Result<SurvivorState, Report<Failure>> {
     let bytes = fs::read(file).change_context_lazy(|| failure(format!("{file}: can't be read")))?;
-    parcel::unpack(&bytes).ok_or_else(|| Report::new(failure(format!("{file}: is damaged, or no testament"))))
+    protocol::unpack(&bytes).ok_or_else(|| Report::new(failure(format!("{file}: is damaged, or no testament"))))
 }
 
 /// Writes down what a survivor's disk says. Its postmaster must not run.
-pub fn testament(node: &str, folder: &str, file: &str) -> Result<String, Report<Failure>> {
+pub fn survivor(node: &str, folder: &str, file: &str) -> Result<String, Report<Failure>> {
     ensure!(Path::new(folder).join("word.redb").exists(), failure(format!("{folder}: holds no state")));
     let (_vault, Contents { durable, setups, damaged }) = open(folder)?;
     ensure!(durable.disk != 0, failure(format!("{folder}: holds no voter's state {damaged:?}")));
     let setup = setups.get(&durable.accepted.digest).cloned().unwrap_or_default();
     let told = format!("{node}: edition {}, a roster of {}", durable.accepted.edition, durable.roster.len());
-    write(file, &Testament { node: node.to_owned(), durable, setup })?;
+    write(file, &SurvivorState { node: node.to_owned(), durable, setup })?;
     Ok(told)
 }
 
-/// Settles the survivors' testaments into one inheritance.
-pub fn settle(file: &str, lost: &[String], testaments: &[&str]) -> Result<String, Report<Failure>> {
-    let testaments = testaments.iter().map(|file| read(file)).collect::<Result<Vec<_>, _>>()?;
-    let settled = registered::settle(&testaments, lost).change_context_lazy(|| failure("nothing was settled"))?;
+/// Settles the survivors' survivors into one inheritance.
+pub fn settle(file: &str, lost: &[String], survivors: &[&str]) -> Result<String, Report<Failure>> {
+    let survivors = survivors.iter().map(|file| read(file)).collect::<Result<Vec<_>, _>>()?;
+    let settled = quorum_register::settle(&survivors, lost).change_context_lazy(|| failure("nothing was settled"))?;
     write(file, &settled)?;
     Ok(format!("settled: edition {}", settled.durable.accepted.edition))
 }
@@ -58,15 +58,15 @@
 /// Leaves the inheritance on a blank disk, for the founding of a whole new roster.
 pub fn inherit(file: &str, folder: &str) -> Result<String, Report<Failure>> {
     let inheritance = read(file)?;
-    ensure!(inheritance.durable.disk == 0, failure(format!("{file}: is a testament, not yet settled")));
-    let (vault, contents) = open(folder)?;
-    let blank = contents.durable == Durable::default() && contents.damaged.is_empty();
+    ensure!(inheritance.durable.disk == 0, failure(format!("{file}: is a survivor, not yet settled")));
+    let (storage, contents) = open(folder)?;
+    let blank = contents.durable == DurableState::default() && contents.damaged.is_empty();
     ensure!(blank, failure(format!("{folder}: is not blank; move it away first")));
     let digest = &inheritance.durable.accepted.digest;
     let kept = Some(digest)
         .filter(|digest| !digest.is_empty())
-        .map(|digest| vault.keep_setup(digest, &inheritance.setup).and_then(|()| vault.keep(&inheritance.durable)));
-    let kept = kept.unwrap_or_else(|| vault.keep(&inheritance.durable));
+        .map(|digest| storage.keep_setup(digest, &inheritance.setup).and_then(|()| storage.keep(&inheritance.durable)));
+    let kept = kept.unwrap_or_else(|| storage.keep(&inheritance.durable));
     kept.change_context_lazy(|| failure(format!("{folder}: can't be written")))?;
     Ok(format!("{folder} inherits edition {}", inheritance.durable.accepted.edition))
 }
--- a/crates/clerk/src/site.rs
+++ b/crates/clerk/src/site.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use tariff::Sheet;
 use tokio::task::JoinSet;
-use wicket::Caller;
+use transport::Caller;
 
 const WITHIN: Duration = Duration::from_secs(2);
 
--- a/crates/controller/src/dialect.rs
+++ b/crates/controller/src/dialect.rs
@@ -1,16 +1,16 @@
 //! What a postmaster speaks with operators and upstreams, as policies: the product's own way is [`Dialect::own`], and
 //! an adapter to another site's way brings its own.
 
-use crate::office::{Answer, Ask};
+use crate::node::{Answer, Ask};
 use address::Code;
 use bytes::Bytes;
 use gazetteer::SetupReader;
 use http_body_util::Full;
 use hyper::Response;
-use parcel::{Share, Upstream};
+use protocol::{Share, Upstream};
 use std::time::Duration;
 use tariff::{Complaint, Fields, Sheet, complain};
-use wicket::Enquiry;
+use transport::Enquiry;
 
 /// Why a question can't be read.
 pub type Unread = (Code, Vec<Complaint>);
@@ -31,8 +31,8 @@
     /// The product's own interface, as docs/interface.md has it.
     ///
     /// ```
-    /// let answer = postmaster::Answer::Verdict { code: address::Code::Fine, edition: 3 };
-    /// assert_eq!((postmaster::Dialect::own().show)(answer).status(), 200);
+    /// let answer = controller::Answer::Verdict { code: address::Code::Fine, edition: 3 };
+    /// assert_eq!((controller::Dialect::own().show)(answer).status(), 200);
     /// ```
     pub fn own() -> Dialect {
         Dialect { ask: Box::new(read_ask), show: Box::new(show), reader: SetupReader::default() }
@@ -142,10 +142,10 @@
 
 fn show(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Sheet(sheet) => wicket::json(Code::Fine, &sheet),
-        Answer::Beat { holder, shares, span } => wicket::json(Code::Fine, &beat_sheet(holder, shares, span)),
+        Answer::Sheet(sheet) => transport::json(Code::Fine, &sheet),
+        Answer::Beat { holder, shares, span } => transport::json(Code::Fine, &beat_sheet(holder, shares, span)),
         Answer::Setup { edition, bytes } => {
-            let mut response = wicket::answer(Code::Fine, "application/json", bytes.into());
+            let mut response = transport::answer(Code::Fine, "application/json", bytes.into());
             response.headers_mut().insert("x-edition", edition.into());
             response
         }
@@ -155,7 +155,7 @@
                 ("text", code.text().into()),
                 ("edition", edition.into()),
             ]);
-            let mut response = wicket::json(code, &sheet);
+            let mut response = transport::json(code, &sheet);
             if code.status() == 503 || code.status() == 429 {
                 response.headers_mut().insert("retry-after", 1.into());
             }
@@ -170,7 +170,7 @@
                 ("text", code.text().into()),
                 ("complaints", told.collect()),
             ]);
-            wicket::json(code, &sheet)
+            transport::json(code, &sheet)
         }
     }
 }
@@ -178,7 +178,7 @@
 /// The answer to a beat in the product's own way.
 ///
 /// ```
-/// let sheet = postmaster::beat_sheet(3, None, std::time::Duration::ZERO);
+/// let sheet = controller::beat_sheet(3, None, std::time::Duration::ZERO);
 /// assert_eq!(sheet.to_string(), r#"{"code":1000,"holder":3}"#);
 /// ```
 pub fn beat_sheet(holder: u64, shares: Option<Vec<Share>>, span: Duration) -> Sheet {
--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -1,7 +1,7 @@
 //! What postmasters tell one another of upstreams: news at once and in full, going on in batches of marks.
 
-use crate::office::{BATCH_EVERY, Effect, Office};
-use parcel::{Alive, Beats, Body, RollAsk, RollTold, Upstream};
+use crate::node::{BATCH_EVERY, ControlNode, Effect};
+use protocol::{Alive, Beats, Payload, Upstream, UpstreamsReply, UpstreamsRequest};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 /// Most records asked for at a time.
 const MOST_WANTED: usize = 256;
 
-impl Office {
+impl ControlNode {
     /// Takes in a beat that came here; what is news about it goes to all at once.
     pub(crate) fn take_beat(&mut self, now: Duration, upstream: &Upstream) {
         let before = self.roll.one(now, upstream).map(|known| enrolment::mark(&known));
@@ -26,7 +26,7 @@
         news.into_iter().for_each(|mut known| {
             known.holds.retain(|_| unplaced);
             let upstreams = vec![Upstream { released: Vec::new(), ..known }];
-            self.tell_postmasters(Body::Beats(Beats { upstreams }));
+            self.tell_postmasters(Payload::Beats(Beats { upstreams }));
         });
     }
 
@@ -46,7 +46,7 @@
             let chosen = nodes.into_iter().enumerate().filter(move |(at, _)| !tell_on || *at == turn);
             let alive = Alive { tell_on: tell_on && count > 1, ..if tell_on { &far } else { &near }.clone() };
             let chosen = chosen.filter(|_| !alive.marks.is_empty()).collect::<Vec<_>>().into_iter();
-            chosen.map(move |(_, node)| Effect::Send { to: node.to_owned(), body: Body::Alive(alive.clone()) })
+            chosen.map(move |(_, node)| Effect::Send { to: node.to_owned(), body: Payload::Alive(alive.clone()) })
         });
         let sends: Vec<Effect> = sends.collect();
         self.effects.extend(sends);
@@ -92,24 +92,27 @@
                     && member.node != self.me.node
                     && member.node != from
             });
-            let sends = near.map(|member| Effect::Send { to: member.node.clone(), body: Body::Alive(new.clone()) });
+            let sends = near.map(|member| Effect::Send { to: member.node.clone(), body: Payload::Alive(new.clone()) });
             self.effects.extend(sends.collect::<Vec<_>>());
         }
         if !wanted.is_empty() {
             wanted.truncate(MOST_WANTED);
-            self.effects.push_back(Effect::Send { to: from, body: Body::RollAsk(RollAsk { marks: wanted }) });
+            self.effects.push_back(Effect::Send {
+                to: from,
+                body: Payload::UpstreamsRequest(UpstreamsRequest { marks: wanted }),
+            });
         }
     }
 
-    pub(crate) fn roll_asked(&mut self, now: Duration, from: String, ask: RollAsk) {
+    pub(crate) fn roll_asked(&mut self, now: Duration, from: String, ask: UpstreamsRequest) {
         if !ask.marks.is_empty() {
             let wanted = ask.marks.iter().take(MOST_WANTED).filter_map(|mark| self.roll.marked(now, *mark));
             let upstreams = wanted.map(|known| Upstream { holds: Vec::new(), released: Vec::new(), ..known }).collect();
-            self.effects.push_back(Effect::Send { to: from, body: Body::Beats(Beats { upstreams }) });
+            self.effects.push_back(Effect::Send { to: from, body: Payload::Beats(Beats { upstreams }) });
         } else if self.is_settled(now) {
             let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
-            let told = RollTold { upstreams: self.roll.all(now), placement, placed_by };
-            self.effects.push_back(Effect::Send { to: from, body: Body::RollTold(told) });
+            let told = UpstreamsReply { upstreams: self.roll.all(now), placement, placed_by };
+            self.effects.push_back(Effect::Send { to: from, body: Payload::UpstreamsReply(told) });
         }
     }
 }
--- a/crates/controller/src/keys.rs
+++ b/crates/controller/src/keys.rs
@@ -1,16 +1,16 @@
 //! Numeric keys: what carriers count of them, and the division that follows it.
 
-use crate::office::{Effect, Office};
-use crate::placing::Duty;
+use crate::node::{ControlNode, Effect};
+use crate::placement::Duty;
 use address::{KEY_PARTS, KEYS};
 use enrolment::{Heartbeat, Load, READY, Ranges, Released, Row, Terms};
-use parcel::{Body, KeyLoad, KeyLoads, ServiceShares, Share, Upstream};
+use protocol::{KeyLoad, KeyLoads, Payload, ServiceShares, Share, Upstream};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// An upstream that heard no answer for so long asks elsewhere, and takes a later one for nothing.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
-/// Added to every span that is waited out, beyond the claim's margin: a clock that jumps by less goes unnoticed.
+/// Added to every span that is waited out, beyond the lease's margin: a clock that jumps by less goes unnoticed.
 const MARGIN: Duration = Duration::from_millis(50);
 /// Least time between two moves for balance.
 const SETTLE: Duration = Duration::from_millis(2500);
@@ -62,7 +62,7 @@
     }
 }
 
-impl Office {
+impl ControlNode {
     /// Requests by key that a carrier counted, or another postmaster told on.
     pub(crate) fn count_keys(&mut self, loads: Vec<KeyLoad>) {
         match self.duty.as_mut() {
@@ -81,11 +81,11 @@
             return self.count_keys(loads);
         }
         let to = Some(self.placed_by.clone()).filter(|holder| !holder.is_empty() && *holder != self.me.node);
-        let send = to.map(|to| Effect::Send { to, body: Body::KeyLoads(KeyLoads { loads }) });
+        let send = to.map(|to| Effect::Send { to, body: Payload::KeyLoads(KeyLoads { loads }) });
         self.effects.extend(send);
     }
 
-    /// Who holds which numeric keys by the upstreams' own word: what is told while no placement is known here, as after
+    /// Who holds which numeric keys by the upstreams' own state: what is told while no placement is known here, as after
     /// all postmasters started anew. It gives nothing; a request that comes to the wrong one is not run.
     pub(crate) fn heard_shares(&self, now: Duration) -> Vec<ServiceShares> {
         let numbered = self.setup.services.values().filter(|service| service.keyed && service.numbered);
@@ -118,7 +118,7 @@
 
     /// All keys that an upstream holds from now on, in answer to its beat.
     pub(crate) fn give_ranges(&mut self, now: Duration, upstream: &Upstream, epoch: u64) -> Option<Vec<Share>> {
-        let evacuated = &self.register.word().evacuated;
+        let evacuated = &self.register.state().evacuated;
         let all = self.roll.all(now).into_iter().filter(|other| {
             other.service == upstream.service && other.condition == READY && !evacuated.contains(&other.locality)
         });
@@ -127,7 +127,7 @@
         let terms = Terms {
             hold: self.times.share_span,
             answer_within: ANSWER_WITHIN,
-            margin: self.times.claims.margin + MARGIN,
+            margin: self.times.lease.margin + MARGIN,
             settle: SETTLE,
             late_answers: false,
         };
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,13 +1,13 @@
-//! The control plane. [`Office`] is the pure core; `shell` turns the world into events and back.
+//! The control plane. [`ControlNode`] is the pure core; `shell` turns the world into events and back.
 
-mod desk;
 mod dialect;
-mod hearsay;
+mod gossip;
 mod keys;
-mod news;
-mod office;
-mod placing;
+mod node;
+mod placement;
+mod requests;
 pub mod shell;
+mod updates;
 
 pub use dialect::{Dialect, Unread, beat_sheet};
-pub use office::{Answer, Ask, Effect, Event, Office, Start, Times};
+pub use node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -2,6 +2,6 @@
 
 #[tokio::main]
 async fn main() {
-    let settings = wicket::begin(&postmaster::shell::PROGRAM);
-    wicket::end("postmaster", postmaster::shell::run(settings, postmaster::Dialect::own()).await);
+    let settings = transport::begin(&controller::shell::PROGRAM);
+    transport::end("postmaster", controller::shell::run(settings, controller::Dialect::own()).await);
 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -2,15 +2,15 @@
 //! news to carriers, as one reducer.
 
 use crate::keys::KeyCounts;
-use crate::news::Reader;
-use crate::placing::Duty;
-use address::{Code, Dice};
-use claims::Claims;
+use crate::placement::Duty;
+use crate::updates::Reader;
+use address::{Code, Random};
 use enrolment::Roll;
 use gazetteer::{Owners, SetupReader};
-use parcel::{Body, Durable, Member, Placement, RollAsk, RollTold, Share, Upstream};
-use registered::{Change, Register, Standing};
-use rounds::Rounds;
+use lease::Lease;
+use membership::Membership;
+use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
+use quorum_register::{Change, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,9 +22,9 @@
 /// A postmaster's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    pub register: registered::Times,
-    pub rounds: rounds::Times,
-    pub claims: claims::Times,
+    pub register: quorum_register::Times,
+    pub membership: membership::Times,
+    pub lease: lease::Times,
     pub placement: gazetteer::Times,
     pub share_span: Duration,
     pub upstream_silent: Duration,
@@ -41,7 +41,7 @@
     pub reader: SetupReader,
     /// Who owns a name.
     pub owners: Owners,
-    pub durable: Durable,
+    pub durable: DurableState,
     pub setups: BTreeMap<String, Vec<u8>>,
     pub times: Times,
 }
@@ -102,13 +102,13 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel {
+    Received {
         from: String,
-        body: Body,
+        body: Payload,
     },
     Datagram {
         address: String,
-        body: Body,
+        body: Payload,
     },
     Ask {
         token: u64,
@@ -128,15 +128,15 @@
 pub enum Effect {
     Send {
         to: String,
-        body: Body,
+        body: Payload,
     },
     Datagram {
         address: String,
-        body: Body,
+        body: Payload,
     },
     Keep {
         ticket: u64,
-        durable: Durable,
+        durable: DurableState,
     },
     KeepSetup {
         ticket: u64,
@@ -171,11 +171,11 @@
     pub until: Duration,
 }
 
-/// What a postmaster did since its start, beside its rounds.
+/// What a postmaster did since its start, beside its membership.
 #[derive(Default)]
 pub(crate) struct Counts {
     pub beats: u64,
-    pub claims_held: u64,
+    pub leases_held: u64,
     pub placements_told: u64,
     pub names_moved: u64,
     pub images: u64,
@@ -183,15 +183,15 @@
 }
 
 /// The core of one postmaster.
-pub struct Office {
+pub struct ControlNode {
     pub(crate) me: Member,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
-    pub(crate) dice: Dice,
+    pub(crate) random: Random,
     pub(crate) register: Register,
-    pub(crate) rounds: Rounds,
-    pub(crate) claims: Claims,
+    pub(crate) membership: Membership,
+    pub(crate) lease: Lease,
     pub(crate) roll: Roll,
     pub(crate) duty: Option<Duty>,
     /// Requests by key that carriers told of, to be told on to the holder of the duty.
@@ -213,7 +213,7 @@
     pub(crate) next_sweep: Duration,
     pub(crate) next_news: Duration,
     pub(crate) effects: VecDeque<Effect>,
-    told: Standing,
+    told: VoterPhase,
     /// True once another postmaster told all it knows of upstreams, or all of them had time to beat.
     pub(crate) roll_told: bool,
     pub(crate) held_epoch: u64,
@@ -222,36 +222,36 @@
     closing: bool,
 }
 
-impl Office {
+impl ControlNode {
     /// A postmaster as its disk left it.
     ///
     /// ```
-    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     ///     durable: Default::default(), setups: Default::default(), times };
-    /// assert_eq!(postmaster::Office::new(start).edition(), 0);
+    /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
-        let mut dice = Dice::new(start.seed);
+        let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
-        let register = Register::new(registered::Start {
+        let register = Register::new(quorum_register::Start {
             me: me.node.clone(),
             roster_size,
-            seed: dice.roll(),
+            seed: random.next_u64(),
             durable,
             setups,
             times: times.register,
         });
-        Office {
-            rounds: Rounds::new(me.clone(), seeds, times.rounds, dice.roll()),
-            claims: Claims::new(me.node.clone(), times.claims, dice.roll()),
-            told: register.standing().clone(),
+        ControlNode {
+            membership: Membership::new(me.clone(), seeds, times.membership, random.next_u64()),
+            lease: Lease::new(me.node.clone(), times.lease, random.next_u64()),
+            told: register.phase().clone(),
             members: vec![me.clone()],
             me,
             times,
             reader,
             owners,
-            dice,
+            random,
             register,
             roll: Roll::default(),
             duty: None,
@@ -279,47 +279,47 @@
     /// The edition in force here.
     ///
     /// ```
-    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
-    /// assert_eq!(postmaster::Office::new(start).edition(), 0);
+    /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn edition(&self) -> u64 {
-        self.register.word().edition
+        self.register.state().edition
     }
 
     /// The one reducer: takes an event in, gives effects out.
     ///
     /// ```
-    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
-    /// use postmaster::{Answer, Ask, Effect, Event, Office};
-    /// let mut office = Office::new(start);
+    /// use controller::{Answer, Ask, Effect, Event, ControlNode};
+    /// let mut control = ControlNode::new(start);
     /// let ask = Ask::Submit { id: "a".into(), base: None, bytes: b"{".to_vec(), in_force: false };
-    /// let effects = office.step(Default::default(), Event::Ask { token: 7, ask });
+    /// let effects = control.step(Default::default(), Event::Ask { token: 7, ask });
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => self.tick(now),
-            Event::Parcel { from, body } => self.take(now, from, body),
+            Event::Received { from, body } => self.take(now, from, body),
             Event::Datagram { address, body } => {
-                let effects = self.rounds.step(now, rounds::Event::Parcel { address, body });
-                self.run_rounds(now, effects);
+                let effects = self.membership.step(now, membership::Event::Received { address, body });
+                self.run_membership(now, effects);
             }
             Event::Ask { token, .. } if self.closing => {
                 self.answer(token, Answer::Verdict { code: Code::Closing, edition: 0 });
             }
             Event::Ask { token, ask } => self.ask(now, token, ask),
-            Event::Kept { ticket } => self.run_register(now, registered::Event::Kept { ticket }),
-            Event::DiskFailed => self.run_register(now, registered::Event::DiskFailed),
-            Event::Seeds(seeds) => self.rounds.learn_seeds(seeds),
+            Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
+            Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
+            Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
             Event::Close => {
                 self.closing = true;
-                let effects = self.rounds.step(now, rounds::Event::Leave);
-                self.run_rounds(now, effects);
-                self.run_claims(now, claims::Event::Close);
+                let effects = self.membership.step(now, membership::Event::Leave);
+                self.run_membership(now, effects);
+                self.run_lease(now, lease::Event::Close);
             }
         }
         self.answer_reads(now);
@@ -327,20 +327,20 @@
     }
 
     fn tick(&mut self, now: Duration) {
-        let effects = self.rounds.step(now, rounds::Event::Tick);
-        self.run_rounds(now, effects);
-        self.run_register(now, registered::Event::Tick);
-        let (roster, epoch) = (self.register.roster().to_vec(), self.register.claim_epoch());
-        if *self.register.standing() == Standing::Voting {
-            self.run_claims(now, claims::Event::Roster { roster, epoch });
-            self.run_claims(now, claims::Event::Tick);
+        let effects = self.membership.step(now, membership::Event::Tick);
+        self.run_membership(now, effects);
+        self.run_register(now, quorum_register::Event::Tick);
+        let (roster, epoch) = (self.register.roster().to_vec(), self.register.lease_epoch());
+        if *self.register.phase() == VoterPhase::Voting {
+            self.run_lease(now, lease::Event::Roster { roster, epoch });
+            self.run_lease(now, lease::Event::Tick);
         }
         if now >= self.next_sweep {
             self.next_sweep = now + BATCH_EVERY;
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Body::RollAsk(RollAsk::default()));
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -352,56 +352,56 @@
     }
 
     fn note_standing(&mut self) {
-        let now = self.register.standing();
+        let now = self.register.phase();
         if std::mem::discriminant(now) != std::mem::discriminant(&self.told) {
             self.told = now.clone();
             let text = match now {
-                Standing::Blank { .. } => "the disk is blank",
-                Standing::Founding { .. } => "endorsed a roster",
-                Standing::Mending { .. } => "mending from the other voters",
-                Standing::Voting => "voting",
-                Standing::Out => "the disk failed: out of rounds",
+                VoterPhase::Blank { .. } => "the disk is blank",
+                VoterPhase::Bootstrapping { .. } => "endorsed a roster",
+                VoterPhase::Recovering { .. } => "mending from the other voters",
+                VoterPhase::Voting => "voting",
+                VoterPhase::Out => "the disk failed: out of rounds",
             };
             self.effects.push_back(Effect::Note(text.into()));
         }
     }
 
-    fn take(&mut self, now: Duration, from: String, body: Body) {
+    fn take(&mut self, now: Duration, from: String, body: Payload) {
         match body {
-            Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) => {
+            Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => {
                 // A voter that has lost its disk has forgotten the epochs it granted.
-                if *self.register.standing() == Standing::Voting {
-                    self.run_claims(now, claims::Event::Parcel { from, body });
+                if *self.register.phase() == VoterPhase::Voting {
+                    self.run_lease(now, lease::Event::Received { from, body });
                 }
             }
-            Body::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
+            Payload::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
                 self.roll.take(now, upstream);
             }),
-            Body::Alive(alive) => self.alive_told(now, from, alive),
-            Body::RollAsk(ask) => self.roll_asked(now, from, ask),
-            Body::RollTold(told) => self.roll_told(now, told),
-            Body::Holder(holder) => self.hear_holder(from, holder.epoch),
-            Body::SharesAsk(ask) => self.shares_asked(now, from, ask),
-            Body::SharesGiven(given) => self.shares_given(given),
-            Body::PlacementAsk(_) => self.placement_asked(from),
-            Body::Placement(placement) => self.take_placement(from, placement),
-            Body::KeyLoads(told) => self.count_keys(told.loads),
-            Body::NewsAsk(ask) => self.news_asked(now, from, ask),
-            Body::NewsKept(kept) => self.news_kept(&from, &kept),
-            Body::CarrierKept(kept) => self.carrier_kept(kept),
-            other => self.run_register(now, registered::Event::Parcel { from, body: other }),
+            Payload::Alive(alive) => self.alive_told(now, from, alive),
+            Payload::UpstreamsRequest(ask) => self.roll_asked(now, from, ask),
+            Payload::UpstreamsReply(told) => self.roll_told(now, told),
+            Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
+            Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
+            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::PlacementRequest(_) => self.placement_asked(from),
+            Payload::Placement(placement) => self.take_placement(from, placement),
+            Payload::KeyLoads(told) => self.count_keys(told.loads),
+            Payload::UpdateRequest(ask) => self.news_asked(now, from, ask),
+            Payload::UpdateAck(kept) => self.news_kept(&from, &kept),
+            Payload::CarrierAck(kept) => self.carrier_kept(kept),
+            other => self.run_register(now, quorum_register::Event::Received { from, body: other }),
         }
     }
 
-    fn run_rounds(&mut self, now: Duration, effects: Vec<rounds::Effect>) {
-        let changed = effects.contains(&rounds::Effect::Changed);
+    fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
+        let changed = effects.contains(&membership::Effect::Changed);
         effects.into_iter().for_each(|effect| {
-            if let rounds::Effect::Send { address, body } = effect {
+            if let membership::Effect::Send { address, body } = effect {
                 self.effects.push_back(Effect::Datagram { address, body });
             }
         });
         if changed {
-            self.members = self.rounds.members().cloned().collect();
+            self.members = self.membership.members().cloned().collect();
             let present = |node: &String| self.members.iter().any(|member| member.node == *node);
             self.kept.retain(|node, _| present(node));
             let book = self.members.iter().map(|member| (member.node.clone(), member.link_address.clone()));
@@ -409,52 +409,52 @@
         }
         let peers = self.members.iter().filter(|member| member.roles == "postmaster");
         let peers = peers.map(|member| member.node.clone()).collect();
-        self.run_register(now, registered::Event::Peers(peers));
+        self.run_register(now, quorum_register::Event::Peers(peers));
     }
 
-    pub(crate) fn run_register(&mut self, now: Duration, event: registered::Event) {
+    pub(crate) fn run_register(&mut self, now: Duration, event: quorum_register::Event) {
         let effects = self.register.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
-            registered::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
-            registered::Effect::Keep { ticket, durable } => {
+            quorum_register::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
+            quorum_register::Effect::Keep { ticket, durable } => {
                 self.effects.push_back(Effect::Keep { ticket, durable });
             }
-            registered::Effect::KeepSetup { ticket, digest, bytes } => {
+            quorum_register::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.effects.push_back(Effect::KeepSetup { ticket, digest, bytes });
             }
-            registered::Effect::Verdict { token, verdict } => self.decided(now, token, verdict),
-            registered::Effect::Adopted => self.adopted(),
-            registered::Effect::EpochKept { token } => self.run_claims(now, claims::Event::EpochKept { token }),
+            quorum_register::Effect::Decided { token, decision } => self.decided(now, token, decision),
+            quorum_register::Effect::Adopted => self.adopted(),
+            quorum_register::Effect::EpochKept { token } => self.run_lease(now, lease::Event::EpochKept { token }),
         });
     }
 
-    fn run_claims(&mut self, now: Duration, event: claims::Event) {
-        let effects = self.claims.step(now, event);
+    fn run_lease(&mut self, now: Duration, event: lease::Event) {
+        let effects = self.lease.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
-            claims::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
-            claims::Effect::RaiseEpoch { epoch, token } => {
-                self.run_register(now, registered::Event::RaiseEpoch { epoch, token });
+            lease::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
+            lease::Effect::RaiseEpoch { epoch, token } => {
+                self.run_register(now, quorum_register::Event::RaiseEpoch { epoch, token });
             }
         });
     }
 
-    /// A newer word is in force: read its setup once, and tell the carriers with the next news.
+    /// A newer state is in force: read its setup once, and tell the carriers with the next news.
     fn adopted(&mut self) {
         let read = self.register.setup().map(self.reader.0).and_then(Result::ok);
         self.setup = read.map(Arc::new).unwrap_or_default();
         self.next_news = Duration::ZERO;
-        let edition = self.register.word().edition;
+        let edition = self.register.state().edition;
         self.effects.push_back(Effect::Note(format!("edition {edition} is in force")));
     }
 
-    pub(crate) fn tell_postmasters(&mut self, body: Body) {
+    pub(crate) fn tell_postmasters(&mut self, body: Payload) {
         let others = self.members.iter().filter(|member| member.roles == "postmaster" && member.node != self.me.node);
         let sends = others.map(|member| Effect::Send { to: member.node.clone(), body: body.clone() });
         self.effects.extend(sends.collect::<Vec<_>>());
     }
 
     pub(crate) fn change(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
-        self.run_register(now, registered::Event::Ask { token, change, bytes });
+        self.run_register(now, quorum_register::Event::Ask { token, change, bytes });
     }
 
     /// True once this node knows the upstreams well enough to tell carriers of them.
@@ -462,7 +462,7 @@
         self.roll_told || now >= self.times.upstream_silent
     }
 
-    fn roll_told(&mut self, now: Duration, told: RollTold) {
+    fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
@@ -470,7 +470,7 @@
         self.roll_told = true;
     }
 
-    /// True while a majority confirmed the word lately.
+    /// True while a majority confirmed the state lately.
     pub(crate) fn is_current(&self, now: Duration) -> bool {
         self.register.age(now).is_some_and(|age| age < self.times.stale_after)
     }
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -1,10 +1,10 @@
-//! The placement duty, done by whichever postmaster holds its claim.
+//! The placement duty, done by whichever postmaster holds its lease.
 
 use crate::keys::KeyCounts;
-use crate::office::{Effect, Office};
+use crate::node::{ControlNode, Effect};
 use enrolment::{READY, Ranges, Shares};
 use gazetteer::{Needs, Owners, Placer};
-use parcel::{Body, Holder, Placement, PlacementAsk, ServiceShares, Share, Upstream};
+use protocol::{Holder, Payload, Placement, PlacementRequest, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tariff::Setup;
@@ -14,12 +14,12 @@
 const DECIDE_EVERY: Duration = Duration::from_millis(200);
 const TELL_EVERY: Duration = Duration::from_secs(1);
 
-/// The holder's working state, thrown away when the claim ends.
+/// The holder's working state, thrown away when the lease ends.
 pub(crate) struct Duty {
     pub(crate) epoch: u64,
-    /// When the claim began: nobody else gives anything from then on.
+    /// When the lease began: nobody else gives anything from then on.
     pub(crate) since: Duration,
-    /// True where nothing was ever given before: nobody held the claim before.
+    /// True where nothing was ever given before: nobody held the lease before.
     pub(crate) founding: bool,
     /// Requests by key.
     pub(crate) counts: KeyCounts,
@@ -33,21 +33,21 @@
     next_tell: Duration,
 }
 
-impl Office {
+impl ControlNode {
     /// True while this node holds the placement duty.
     ///
     /// ```
-    /// # let times = postmaster::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = postmaster::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
     /// #     durable: Default::default(), setups: Default::default(), times };
-    /// assert!(!postmaster::Office::new(start).holds_placement(Default::default()));
+    /// assert!(!controller::ControlNode::new(start).holds_placement(Default::default()));
     /// ```
     pub fn holds_placement(&self, now: Duration) -> bool {
-        self.claims.holds(now).is_some()
+        self.lease.holds(now).is_some()
     }
 
     pub(crate) fn tick_duty(&mut self, now: Duration) {
-        let Some(epoch) = self.claims.holds(now) else {
+        let Some(epoch) = self.lease.holds(now) else {
             let lost = self.duty.take().map(|duty| Effect::Note(format!("placement: gave up epoch {}", duty.epoch)));
             self.effects.extend(lost);
             return;
@@ -55,12 +55,12 @@
         if epoch > self.held_epoch {
             // Beats find their way here at once, long before the first decision.
             let me = self.me.node.clone();
-            self.counts.claims_held += 1;
+            self.counts.leases_held += 1;
             self.effects.push_back(Effect::Note(format!("placement: held under epoch {epoch}")));
             self.hear_holder(me, epoch);
-            self.tell_postmasters(Body::Holder(Holder { epoch }));
+            self.tell_postmasters(Payload::Holder(Holder { epoch }));
         }
-        let founding = self.claims.is_founder(epoch);
+        let founding = self.lease.is_founder(epoch);
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
             since: now,
@@ -74,7 +74,7 @@
             next_decide: now,
             next_tell: now,
         });
-        // Without a current word it might decide from an old one.
+        // Without a current state it might decide from an old one.
         if now >= duty.next_decide && now >= duty.listen_until && self.is_current(now) {
             duty.next_decide = now + DECIDE_EVERY;
             self.decide(now, &mut duty);
@@ -88,7 +88,7 @@
         let served = self.members.iter().filter(|member| member.roles.contains("proxy"));
         let served: BTreeSet<String> = served.map(|member| member.locality.clone()).collect();
         let upstreams = self.roll.all(now);
-        let evacuated = &self.register.word().evacuated;
+        let evacuated = &self.register.state().evacuated;
         // Where each caller's zone has its own owner, no name has one for everybody.
         let (nothing, all) = (Setup::default(), self.setup.as_ref());
         let setup = if self.owners == Owners::One { all } else { &nothing };
@@ -122,7 +122,7 @@
         self.counts.placements_told += 1;
         let placement = placer.placement(now, shares.to_vec());
         let change = gazetteer::change(&self.placement, &placement).filter(|_| ageless);
-        self.tell_postmasters(Body::Placement(change.unwrap_or_else(|| placement.clone())));
+        self.tell_postmasters(Payload::Placement(change.unwrap_or_else(|| placement.clone())));
         let me = self.me.node.clone();
         self.take_placement(me, placement);
     }
@@ -159,13 +159,13 @@
             gazetteer::take_change(&mut self.placement.shares, &placement.shares);
             self.placement.number = placement.number;
         } else {
-            self.effects.push_back(Effect::Send { to: from, body: Body::PlacementAsk(PlacementAsk {}) });
+            self.effects.push_back(Effect::Send { to: from, body: Payload::PlacementRequest(PlacementRequest {}) });
         }
     }
 
     pub(crate) fn placement_asked(&mut self, from: String) {
         let placement = self.placement.clone();
-        self.effects.push_back(Effect::Send { to: from, body: Body::Placement(placement) });
+        self.effects.push_back(Effect::Send { to: from, body: Payload::Placement(placement) });
     }
 
     /// Who holds the duty; a lower epoch was overtaken.
@@ -178,14 +178,14 @@
 
     /// Shares for a beat; none where this node does not hold the duty, so that nobody takes it for an answer.
     pub(crate) fn give_shares(&mut self, now: Duration, upstream: &Upstream) -> Option<Vec<Share>> {
-        let epoch = self.claims.holds(now)?;
+        let epoch = self.lease.holds(now)?;
         if self.setup.services.get(&upstream.service).is_some_and(|service| service.numbered) {
             return self.give_ranges(now, upstream, epoch);
         }
         let span = self.times.share_span;
         let ready = self.roll.all(now).into_iter();
         let ready = ready.filter(|other| {
-            let evacuated = self.register.word().evacuated.contains(&other.locality);
+            let evacuated = self.register.state().evacuated.contains(&other.locality);
             other.service == upstream.service && other.condition == READY && !evacuated
         });
         let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -1,9 +1,9 @@
 //! What operators and upstreams ask.
 
-use crate::office::{Answer, Ask, BeatWait, Effect, InForce, Office, ReadWait};
+use crate::node::{Answer, Ask, BeatWait, ControlNode, Effect, InForce, ReadWait};
 use address::Code;
-use parcel::{Body, SharesAsk, SharesGiven, Upstream};
-use registered::{Change, Standing, Verdict};
+use protocol::{Payload, SharesReply, SharesRequest, Upstream};
+use quorum_register::{Change, Decision, VoterPhase};
 use std::time::Duration;
 use tariff::Sheet;
 
@@ -12,14 +12,14 @@
 const READ_PATIENCE: Duration = Duration::from_secs(2);
 const BEAT_PATIENCE: Duration = Duration::from_millis(700);
 
-impl Office {
+impl ControlNode {
     pub(crate) fn ask(&mut self, now: Duration, token: u64, ask: Ask) {
         match ask {
             Ask::Submit { id, base, bytes, in_force } => match (self.reader.0)(&bytes) {
                 Err(complaints) => self.answer(token, Answer::Denied { code: Code::SetupBad, complaints }),
                 Ok(setup) => {
                     let number = setup.number;
-                    let digest = parcel::digest(&bytes);
+                    let digest = protocol::digest(&bytes);
                     self.wait_for_force(now, token, in_force);
                     self.change(now, token, Change::Setup { id, base, number, digest }, Some(bytes));
                 }
@@ -31,7 +31,7 @@
             Ask::ReadSetup => {
                 if self.read_waits.len() < MOST_READ_WAITS {
                     self.read_waits.push(ReadWait { token, asked_at: now });
-                    self.run_register(now, registered::Event::Confirm);
+                    self.run_register(now, quorum_register::Event::Confirm);
                 } else {
                     self.answer(token, Answer::Verdict { code: Code::SetupCrowded, edition: 0 });
                 }
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Answers the read-backs whose word was confirmed since they were asked, and gives up on old ones.
+    /// Answers the read-backs whose state was confirmed since they were asked, and gives up on old ones.
     pub(crate) fn answer_reads(&mut self, now: Duration) {
         let late = |wait: &ReadWait| now >= wait.asked_at + READ_PATIENCE;
         let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.read_waits)
@@ -87,7 +87,7 @@
             .partition(|wait| self.register.is_confirmed_since(wait.asked_at) || late(wait));
         self.read_waits = waiting;
         done.into_iter().for_each(|wait| {
-            let edition = self.register.word().edition;
+            let edition = self.register.state().edition;
             let confirmed = self.register.is_confirmed_since(wait.asked_at);
             let answer = match self.register.setup() {
                 _ if !confirmed => Answer::Verdict { code: Code::Stale, edition },
@@ -111,8 +111,8 @@
         }
     }
 
-    pub(crate) fn decided(&mut self, now: Duration, token: u64, verdict: Verdict) {
-        let Verdict { code, edition } = verdict;
+    pub(crate) fn decided(&mut self, now: Duration, token: u64, decision: Decision) {
+        let Decision { code, edition } = decision;
         let answer = Answer::Verdict { code, edition };
         let waiting = self.waiting_force.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
         match waiting {
@@ -152,39 +152,39 @@
             let given = self.give_shares(now, &upstream);
             return self.answer_beat(token, self.held_epoch, given);
         }
-        let nonce = self.dice.roll();
+        let nonce = self.random.next_u64();
         self.beat_waits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
         let to = self.placed_by.clone();
-        self.effects.push_back(Effect::Send { to, body: Body::SharesAsk(SharesAsk { nonce, upstream }) });
+        self.effects.push_back(Effect::Send { to, body: Payload::SharesRequest(SharesRequest { nonce, upstream }) });
     }
 
-    pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesAsk) {
+    pub(crate) fn shares_asked(&mut self, now: Duration, from: String, ask: SharesRequest) {
         self.roll.take(now, ask.upstream.clone());
-        let Some(epoch) = self.claims.holds(now) else { return };
+        let Some(epoch) = self.lease.holds(now) else { return };
         let shares = self.give_shares(now, &ask.upstream);
         let span_ms = shares.as_ref().map(|_| self.times.share_span.as_millis() as u64).unwrap_or(0);
-        let given = SharesGiven { nonce: ask.nonce, shares: shares.unwrap_or_default(), span_ms, holder: epoch };
-        self.effects.push_back(Effect::Send { to: from, body: Body::SharesGiven(given) });
+        let given = SharesReply { nonce: ask.nonce, shares: shares.unwrap_or_default(), span_ms, holder: epoch };
+        self.effects.push_back(Effect::Send { to: from, body: Payload::SharesReply(given) });
     }
 
-    pub(crate) fn shares_given(&mut self, given: SharesGiven) {
+    pub(crate) fn shares_given(&mut self, given: SharesReply) {
         let wait = self.beat_waits.remove(&given.nonce);
         let shares = Some(given.shares).filter(|_| given.span_ms > 0);
         wait.into_iter().for_each(|wait| self.answer_beat(wait.token, given.holder, shares.clone()));
     }
 
     /// Without `shares` the upstream learns nothing new, and what it holds runs out by itself.
-    fn answer_beat(&mut self, token: u64, holder: u64, shares: Option<Vec<parcel::Share>>) {
+    fn answer_beat(&mut self, token: u64, holder: u64, shares: Option<Vec<protocol::Share>>) {
         self.answer(token, Answer::Beat { holder, shares, span: self.times.share_span });
     }
 
     fn status(&self, now: Duration) -> Sheet {
-        let standing = match self.register.standing() {
-            Standing::Blank { .. } => "blank",
-            Standing::Founding { .. } => "founding",
-            Standing::Mending { .. } => "mending",
-            Standing::Voting => "voting",
-            Standing::Out => "out",
+        let phase = match self.register.phase() {
+            VoterPhase::Blank { .. } => "blank",
+            VoterPhase::Bootstrapping { .. } => "founding",
+            VoterPhase::Recovering { .. } => "mending",
+            VoterPhase::Voting => "voting",
+            VoterPhase::Out => "out",
         };
         let members = self.members.iter().map(|member| {
             Sheet::fields([
@@ -192,20 +192,20 @@
                 ("roles", member.roles.as_str().into()),
                 ("locality", member.locality.as_str().into()),
                 ("http", member.http_address.as_str().into()),
-                ("condition", if member.condition == rounds::ALIVE { "alive" } else { "suspect" }.into()),
+                ("condition", if member.condition == membership::ALIVE { "alive" } else { "suspect" }.into()),
             ])
         });
         let readers = self
             .readers
             .iter()
             .map(|(node, reader)| Sheet::fields([("node", node.as_str().into()), ("edition", reader.edition.into())]));
-        let word = self.register.word();
+        let state = self.register.state();
         Sheet::fields([
             ("node", self.me.node.as_str().into()),
-            ("standing", standing.into()),
-            ("edition", word.edition.into()),
-            ("digest", word.digest.as_str().into()),
-            ("evacuated", word.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
+            ("standing", phase.into()),
+            ("edition", state.edition.into()),
+            ("digest", state.digest.as_str().into()),
+            ("evacuated", state.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
             ("roster", self.register.roster().iter().map(|voter| Sheet::from(voter.as_str())).collect()),
@@ -218,7 +218,7 @@
     }
 }
 
-impl Office {
+impl ControlNode {
     fn show_counts(&self) -> Sheet {
         let (tally, counts) = (self.register.tally(), &self.counts);
         Sheet::fields([
@@ -226,7 +226,7 @@
             ("roundsLost", tally.lost.into()),
             ("writes", tally.writes.into()),
             ("beats", counts.beats.into()),
-            ("claimsHeld", counts.claims_held.into()),
+            ("claimsHeld", counts.leases_held.into()),
             ("placementsTold", counts.placements_told.into()),
             ("namesMoved", counts.names_moved.into()),
             ("images", counts.images.into()),
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -1,24 +1,24 @@
 //! The thin shell: sockets, timers and the disk thread turn the world into events and carry out effects.
 
 use crate::dialect::Dialect;
-use crate::office::{Answer, Ask, Effect, Event, Office, Start, Times};
+use crate::node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
 use address::Code;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use gazetteer::Owners;
 use http_body_util::Full;
 use hyper::Response;
-use parcel::{Durable, Member, Message, Parcel};
+use protocol::{DurableState, Envelope, Member, Message};
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
+use storage::Storage;
 use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
-use vault::Vault;
-use wicket::{Clock, Doors, Enquiry, Links, NoStart, Program};
+use transport::{Clock, Doors, Enquiry, Links, NoStart, Program};
 
 const TICK: Duration = Duration::from_millis(20);
 const MOST_EVENTS: usize = 4096;
@@ -59,7 +59,7 @@
 /// What the postmaster says of itself.
 pub const PROGRAM: Program = Program {
     name: "postmaster",
-    about: "The control plane of mothspindle: keeps the operator's word and tells the carriers.",
+    about: "The control plane of mothspindle: keeps the operator's state and tells the carriers.",
     tables: &[SETTINGS, tariff::TIMES],
     check: |_| Vec::new(),
 };
@@ -68,16 +68,16 @@
 ///
 /// ```
 /// let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap();
-/// assert_eq!(postmaster::shell::times(&settings).claims.span.as_millis(), 1500);
+/// assert_eq!(controller::shell::times(&settings).lease.span.as_millis(), 1500);
 /// ```
 pub fn times(settings: &Settings) -> Times {
     Times {
-        register: registered::Times { confirm_every: settings.span("confirm-every-ms"), ..Default::default() },
-        rounds: rounds::Times {
+        register: quorum_register::Times { confirm_every: settings.span("confirm-every-ms"), ..Default::default() },
+        membership: membership::Times {
             probe_every: settings.span("probe-every-ms"),
             suspect_for: settings.span("suspect-for-ms"),
         },
-        claims: claims::Times { span: settings.span("claim-span-ms"), margin: settings.span("claim-margin-ms") },
+        lease: lease::Times { span: settings.span("claim-span-ms"), margin: settings.span("claim-margin-ms") },
         placement: gazetteer::Times {
             least_stay: settings.span("least-stay-ms"),
             mark_lifetime: settings.span("mark-lifetime-ms"),
@@ -89,7 +89,7 @@
 }
 
 enum Write {
-    State(u64, Durable),
+    State(u64, DurableState),
     Setup(u64, String, Vec<u8>),
 }
 
@@ -118,18 +118,18 @@
 ///
 /// ```no_run
 /// # async fn run(settings: tariff::Settings) {
-/// postmaster::shell::run(settings, postmaster::Dialect::own()).await.unwrap();
+/// controller::shell::run(settings, controller::Dialect::own()).await.unwrap();
 /// # }
 /// ```
 pub async fn run(settings: Settings, dialect: Dialect) -> Result<(), Report<NoStart>> {
     let clock = Clock::default();
-    let mut reload = wicket::reload_signal(&PROGRAM, &settings);
+    let mut reload = transport::reload_signal(&PROGRAM, &settings);
     let Doors { http, link, probe } = Doors::open(&settings).await?;
     let probe = Arc::new(probe);
     let folder = PathBuf::from(settings.get("data"));
-    let opened = tokio::task::spawn_blocking(move || Vault::open(&folder)).await;
+    let opened = tokio::task::spawn_blocking(move || Storage::open(&folder)).await;
     let unopened = || NoStart::new(format!("data: {} can't be used", settings.get("data")));
-    let (vault, contents) = opened.change_context_lazy(unopened)?.change_context_lazy(unopened)?;
+    let (storage, contents) = opened.change_context_lazy(unopened)?.change_context_lazy(unopened)?;
     contents.damaged.iter().for_each(|what| log::warn!("disk: damaged, counts as missing: {what}"));
     let told = Some(settings.get("told")).filter(|told| !told.is_empty()).unwrap_or(settings.get("link")).to_owned();
     let me = Member {
@@ -143,14 +143,14 @@
     };
     let node = me.node.clone();
     log::info!("start: postmaster {node} in {}", me.locality);
-    let mut office = Office::new(Start {
+    let mut control = ControlNode::new(Start {
         me,
-        seeds: wicket::seeds(&settings),
+        seeds: transport::seeds(&settings),
         roster_size: match settings.count("roster-size") {
             0 => settings.list("localities").len(),
             size => size as usize,
         },
-        seed: wicket::chance(),
+        seed: transport::chance(),
         reader: dialect.reader,
         owners: if settings.get("owners") == "one" { Owners::One } else { Owners::ByCaller },
         durable: contents.durable,
@@ -161,7 +161,7 @@
     let (arrivals, mut arrived) = mpsc::channel(MOST_EVENTS);
     let links = Links::open(node, Some(link), arrivals);
     let disk = Arc::new(DiskSpans::default());
-    let writes = disk_thread(vault, events.clone(), disk.clone(), clock);
+    let writes = disk_thread(storage, events.clone(), disk.clone(), clock);
     let (close, closing) = watch::channel(false);
     let shared = Arc::new(Shared {
         events: events.clone(),
@@ -174,11 +174,11 @@
         dialect,
     });
     let handler = shared.clone();
-    let server = tokio::spawn(wicket::serve(http, closing, move |enquiry| serve(handler.clone(), enquiry)));
+    let server = tokio::spawn(transport::serve(http, closing, move |enquiry| serve(handler.clone(), enquiry)));
     let mut answers: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut stop = std::pin::pin!(wicket::stop_signal());
+    let mut stop = std::pin::pin!(transport::stop_signal());
     let mut datagram = vec![0u8; 65_536];
     let mut end_at = None;
     let mut next_told = Duration::ZERO;
@@ -193,10 +193,10 @@
             }
             Some((from, body)) = arrived.recv() => {
                 shared.parcels.fetch_add(1, Ordering::Relaxed);
-                Event::Parcel { from, body }
+                Event::Received { from, body }
             }
             Ok((count, address)) = probe.recv_from(&mut datagram) => {
-                match Parcel::decode(&datagram[..count]).ok().and_then(|parcel| parcel.body) {
+                match Envelope::decode(&datagram[..count]).ok().and_then(|parcel| parcel.body) {
                     Some(body) => Event::Datagram { address: address.to_string(), body },
                     None => continue,
                 }
@@ -212,10 +212,10 @@
         };
         let now = clock.now();
         let ticked = matches!(event, Event::Tick);
-        let effects = office.step(now, event);
+        let effects = control.step(now, event);
         run(effects, &links, &probe, &writes, &mut answers);
         if ticked {
-            shared.ready.store(office.is_current(now), Ordering::Relaxed);
+            shared.ready.store(control.is_current(now), Ordering::Relaxed);
             answers.retain(|_, answer| !answer.is_closed());
             if now >= next_told {
                 next_told = now + Duration::from_secs(5);
@@ -249,7 +249,7 @@
     fn carry(effect: Effect, links: &Links, probe: &UdpSocket) {
         match effect {
             Effect::Send { to, body } => links.send(&to, body),
-            Effect::Datagram { address, body } => wicket::send_datagram(probe, &address, body),
+            Effect::Datagram { address, body } => transport::send_datagram(probe, &address, body),
             Effect::Addresses(book) => {
                 log::debug!("rounds: {} members", book.len());
                 links.learn(book);
@@ -262,7 +262,7 @@
 
 /// The disk's own thread, with a bounded waitlist. After a failure it writes nothing more.
 fn disk_thread(
-    vault: Vault,
+    storage: Storage,
     events: mpsc::Sender<(Event, Option<oneshot::Sender<Answer>>)>,
     spans: Arc<DiskSpans>,
     clock: Clock,
@@ -272,8 +272,8 @@
         for write in waiting {
             let begun_at = clock.now();
             let (ticket, done) = match write {
-                Write::State(ticket, durable) => (ticket, vault.keep(&durable)),
-                Write::Setup(ticket, digest, bytes) => (ticket, vault.keep_setup(&digest, &bytes)),
+                Write::State(ticket, durable) => (ticket, storage.keep(&durable)),
+                Write::Setup(ticket, digest, bytes) => (ticket, storage.keep_setup(&digest, &bytes)),
             };
             let took_ms = (clock.now() - begun_at).as_millis() as u64;
             spans.writes.fetch_add(1, Ordering::Relaxed);
@@ -292,10 +292,10 @@
 async fn serve(shared: Arc<Shared>, enquiry: Enquiry) -> Response<Full<Bytes>> {
     shared.asked.fetch_add(1, Ordering::Relaxed);
     match (enquiry.method.as_str(), enquiry.path.as_str()) {
-        ("GET", "/live") => wicket::verdict(Code::Fine, None),
-        ("GET", "/ready") if shared.closing.load(Ordering::Relaxed) => wicket::verdict(Code::Closing, None),
-        ("GET", "/ready") if shared.ready.load(Ordering::Relaxed) => wicket::verdict(Code::Fine, None),
-        ("GET", "/ready") => wicket::verdict(Code::Stale, Some(Duration::from_secs(1))),
+        ("GET", "/live") => transport::verdict(Code::Fine, None),
+        ("GET", "/ready") if shared.closing.load(Ordering::Relaxed) => transport::verdict(Code::Closing, None),
+        ("GET", "/ready") if shared.ready.load(Ordering::Relaxed) => transport::verdict(Code::Fine, None),
+        ("GET", "/ready") => transport::verdict(Code::Stale, Some(Duration::from_secs(1))),
         ("GET", "/counters") => {
             let count = |counter: &AtomicU64| Sheet::from(counter.load(Ordering::Relaxed));
             let sheet = Sheet::fields([
@@ -305,7 +305,7 @@
                 ("diskLastMs", count(&shared.disk.last_ms)),
                 ("diskMostMs", count(&shared.disk.most_ms)),
             ]);
-            wicket::json(Code::Fine, &sheet)
+            transport::json(Code::Fine, &sheet)
         }
         _ => match (shared.dialect.ask)(&enquiry) {
             Ok(ask) => put(&shared, ask).await,
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -1,7 +1,9 @@
-//! News to carriers: an image, then numbered changes, each acknowledged.
+//! ViewUpdate to carriers: an snapshot, then numbered changes, each acknowledged.
 
-use crate::office::{Effect, Office};
-use parcel::{Body, CarrierKept, Fresh, News, NewsAsk, NewsKept, Placement, Upstream, Word};
+use crate::node::{ControlNode, Effect};
+use protocol::{
+    CarrierAck, ClusterState, Freshness, Payload, Placement, UpdateAck, UpdateRequest, Upstream, ViewUpdate,
+};
 use std::time::Duration;
 
 const NEWS_EVERY: Duration = Duration::from_millis(100);
@@ -14,16 +16,16 @@
     stream: u64,
     number: u64,
     asked_at: Duration,
-    word: Word,
+    state: ClusterState,
     placement: Placement,
-    /// False while its image leaves the upstreams it knows as they are: this node does not know them all yet.
+    /// False while its snapshot leaves the upstreams it knows as they are: this node does not know them all yet.
     whole: bool,
     /// The edition in force there, as acknowledged.
     pub(crate) edition: u64,
 }
 
-impl Office {
-    pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: NewsAsk) {
+impl ControlNode {
+    pub(crate) fn news_asked(&mut self, now: Duration, from: String, ask: UpdateRequest) {
         self.count_keys(ask.loads);
         if !self.is_current(now) {
             return;
@@ -37,38 +39,38 @@
         // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
         // asks with stream 0.
         if !known && self.readers.len() < MOST_READERS {
-            self.send_image(now, &from);
+            self.send_snapshot(now, &from);
         }
         if let Some(reader) = self.readers.get_mut(&from) {
             reader.asked_at = now;
-            let fresh = Fresh {
+            let fresh = Freshness {
                 nonce: ask.nonce,
                 age_ms: self.register.age(now).map(|age| age.as_millis() as u64 + 1).unwrap_or(u64::MAX),
                 stream: reader.stream,
                 number: reader.number,
-                edition: self.register.word().edition,
+                edition: self.register.state().edition,
             };
-            self.effects.push_back(Effect::Send { to: from, body: Body::Fresh(fresh) });
+            self.effects.push_back(Effect::Send { to: from, body: Payload::Freshness(fresh) });
         }
     }
 
-    fn send_image(&mut self, now: Duration, to: &str) {
+    fn send_snapshot(&mut self, now: Duration, to: &str) {
         self.counts.images += 1;
-        let stream = self.dice.roll().max(1);
-        let word = self.register.word().clone();
+        let stream = self.random.next_u64().max(1);
+        let state = self.register.state().clone();
         let (placement, edition, whole) = (self.bare_placement(now), 0, self.is_settled(now));
-        let image = News {
+        let snapshot = ViewUpdate {
             stream,
             number: 0,
             setup: self.register.squeezed_setup(),
-            word: Some(word.clone()),
+            state: Some(state.clone()),
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
             keeps_upstreams: !whole,
         };
-        let reader = Reader { stream, number: 0, asked_at: now, word, placement, whole, edition };
+        let reader = Reader { stream, number: 0, asked_at: now, state, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
-        self.effects.push_back(Effect::Send { to: to.to_owned(), body: Body::News(image) });
+        self.effects.push_back(Effect::Send { to: to.to_owned(), body: Payload::ViewUpdate(snapshot) });
     }
 
     pub(crate) fn tick_news(&mut self, now: Duration) {
@@ -81,32 +83,32 @@
 
     fn tell_news(&mut self, now: Duration) {
         let changed: Vec<Upstream> = self.roll.changes(now).into_iter().map(plain).collect();
-        let current = &self.register.word().digest;
-        let wanted = self.readers.values().any(|reader| reader.word.digest != *current);
+        let current = &self.register.state().digest;
+        let wanted = self.readers.values().any(|reader| reader.state.digest != *current);
         let squeezed = if wanted { self.register.squeezed_setup() } else { None };
-        let word = self.register.word();
+        let state = self.register.state();
         let placement = self.bare_placement(now);
         for (node, reader) in &mut self.readers {
-            let new_word = Some(word).filter(|word| **word != reader.word);
-            let new_setup = new_word.filter(|word| word.digest != reader.word.digest).and(squeezed.as_ref());
+            let new_word = Some(state).filter(|state| **state != reader.state);
+            let new_setup = new_word.filter(|state| state.digest != reader.state.digest).and(squeezed.as_ref());
             let new_placement = Some(&placement).filter(|placement| **placement != reader.placement);
-            let news = News {
+            let news = ViewUpdate {
                 stream: reader.stream,
                 number: reader.number + 1,
-                word: new_word.cloned(),
+                state: new_word.cloned(),
                 setup: new_setup.cloned(),
                 upstreams: changed.clone(),
                 placement: new_placement.map(|new| gazetteer::change(&reader.placement, new).unwrap_or(new.clone())),
                 keeps_upstreams: false,
             };
-            if news.word.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
+            if news.state.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
             }
             reader.number += 1;
             self.counts.changes += 1;
-            reader.word = news.word.clone().unwrap_or_else(|| reader.word.clone());
+            reader.state = news.state.clone().unwrap_or_else(|| reader.state.clone());
             reader.placement.clone_from(&placement);
-            self.effects.push_back(Effect::Send { to: node.clone(), body: Body::News(news) });
+            self.effects.push_back(Effect::Send { to: node.clone(), body: Payload::ViewUpdate(news) });
         }
     }
 
@@ -123,19 +125,19 @@
         bare
     }
 
-    pub(crate) fn news_kept(&mut self, from: &str, kept: &NewsKept) {
+    pub(crate) fn news_kept(&mut self, from: &str, kept: &UpdateAck) {
         let reader = self.readers.get_mut(from).filter(|reader| reader.stream == kept.stream);
         let newer = reader.filter(|reader| reader.edition < kept.edition).map(|reader| {
             reader.edition = kept.edition;
-            CarrierKept { node: from.to_owned(), edition: kept.edition }
+            CarrierAck { node: from.to_owned(), edition: kept.edition }
         });
         newer.into_iter().for_each(|kept| {
-            self.tell_postmasters(Body::CarrierKept(kept.clone()));
+            self.tell_postmasters(Payload::CarrierAck(kept.clone()));
             self.carrier_kept(kept);
         });
     }
 
-    pub(crate) fn carrier_kept(&mut self, kept: CarrierKept) {
+    pub(crate) fn carrier_kept(&mut self, kept: CarrierAck) {
         let known = self.members.iter().any(|member| member.node == kept.node);
         let edition = kept.edition;
         Some(kept.node).filter(|_| known).into_iter().for_each(|node| {
--- a/crates/controller/tests/gossip.rs
+++ b/crates/controller/tests/gossip.rs
@@ -1,7 +1,7 @@
 //! What postmasters tell one another of upstreams, and how lost news is made good.
 
-use parcel::{Alive, Body, Heard, Member, Probe, Upstream};
-use postmaster::{Ask, Effect, Event, Office, Start};
+use controller::{Ask, ControlNode, Effect, Event, Start};
+use protocol::{Alive, Heard, Member, Payload, Probe, Upstream};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -19,11 +19,11 @@
 }
 
 /// A postmaster that knows one other in its zone, and two in another region.
-fn office(node: &str) -> Office {
+fn control(node: &str) -> ControlNode {
     let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
     let all = [("a", "north/n1"), ("b", "north/n1"), ("c", "south/s1"), ("d", "south/s2")];
     let place = all.iter().find(|(other, _)| *other == node).map(|(_, place)| *place).unwrap_or_default();
-    let mut office = Office::new(Start {
+    let mut control = ControlNode::new(Start {
         reader: Default::default(),
         owners: Default::default(),
         me: member(node, place),
@@ -32,12 +32,12 @@
         seed: 1,
         durable: Default::default(),
         setups: Default::default(),
-        times: postmaster::shell::times(&settings),
+        times: controller::shell::times(&settings),
     });
     let members = all.iter().filter(|(other, _)| *other != node).map(|(node, place)| member(node, place)).collect();
     let probe = Probe { members, ..Probe::default() };
-    office.step(MS(0), Event::Datagram { address: "b".into(), body: Body::Probe(probe) });
-    office
+    control.step(MS(0), Event::Datagram { address: "b".into(), body: Payload::Probe(probe) });
+    control
 }
 
 fn unit(beat: u64, condition: u32) -> Upstream {
@@ -54,16 +54,18 @@
 }
 
 /// What it says of upstreams on an event, to whom.
-fn said(office: &mut Office, at: u64, event: Event) -> Vec<(String, Body)> {
-    let effects = office.step(MS(at), event);
+fn said(control: &mut ControlNode, at: u64, event: Event) -> Vec<(String, Payload)> {
+    let effects = control.step(MS(at), event);
     effects
         .into_iter()
         .filter_map(|effect| match effect {
-            Effect::Send { to, body: body @ (Body::Alive(_) | Body::Beats(_)) } => Some((to, body)),
-            Effect::Send { to, body: Body::RollAsk(ask) } if !ask.marks.is_empty() => Some((to, Body::RollAsk(ask))),
-            Effect::Datagram { address, body: Body::Probe(probe) } => {
+            Effect::Send { to, body: body @ (Payload::Alive(_) | Payload::Beats(_)) } => Some((to, body)),
+            Effect::Send { to, body: Payload::UpstreamsRequest(ask) } if !ask.marks.is_empty() => {
+                Some((to, Payload::UpstreamsRequest(ask)))
+            }
+            Effect::Datagram { address, body: Payload::Probe(probe) } => {
                 let heard = Heard { nonce: probe.nonce, node: address.clone(), ..Heard::default() };
-                office.step(MS(at), Event::Datagram { address, body: Body::Heard(heard) });
+                control.step(MS(at), Event::Datagram { address, body: Payload::Heard(heard) });
                 None
             }
             _ => None,
@@ -71,24 +73,24 @@
         .collect()
 }
 
-fn beat(office: &mut Office, at: u64, upstream: Upstream) -> Vec<(String, Body)> {
-    said(office, at, Event::Ask { token: at, ask: Ask::Beat(upstream) })
+fn beat(control: &mut ControlNode, at: u64, upstream: Upstream) -> Vec<(String, Payload)> {
+    said(control, at, Event::Ask { token: at, ask: Ask::Beat(upstream) })
 }
 
 /// All it says from one moment until another, ticking.
-fn ticked(office: &mut Office, from: u64, until: u64) -> Vec<(String, Body)> {
-    (from..until).step_by(50).flat_map(|at| said(office, at, Event::Tick)).collect()
+fn ticked(control: &mut ControlNode, from: u64, until: u64) -> Vec<(String, Payload)> {
+    (from..until).step_by(50).flat_map(|at| said(control, at, Event::Tick)).collect()
 }
 
-fn batches(said: &[(String, Body)]) -> Vec<(&str, &Alive)> {
+fn batches(said: &[(String, Payload)]) -> Vec<(&str, &Alive)> {
     said.iter()
-        .filter_map(|(to, body)| if let Body::Alive(alive) = body { Some((to.as_str(), alive)) } else { None })
+        .filter_map(|(to, body)| if let Payload::Alive(alive) = body { Some((to.as_str(), alive)) } else { None })
         .collect()
 }
 
 #[test]
 fn news_goes_to_all_at_once_and_what_goes_on_in_batches_by_turns() {
-    let mut a = office("a");
+    let mut a = control("a");
     let told: Vec<String> = beat(&mut a, 1000, unit(1, enrolment::READY)).into_iter().map(|(to, _)| to).collect();
     assert_eq!(told, ["b", "c", "d"]);
     ticked(&mut a, 1000, 1400);
@@ -98,14 +100,14 @@
         batches(&told).into_iter().filter(|(to, _)| *to != "b").map(|(to, alive)| (to, alive.tell_on)).collect();
     assert!(far.contains(&("c", true)) && far.contains(&("d", true)), "each in its turn: {far:?}");
     assert!(batches(&told).iter().any(|(to, alive)| *to == "b" && alive.beats == [2] && !alive.tell_on));
-    assert!(told.iter().all(|(_, body)| matches!(body, Body::Alive(_))), "nothing in full");
+    assert!(told.iter().all(|(_, body)| matches!(body, Payload::Alive(_))), "nothing in full");
     let told: Vec<String> = beat(&mut a, 2500, unit(3, enrolment::GONE)).into_iter().map(|(to, _)| to).collect();
     assert_eq!(told, ["b", "c", "d"]);
 }
 
 #[test]
 fn lost_news_and_a_lost_farewell_are_asked_for_with_the_next_batch() {
-    let (mut a, mut c, mut d) = (office("a"), office("c"), office("d"));
+    let (mut a, mut c, mut d) = (control("a"), control("c"), control("d"));
     [(1, enrolment::READY), (2, enrolment::LEAVING), (3, enrolment::GONE)].into_iter().for_each(
         |(number, condition)| {
             let at = 1000 * number;
@@ -116,22 +118,22 @@
                 batches(&told).into_iter().find(|(_, alive)| alive.tell_on).expect("a batch to the south");
             let (near, other) = if to == "c" { (&mut c, &mut d) } else { (&mut d, &mut c) };
             let (near_name, other_name) = if to == "c" { ("c", "d") } else { ("d", "c") };
-            let event = Event::Parcel { from: "a".into(), body: Body::Alive(alive.clone()) };
+            let event = Event::Received { from: "a".into(), body: Payload::Alive(alive.clone()) };
             let answers = said(near, at + 600, event);
             let ask = answers.iter().find(|(to, _)| to == "a").expect("it asks").1.clone();
             let on = answers.iter().find(|(to, _)| to == other_name).expect("it tells on").1.clone();
-            let record = said(&mut a, at + 601, Event::Parcel { from: near_name.into(), body: ask }).remove(0).1;
-            said(near, at + 602, Event::Parcel { from: "a".into(), body: record });
+            let record = said(&mut a, at + 601, Event::Received { from: near_name.into(), body: ask }).remove(0).1;
+            said(near, at + 602, Event::Received { from: "a".into(), body: record });
             // The other one has it from there.
-            let ask = said(other, at + 603, Event::Parcel { from: near_name.into(), body: on }).remove(0);
+            let ask = said(other, at + 603, Event::Received { from: near_name.into(), body: on }).remove(0);
             assert_eq!(ask.0, near_name);
-            let event = Event::Parcel { from: other_name.into(), body: ask.1 };
+            let event = Event::Received { from: other_name.into(), body: ask.1 };
             let record = said(near, at + 604, event).remove(0).1;
-            let Body::Beats(beats) = &record else { panic!("{record:?}") };
+            let Payload::Beats(beats) = &record else { panic!("{record:?}") };
             assert_eq!((beats.upstreams[0].beat, beats.upstreams[0].condition), (number, condition));
-            said(other, at + 605, Event::Parcel { from: near_name.into(), body: record });
+            said(other, at + 605, Event::Received { from: near_name.into(), body: record });
             // Known now: the same batch asks for nothing more.
-            let event = Event::Parcel { from: "a".into(), body: Body::Alive(alive.clone()) };
+            let event = Event::Received { from: "a".into(), body: Payload::Alive(alive.clone()) };
             assert_eq!(said(other, at + 606, event), vec![]);
         },
     );
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use wicket::Caller;
+use transport::Caller;
 
 const MOST_STARTS: u32 = 20;
 /// A daemon that could not open its ports has ended by then.
@@ -51,7 +51,7 @@
                 std::thread::sleep(Duration::from_millis(10));
                 self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
             });
-            if ended.and_then(|status| status.code()) != Some(wicket::exit::NO_START) {
+            if ended.and_then(|status| status.code()) != Some(transport::exit::NO_START) {
                 return Ok(());
             }
         }
--- a/crates/drill/src/hollow/count.rs
+++ b/crates/drill/src/hollow/count.rs
@@ -1,6 +1,6 @@
 //! What is counted: messages and their encoded bytes by role, kind and reach, and the time spent in step functions.
 
-use parcel::Body;
+use protocol::Payload;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::OnceLock;
@@ -258,33 +258,35 @@
 /// A message's kind as the tables name it.
 ///
 /// ```
-/// assert_eq!(drill::hollow::kind(&parcel::Body::RollAsk(Default::default())), "roll ask");
+/// assert_eq!(drill::hollow::kind(&protocol::Payload::UpstreamsRequest(Default::default())), "roll ask");
 /// ```
-pub fn kind(body: &Body) -> &'static str {
+pub fn kind(body: &Payload) -> &'static str {
     match body {
-        Body::Probe(_) => "probe",
-        Body::ProbeFor(_) => "probe for",
-        Body::Heard(_) => "heard",
-        Body::Read(_) => "read",
-        Body::ReadBack(_) => "read back",
-        Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) => "claim",
-        Body::Beats(_) => "beats told on",
-        Body::SharesAsk(_) => "shares ask",
-        Body::SharesGiven(_) => "shares given",
-        Body::Placement(_) => "placement",
-        Body::NewsAsk(_) => "news ask",
-        Body::Fresh(_) => "fresh",
-        Body::News(news) if news.number == 0 => "news image",
-        Body::News(_) => "news change",
-        Body::NewsKept(_) => "news kept",
-        Body::CarrierKept(_) => "carrier kept",
-        Body::RollAsk(_) => "roll ask",
-        Body::RollTold(_) => "roll told",
-        Body::Holder(_) => "holder",
-        Body::Alive(_) => "alive",
-        Body::KeyLoads(_) => "key loads",
-        Body::SetupBytes(_) => "setup bytes",
-        Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "round",
+        Payload::Probe(_) => "probe",
+        Payload::ProbeFor(_) => "probe for",
+        Payload::Heard(_) => "heard",
+        Payload::Read(_) => "read",
+        Payload::ReadBack(_) => "read back",
+        Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => "claim",
+        Payload::Beats(_) => "beats told on",
+        Payload::SharesRequest(_) => "shares ask",
+        Payload::SharesReply(_) => "shares given",
+        Payload::Placement(_) => "placement",
+        Payload::UpdateRequest(_) => "news ask",
+        Payload::Freshness(_) => "fresh",
+        Payload::ViewUpdate(news) if news.number == 0 => "news image",
+        Payload::ViewUpdate(_) => "news change",
+        Payload::UpdateAck(_) => "news kept",
+        Payload::CarrierAck(_) => "carrier kept",
+        Payload::UpstreamsRequest(_) => "roll ask",
+        Payload::UpstreamsReply(_) => "roll told",
+        Payload::Holder(_) => "holder",
+        Payload::Alive(_) => "alive",
+        Payload::KeyLoads(_) => "key loads",
+        Payload::SetupBytes(_) => "setup bytes",
+        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
+            "round"
+        }
         _ => "other",
     }
 }
--- a/crates/drill/src/hollow/fleet.rs
+++ b/crates/drill/src/hollow/fleet.rs
@@ -4,11 +4,11 @@
 use super::queue::{Happening, Queue};
 use super::size::Size;
 use super::units::Unit;
-use address::Dice;
+use address::Random;
 use carrier::Carrier;
+use controller::ControlNode;
 use gazetteer::View;
-use parcel::{Body, Durable, Heard, Member};
-use postmaster::Office;
+use protocol::{DurableState, Heard, Member, Payload};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 }
 
 pub(super) enum Core {
-    Office(Box<Office>),
+    ControlNode(Box<ControlNode>),
     /// With the view that requests would read: while they hold it, the next one is a copy.
     Carrier(Box<Carrier>, Box<View>),
     Down,
@@ -39,7 +39,7 @@
     pub(super) core: Core,
     pub(super) life: u64,
     pub(super) started_at: Duration,
-    pub(super) durable: Durable,
+    pub(super) durable: DurableState,
     pub(super) setups: BTreeMap<String, Vec<u8>>,
     pub(super) synced_at: Duration,
     /// Since when its book of members lacks all that are watched for.
@@ -51,7 +51,7 @@
     pub size: Size,
     pub(super) load: Load,
     pub(super) now: Duration,
-    pub(super) dice: Dice,
+    pub(super) random: Random,
     pub(super) queue: Queue,
     pub(super) nodes: Vec<Node>,
     pub(super) units: Vec<Unit>,
@@ -68,7 +68,7 @@
     pub(super) watched: BTreeSet<String>,
     pub(super) cut: Option<usize>,
     /// Where the postmasters stand among the nodes.
-    pub(super) offices: std::ops::Range<usize>,
+    pub(super) control_nodes: std::ops::Range<usize>,
 }
 
 impl Fleet {
@@ -85,7 +85,7 @@
             size,
             load,
             now: Duration::ZERO,
-            dice: Dice::new(seed),
+            random: Random::new(seed),
             queue: Queue::default(),
             nodes: Vec::new(),
             units: Vec::new(),
@@ -99,11 +99,11 @@
             awaited: 0,
             watched: BTreeSet::new(),
             cut: None,
-            offices: size.nodes..size.nodes + size.postmasters,
+            control_nodes: size.nodes..size.nodes + size.postmasters,
         };
         let carriers = (0..size.nodes).map(|at| (format!("carrier-{at}"), size.zone(at), Role::Carrier));
-        let offices = (0..size.postmasters).map(|at| (format!("postmaster-{at}"), size.zone(at), Role::Voter));
-        carriers.chain(offices).for_each(|(name, zone, role)| fleet.push(name, zone, role));
+        let control_nodes = (0..size.postmasters).map(|at| (format!("postmaster-{at}"), size.zone(at), Role::Voter));
+        carriers.chain(control_nodes).for_each(|(name, zone, role)| fleet.push(name, zone, role));
         (0..fleet.nodes.len()).for_each(|at| fleet.start(at));
         fleet.lay_out_units();
         fleet
@@ -118,7 +118,7 @@
             core: Core::Down,
             life: 0,
             started_at: Duration::ZERO,
-            durable: Durable::default(),
+            durable: DurableState::default(),
             setups: BTreeMap::new(),
             synced_at: Duration::ZERO,
             lacks: None,
@@ -146,9 +146,9 @@
     pub(crate) fn start(&mut self, at: usize) {
         let me = self.member(at);
         self.named.insert(me.probe_address.clone(), at);
-        let seeds = self.offices.clone().take(3).map(|at| self.member(at).probe_address).collect();
+        let seeds = self.control_nodes.clone().take(3).map(|at| self.member(at).probe_address).collect();
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
-        let seed = self.dice.roll();
+        let seed = self.random.next_u64();
         let roster_size = self.size.postmasters;
         let node = &mut self.nodes[at];
         node.life += 1;
@@ -164,8 +164,8 @@
         } else {
             node.role = Role::Voter;
             let (durable, setups) = (node.durable.clone(), node.setups.clone());
-            let times = postmaster::shell::times(&settings);
-            Core::Office(Box::new(Office::new(postmaster::Start {
+            let times = controller::shell::times(&settings);
+            Core::ControlNode(Box::new(ControlNode::new(controller::Start {
                 me,
                 seeds,
                 roster_size,
@@ -178,10 +178,10 @@
             })))
         };
         let life = node.life;
-        let first = self.now + Duration::from_micros(self.dice.below(TICK.as_micros() as u64));
+        let first = self.now + Duration::from_micros(self.random.below(TICK.as_micros() as u64));
         if !self.load.cold {
             let members = (0..self.nodes.len()).map(|at| self.member(at)).collect();
-            let body = Body::Heard(Heard { members, ..Heard::default() });
+            let body = Payload::Heard(Heard { members, ..Heard::default() });
             self.queue.push(first, Happening::Datagram { node: at, from: at, body });
         }
         self.queue.push(first, Happening::Tick { node: at, life });
@@ -252,15 +252,15 @@
             Happening::Tick { node, life } => {
                 if self.nodes[node].life == life {
                     self.queue.push(self.now + TICK, Happening::Tick { node, life });
-                    self.step(node, "tick", carrier::Event::Tick, postmaster::Event::Tick);
+                    self.step(node, "tick", carrier::Event::Tick, controller::Event::Tick);
                 }
             }
-            Happening::Parcel { node, from, body } => self.parcel(node, from, body),
+            Happening::Envelope { node, from, body } => self.parcel(node, from, body),
             Happening::Datagram { node, from, body } => {
                 let (address, kind) = (self.member(from).probe_address, kind(&body));
                 match self.nodes[node].role {
                     Role::Carrier => self.step_carrier(node, kind, carrier::Event::Datagram { address, body }),
-                    _ => self.step_office(node, kind, postmaster::Event::Datagram { address, body }),
+                    _ => self.step_control(node, kind, controller::Event::Datagram { address, body }),
                 }
             }
             Happening::Synced { node, life, ticket, write } => self.synced(node, life, ticket, write),
--- a/crates/drill/src/hollow/queue.rs
+++ b/crates/drill/src/hollow/queue.rs
@@ -1,8 +1,8 @@
 //! What happens when, in virtual time.
 
 use super::units::Answered;
-use parcel::{Body, Durable, Upstream};
-use postmaster::Answer;
+use controller::Answer;
+use protocol::{DurableState, Payload, Upstream};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -10,8 +10,8 @@
 /// What happens at a moment.
 pub enum Happening {
     Tick { node: usize, life: u64 },
-    Parcel { node: usize, from: usize, body: Body },
-    Datagram { node: usize, from: usize, body: Body },
+    Envelope { node: usize, from: usize, body: Payload },
+    Datagram { node: usize, from: usize, body: Payload },
     Synced { node: usize, life: u64, ticket: u64, write: Write },
     Beat { unit: usize, life: u64 },
     BeatComes { node: usize, unit: usize, life: u64, told: Box<Upstream> },
@@ -22,7 +22,7 @@
 
 /// What a disk is asked to keep.
 pub enum Write {
-    State(Durable),
+    State(DurableState),
     Setup(String, Vec<u8>),
 }
 
--- a/crates/drill/src/hollow/request.rs
+++ b/crates/drill/src/hollow/request.rs
@@ -5,7 +5,7 @@
 use super::figures::Figures;
 use super::size::Size;
 use gazetteer::{Proxy, View};
-use parcel::{News, Placement, Reservation, Upstream, Word};
+use protocol::{ClusterState, Placement, Reservation, Upstream, ViewUpdate};
 use sorting::{Board, Journey, Move, Order, Outcome, Site};
 use std::hint::black_box;
 use std::sync::Arc;
@@ -51,7 +51,7 @@
     let mut moved = view.clone();
     spread(&mut figures, "settle-senders", times(|| moved.settle_senders(NOW)));
     // A beat that tells of other room, while requests hold the view before it.
-    let change = || News { upstreams: vec![upstream(size, 7)], ..News::default() };
+    let change = || ViewUpdate { upstreams: vec![upstream(size, 7)], ..ViewUpdate::default() };
     let took = (0..20).map(|_| {
         let (held, news) = (view.clone(), change());
         let watch = Stopwatch::start();
@@ -136,14 +136,14 @@
     });
     let shares = (0..size.services).filter(|service| size.is_keyed(*service)).map(|service| {
         let holders: Vec<usize> = (0..size.upstreams).filter(|at| at % size.services == service).collect();
-        let given = (0..address::SLOTS).filter(|_| !holders.is_empty()).map(|slot| parcel::Share {
+        let given = (0..address::SLOTS).filter(|_| !holders.is_empty()).map(|slot| protocol::Share {
             from: slot,
             until: slot + 1,
             epoch: 1,
             instance: format!("unit-{}", holders[slot as usize % holders.len().max(1)]),
-            ..parcel::Share::default()
+            ..protocol::Share::default()
         });
-        parcel::ServiceShares { service: format!("service-{service}"), shares: given.collect() }
+        protocol::ServiceShares { service: format!("service-{service}"), shares: given.collect() }
     });
     Placement { epoch: 1, number: 1, reservations: owned.collect(), shares: shares.collect(), ..Placement::default() }
 }
@@ -151,12 +151,12 @@
 /// A fresh view: the site's setup, and every name owned by the first proxy's zone, as for a proxy that serves them all.
 fn view(size: &Size) -> View {
     let mut view = View::default();
-    let news = News {
-        word: Some(Word { edition: 1, ..Word::default() }),
+    let news = ViewUpdate {
+        state: Some(ClusterState { edition: 1, ..ClusterState::default() }),
         setup: Some(size.setup(0).into_bytes()),
         upstreams: (0..size.upstreams).map(|at| upstream(size, at)).collect(),
         placement: Some(placement(size)),
-        ..News::default()
+        ..ViewUpdate::default()
     };
     view.take(news, true).expect("the setup is well-formed");
     let proxies = (0..size.nodes).map(|at| Proxy {
--- a/crates/drill/src/hollow/sights.rs
+++ b/crates/drill/src/hollow/sights.rs
@@ -3,8 +3,8 @@
 use super::count::Ledger;
 use super::fleet::{Core, Fleet};
 use super::queue::Happening;
+use controller::{Answer, Ask};
 use gazetteer::View;
-use postmaster::{Answer, Ask};
 use std::time::Duration;
 
 const STALE_AFTER: Duration = Duration::from_secs(2);
@@ -29,12 +29,12 @@
         if asked != self.awaited || self.accepted.is_some() {
             return;
         }
-        let Some(at) = self.some_office() else { return };
+        let Some(at) = self.some_control_node() else { return };
         let token = self.token();
         self.submitted.insert(token, (asked, bytes.clone()));
         let ask = Ask::Submit { id: format!("setup-{asked}"), base: None, bytes: bytes.clone(), in_force: false };
         self.queue.push(self.now + Duration::from_secs(3), Happening::Submit { bytes, asked });
-        self.step_office(at, "submit", postmaster::Event::Ask { token, ask });
+        self.step_control(at, "submit", controller::Event::Ask { token, ask });
     }
 
     pub(super) fn answered(&mut self, at: usize, token: u64, answer: Answer) {
--- a/crates/drill/src/hollow/steps.rs
+++ b/crates/drill/src/hollow/steps.rs
@@ -3,7 +3,7 @@
 use super::count::{Reach, Role, Stopwatch, kind};
 use super::fleet::{Core, Fleet};
 use super::queue::{Happening, Write};
-use parcel::{Body, Message, Parcel};
+use protocol::{Envelope, Message, Payload};
 use std::time::Duration;
 
 const SYNC: Duration = Duration::from_millis(2);
@@ -11,18 +11,18 @@
 const FRAME: usize = 4;
 
 impl Fleet {
-    pub(super) fn step(&mut self, at: usize, kind: &'static str, carrier: carrier::Event, office: postmaster::Event) {
+    pub(super) fn step(&mut self, at: usize, kind: &'static str, carrier: carrier::Event, control: controller::Event) {
         match self.nodes[at].role {
             Role::Carrier => self.step_carrier(at, kind, carrier),
-            _ => self.step_office(at, kind, office),
+            _ => self.step_control(at, kind, control),
         }
     }
 
-    pub(super) fn parcel(&mut self, at: usize, from: usize, body: Body) {
+    pub(super) fn parcel(&mut self, at: usize, from: usize, body: Payload) {
         let (from, kind) = (self.nodes[from].name.clone(), kind(&body));
         match self.nodes[at].role {
-            Role::Carrier => self.step_carrier(at, kind, carrier::Event::Parcel { from, body }),
-            _ => self.step_office(at, kind, postmaster::Event::Parcel { from, body }),
+            Role::Carrier => self.step_carrier(at, kind, carrier::Event::Received { from, body }),
+            _ => self.step_control(at, kind, controller::Event::Received { from, body }),
         }
     }
 
@@ -45,26 +45,26 @@
         });
     }
 
-    pub(super) fn step_office(&mut self, at: usize, kind: &'static str, event: postmaster::Event) {
+    pub(super) fn step_control(&mut self, at: usize, kind: &'static str, event: controller::Event) {
         let now = self.now;
         let node = &mut self.nodes[at];
         let local = now - node.started_at;
-        let Core::Office(office) = &mut node.core else { return };
+        let Core::ControlNode(control) = &mut node.core else { return };
         let watch = Stopwatch::start();
-        let effects = office.step(local, event);
+        let effects = control.step(local, event);
         let took = watch.took();
-        node.role = if office.holds_placement(local) { Role::Holder } else { Role::Voter };
+        node.role = if control.holds_placement(local) { Role::Holder } else { Role::Voter };
         self.ledger.stepped(node.role, at, kind, took);
         effects.into_iter().for_each(|effect| match effect {
-            postmaster::Effect::Send { to, body } => self.send(at, &to, body, true),
-            postmaster::Effect::Datagram { address, body } => self.send(at, &address, body, false),
-            postmaster::Effect::Keep { ticket, durable } => self.keep(at, ticket, Write::State(durable)),
-            postmaster::Effect::KeepSetup { ticket, digest, bytes } => {
+            controller::Effect::Send { to, body } => self.send(at, &to, body, true),
+            controller::Effect::Datagram { address, body } => self.send(at, &address, body, false),
+            controller::Effect::Keep { ticket, durable } => self.keep(at, ticket, Write::State(durable)),
+            controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.keep(at, ticket, Write::Setup(digest, bytes));
             }
-            postmaster::Effect::Answer { token, answer } => self.answered(at, token, answer),
-            postmaster::Effect::Addresses(book) => self.look_up(at, &book),
-            postmaster::Effect::Note(_) => {}
+            controller::Effect::Answer { token, answer } => self.answered(at, token, answer),
+            controller::Effect::Addresses(book) => self.look_up(at, &book),
+            controller::Effect::Note(_) => {}
         });
     }
 
@@ -84,15 +84,15 @@
             Write::State(durable) => node.durable = durable,
             Write::Setup(digest, bytes) => drop(node.setups.insert(digest, bytes)),
         }
-        self.step_office(at, "synced", postmaster::Event::Kept { ticket });
+        self.step_control(at, "synced", controller::Event::Kept { ticket });
     }
 
     /// Sends a message over a link, or as a datagram.
-    fn send(&mut self, from: usize, to: &str, body: Body, linked: bool) {
+    fn send(&mut self, from: usize, to: &str, body: Payload, linked: bool) {
         let Some(to) = self.named.get(to).copied() else { return };
         let kind = kind(&body);
         let parcel =
-            Parcel { from: if linked { self.nodes[from].name.clone() } else { String::new() }, body: Some(body) };
+            Envelope { from: if linked { self.nodes[from].name.clone() } else { String::new() }, body: Some(body) };
         let bytes = parcel.encoded_len() + if linked { FRAME } else { 0 };
         let (here, there) = (self.nodes[from].zone, self.nodes[to].zone);
         let way = (self.nodes[from].role, self.nodes[to].role, kind, self.reach(here, there));
@@ -102,7 +102,7 @@
         if linked {
             let last = self.in_order.entry((from, to)).or_default();
             *last = at.max(*last + Duration::from_nanos(1));
-            self.queue.push(*last, Happening::Parcel { node: to, from, body });
+            self.queue.push(*last, Happening::Envelope { node: to, from, body });
         } else {
             self.queue.push(at, Happening::Datagram { node: to, from, body });
         }
@@ -125,15 +125,15 @@
             Reach::Region => 1500,
             Reach::Far => 20_000,
         };
-        let micros = base + self.dice.below(base / 2 + 300);
+        let micros = base + self.random.below(base / 2 + 300);
         Some(Duration::from_micros(micros)).filter(|_| !lost)
     }
 
     /// One of the postmasters that are up.
-    pub(super) fn some_office(&mut self) -> Option<usize> {
-        let all = self.offices.clone().filter(|at| !matches!(self.nodes[*at].core, Core::Down));
+    pub(super) fn some_control_node(&mut self) -> Option<usize> {
+        let all = self.control_nodes.clone().filter(|at| !matches!(self.nodes[*at].core, Core::Down));
         let up: Vec<usize> = all.collect();
-        up.get(self.dice.below(up.len() as u64) as usize).copied()
+        up.get(self.random.below(up.len() as u64) as usize).copied()
     }
 
     pub(super) fn token(&mut self) -> u64 {
--- a/crates/drill/src/hollow/units.rs
+++ b/crates/drill/src/hollow/units.rs
@@ -4,8 +4,8 @@
 use super::fleet::Fleet;
 use super::queue::Happening;
 use crate::upstreams::given_slots;
-use parcel::{Share, Upstream};
-use postmaster::{Answer, Ask};
+use controller::{Answer, Ask};
+use protocol::{Share, Upstream};
 use std::time::Duration;
 use tariff::Sheet;
 
@@ -44,7 +44,7 @@
             };
             let keyed = self.size.is_keyed(service);
             self.units.push(Unit { zone, up: true, life: 1, keyed, told });
-            let first = Duration::from_secs(1) + Duration::from_micros(self.dice.below(500_000));
+            let first = Duration::from_secs(1) + Duration::from_micros(self.random.below(500_000));
             self.queue.push(first, Happening::Beat { unit: at, life: 1 });
         });
     }
@@ -63,9 +63,9 @@
     }
 
     fn beat_once(&mut self, at: usize) {
-        let changes = self.dice.below(1000) < self.load.changing_per_mille;
-        let free = self.dice.below(u64::from(SLOTS_EACH)) as u32;
-        let Some(office) = self.some_office() else { return };
+        let changes = self.random.below(1000) < self.load.changing_per_mille;
+        let free = self.random.below(u64::from(SLOTS_EACH)) as u32;
+        let Some(control) = self.some_control_node() else { return };
         let unit = &mut self.units[at];
         unit.told.beat += 1;
         if changes {
@@ -73,26 +73,26 @@
         }
         let (told, zone, life) = (unit.told.clone(), unit.zone, unit.life);
         let bytes = described(&told).to_string().len();
-        let reach = self.reach(zone, self.nodes[office].zone);
-        let to = self.nodes[office].role;
+        let reach = self.reach(zone, self.nodes[control].zone);
+        let to = self.nodes[control].role;
         self.ledger.sent((Role::Upstream, to, "beat", reach), bytes as u64);
-        if let Some(delay) = self.delay(zone, self.nodes[office].zone) {
+        if let Some(delay) = self.delay(zone, self.nodes[control].zone) {
             let told = Box::new(told);
-            self.queue.push(self.now + delay, Happening::BeatComes { node: office, unit: at, life, told });
+            self.queue.push(self.now + delay, Happening::BeatComes { node: control, unit: at, life, told });
         }
     }
 
     pub(super) fn beat_comes(&mut self, node: usize, unit: usize, life: u64, told: Upstream) {
         let token = self.token();
         self.beats.insert(token, (unit, life, told.beat));
-        self.step_office(node, "beat", postmaster::Event::Ask { token, ask: Ask::Beat(told) });
+        self.step_control(node, "beat", controller::Event::Ask { token, ask: Ask::Beat(told) });
     }
 
     /// True where the answer was one to a beat.
     pub(super) fn answer_beat(&mut self, node: usize, token: u64, answer: &Answer) -> bool {
         let Some((unit, life, beat)) = self.beats.remove(&token) else { return false };
         let Answer::Beat { holder, shares, span } = answer else { return true };
-        let sheet = postmaster::beat_sheet(*holder, shares.clone(), *span);
+        let sheet = controller::beat_sheet(*holder, shares.clone(), *span);
         let (from, to) = (self.nodes[node].zone, self.units[unit].zone);
         let (role, reach) = (self.nodes[node].role, self.reach(from, to));
         self.ledger.sent((role, Role::Upstream, "beat answer", reach), sheet.to_string().len() as u64);
--- a/crates/drill/src/hollow/ways.rs
+++ b/crates/drill/src/hollow/ways.rs
@@ -3,7 +3,7 @@
 use super::figures::Figures;
 use super::request::{placement, upstream};
 use super::size::Size;
-use parcel::{Beats, Body, Member, Message, News, Parcel, Placement, Probe, Upstream, Word};
+use protocol::{Beats, ClusterState, Envelope, Member, Message, Payload, Placement, Probe, Upstream, ViewUpdate};
 
 /// Encoded bytes of each way.
 ///
@@ -14,16 +14,23 @@
 /// ```
 pub fn ways(size: &Size) -> Figures {
     let mut figures = Figures::default();
-    let mut add = |name: &str, body: Body, parts: usize| {
-        let parcel = Parcel { from: "postmaster-0".into(), body: Some(body) };
+    let mut add = |name: &str, body: Payload, parts: usize| {
+        let parcel = Envelope { from: "postmaster-0".into(), body: Some(body) };
         figures.add(name, (parcel.encoded_len() + 4) as f64 / parts as f64);
     };
     let all: Vec<Upstream> = (0..size.upstreams).map(|at| upstream(size, at)).collect();
-    let word = || Some(Word { edition: 1, digest: parcel::digest(b"setup"), ..Word::default() });
+    let state = || Some(ClusterState { edition: 1, digest: protocol::digest(b"setup"), ..ClusterState::default() });
     let placed = placement(size);
     let image = |upstreams| {
-        let (word, setup, placement) = (word(), Some(size.setup(0).into_bytes()), Some(placed.clone()));
-        Body::News(News { stream: u64::MAX, word, setup, upstreams, placement, ..News::default() })
+        let (state, setup, placement) = (state(), Some(size.setup(0).into_bytes()), Some(placed.clone()));
+        Payload::ViewUpdate(ViewUpdate {
+            stream: u64::MAX,
+            state,
+            setup,
+            upstreams,
+            placement,
+            ..ViewUpdate::default()
+        })
     };
     // A zone's carriers send to the services of the names that it owns: one zone's part of the routes.
     let here =
@@ -32,20 +39,20 @@
         (0..size.upstreams).filter(|at| here(at % size.services)).map(|at| all[at].clone()).collect();
     add("image.bytes", image(all.clone()), 1);
     add("image.by-need.bytes", image(needed), 1);
-    let change = |news| Body::News(News { stream: u64::MAX, number: 300, ..news });
+    let change = |news| Payload::ViewUpdate(ViewUpdate { stream: u64::MAX, number: 300, ..news });
     let setup = Some(size.setup(1).into_bytes());
-    add("setup-change.whole.bytes", change(News { word: word(), setup, ..News::default() }), 1);
+    add("setup-change.whole.bytes", change(ViewUpdate { state: state(), setup, ..ViewUpdate::default() }), 1);
     let route = br#"{"id": "r1900", "name": "name-1900", "path": "/", "service": "service-340"}"#;
     add(
         "setup-change.one-route.bytes",
-        change(News { word: word(), setup: Some(route.to_vec()), ..News::default() }),
+        change(ViewUpdate { state: state(), setup: Some(route.to_vec()), ..ViewUpdate::default() }),
         1,
     );
-    let placement_change = |placement| change(News { placement: Some(placement), ..News::default() });
+    let placement_change = |placement| change(ViewUpdate { placement: Some(placement), ..ViewUpdate::default() });
     let one = Placement { reservations: placed.reservations[..1].to_vec(), epoch: 1, ..Placement::default() };
     add("placement-change.whole.bytes", placement_change(placed), 1);
     add("placement-change.one-name.bytes", placement_change(one), 1);
-    let room = |upstreams| change(News { upstreams, ..News::default() });
+    let room = |upstreams| change(ViewUpdate { upstreams, ..ViewUpdate::default() });
     add("room-change.whole-record.bytes", room(all.iter().cycle().take(100).cloned().collect()), 100);
     let slots = |upstream: &Upstream| Upstream {
         instance: upstream.instance.clone(),
@@ -54,7 +61,7 @@
         ..Upstream::default()
     };
     add("room-change.room-alone.bytes", room(all.iter().cycle().take(100).map(slots).collect()), 100);
-    let beats = |upstreams| Body::Beats(Beats { upstreams });
+    let beats = |upstreams| Payload::Beats(Beats { upstreams });
     add("told-on.one.bytes", beats(all[..1].to_vec()), 1);
     add("told-on.hundred.bytes", beats(all.iter().cycle().take(100).cloned().collect()), 100);
     add("told-on.digest.bytes", beats(all.iter().cycle().take(100).map(slots).collect()), 100);
@@ -69,7 +76,7 @@
             http_address: format!("10.100.0.{}:8000", at % 250),
             ..Member::default()
         });
-        Body::Probe(Probe { nonce: u64::MAX, members: members.collect(), ..Probe::default() })
+        Payload::Probe(Probe { nonce: u64::MAX, members: members.collect(), ..Probe::default() })
     };
     add("probe.thirteen-records.bytes", probe(13), 1);
     add("probe.own-record.bytes", probe(1), 1);
--- a/crates/drill/src/measure.rs
+++ b/crates/drill/src/measure.rs
@@ -9,13 +9,13 @@
 use drill::sim::{Plan, World};
 use drill::upstreams::{ANY, Unit};
 use gazetteer::View;
-use parcel::{News, Upstream};
+use protocol::{Upstream, ViewUpdate};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tariff::Sheet;
-use wicket::{Caller, Clock};
+use transport::{Caller, Clock};
 
 const ROUNDS: usize = 5;
 const CALLS: usize = 400;
@@ -91,7 +91,8 @@
             locality: "north/north-1".into(),
             ..Upstream::default()
         });
-        view.take(News { upstreams: upstreams.collect(), ..News::default() }, true).expect("no setup to misread");
+        view.take(ViewUpdate { upstreams: upstreams.collect(), ..ViewUpdate::default() }, true)
+            .expect("no setup to misread");
         let median = |mut all: Vec<Duration>| {
             all.sort();
             all[all.len() / 2]
--- a/crates/drill/src/origins.rs
+++ b/crates/drill/src/origins.rs
@@ -2,13 +2,13 @@
 
 use crate::facts::{Fact, Record};
 use crate::shapes::Shape;
-use address::{Code, Dice, Kind};
+use address::{Code, Kind, Random};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tariff::Sheet;
-use wicket::{Caller, Clock};
+use transport::{Caller, Clock};
 
 const WITHIN: Duration = Duration::from_millis(3000);
 const MOST_TRIES: u32 = 4;
@@ -82,16 +82,16 @@
     /// One piece of work, tried until it is done, surely lost, or out of time.
     pub async fn one(&self) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let mut dice = Dice::new(number);
-        let part = dice.below(100);
+        let mut random = Random::new(number);
+        let part = random.below(100);
         let mut up_to = 0;
         let at = self.shape.services.iter().position(|work| {
             up_to += work.percent;
             part < up_to
         });
         let work = self.shape.services[at.unwrap_or(0)];
-        let place = self.shape.locality(dice.below(6) as usize);
-        let key = format!("key-{}", dice.below(KEYS));
+        let place = self.shape.locality(random.below(6) as usize);
+        let key = format!("key-{}", random.below(KEYS));
         let (name, id) = (format!("work-{number}"), work.service);
         let started_at = self.clock.now();
         let (mut last, mut tries) = (0, 0);
@@ -99,7 +99,7 @@
             tries += 1;
             let left = (started_at + WITHIN).saturating_sub(self.clock.now());
             let try_id = format!("try-{number}-{tries}");
-            let (code, wait) = self.attempt(&mut dice, id, &place, &key, &name, &try_id, left).await;
+            let (code, wait) = self.attempt(&mut random, id, &place, &key, &name, &try_id, left).await;
             last = code.map(Code::number).unwrap_or(0);
             if code.is_some_and(|code| code.kind() != Kind::NotRun) {
                 break;
@@ -119,7 +119,7 @@
     #[allow(clippy::too_many_arguments)]
     async fn attempt(
         &self,
-        dice: &mut Dice,
+        random: &mut Random,
         service: &'static str,
         place: &str,
         key: &str,
@@ -128,8 +128,8 @@
         left: Duration,
     ) -> (Option<Code>, Duration) {
         let soon = Duration::from_millis(200);
-        let Some(known) = self.ask(dice, service, place).await else { return (None, soon) };
-        let at = dice.below(known.proxies.len() as u64) as usize;
+        let Some(known) = self.ask(random, service, place).await else { return (None, soon) };
+        let at = random.below(known.proxies.len() as u64) as usize;
         self.record.note(self.clock.now(), Fact::AddressUsed { age: self.clock.now() - known.asked_at });
         self.record.note(self.clock.now(), Fact::Tried { work: work.into(), try_id: try_id.into() });
         let remaining = left.as_millis().max(1).to_string();
@@ -139,7 +139,7 @@
         let body = bytes::Bytes::from(work.to_owned());
         let called = self.caller.call(&known.proxies[at], "POST", &path, &headers, body, patience, false).await;
         match called {
-            Err(wicket::Called::NotConnected) => {
+            Err(transport::Called::NotConnected) => {
                 self.known.lock().unwrap_or_else(PoisonError::into_inner).clear();
                 (None, soon)
             }
@@ -147,7 +147,7 @@
             Ok(reply) => {
                 let code = reply.header("x-code").parse().ok().and_then(Code::from_number);
                 let success = reply.status == 200;
-                let seal = parcel::seal(try_id, reply.header("x-instance"), reply.status, &reply.body);
+                let seal = protocol::seal(try_id, reply.header("x-instance"), reply.status, &reply.body);
                 let whole = reply.header("x-seal") == seal
                     && reply.header("x-try-id") == try_id
                     && reply.body == work.as_bytes();
@@ -161,7 +161,7 @@
         }
     }
 
-    async fn ask(&self, dice: &mut Dice, service: &'static str, place: &str) -> Option<Known> {
+    async fn ask(&self, random: &mut Random, service: &'static str, place: &str) -> Option<Known> {
         let id = (place.to_owned(), service);
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned();
         let live = known.filter(|known| self.clock.now() < known.asked_at + known.lifetime);
@@ -171,7 +171,7 @@
         let (region, zone) = place.split_once('/')?;
         let path = format!("/directory?name={service}.{}.example&region={region}&zone={zone}", self.shape.name);
         let asked_at = self.clock.now();
-        let node = &self.directories[dice.below(self.directories.len() as u64) as usize];
+        let node = &self.directories[random.below(self.directories.len() as u64) as usize];
         let called = self.caller.call(node, "GET", &path, &[], bytes::Bytes::new(), Duration::from_secs(1), true).await;
         let reply = called.ok().filter(|reply| reply.status == 200)?;
         let sheet = Sheet::read(std::str::from_utf8(&reply.body).ok()?).ok()?;
--- a/crates/drill/src/plans.rs
+++ b/crates/drill/src/plans.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tariff::Sheet;
-use wicket::{Caller, Clock};
+use transport::{Caller, Clock};
 
 const BACK_WITHIN: Duration = Duration::from_secs(60);
 
--- a/crates/drill/src/runs.rs
+++ b/crates/drill/src/runs.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tariff::Sheet;
-use wicket::{Caller, Clock};
+use transport::{Caller, Clock};
 
 /// Within this after the last fault everything must be served again.
 const RESUME_WITHIN: Duration = Duration::from_secs(15);
@@ -142,7 +142,7 @@
     extra: usize,
 ) -> Result<u64, String> {
     let (setup, mark, submitted_at) = (shape.setup(extra), extra % MARKS.len(), clock.now());
-    let digest = parcel::digest(setup.as_bytes());
+    let digest = protocol::digest(setup.as_bytes());
     let path = format!("/setup?id={id}");
     // Unknown or not yet possible: the same id is asked again, and is decided once.
     for _ in 0..40 {
@@ -205,7 +205,7 @@
                 let called = caller.call(&node, "GET", "/setup", &[], Bytes::new(), within, false).await;
                 called.ok().filter(|reply| reply.status == 200).into_iter().for_each(|reply| {
                     let edition = reply.header("x-edition").parse().unwrap_or(0);
-                    let digest = parcel::digest(&reply.body);
+                    let digest = protocol::digest(&reply.body);
                     record.note(clock.now(), Fact::ReadBack { node: node.clone(), edition, digest, asked_at });
                 });
             });
@@ -238,7 +238,7 @@
         let called = caller.call(&process.http, "GET", "/setup", &[], Bytes::new(), Duration::from_secs(5), false);
         if let Some(reply) = called.await.ok().filter(|reply| reply.status == 200) {
             let edition = reply.header("x-edition").parse().unwrap_or(0);
-            let digest = parcel::digest(&reply.body);
+            let digest = protocol::digest(&reply.body);
             let back = Fact::ReadBack { node: process.node.clone(), edition, digest: digest.clone(), asked_at };
             record.note(clock.now(), back);
             read.push((edition, digest));
--- a/crates/drill/src/seeds.rs
+++ b/crates/drill/src/seeds.rs
@@ -153,7 +153,7 @@
     println!(
         "{} runs, {failed} failed; {works} works, {parcels} parcels; digest {}",
         done.len(),
-        &parcel::digest(digests.as_bytes())[..16]
+        &protocol::digest(digests.as_bytes())[..16]
     );
     failed == 0
 }
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -6,7 +6,7 @@
 use super::operators::What;
 use super::world::{LOAD_FROM, World};
 use crate::facts::Fact;
-use parcel::Testament;
+use protocol::SurvivorState;
 use std::time::Duration;
 
 impl World {
@@ -34,7 +34,7 @@
     /// The postmaster that the others follow for placement.
     fn placement_holder(&self) -> Vec<usize> {
         let holds = |at: &usize| match &self.nodes[*at].core {
-            super::nodes::Core::Office(office) => office.holds_placement(self.nodes[*at].local(self.now)),
+            super::nodes::Core::ControlNode(control) => control.holds_placement(self.nodes[*at].local(self.now)),
             _ => false,
         };
         (0..self.nodes.len()).filter(holds).collect()
@@ -162,7 +162,7 @@
                 self.submit_setup(0, None);
                 self.restart_due = true;
             }
-            Fault::KillPostmasters => self.offices().into_iter().for_each(|node| self.kill(node)),
+            Fault::KillPostmasters => self.control_nodes().into_iter().for_each(|node| self.kill(node)),
             Fault::LateAnswers => self.late_answers = true,
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
@@ -270,26 +270,26 @@
     }
 
     /// What the operators' page says to do when too many disks are lost for the others to mend them: the survivors'
-    /// testaments are settled, and every disk inherits.
+    /// survivors are settled, and every disk inherits.
     fn rescue(&mut self) {
-        let offices = self.offices();
+        let control_nodes = self.control_nodes();
         let (survivors, lost): (Vec<usize>, Vec<usize>) =
-            offices.iter().partition(|at| self.nodes[**at].disk.durable.disk != 0);
+            control_nodes.iter().partition(|at| self.nodes[**at].disk.durable.disk != 0);
         // A founding that was interrupted is no loss.
         if lost.iter().any(|at| !self.nodes[*at].disk.durable.endorsed.is_empty()) {
             return;
         }
-        let testament = |at: &usize| {
+        let survivor = |at: &usize| {
             let Node { name, disk, .. } = &self.nodes[*at];
             let setup = disk.setups.get(&disk.durable.accepted.digest).cloned().unwrap_or_default();
-            Testament { node: name.clone(), durable: disk.durable.clone(), setup }
+            SurvivorState { node: name.clone(), durable: disk.durable.clone(), setup }
         };
-        let testaments: Vec<Testament> = survivors.iter().map(testament).collect();
+        let survivors: Vec<SurvivorState> = survivors.iter().map(survivor).collect();
         let lost: Vec<String> = lost.iter().map(|at| self.nodes[*at].name.clone()).collect();
-        registered::settle(&testaments, &lost).into_iter().for_each(|inheritance| {
+        quorum_register::settle(&survivors, &lost).into_iter().for_each(|inheritance| {
             self.note(Fact::Fault { what: format!("rescued from {} voters", survivors.len()) });
-            let Testament { durable, setup, .. } = inheritance;
-            offices.iter().for_each(|at| {
+            let SurvivorState { durable, setup, .. } = inheritance;
+            control_nodes.iter().for_each(|at| {
                 self.kill(*at);
                 let setups = [(durable.accepted.digest.clone(), setup.clone())].into_iter().collect();
                 self.nodes[*at].disk = Disk { durable: durable.clone(), setups, ..Disk::default() };
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -1,7 +1,7 @@
 //! What is broken in a run, when, and how it heals.
 
 use super::world::LOAD_FROM;
-use address::Dice;
+use address::Random;
 use std::time::Duration;
 
 /// A fault. Machines, zones and upstreams are numbers, taken modulo what there is.
@@ -96,7 +96,7 @@
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
-type Drawer = fn(&mut Dice) -> Fault;
+type Drawer = fn(&mut Random) -> Fault;
 
 /// Every kind of fault, as a seed draws it.
 pub const FAULTS: &[(&str, Drawer)] = &[
@@ -198,7 +198,7 @@
     /// assert!(Plan::named("rain", 1).is_none());
     /// ```
     pub fn named(name: &str, seed: u64) -> Option<Plan> {
-        let mut dice = Dice::new(seed ^ 0x5eed);
+        let mut random = Random::new(seed ^ 0x5eed);
         if name == "quiet" {
             return Some(Plan::quiet());
         }
@@ -206,34 +206,34 @@
             .split('+')
             .map(|part| FAULTS.iter().chain(FURTHER).find(|(known, _)| *known == part).map(|(_, draw)| *draw))
             .collect();
-        let steps = drawers?.into_iter().map(|draw| Step::drawn(&mut dice, draw)).collect();
+        let steps = drawers?.into_iter().map(|draw| Step::drawn(&mut random, draw)).collect();
         Some(Plan { steps })
     }
 
     /// One or two faults, drawn; two may overlap.
-    pub(super) fn drawn(dice: &mut Dice) -> Plan {
-        let count = 1 + dice.below(2);
+    pub(super) fn drawn(random: &mut Random) -> Plan {
+        let count = 1 + random.below(2);
         let steps = (0..count).map(|_| {
-            let (_, draw) = FAULTS[dice.below(FAULTS.len() as u64) as usize];
-            Step::drawn(dice, draw)
+            let (_, draw) = FAULTS[random.below(FAULTS.len() as u64) as usize];
+            Step::drawn(random, draw)
         });
         Plan { steps: steps.collect() }
     }
 }
 
 impl Step {
-    fn drawn(dice: &mut Dice, draw: Drawer) -> Step {
-        let fault = draw(dice);
+    fn drawn(random: &mut Random, draw: Drawer) -> Step {
+        let fault = draw(random);
         let at = match fault {
-            Fault::InterruptFounding(_) => Duration::from_millis(100 + dice.below(1500)),
-            _ => LOAD_FROM + Duration::from_millis(2000 + dice.below(6000)),
+            Fault::InterruptFounding(_) => Duration::from_millis(100 + random.below(1500)),
+            _ => LOAD_FROM + Duration::from_millis(2000 + random.below(6000)),
         };
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
             Fault::MoveNames => at + MOVE_EVERY * 6,
-            Fault::InterruptFounding(_) => at + Duration::from_millis(200 + dice.below(1000)),
-            Fault::Ambush { .. } => at + Duration::from_millis(6000 + dice.below(3000)),
-            _ => at + Duration::from_millis(1500 + dice.below(9000)),
+            Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
+            Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
+            _ => at + Duration::from_millis(1500 + random.below(9000)),
         };
         Step { at, until, fault }
     }
--- a/crates/drill/src/sim/net.rs
+++ b/crates/drill/src/sim/net.rs
@@ -1,7 +1,7 @@
 //! The virtual network: delays by place, loss, order on links, cuts.
 
-use address::Dice;
-use parcel::Body;
+use address::Random;
+use protocol::Payload;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -50,17 +50,23 @@
 pub type Spoken = BTreeMap<&'static str, [u64; 3]>;
 
 /// What a message is about.
-pub fn about(body: &Body) -> &'static str {
+pub fn about(body: &Payload) -> &'static str {
     match body {
-        Body::Probe(_) | Body::ProbeFor(_) | Body::Heard(_) => "membership",
-        Body::Read(_) | Body::ReadBack(_) => "confirmations",
-        Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "rounds",
-        Body::SetupBytes(_) | Body::SetupAsk(_) => "setups",
-        Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) | Body::Holder(_) => "claims",
-        Body::SharesAsk(_) | Body::SharesGiven(_) => "shares",
-        Body::Placement(_) => "placement",
-        Body::NewsAsk(_) | Body::Fresh(_) | Body::News(_) | Body::NewsKept(_) | Body::CarrierKept(_) => "news",
-        Body::Endorse(_) | Body::Founded(_) => "founding",
+        Payload::Probe(_) | Payload::ProbeFor(_) | Payload::Heard(_) => "membership",
+        Payload::Read(_) | Payload::ReadBack(_) => "confirmations",
+        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
+            "rounds"
+        }
+        Payload::SetupBytes(_) | Payload::SetupAsk(_) => "setups",
+        Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) | Payload::Holder(_) => "claims",
+        Payload::SharesRequest(_) | Payload::SharesReply(_) => "shares",
+        Payload::Placement(_) => "placement",
+        Payload::UpdateRequest(_)
+        | Payload::Freshness(_)
+        | Payload::ViewUpdate(_)
+        | Payload::UpdateAck(_)
+        | Payload::CarrierAck(_) => "news",
+        Payload::BootstrapVote(_) | Payload::Bootstrapped(_) => "founding",
         _ => "upstreams",
     }
 }
@@ -83,19 +89,19 @@
     }
 
     /// How long a message takes; none where it is lost.
-    pub fn delay(&self, dice: &mut Dice, from: &Place, to: &Place) -> Option<Duration> {
-        let lost = self.blocked(from, to) || dice.below(1000) < self.loss_per_mille;
+    pub fn delay(&self, random: &mut Random, from: &Place, to: &Place) -> Option<Duration> {
+        let lost = self.blocked(from, to) || random.below(1000) < self.loss_per_mille;
         let base = match (from.locality == to.locality, from.region() == to.region()) {
             (true, _) => 200,
             (_, true) => 1500,
             _ => 20_000,
         };
-        let micros = base + dice.below(base / 2 + 300);
+        let micros = base + random.below(base / 2 + 300);
         Some(Duration::from_micros(micros)).filter(|_| !lost)
     }
 
     /// Counts what was said between two ends.
-    pub fn count(&mut self, from: &Place, to: &Place, body: &Body, bytes: usize) {
+    pub fn count(&mut self, from: &Place, to: &Place, body: &Payload, bytes: usize) {
         let far = usize::from(from.locality != to.locality) + usize::from(from.region() != to.region());
         self.spoken.entry(about(body)).or_default()[far] += bytes as u64;
     }
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -5,9 +5,9 @@
 use super::world::{Action, World};
 use address::Locality;
 use carrier::Carrier;
+use controller::{Answer, Ask, ControlNode};
 use gazetteer::SetupReader;
-use parcel::{Body, Durable, Member, Message, Parcel};
-use postmaster::{Answer, Ask, Office};
+use protocol::{DurableState, Envelope, Member, Message, Payload};
 use sorting::{Board, Outcome, Site};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -25,8 +25,8 @@
 /// What reaches a node.
 #[derive(Clone)]
 pub enum NodeEvent {
-    Parcel { from: String, body: Body },
-    Datagram { address: String, body: Body },
+    Envelope { from: String, body: Payload },
+    Datagram { address: String, body: Payload },
     Ask { token: u64, ask: Ask },
     Lookup { work: u64, name: String, place: String, asked_at: Duration },
     Request { trip: u64, request: super::path::Request },
@@ -36,14 +36,14 @@
 }
 
 pub enum Write {
-    State(u64, Durable),
+    State(u64, DurableState),
     Setup(u64, String, Vec<u8>),
 }
 
 /// A disk: what is synced, and what waits to be.
 #[derive(Default)]
 pub struct Disk {
-    pub durable: Durable,
+    pub durable: DurableState,
     pub setups: BTreeMap<String, Vec<u8>>,
     pub waiting: VecDeque<Write>,
     /// How much longer a sync takes than it should.
@@ -54,11 +54,11 @@
     /// The power is lost at the write that many from now: before it is synced, or right after.
     pub power_at: Option<(u32, bool)>,
     /// What a disk that lies still has after a power cut.
-    pub early: Durable,
+    pub early: DurableState,
 }
 
 pub enum Core {
-    Office(Box<Office>),
+    ControlNode(Box<ControlNode>),
     Carrier(Box<Carrier>, Box<Board>),
     Down,
 }
@@ -124,7 +124,7 @@
                 let name = format!("{}-{machine}", if is_office { "postmaster" } else { "carrier" });
                 let zone: Locality = locality.parse().unwrap_or_default();
                 let site = Site::new(&name, zone, stale_after, self.load.wait_for);
-                let drift = self.dice.below(2 * DRIFT) as i64 - DRIFT as i64;
+                let drift = self.random.below(2 * DRIFT) as i64 - DRIFT as i64;
                 let place = Place { machine: Some(machine), locality };
                 self.nodes.push(Node {
                     name,
@@ -148,7 +148,7 @@
         (0..self.nodes.len()).for_each(|node| self.start(node));
     }
 
-    pub(super) fn offices(&self) -> Vec<usize> {
+    pub(super) fn control_nodes(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|at| self.nodes[*at].is_office()).collect()
     }
 
@@ -158,7 +158,7 @@
 
     /// Starts a process on whatever its disk holds.
     pub(super) fn start(&mut self, at: usize) {
-        let seed = self.dice.roll();
+        let seed = self.random.next_u64();
         let seeds: Vec<String> =
             self.nodes.iter().filter(|node| node.is_office).take(3).map(|node| node.name.clone()).collect();
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
@@ -184,8 +184,8 @@
         node.core = if node.is_office {
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
-            let times = postmaster::shell::times(&settings);
-            let start = postmaster::Start {
+            let times = controller::shell::times(&settings);
+            let start = controller::Start {
                 me,
                 seeds,
                 roster_size,
@@ -196,14 +196,14 @@
                 setups,
                 times,
             };
-            Core::Office(Box::new(Office::new(start)))
+            Core::ControlNode(Box::new(ControlNode::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
             Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader, times })), Box::default())
         };
         let life = node.life;
         // Not all tick at the same moment.
-        let first = now + Duration::from_micros(self.dice.below(50_000));
+        let first = now + Duration::from_micros(self.random.below(50_000));
         self.at(first, Action::Tick { node: at, life });
     }
 
@@ -227,16 +227,16 @@
 
     /// The connection of a request dies with the process that served it.
     fn lose(&mut self, trip: &Trip) {
-        self.reply(trip, Err(wicket::Called::Lost));
+        self.reply(trip, Err(transport::Called::Lost));
     }
 
     /// Asks a process to end; it does so once it owes nothing.
     pub(super) fn stop(&mut self, at: usize) {
         let local = self.nodes[at].local(self.now);
         match &mut self.nodes[at].core {
-            Core::Office(office) => {
-                let effects = office.step(local, postmaster::Event::Close);
-                self.run_office(at, effects);
+            Core::ControlNode(control) => {
+                let effects = control.step(local, controller::Event::Close);
+                self.run_control(at, effects);
                 self.kill(at);
             }
             Core::Carrier(carrier, _) => {
@@ -291,17 +291,17 @@
         let node = &mut self.nodes[at];
         let local = node.local(now);
         match &mut node.core {
-            Core::Office(office) => {
-                use postmaster::Event;
+            Core::ControlNode(control) => {
+                use controller::Event;
                 let event = match event {
                     None => Event::Tick,
-                    Some(NodeEvent::Parcel { from, body }) => Event::Parcel { from, body },
+                    Some(NodeEvent::Envelope { from, body }) => Event::Received { from, body },
                     Some(NodeEvent::Datagram { address, body }) => Event::Datagram { address, body },
                     Some(NodeEvent::Ask { token, ask }) => Event::Ask { token, ask },
                     Some(_) => return,
                 };
-                let effects = office.step(local, event);
-                self.run_office(at, effects);
+                let effects = control.step(local, event);
+                self.run_control(at, effects);
             }
             Core::Carrier(carrier, board) => {
                 use carrier::Event;
@@ -316,7 +316,7 @@
                 }
                 let event = match event {
                     None => Event::Tick,
-                    Some(NodeEvent::Parcel { from, body }) => Event::Parcel { from, body },
+                    Some(NodeEvent::Envelope { from, body }) => Event::Received { from, body },
                     Some(NodeEvent::Datagram { address, body }) => Event::Datagram { address, body },
                     Some(_) => return,
                 };
@@ -344,21 +344,21 @@
         }
     }
 
-    fn run_office(&mut self, at: usize, effects: Vec<postmaster::Effect>) {
+    fn run_control(&mut self, at: usize, effects: Vec<controller::Effect>) {
         effects.into_iter().for_each(|effect| match effect {
-            postmaster::Effect::Send { to, body } => self.send(at, &to, body),
-            postmaster::Effect::Datagram { address, body } => self.datagram(at, &address, body),
-            postmaster::Effect::Keep { ticket, durable } => self.write(at, Write::State(ticket, durable)),
-            postmaster::Effect::KeepSetup { ticket, digest, bytes } => {
+            controller::Effect::Send { to, body } => self.send(at, &to, body),
+            controller::Effect::Datagram { address, body } => self.datagram(at, &address, body),
+            controller::Effect::Keep { ticket, durable } => self.write(at, Write::State(ticket, durable)),
+            controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.write(at, Write::Setup(ticket, digest, bytes));
             }
-            postmaster::Effect::Answer { token, answer } => self.office_answered(at, token, answer),
-            postmaster::Effect::Addresses(_) | postmaster::Effect::Note(_) => {}
+            controller::Effect::Answer { token, answer } => self.control_answered(at, token, answer),
+            controller::Effect::Addresses(_) | controller::Effect::Note(_) => {}
         });
     }
 
     fn write(&mut self, at: usize, write: Write) {
-        let micros = 800 + self.dice.below(3000);
+        let micros = 800 + self.random.below(3000);
         let node = &mut self.nodes[at];
         node.disk.waiting.push_back(write);
         let (life, idle) = (node.life, node.disk.waiting.len() == 1);
@@ -369,7 +369,7 @@
     }
 
     pub(super) fn disk_done(&mut self, at: usize, life: u64) {
-        let micros = 800 + self.dice.below(3000);
+        let micros = 800 + self.random.below(3000);
         let now = self.now;
         let node = &mut self.nodes[at];
         if node.life != life || node.frozen.is_some() {
@@ -386,7 +386,7 @@
         }
         let event = if node.disk.broken {
             node.disk.waiting.clear();
-            postmaster::Event::DiskFailed
+            controller::Event::DiskFailed
         } else {
             let ticket = match write {
                 Write::State(ticket, durable) => {
@@ -401,7 +401,7 @@
                     ticket
                 }
             };
-            postmaster::Event::Kept { ticket }
+            controller::Event::Kept { ticket }
         };
         if powerless.is_some() {
             return self.kill(at);
@@ -411,38 +411,38 @@
             self.after(Duration::from_micros(micros) + slowed, Action::Disk { node: at, life });
         }
         let effects = match &mut self.nodes[at].core {
-            Core::Office(office) => office.step(local, event),
+            Core::ControlNode(control) => control.step(local, event),
             _ => Vec::new(),
         };
-        self.run_office(at, effects);
+        self.run_control(at, effects);
     }
 
     fn named(&self, name: &str) -> Option<usize> {
         self.nodes.iter().position(|node| node.name == name)
     }
 
-    fn send(&mut self, from: usize, to: &str, body: Body) {
-        if self.weak.tells_late && matches!(&body, Body::News(news) if news.keeps_upstreams) {
+    fn send(&mut self, from: usize, to: &str, body: Payload) {
+        if self.weak.tells_late && matches!(&body, Payload::ViewUpdate(news) if news.keeps_upstreams) {
             return;
         }
         self.parcels += 1;
-        let parcel = Parcel { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
+        let parcel = Envelope { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
         self.parcel_bytes += parcel.encoded_len() as u64;
         let Some(to) = self.named(to) else { return };
         self.net.count(&self.nodes[from].place, &self.nodes[to].place, &body, parcel.encoded_len());
-        let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
+        let delay = self.net.delay(&mut self.random, &self.nodes[from].place, &self.nodes[to].place);
         delay.into_iter().for_each(|delay| {
             let at = self.net.in_order(from, to, self.now + delay);
-            let event = NodeEvent::Parcel { from: self.nodes[from].name.clone(), body: body.clone() };
+            let event = NodeEvent::Envelope { from: self.nodes[from].name.clone(), body: body.clone() };
             self.at(at, Action::Deliver { node: to, event });
         });
     }
 
-    fn datagram(&mut self, from: usize, to: &str, body: Body) {
+    fn datagram(&mut self, from: usize, to: &str, body: Payload) {
         let Some(to) = self.named(to) else { return };
-        let parcel = Parcel { from: String::new(), body: Some(body.clone()) };
+        let parcel = Envelope { from: String::new(), body: Some(body.clone()) };
         self.net.count(&self.nodes[from].place, &self.nodes[to].place, &body, parcel.encoded_len());
-        let delay = self.net.delay(&mut self.dice, &self.nodes[from].place, &self.nodes[to].place);
+        let delay = self.net.delay(&mut self.random, &self.nodes[from].place, &self.nodes[to].place);
         delay.into_iter().for_each(|delay| {
             let event = NodeEvent::Datagram { address: self.nodes[from].name.clone(), body: body.clone() };
             self.after(delay, Action::Deliver { node: to, event });
@@ -474,7 +474,7 @@
                 self.after(Duration::from_millis(1), Action::OriginTold { work, listing: None, asked_at });
             }
             NodeEvent::Request { request, .. } => {
-                self.reply_to(&request, Err(wicket::Called::NotConnected));
+                self.reply_to(&request, Err(transport::Called::NotConnected));
             }
             NodeEvent::Ask { token, .. } => {
                 let answer = Answer::Verdict { code: address::Code::NoPostmaster, edition: 0 };
@@ -484,7 +484,7 @@
         }
     }
 
-    fn office_answered(&mut self, _at: usize, token: u64, answer: Answer) {
+    fn control_answered(&mut self, _at: usize, token: u64, answer: Answer) {
         if matches!(answer, Answer::Verdict { code: address::Code::Fine, .. }) {
             self.spring_restart();
         }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -5,7 +5,7 @@
 use crate::facts::Fact;
 use crate::shapes::MARKS;
 use address::Code;
-use postmaster::{Answer, Ask};
+use controller::{Answer, Ask};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -92,12 +92,12 @@
             self.operators.setups += 1;
             let (number, extra) = (most + ahead, self.operators.setups);
             let bytes = self.shape.numbered_setup(extra, number);
-            self.note(Fact::Offered { number, digest: parcel::digest(bytes.as_bytes()) });
+            self.note(Fact::Offered { number, digest: protocol::digest(bytes.as_bytes()) });
             self.operators.offered.push((number, bytes.clone()));
             self.submit(What::Numbered { bytes, number });
         });
         (0..3).for_each(|_| {
-            let at = self.dice.below(self.operators.offered.len() as u64) as usize;
+            let at = self.random.below(self.operators.offered.len() as u64) as usize;
             let (number, bytes) = self.operators.offered[at].clone();
             self.submit(What::Numbered { bytes, number });
         });
@@ -136,7 +136,7 @@
             What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
             What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
         };
-        let (node, token) = (self.some_office(), self.id());
+        let (node, token) = (self.some_control_node(), self.id());
         self.operators.tokens.insert(token, (at, node));
         self.after(Duration::from_millis(8), Action::Deliver { node, event: NodeEvent::Ask { token, ask } });
         // No answer at all: ask again with the same id, elsewhere.
@@ -144,9 +144,9 @@
         self.after(Duration::from_secs(4), Action::OperatorAnswer { submission: at, answer: unknown });
     }
 
-    fn some_office(&mut self) -> usize {
-        let offices = self.offices();
-        offices[self.dice.below(offices.len() as u64) as usize]
+    fn some_control_node(&mut self) -> usize {
+        let control_nodes = self.control_nodes();
+        control_nodes[self.random.below(control_nodes.len() as u64) as usize]
     }
 
     /// An answer of a postmaster, by token.
@@ -156,7 +156,7 @@
         }
         if let Some((node, asked_at)) = self.operators.read_backs.remove(&token) {
             let read = match answer {
-                Answer::Setup { edition, bytes } => Some((edition, parcel::digest(&bytes))),
+                Answer::Setup { edition, bytes } => Some((edition, protocol::digest(&bytes))),
                 // 'Nothing was ever accepted' is an answer too.
                 Answer::Verdict { code: Code::NoWord, edition } => Some((edition, String::new())),
                 _ => None,
@@ -201,7 +201,7 @@
         }
         match what {
             What::Setup { bytes, mark, .. } => {
-                let digest = parcel::digest(bytes.as_bytes());
+                let digest = protocol::digest(bytes.as_bytes());
                 self.note(Fact::Submitted { edition, digest, mark, took });
             }
             What::Numbered { number, .. } => self.note(Fact::Acknowledged { number }),
@@ -225,8 +225,8 @@
 
     /// Asks every node at once: each gives the same answer, or says that it can't know.
     fn read_back(&mut self) {
-        let offices = self.offices();
-        offices.into_iter().for_each(|node| {
+        let control_nodes = self.control_nodes();
+        control_nodes.into_iter().for_each(|node| {
             let token = self.id();
             self.operators.read_backs.insert(token, (node, self.now));
             let event = NodeEvent::Ask { token, ask: Ask::ReadSetup };
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -5,14 +5,14 @@
 use super::world::{Action, World};
 use crate::facts::Fact;
 use crate::origins::Ended;
-use address::{Code, Dice, Kind, Locality};
+use address::{Code, Kind, Locality, Random};
 use gazetteer::{Listing, View};
-use parcel::Upstream;
+use protocol::Upstream;
 use sorting::{Bell, Journey, Move, Order, Outcome};
 use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
-use wicket::Called;
+use transport::Called;
 
 const WITHIN: Duration = Duration::from_millis(3000);
 const MOST_TRIES: u32 = 4;
@@ -34,7 +34,7 @@
 
 impl Reply {
     pub fn sealed(try_id: &str, instance: &str, status: u16, body: &str) -> Reply {
-        let seal = parcel::seal(try_id, instance, status, body.as_bytes());
+        let seal = protocol::seal(try_id, instance, status, body.as_bytes());
         let (try_id, instance, body) = (try_id.to_owned(), instance.to_owned(), body.to_owned());
         Reply { status, code: Some(Code::Fine), try_id, instance, seal, body, retry_after: None, failed: None }
     }
@@ -59,7 +59,7 @@
                 });
             },
         );
-        let reply = wicket::Reply { status: self.status, headers, body: self.body.clone().into() };
+        let reply = transport::Reply { status: self.status, headers, body: self.body.clone().into() };
         let called = self.failed.map(Err).unwrap_or(Ok(reply));
         carrier::judge(&called, try_id, instance)
     }
@@ -144,7 +144,7 @@
     started_at: Duration,
     tries: u32,
     last: Option<Code>,
-    dice: Dice,
+    random: Random,
     stand: Stand,
 }
 
@@ -165,23 +165,23 @@
 impl World {
     pub(super) fn origin_start(&mut self) {
         let number = self.id();
-        let mut dice = Dice::new(self.dice.roll());
-        let part = dice.below(100);
+        let mut random = Random::new(self.random.next_u64());
+        let part = random.below(100);
         let mut up_to = 0;
         let at = self.shape.services.iter().position(|work| {
             up_to += work.percent;
             part < up_to
         });
         let service = self.shape.services[at.unwrap_or(0)].service;
-        let place = self.shape.locality(dice.below(6) as usize);
-        let hot = self.hot_key && dice.below(100) < 70;
+        let place = self.shape.locality(random.below(6) as usize);
+        let hot = self.hot_key && random.below(100) < 70;
         let key = match (self.shape.services[at.unwrap_or(0)].numbered, hot) {
-            (true, hot) => busy_key(self.now, hot, &mut dice).to_string(),
+            (true, hot) => busy_key(self.now, hot, &mut random).to_string(),
             (false, true) => "key-hot".to_owned(),
-            (false, false) => format!("key-{}", dice.below(400)),
+            (false, false) => format!("key-{}", random.below(400)),
         };
         let (started_at, stand) = (self.now, Stand::Resting);
-        let state = WorkState { service, place, key, started_at, tries: 0, last: None, dice, stand };
+        let state = WorkState { service, place, key, started_at, tries: 0, last: None, random, stand };
         self.origins.works.insert(number, state);
         self.origin_try(number);
     }
@@ -201,7 +201,7 @@
             return self.origin_send(work, &known);
         }
         state.stand = Stand::Asking { asked_at: now };
-        let node = carriers[state.dice.below(carriers.len() as u64) as usize];
+        let node = carriers[state.random.below(carriers.len() as u64) as usize];
         let name = format!("{}.{}.example", state.service, self.shape.name);
         let event = NodeEvent::Lookup { work, name, place: state.place.clone(), asked_at: now };
         self.after(Duration::from_millis(8), Action::Deliver { node, event });
@@ -247,7 +247,7 @@
         state.tries += 1;
         let try_number = state.tries;
         state.stand = Stand::Trying { try_number };
-        let address = known.proxies[state.dice.below(known.proxies.len() as u64) as usize].clone();
+        let address = known.proxies[state.random.below(known.proxies.len() as u64) as usize].clone();
         let remaining = (state.started_at + WITHIN).saturating_sub(now).max(Duration::from_millis(1));
         let request = Request {
             try_id: format!("try-{work}-{try_number}"),
@@ -325,7 +325,7 @@
             let (try_id, work, key) = (format!("probe-{trip}"), format!("probe-{trip}"), String::from("probe"));
             let remaining = Duration::from_millis(1000);
             let request = Request { try_id, work, service: "probe", key, remaining, from: From::Nobody };
-            let delay = Duration::from_micros(8000 + self.dice.below(5000));
+            let delay = Duration::from_micros(8000 + self.random.below(5000));
             self.after(delay, Action::Deliver { node, event: NodeEvent::Request { trip, request } });
         });
     }
@@ -431,10 +431,10 @@
                 (trip.address, trip.life) = (upstream.address.clone(), None);
                 trip.chosen_by = Some((local, view)).filter(|_| self.weak.hasty);
                 let (send, at) = (trip.send, trip.node);
-                let (delay, cut) = self.way_to(at, &upstream.address, within.min(wicket::CONNECT_WITHIN));
+                let (delay, cut) = self.way_to(at, &upstream.address, within.min(transport::CONNECT_WITHIN));
                 self.after(delay, Action::UnitConnect { trip: id, send, address: upstream.address.clone(), cut });
                 let late = (Outcome::NotConnected, None);
-                self.after_outcome(id, send, late, within.min(wicket::CONNECT_WITHIN));
+                self.after_outcome(id, send, late, within.min(transport::CONNECT_WITHIN));
                 self.spring_ambush(at, &upstream.instance);
             }
             Move::Send { share, within } => {
@@ -442,7 +442,7 @@
                 trip.send += 1;
                 trip.sent.epoch = share.map(|share| share.epoch);
                 let (send, at, address) = (trip.send, trip.node, trip.address.clone());
-                let (delay, cut) = self.way_to(at, &address, wicket::CONNECT_WITHIN);
+                let (delay, cut) = self.way_to(at, &address, transport::CONNECT_WITHIN);
                 self.after(delay, Action::UnitCall { trip: id, send, cut });
                 self.after_outcome(id, send, (Outcome::TimedOut, None), within);
             }
@@ -463,7 +463,7 @@
                 let to = reachable.next();
                 let delay = to.and_then(|to| {
                     self.net
-                        .delay(&mut self.dice, &self.nodes[at].place, &self.nodes[to].place)
+                        .delay(&mut self.random, &self.nodes[at].place, &self.nodes[to].place)
                         .map(|delay| (to, delay))
                 });
                 match delay {
@@ -489,7 +489,7 @@
         let from = self.nodes[from].place.clone();
         let to = self.units.iter().find(|unit| unit.address == address).map(|unit| unit.place.clone());
         let cut = to.as_ref().is_none_or(|to| self.net.blocked(&from, to));
-        let delay = to.and_then(|to| self.net.delay(&mut self.dice, &from, &to));
+        let delay = to.and_then(|to| self.net.delay(&mut self.random, &from, &to));
         // TCP sends a lost packet again; only a cut keeps it from arriving at all.
         (delay.unwrap_or(if cut { patience } else { Duration::from_millis(200) }), cut)
     }
@@ -512,7 +512,7 @@
                 let places = node.map(|node| (self.nodes[node].place.clone(), self.nodes[to].place.clone()));
                 let delay = match places {
                     None => Some(Duration::from_millis(1)),
-                    Some((from, to)) => self.net.delay(&mut self.dice, &from, &to),
+                    Some((from, to)) => self.net.delay(&mut self.random, &from, &to),
                 };
                 let code = reply.code.filter(|_| reply.failed.is_none());
                 let denied = reply.seal.is_empty() && code.is_some_and(|code| code != Code::Fine);
--- a/crates/drill/src/sim/ranged.rs
+++ b/crates/drill/src/sim/ranged.rs
@@ -4,8 +4,8 @@
 use super::units::Unit;
 use super::world::{Action, World};
 use crate::facts::Fact;
-use address::{Dice, KEYS};
-use parcel::Share;
+use address::{KEYS, Random};
+use protocol::Share;
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::Duration;
@@ -131,13 +131,13 @@
 }
 
 /// A key of the moving load: of ten, six of a busy run, one the hot one, three anywhere.
-pub(super) fn busy_key(now: Duration, hot: bool, dice: &mut Dice) -> u64 {
-    let (part, at) = (dice.below(10), now.as_millis() as u64 * MOVES_PER_SECOND / 1000);
+pub(super) fn busy_key(now: Duration, hot: bool, random: &mut Random) -> u64 {
+    let (part, at) = (random.below(10), now.as_millis() as u64 * MOVES_PER_SECOND / 1000);
     match part {
         _ if hot => HOT,
-        0..6 => (5000 + at + dice.below(BUSY_KEYS)) % u64::from(KEYS),
+        0..6 => (5000 + at + random.below(BUSY_KEYS)) % u64::from(KEYS),
         6 => HOT,
-        _ => dice.below(KEYS.into()),
+        _ => random.below(KEYS.into()),
     }
 }
 
@@ -162,9 +162,9 @@
         span: Duration,
     ) {
         let (unit, life, beat, sent_at, node) = from;
-        let delay = self.net.delay(&mut self.dice, &self.nodes[node].place, &self.units[unit].place);
-        let late = self.late_answers && self.dice.below(4) == 0;
-        let more = Duration::from_millis(if late { self.dice.below(1500) } else { 0 });
+        let delay = self.net.delay(&mut self.random, &self.nodes[node].place, &self.units[unit].place);
+        let late = self.late_answers && self.random.below(4) == 0;
+        let more = Duration::from_millis(if late { self.random.below(1500) } else { 0 });
         delay.map(|delay| delay + more).zip(shares).into_iter().for_each(|(delay, shares)| {
             self.after(delay, Action::RangesAnswer { unit, life, beat, sent_at, shares, span });
         });
@@ -196,7 +196,7 @@
             self.note(Fact::Holds { service: service.clone(), keys, instance: instance.clone(), until });
         });
         if asked {
-            let wait = Duration::from_micros(self.dice.below(AGAIN_MICROS));
+            let wait = Duration::from_micros(self.random.below(AGAIN_MICROS));
             self.after(wait, Action::BeatAgain { unit: at, life, beat });
         }
     }
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -8,8 +8,8 @@
 use crate::facts::Fact;
 use crate::shapes::{Work, mark_of};
 use crate::upstreams::given_slots;
-use parcel::{Share, Upstream};
-use postmaster::{Answer, Ask};
+use controller::{Answer, Ask};
+use protocol::{Share, Upstream};
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::Duration;
@@ -51,7 +51,7 @@
                 // Marks stand apart from one another.
                 let place = crate::shapes::mark_of(work.service).unwrap_or(at);
                 let number = self.push_unit(work, at, shape.locality(place), true);
-                let first = Duration::from_millis(5000 + self.dice.below(500));
+                let first = Duration::from_millis(5000 + self.random.below(500));
                 self.at(first, Action::Beat { unit: number, life: 1 });
             });
         });
@@ -78,7 +78,7 @@
             loses_per_mille: 0,
             garbles_per_mille: 0,
             paused_until: Duration::ZERO,
-            drift: self.dice.below(slow + DRIFT) as i64 - slow as i64,
+            drift: self.random.below(slow + DRIFT) as i64 - slow as i64,
         });
         number
     }
@@ -149,8 +149,8 @@
         if self.units[at].work.numbered {
             self.let_go(at);
         }
-        let offices = self.offices();
-        let node = offices[self.dice.below(offices.len() as u64) as usize];
+        let control_nodes = self.control_nodes();
+        let node = control_nodes[self.random.below(control_nodes.len() as u64) as usize];
         let unit = &mut self.units[at];
         unit.beat += 1;
         let holds = unit.holds.iter().filter(|(_, (_, until))| now < *until);
@@ -171,7 +171,7 @@
             ..Upstream::default()
         };
         let (beat, place) = (unit.beat, unit.place.clone());
-        let delay = self.net.delay(&mut self.dice, &place, &self.nodes[node].place);
+        let delay = self.net.delay(&mut self.random, &place, &self.nodes[node].place);
         delay.into_iter().for_each(|delay| {
             let token = self.id();
             self.operators.beats.insert(token, (at, life, beat, now, node));
@@ -190,8 +190,8 @@
         if self.units[unit].work.numbered {
             return self.ranges_answered(from, shares, span);
         }
-        let sheet = postmaster::beat_sheet(holder, shares, span);
-        let delay = self.net.delay(&mut self.dice, &self.nodes[node].place, &self.units[unit].place);
+        let sheet = controller::beat_sheet(holder, shares, span);
+        let delay = self.net.delay(&mut self.random, &self.nodes[node].place, &self.units[unit].place);
         delay.into_iter().for_each(|delay| {
             let sheet = sheet.clone();
             self.after(delay, Action::BeatAnswer { unit, life, beat, sent_at, sheet });
@@ -262,13 +262,13 @@
         let at = self.units.iter().position(|unit| unit.address == address);
         let up = at.filter(|at| self.units[*at].up && !cut);
         let Some(at) = up else {
-            return self.back(trip, send, Err(wicket::Called::NotConnected), Duration::from_micros(300));
+            return self.back(trip, send, Err(transport::Called::NotConnected), Duration::from_micros(300));
         };
         let life = (at, self.units[at].life);
         let node = self.trips.get(&trip).map(|trip| trip.node);
         node.into_iter().for_each(|node| {
             let (from, to) = (self.units[at].place.clone(), self.nodes[node].place.clone());
-            let delay = self.net.delay(&mut self.dice, &from, &to);
+            let delay = self.net.delay(&mut self.random, &from, &to);
             delay.into_iter().for_each(|delay| {
                 self.after(delay, Action::Deliver { node, event: NodeEvent::Connected { trip, send, life } });
             });
@@ -280,7 +280,7 @@
         let life = self.trips.get(&trip).filter(|trip| trip.send == send).and_then(|trip| trip.life);
         let alive = life.filter(|(at, life)| self.units[*at].up && self.units[*at].life == *life && !cut);
         let Some((at, _)) = alive else {
-            return self.back(trip, send, Err(wicket::Called::Lost), Duration::from_micros(300));
+            return self.back(trip, send, Err(transport::Called::Lost), Duration::from_micros(300));
         };
         if self.now < self.units[at].paused_until {
             let until = self.units[at].paused_until;
@@ -321,7 +321,7 @@
             self.note(Fact::Ran { work: order.work.clone(), try_id: order.try_id.clone(), once });
             let (least, most) = self.load.takes;
             let slow = if self.load.some_slow && at % 6 == 5 { 3 } else { 1 };
-            let takes = (least + Duration::from_micros(self.dice.below((most - least).as_micros() as u64))) * slow;
+            let takes = (least + Duration::from_micros(self.random.below((most - least).as_micros() as u64))) * slow;
             self.after(takes, Action::UnitDone { trip, send, unit: at, life });
         } else {
             self.back(
@@ -334,8 +334,8 @@
     }
 
     pub(super) fn unit_done(&mut self, trip: u64, send: u32, at: usize, life: u64) {
-        let lost = self.dice.below(1000) < self.units[at].loses_per_mille;
-        let garbled = self.dice.below(1000) < self.units[at].garbles_per_mille;
+        let lost = self.random.below(1000) < self.units[at].loses_per_mille;
+        let garbled = self.random.below(1000) < self.units[at].garbles_per_mille;
         let alive = self.units[at].up && self.units[at].life == life;
         if alive {
             self.units[at].busy = self.units[at].busy.saturating_sub(1);
@@ -345,16 +345,16 @@
         let mut reply = Reply::sealed(&order.try_id, &self.units[at].instance, 200, &order.work);
         if garbled {
             // Cut short, or the whole and well sealed verdict of somebody else's try.
-            if self.dice.below(2) == 0 {
+            if self.random.below(2) == 0 {
                 reply.body.truncate(reply.body.len() / 2);
             } else {
                 reply = Reply::sealed("try-of-another", &self.units[at].instance, 200, "work-of-another");
             }
         }
-        let called = if lost || !alive { Err(wicket::Called::Lost) } else { Ok(reply) };
+        let called = if lost || !alive { Err(transport::Called::Lost) } else { Ok(reply) };
         let from = self.units[at].place.clone();
         let to = self.trips.get(&trip).map(|trip| self.nodes[trip.node].place.clone());
-        let delay = to.and_then(|to| self.net.delay(&mut self.dice, &from, &to));
+        let delay = to.and_then(|to| self.net.delay(&mut self.random, &from, &to));
         delay.into_iter().for_each(|delay| self.back(trip, send, called.clone(), delay));
     }
 }
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -10,8 +10,8 @@
 use crate::origins::Ended;
 use crate::rules::{Violation, judge};
 use crate::shapes::{ROADWISE, Shape};
-use address::Dice;
-use parcel::Share;
+use address::Random;
+use protocol::Share;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::{Arc, Mutex};
@@ -43,7 +43,7 @@
     OriginAnswer { work: u64, try_number: u32, answer: super::path::Reply },
     Operator,
     OperatorAsk { submission: usize },
-    OperatorAnswer { submission: usize, answer: postmaster::Answer },
+    OperatorAnswer { submission: usize, answer: controller::Answer },
     Fault { at: usize },
     Heal { at: usize },
     Watch,
@@ -185,7 +185,7 @@
     pub(super) seed: u64,
     pub(super) plan: Plan,
     pub(super) now: Duration,
-    pub(super) dice: Dice,
+    pub(super) random: Random,
     pub(super) shape: Shape,
     pub(super) net: Net,
     pub(super) hot_key: bool,
@@ -217,17 +217,17 @@
 impl World {
     /// A site that is about to start.
     pub fn new(seed: u64, plan: Option<Plan>, shape: Shape) -> World {
-        let mut dice = Dice::new(seed);
-        let plan = plan.unwrap_or_else(|| Plan::drawn(&mut dice));
-        World::lay_out(seed, dice, plan, shape)
+        let mut random = Random::new(seed);
+        let plan = plan.unwrap_or_else(|| Plan::drawn(&mut random));
+        World::lay_out(seed, random, plan, shape)
     }
 
-    fn lay_out(seed: u64, dice: Dice, plan: Plan, shape: Shape) -> World {
+    fn lay_out(seed: u64, random: Random, plan: Plan, shape: Shape) -> World {
         let mut world = World {
             seed,
             plan,
             now: Duration::ZERO,
-            dice,
+            random,
             net: Net::default(),
             hot_key: false,
             late_answers: false,
@@ -380,7 +380,7 @@
 
     fn agreed(&self) -> bool {
         let editions = self.nodes.iter().map(|node| match &node.core {
-            super::nodes::Core::Office(office) => office.edition(),
+            super::nodes::Core::ControlNode(control) => control.edition(),
             super::nodes::Core::Carrier(carrier, _) => carrier.view().edition,
             super::nodes::Core::Down => 0,
         });
@@ -408,7 +408,7 @@
         let served_per_mille =
             [served(Duration::ZERO, broken_at), served(broken_at, healed_at), served(healed_at, Duration::MAX)];
         let agreed = self.agreed();
-        let digest = parcel::digest(format!("{:?}", self.seen).as_bytes());
+        let digest = protocol::digest(format!("{:?}", self.seen).as_bytes());
         Outcome {
             seed: self.seed,
             plan: self.plan,
--- a/crates/drill/src/upstreams.rs
+++ b/crates/drill/src/upstreams.rs
@@ -2,11 +2,11 @@
 
 use crate::facts::{Fact, Record};
 use crate::shapes::{Work, mark_of};
-use address::Dice;
+use address::Random;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
-use parcel::Share;
+use protocol::Share;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,7 +14,7 @@
 use tariff::Sheet;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use wicket::{Caller, Clock, Enquiry};
+use transport::{Caller, Clock, Enquiry};
 
 const BEAT_EVERY: Duration = Duration::from_millis(500);
 const BEAT_WITHIN: Duration = Duration::from_millis(900);
@@ -105,7 +105,7 @@
             close,
         });
         let handler = unit.clone();
-        tokio::spawn(wicket::serve(socket, closing.clone(), move |enquiry| {
+        tokio::spawn(transport::serve(socket, closing.clone(), move |enquiry| {
             let unit = handler.clone();
             async move { unit.serve(enquiry).await }
         }));
@@ -147,9 +147,9 @@
 
     async fn keep_beating(self: Arc<Self>, nodes: Arc<Vec<String>>, mut closing: watch::Receiver<bool>) {
         let caller = Caller::default();
-        let mut dice = Dice::new(address::spread(&self.instance));
+        let mut random = Random::new(address::spread(&self.instance));
         loop {
-            let node = nodes[dice.below(nodes.len() as u64) as usize].clone();
+            let node = nodes[random.below(nodes.len() as u64) as usize].clone();
             self.pause().await;
             let known = self.holder.load(Ordering::Acquire);
             let taken = self.beat_once(&caller, &node).await;
@@ -279,9 +279,9 @@
         };
         self.busy.fetch_sub(1, Ordering::AcqRel);
         let status = if runs { 200 } else { 503 };
-        let mut dice = Dice::new(address::spread(&try_id));
-        let garbled = dice.below(1000) < ill.garbles_per_mille;
-        match (lost(&ill.mute_to), garbled.then(|| dice.below(4))) {
+        let mut random = Random::new(address::spread(&try_id));
+        let garbled = random.below(1000) < ill.garbles_per_mille;
+        match (lost(&ill.mute_to), garbled.then(|| random.below(4))) {
             (true, _) | (_, Some(0)) => std::future::pending().await,
             (_, Some(1)) => self.sealed("try-of-another", status, "work-of-another".into()),
             (_, Some(2)) => Response::new(Full::new(Bytes::from("noise"))),
@@ -295,7 +295,7 @@
     }
 
     fn sealed(&self, try_id: &str, status: u16, body: String) -> Response<Full<Bytes>> {
-        let seal = parcel::seal(try_id, &self.instance, status, body.as_bytes());
+        let seal = protocol::seal(try_id, &self.instance, status, body.as_bytes());
         let mut response = Response::new(Full::new(Bytes::from(body)));
         *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
         let named = [("x-try-id", try_id.to_owned()), ("x-instance", self.instance.clone()), ("x-seal", seal)];
