--- a/crates/drill/tests/hollow.rs
+++ b/crates/drill/tests/hollow.rs
@@ -1,7 +1,7 @@
 //! The hollow harness counts rightly, and a hollow site keeps its promises.
 
 use drill::hollow::{Figures, Fleet, Ledger, Load, Reach, Role, Run, SETTLE, Size, kind, run};
-use parcel::{Body, Fresh, Message, NewsAsk, Parcel};
+use protocol::{Envelope, Freshness, Message, Payload, UpdateRequest};
 use std::time::Duration;
 
 const FORTY: Size = Size { nodes: 34, postmasters: 6, upstreams: 60, services: 6, routes: 30, regions: 3, zones: 6 };
@@ -39,11 +39,11 @@
     let beats = ledger.out(Role::Upstream, None).messages;
     assert!(beats.abs_diff(FORTY.upstreams as u64 * 2 * WINDOW.as_secs()) <= FORTY.upstreams as u64, "{beats} beats");
     // Bytes are those of the encoded message with its frame.
-    let largest = NewsAsk { nonce: u64::MAX, stream: u64::MAX, number: 300, ..NewsAsk::default() };
-    let parcel = Parcel { from: "carrier-33".into(), body: Some(Body::NewsAsk(largest)) };
+    let largest = UpdateRequest { nonce: u64::MAX, stream: u64::MAX, number: 300, ..UpdateRequest::default() };
+    let parcel = Envelope { from: "carrier-33".into(), body: Some(Payload::UpdateRequest(largest)) };
     let (most, least) = (parcel.encoded_len() as u64 + 4, 4 + 12);
     assert!(asks.bytes <= most * asks.messages && asks.bytes > least * asks.messages);
-    assert_eq!(kind(&Body::Fresh(Fresh::default())), "fresh");
+    assert_eq!(kind(&Payload::Freshness(Freshness::default())), "fresh");
 }
 
 #[test]
--- a/crates/drill/tests/reload.rs
+++ b/crates/drill/tests/reload.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::time::{interval, timeout};
-use wicket::Caller;
+use transport::Caller;
 
 const LIMIT: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(20);
--- a/crates/drill/tests/site.rs
+++ b/crates/drill/tests/site.rs
@@ -10,7 +10,7 @@
 use tariff::Sheet;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use wicket::{Caller, Reply};
+use transport::{Caller, Reply};
 
 const LIMIT: Duration = Duration::from_secs(60);
 
--- a/crates/drill/tests/sources.rs
+++ b/crates/drill/tests/sources.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const CORES: [&str; 7] = ["address", "registered", "rounds", "enrolment", "claims", "gazetteer", "sorting"];
+const CORES: [&str; 7] = ["address", "quorum-register", "membership", "enrolment", "lease", "gazetteer", "sorting"];
 
 fn sources(package: &str) -> Vec<(PathBuf, String)> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("crates").join(package).join("src");
@@ -33,7 +33,7 @@
 /// A clock that jumps can change nothing that is never read.
 #[test]
 fn no_process_reads_a_wall_clock() {
-    let shells = ["parcel", "tariff", "vault", "wicket", "postmaster", "carrier", "clerk", "drill"];
+    let shells = ["protocol", "tariff", "storage", "transport", "controller", "carrier", "clerk", "drill"];
     CORES.iter().chain(&shells).for_each(|package| none_holds(package, &["SystemTime", "UNIX_EPOCH"]));
 }
 
@@ -46,7 +46,7 @@
 
 #[test]
 fn only_drill_starts_processes() {
-    let daemons = ["vault", "wicket", "postmaster", "carrier", "clerk"];
+    let daemons = ["storage", "transport", "controller", "carrier", "clerk"];
     daemons.iter().for_each(|package| none_holds(package, &["std::process::Command", "process::{", "Command::new"]));
 }
 
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -1,7 +1,7 @@
 //! The roll of upstreams. Soft state: every beat tells it again.
 
 use address::spread_all;
-use parcel::Upstream;
+use protocol::Upstream;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -45,9 +45,9 @@
 /// 64 bits that stand for an upstream in batches: the first half for who it is, the second for what else is told of it.
 ///
 /// ```
-/// let warm = parcel::Upstream { instance: "a".into(), warm: true, beat: 3, ..Default::default() };
-/// let cold = parcel::Upstream { warm: false, ..warm.clone() };
-/// assert_eq!(enrolment::mark(&warm), enrolment::mark(&parcel::Upstream { beat: 4, ..warm.clone() }));
+/// let warm = protocol::Upstream { instance: "a".into(), warm: true, beat: 3, ..Default::default() };
+/// let cold = protocol::Upstream { warm: false, ..warm.clone() };
+/// assert_eq!(enrolment::mark(&warm), enrolment::mark(&protocol::Upstream { beat: 4, ..warm.clone() }));
 /// assert_ne!(enrolment::mark(&warm), enrolment::mark(&cold));
 /// assert_eq!(enrolment::mark(&warm) >> 32, enrolment::mark(&cold) >> 32);
 /// ```
@@ -67,7 +67,7 @@
     ///
     /// ```
     /// use enrolment::{GONE, LEAVING, READY, Roll};
-    /// use parcel::Upstream;
+    /// use protocol::Upstream;
     /// use std::time::Duration;
     /// let beat = |instance: &str, beat, condition| Upstream {
     ///     service: "slots".into(), instance: instance.into(), address: "127.0.0.1:9".into(),
@@ -118,7 +118,7 @@
     /// use enrolment::Roll;
     /// use std::time::Duration;
     /// let (ms, mut roll) = (Duration::from_millis, Roll::default());
-    /// let told = parcel::Upstream { instance: "a".into(), beat: 1, ..Default::default() };
+    /// let told = protocol::Upstream { instance: "a".into(), beat: 1, ..Default::default() };
     /// let mark = enrolment::mark(&told);
     /// assert!(!roll.keeps_beating(ms(1000), mark, 1, ms(0)), "nobody knows it");
     /// roll.take(ms(1000), told);
@@ -168,7 +168,7 @@
     /// One upstream as it is known here, with its ages.
     ///
     /// ```
-    /// let upstream = parcel::Upstream { instance: "a".into(), beat: 1, ..Default::default() };
+    /// let upstream = protocol::Upstream { instance: "a".into(), beat: 1, ..Default::default() };
     /// assert_eq!(enrolment::Roll::default().one(std::time::Duration::ZERO, &upstream), None);
     /// ```
     pub fn one(&self, now: Duration, upstream: &Upstream) -> Option<Upstream> {
@@ -210,7 +210,7 @@
     /// use enrolment::Roll;
     /// use std::time::Duration;
     /// let mut roll = Roll::default();
-    /// roll.take(Duration::ZERO, parcel::Upstream { instance: "a".into(), beat: 1, ..Default::default() });
+    /// roll.take(Duration::ZERO, protocol::Upstream { instance: "a".into(), beat: 1, ..Default::default() });
     /// roll.sweep(Duration::from_secs(4), Duration::from_secs(3));
     /// assert!(roll.all(Duration::from_secs(4)).is_empty());
     /// assert_eq!(roll.changes(Duration::from_secs(4))[0].condition, enrolment::GONE);
--- a/crates/enrolment/src/shares.rs
+++ b/crates/enrolment/src/shares.rs
@@ -9,7 +9,7 @@
 //! one under its claim, when nobody else gave any more: what it says it holds, it alone holds, and keeps.
 
 use address::SLOTS;
-use parcel::{Share, Upstream};
+use protocol::{Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 pub struct Shares {
     /// Nothing free is given before this: what an earlier holder of the duty gave must have run out.
     quiet_until: Duration,
-    claim_epoch: u64,
+    lease_epoch: u64,
     span: Duration,
     epoch: u64,
     slots: BTreeMap<u32, Slot>,
@@ -40,26 +40,26 @@
     ///
     /// ```
     /// use enrolment::Shares;
-    /// use parcel::Upstream;
+    /// use protocol::Upstream;
     /// use std::time::Duration;
     /// let span = Duration::from_secs(3);
     /// let mut shares = Shares::new(Duration::ZERO, span, 1);
     /// let unit = |name: &str, beat| Upstream { instance: name.into(), beat, ..Default::default() };
     /// let ready = ["a".to_owned(), "b".to_owned()].into_iter().collect();
     /// assert_eq!(shares.beat(Duration::from_secs(1), &unit("a", 1), &ready), None, "quiet at first");
-    /// let held = parcel::Share { from: 3, until: 5, epoch: 9, instance: "b".into(), ..Default::default() };
+    /// let held = protocol::Share { from: 3, until: 5, epoch: 9, instance: "b".into(), ..Default::default() };
     /// let heard = Upstream { holder: 1, holds: vec![held.clone()], ..unit("b", 1) };
     /// assert_eq!(shares.beat(Duration::from_secs(1), &heard, &ready), Some(vec![held]), "but it keeps what it has");
     /// let now = Duration::from_secs(4);
     /// let given = shares.beat(now, &unit("a", 2), &ready).unwrap();
     /// assert_eq!(given.iter().map(|share| share.until - share.from).sum::<u32>(), address::SLOTS / 2);
     /// ```
-    pub fn new(now: Duration, span: Duration, claim_epoch: u64) -> Self {
+    pub fn new(now: Duration, span: Duration, lease_epoch: u64) -> Self {
         Shares {
             quiet_until: now + span + span / 6,
-            claim_epoch,
+            lease_epoch,
             span,
-            epoch: claim_epoch << 32,
+            epoch: lease_epoch << 32,
             slots: BTreeMap::new(),
             beats: BTreeMap::new(),
         }
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// use enrolment::Shares;
-    /// use parcel::{Share, Upstream};
+    /// use protocol::{Share, Upstream};
     /// use std::time::Duration;
     /// let (span, now) = (Duration::from_secs(3), Duration::from_secs(4));
     /// let mut shares = Shares::new(Duration::ZERO, span, 1);
@@ -104,7 +104,7 @@
         // What it no longer names, it has let go; what ran out is free.
         self.slots.retain(|slot, owned| now < owned.until && (owned.owner != *me || holds(*slot, owned.epoch)));
         if now < self.quiet_until {
-            if upstream.holder != self.claim_epoch {
+            if upstream.holder != self.lease_epoch {
                 return None;
             }
             self.adopt(now, upstream);
--- a/crates/enrolment/tests/arbitrary.rs
+++ b/crates/enrolment/tests/arbitrary.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use enrolment::Shares;
-use parcel::{Share, Upstream};
+use protocol::{Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 }
 
 /// A beat on its way, when it was sent, or its answer.
-enum Parcel {
+enum Envelope {
     Beat(usize, Duration, Upstream),
     Answer(usize, u64, Duration, Option<Vec<Share>>, u64),
 }
@@ -62,18 +62,18 @@
                             holds: holds.collect(),
                             ..Upstream::default()
                         };
-                        wire.push(Parcel::Beat(at, now, upstream));
+                        wire.push(Envelope::Beat(at, now, upstream));
                     }
                     31..=75 if !wire.is_empty() => {
                         let next = noise.int_in_range(0..=wire.len().min(4) - 1)?;
                         match wire.remove(next) {
-                            Parcel::Beat(at, sent_at, upstream) => {
+                            Envelope::Beat(at, sent_at, upstream) => {
                                 let count = noise.int_in_range(1..=UNITS)?;
                                 let ready: BTreeSet<String> = (0..count).map(|at| format!("u{at}")).collect();
                                 let told = shares.beat(now, &upstream, &ready);
-                                wire.push(Parcel::Answer(at, upstream.beat, sent_at, told, claim));
+                                wire.push(Envelope::Answer(at, upstream.beat, sent_at, told, claim));
                             }
-                            Parcel::Answer(at, beat, sent_at, told, claim) => {
+                            Envelope::Answer(at, beat, sent_at, told, claim) => {
                                 let unit = &mut units[at];
                                 let latest = unit.beat == beat;
                                 if latest {
--- a/crates/gazetteer/src/patch.rs
+++ b/crates/gazetteer/src/patch.rs
@@ -1,11 +1,11 @@
 //! What changed in who holds which keys, so that a change need not be told whole.
 
-use parcel::{Placement, ServiceShares, Share};
+use protocol::{Placement, ServiceShares, Share};
 
 /// The parts of some shares that none of the others covers.
 ///
 /// ```
-/// use parcel::Share;
+/// use protocol::Share;
 /// let share = |from, until| Share { from, until, instance: "a".into(), ..Default::default() };
 /// let left = gazetteer::uncovered(&[share(0, 10)], &[share(2, 4)]);
 /// assert_eq!(left, [share(0, 2), share(4, 10)]);
@@ -25,7 +25,7 @@
 /// What makes one service's shares the new ones: new rows, and rows without an instance where nobody holds any more.
 ///
 /// ```
-/// use parcel::Share;
+/// use protocol::Share;
 /// let share = |from, until, who: &str| Share { from, until, instance: who.into(), ..Default::default() };
 /// let (old, new) = ([share(0, 9, "a")], [share(0, 4, "a"), share(6, 9, "b")]);
 /// let patch = gazetteer::patch(&old, &new);
@@ -53,7 +53,7 @@
 /// What changed from one placement to the next, where that is shares alone; else none, and it is to be told whole.
 ///
 /// ```
-/// use parcel::Placement;
+/// use protocol::Placement;
 /// let old = Placement { epoch: 3, number: 1, ..Default::default() };
 /// let new = Placement { number: 2, ..old.clone() };
 /// assert_eq!(gazetteer::change(&old, &new).map(|change| (change.partial, change.after)), Some((true, 1)));
@@ -90,7 +90,7 @@
 ///
 /// ```
 /// let mut shares = vec![];
-/// gazetteer::take_change(&mut shares, &[parcel::ServiceShares { service: "s".into(), shares: vec![] }]);
+/// gazetteer::take_change(&mut shares, &[protocol::ServiceShares { service: "s".into(), shares: vec![] }]);
 /// assert_eq!(shares.len(), 1);
 /// ```
 pub fn take_change(shares: &mut Vec<ServiceShares>, changes: &[ServiceShares]) {
--- a/crates/gazetteer/src/placement.rs
+++ b/crates/gazetteer/src/placement.rs
@@ -1,7 +1,7 @@
 //! The placement duty: which locality owns each name, derived from beats, evacuations and editions.
 
 use crate::view::is_home;
-use parcel::{Mark, Placement, Reservation, ServiceShares, Upstream};
+use protocol::{Mark, Placement, Reservation, ServiceShares, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tariff::Setup;
@@ -36,7 +36,7 @@
 
 /// The holder's working state.
 pub struct Placer {
-    claim_epoch: u64,
+    lease_epoch: u64,
     number: u64,
     epoch: u64,
     times: Times,
@@ -54,7 +54,7 @@
     /// let placer = gazetteer::Placer::new(Duration::ZERO, 3, &Default::default(), times);
     /// assert!(placer.placement(Duration::ZERO, vec![]).reservations.is_empty());
     /// ```
-    pub fn new(now: Duration, claim_epoch: u64, last: &Placement, times: Times) -> Self {
+    pub fn new(now: Duration, lease_epoch: u64, last: &Placement, times: Times) -> Self {
         let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         let owned = last.reservations.iter().map(|known| {
             let Reservation { name, locality, epoch, age_ms } = known.clone();
@@ -65,14 +65,14 @@
             ((name, from), Left { to, epoch, since: at(age_ms) })
         });
         let (owned, left): (BTreeMap<_, _>, BTreeMap<_, _>) = (owned.collect(), left.collect());
-        Placer { claim_epoch, number: 0, epoch: claim_epoch << 32, times, owned, left }
+        Placer { lease_epoch, number: 0, epoch: lease_epoch << 32, times, owned, left }
     }
 
     /// Decides anew; true where something moved.
     ///
     /// ```
     /// use gazetteer::{Needs, Placer, Times};
-    /// use parcel::Upstream;
+    /// use protocol::Upstream;
     /// use std::time::Duration;
     /// let times = Times { least_stay: Duration::from_secs(4), mark_lifetime: Duration::from_secs(60) };
     /// let setup = tariff::Setup::read(br#"{"services": [{"name": "s", "work": "once", "homeRegions": ["n"]}],
@@ -200,7 +200,7 @@
             age_ms: age(left.since),
         });
         Placement {
-            epoch: self.claim_epoch,
+            epoch: self.lease_epoch,
             number: self.number,
             reservations: reservations.collect(),
             marks: marks.collect(),
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -1,7 +1,7 @@
 //! What a data node knows, as one immutable value.
 
 use address::Locality;
-use parcel::{Mark, News, Placement, Reservation, Share, Upstream};
+use protocol::{Mark, Placement, Reservation, Share, Upstream, ViewUpdate};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,25 +93,25 @@
     /// cannot be read is a failure of the sender, and nothing is taken in.
     ///
     /// ```
-    /// use parcel::{News, Upstream};
+    /// use protocol::{ViewUpdate, Upstream};
     /// let mut view = gazetteer::View::default();
     /// let ready = Upstream { service: "s".into(), instance: "a".into(), ..Default::default() };
-    /// view.take(News { upstreams: vec![ready.clone()], ..Default::default() }, true).unwrap();
+    /// view.take(ViewUpdate { upstreams: vec![ready.clone()], ..Default::default() }, true).unwrap();
     /// assert_eq!(view.upstreams["s"].len(), 1);
-    /// view.take(News { upstreams: vec![Upstream { condition: 2, ..ready }], ..Default::default() }, false).unwrap();
+    /// view.take(ViewUpdate { upstreams: vec![Upstream { condition: 2, ..ready }], ..Default::default() }, false).unwrap();
     /// assert!(view.upstreams["s"].is_empty());
     /// ```
-    pub fn take(&mut self, news: News, image: bool) -> Result<(), Vec<Complaint>> {
+    pub fn take(&mut self, news: ViewUpdate, image: bool) -> Result<(), Vec<Complaint>> {
         let setup = news.setup.map(|bytes| (self.reader.0)(&bytes).map(Arc::new)).transpose()?;
         if image && !news.keeps_upstreams {
             self.upstreams = Arc::default();
         }
         // An older edition never follows a newer one.
-        let word = news.word.filter(|word| word.edition >= self.edition);
-        if let Some(word) = word {
-            self.edition = word.edition;
-            self.digest = word.digest;
-            self.evacuated = word.evacuated.into_iter().collect();
+        let state = news.state.filter(|state| state.edition >= self.edition);
+        if let Some(state) = state {
+            self.edition = state.edition;
+            self.digest = state.digest;
+            self.evacuated = state.evacuated.into_iter().collect();
             self.setup = setup.unwrap_or_else(|| self.setup.clone());
         }
         if !news.upstreams.is_empty() {
@@ -151,7 +151,7 @@
         self.shares = Arc::new(placement.shares.into_iter().map(|s| (s.service, s.shares)).collect());
     }
 
-    /// Works out anew who sends where, after a change of the word, the placement or the proxies.
+    /// Works out anew who sends where, after a change of the state, the placement or the proxies.
     ///
     /// ```
     /// use std::time::Duration;
--- a/crates/gazetteer/tests/patches.rs
+++ b/crates/gazetteer/tests/patches.rs
@@ -3,7 +3,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use gazetteer::{patch, patched};
-use parcel::Share;
+use protocol::Share;
 
 /// Rows in order that don't overlap.
 fn rows(noise: &mut Unstructured) -> arbtest::arbitrary::Result<Vec<Share>> {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,15 +1,15 @@
-//! Claims: a duty that one node does at a time, under a majority's grant.
+//! Lease: a duty that one node does at a time, under a majority's grant.
 //!
 //! The holder counts from the moment it asked and stops a margin before the end; a voter counts from the
 //! moment it granted. So the holder always stops first, whatever the network or a freeze does. A restarted
 //! voter grants nothing for one whole span, since it has forgotten whom it granted.
 
-use address::{Dice, majority};
-use parcel::{Body, ClaimAsk, ClaimDrop, ClaimGrant};
+use address::{Random, majority};
+use protocol::{LeaseRelease, LeaseReply, LeaseRequest, Payload};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The claim's time values.
+/// The lease's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
     pub span: Duration,
@@ -17,13 +17,13 @@
     pub margin: Duration,
 }
 
-/// What happens to a claim.
+/// What happens to a lease.
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel {
+    Received {
         from: String,
-        body: Body,
+        body: Payload,
     },
     /// The voters, and the highest epoch safe on this disk.
     Roster {
@@ -38,12 +38,12 @@
     Close,
 }
 
-/// What a claim wants done.
+/// What a lease wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     Send {
         to: String,
-        body: Body,
+        body: Payload,
     },
     /// Sync this epoch, then tell `EpochKept`.
     RaiseEpoch {
@@ -62,7 +62,7 @@
 
 /// Where the candidate stands.
 #[derive(Debug, PartialEq)]
-enum Stand {
+enum CandidatePhase {
     Resting,
     Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: usize },
     Holding { epoch: u64, until: Duration },
@@ -71,46 +71,46 @@
 }
 
 /// One voter's and candidate's state for one duty.
-pub struct Claims {
+pub struct Lease {
     me: String,
     roster: Vec<String>,
     times: Times,
-    dice: Dice,
+    random: Random,
     granted: Option<Granted>,
     /// Grants that wait for their epoch's sync.
-    pending: BTreeMap<u64, (String, ClaimAsk, Duration)>,
-    /// True while nobody that this voter granted a claim to can have held it.
+    pending: BTreeMap<u64, (String, LeaseRequest, Duration)>,
+    /// True while nobody that this voter granted a lease to can have held it.
     unheld: bool,
     /// The epoch granted while that was so.
     only_epoch: Option<u64>,
     /// The epoch under which this node was the first of all holders.
     founder: Option<u64>,
-    /// The highest epoch heard of: a new claim asks for one more.
+    /// The highest epoch heard of: a new lease asks for one more.
     seen_epoch: u64,
-    /// The highest epoch granted by this voter: a new claim must have a higher one.
+    /// The highest epoch granted by this voter: a new lease must have a higher one.
     granted_epoch: u64,
-    stand: Stand,
+    phase: CandidatePhase,
     next_ask: Duration,
-    /// This voter grants no new claim before this: it may have forgotten, or slept over, whom it granted.
+    /// This voter grants no new lease before this: it may have forgotten, or slept over, whom it granted.
     quiet_until: Duration,
     last_step: Option<Duration>,
     effects: Vec<Effect>,
 }
 
-impl Claims {
+impl Lease {
     /// A node that holds nothing and has granted nothing it remembers.
     ///
     /// ```
     /// use std::time::Duration;
-    /// let times = claims::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
-    /// assert_eq!(claims::Claims::new("a".into(), times, 1).holds(Duration::ZERO), None);
+    /// let times = lease::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// assert_eq!(lease::Lease::new("a".into(), times, 1).holds(Duration::ZERO), None);
     /// ```
     pub fn new(me: String, times: Times, seed: u64) -> Self {
-        Claims {
+        Lease {
             me,
             roster: Vec::new(),
             times,
-            dice: Dice::new(seed),
+            random: Random::new(seed),
             granted: None,
             pending: BTreeMap::new(),
             unheld: true,
@@ -118,7 +118,7 @@
             founder: None,
             seen_epoch: 0,
             granted_epoch: 0,
-            stand: Stand::Resting,
+            phase: CandidatePhase::Resting,
             next_ask: Duration::ZERO,
             quiet_until: times.span,
             last_step: None,
@@ -129,10 +129,10 @@
     /// The epoch under which this node holds the duty at this moment.
     ///
     /// ```
-    /// use claims::{Claims, Effect, Event, Times};
+    /// use lease::{Lease, Effect, Event, Times};
     /// use std::time::Duration;
     /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
-    /// let mut alone = Claims::new("a".into(), times, 1);
+    /// let mut alone = Lease::new("a".into(), times, 1);
     /// alone.step(Duration::ZERO, Event::Roster { roster: vec!["a".into()], epoch: 4 });
     /// let (mut now, mut effects) = (Duration::ZERO, vec![]);
     /// while effects.is_empty() {
@@ -148,8 +148,12 @@
     /// assert_eq!(alone.holds(now + Duration::from_millis(600)), None, "it stood still, or its clock jumped");
     /// ```
     pub fn holds(&self, now: Duration) -> Option<u64> {
-        match &self.stand {
-            Stand::Holding { epoch, until } | Stand::Renewing { epoch, until, .. } if now < *until => Some(*epoch),
+        match &self.phase {
+            CandidatePhase::Holding { epoch, until } | CandidatePhase::Renewing { epoch, until, .. }
+                if now < *until =>
+            {
+                Some(*epoch)
+            }
             _ => None,
         }
     }
@@ -159,8 +163,8 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = claims::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
-    /// assert!(!claims::Claims::new("a".into(), times, 1).is_founder(7));
+    /// # let times = lease::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// assert!(!lease::Lease::new("a".into(), times, 1).is_founder(7));
     /// ```
     pub fn is_founder(&self, epoch: u64) -> bool {
         self.founder == Some(epoch)
@@ -169,11 +173,11 @@
     /// The one reducer: takes an event in, gives effects out.
     ///
     /// ```
-    /// use claims::{Claims, Event, Times};
+    /// use lease::{Lease, Event, Times};
     /// use std::time::Duration;
     /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
-    /// let mut claims = Claims::new("a".into(), times, 1);
-    /// assert!(claims.step(Duration::ZERO, Event::Tick).is_empty());
+    /// let mut lease = Lease::new("a".into(), times, 1);
+    /// assert!(lease.step(Duration::ZERO, Event::Tick).is_empty());
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         self.mind_gap(now);
@@ -186,14 +190,14 @@
                 self.unheld = self.unheld && epoch <= self.granted_epoch;
                 self.granted_epoch = self.granted_epoch.max(epoch);
             }
-            Event::Parcel { from, body } => self.take(now, &from, body),
+            Event::Received { from, body } => self.take(now, &from, body),
             Event::EpochKept { token } => {
                 let ask = self.pending.remove(&token);
                 ask.into_iter().for_each(|(from, ask, _)| self.grant(now, &from, &ask));
             }
             Event::Close => {
-                self.drop_claim();
-                self.turn(Stand::Closed);
+                self.drop_lease();
+                self.turn(CandidatePhase::Closed);
             }
         }
         std::mem::take(&mut self.effects)
@@ -206,7 +210,7 @@
         let last = self.last_step.replace(now);
         if last.is_some_and(|last| now > last + self.times.margin) {
             self.quiet_until = now + self.times.span;
-            if !matches!(self.stand, Stand::Resting | Stand::Closed) {
+            if !matches!(self.phase, CandidatePhase::Resting | CandidatePhase::Closed) {
                 self.give_up(now, Duration::ZERO);
             }
         }
@@ -217,12 +221,12 @@
         let count = self.roster.len().max(1) as u64;
         let at = self.roster.iter().position(|voter| *voter == self.me).unwrap_or(0) as u64;
         let rank = (at + self.seen_epoch) % count;
-        Duration::from_millis(20 + rank * 120 + self.dice.below(40))
+        Duration::from_millis(20 + rank * 120 + self.random.below(40))
     }
 
     /// The one place where the candidate's state changes.
-    fn turn(&mut self, stand: Stand) {
-        self.stand = stand;
+    fn turn(&mut self, phase: CandidatePhase) {
+        self.phase = phase;
     }
 
     fn tick(&mut self, now: Duration) {
@@ -234,41 +238,43 @@
             // All start alike: from the first time on they ask one after the other.
             self.next_ask = now.max(self.times.span) + self.turn_wait();
         }
-        match &self.stand {
-            Stand::Resting if now >= self.next_ask && now >= self.times.span => self.ask(now),
-            Stand::Asking { asked_at, .. } if now >= *asked_at + phase => self.give_up(now, Duration::ZERO),
-            Stand::Holding { until, .. } | Stand::Renewing { until, .. } if now >= *until => {
+        match &self.phase {
+            CandidatePhase::Resting if now >= self.next_ask && now >= self.times.span => self.ask(now),
+            CandidatePhase::Asking { asked_at, .. } if now >= *asked_at + phase => self.give_up(now, Duration::ZERO),
+            CandidatePhase::Holding { until, .. } | CandidatePhase::Renewing { until, .. } if now >= *until => {
                 self.give_up(now, Duration::ZERO)
             }
-            Stand::Holding { .. } if now >= self.next_ask => self.renew(now),
-            Stand::Renewing { asked_at, .. } if now >= *asked_at + phase => self.renew(now),
+            CandidatePhase::Holding { .. } if now >= self.next_ask => self.renew(now),
+            CandidatePhase::Renewing { asked_at, .. } if now >= *asked_at + phase => self.renew(now),
             _ => {}
         }
     }
 
     fn ask(&mut self, now: Duration) {
         self.seen_epoch += 1;
-        let (epoch, nonce) = (self.seen_epoch, self.dice.roll());
-        self.turn(Stand::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new(), firsts: 0 });
-        self.ask_all(now, ClaimAsk { epoch, nonce, renewal: false });
+        let (epoch, nonce) = (self.seen_epoch, self.random.next_u64());
+        self.turn(CandidatePhase::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new(), firsts: 0 });
+        self.ask_all(now, LeaseRequest { epoch, nonce, renewal: false });
     }
 
     fn renew(&mut self, now: Duration) {
-        let held = match &self.stand {
-            Stand::Holding { epoch, until } | Stand::Renewing { epoch, until, .. } => Some((*epoch, *until)),
+        let held = match &self.phase {
+            CandidatePhase::Holding { epoch, until } | CandidatePhase::Renewing { epoch, until, .. } => {
+                Some((*epoch, *until))
+            }
             _ => None,
         };
         held.into_iter().for_each(|(epoch, until)| {
-            let nonce = self.dice.roll();
-            self.turn(Stand::Renewing { epoch, until, nonce, asked_at: now, grants: BTreeSet::new() });
-            self.ask_all(now, ClaimAsk { epoch, nonce, renewal: true });
+            let nonce = self.random.next_u64();
+            self.turn(CandidatePhase::Renewing { epoch, until, nonce, asked_at: now, grants: BTreeSet::new() });
+            self.ask_all(now, LeaseRequest { epoch, nonce, renewal: true });
         });
     }
 
-    fn ask_all(&mut self, now: Duration, ask: ClaimAsk) {
+    fn ask_all(&mut self, now: Duration, ask: LeaseRequest) {
         let (me, roster) = (self.me.clone(), self.roster.clone());
         roster.iter().filter(|voter| **voter != me).for_each(|voter| {
-            self.effects.push(Effect::Send { to: voter.clone(), body: Body::ClaimAsk(ask.clone()) });
+            self.effects.push(Effect::Send { to: voter.clone(), body: Payload::LeaseRequest(ask.clone()) });
         });
         if roster.contains(&me) {
             self.asked(now, &me, ask);
@@ -276,34 +282,36 @@
     }
 
     fn give_up(&mut self, now: Duration, wait: Duration) {
-        self.drop_claim();
+        self.drop_lease();
         self.next_ask = now + wait + self.turn_wait();
-        self.turn(Stand::Resting);
+        self.turn(CandidatePhase::Resting);
     }
 
-    fn drop_claim(&mut self) {
-        let epoch = match &self.stand {
-            Stand::Asking { epoch, .. } | Stand::Holding { epoch, .. } | Stand::Renewing { epoch, .. } => Some(*epoch),
+    fn drop_lease(&mut self) {
+        let epoch = match &self.phase {
+            CandidatePhase::Asking { epoch, .. }
+            | CandidatePhase::Holding { epoch, .. }
+            | CandidatePhase::Renewing { epoch, .. } => Some(*epoch),
             _ => None,
         };
         epoch.into_iter().for_each(|epoch| {
             let me = self.me.clone();
-            let unheld = matches!(self.stand, Stand::Asking { .. });
+            let unheld = matches!(self.phase, CandidatePhase::Asking { .. });
             self.dropped(&me, epoch, unheld);
-            let drop = Body::ClaimDrop(ClaimDrop { epoch, unheld });
+            let drop = Payload::LeaseRelease(LeaseRelease { epoch, unheld });
             let others = self.roster.iter().filter(|voter| **voter != me);
             self.effects.extend(others.map(|voter| Effect::Send { to: voter.clone(), body: drop.clone() }));
         });
     }
 
-    fn take(&mut self, now: Duration, from: &str, body: Body) {
+    fn take(&mut self, now: Duration, from: &str, body: Payload) {
         match body {
-            Body::ClaimAsk(ask) => self.asked(now, from, ask),
-            Body::ClaimGrant(grant) => self.answered(now, from, grant),
-            Body::ClaimDrop(drop) => {
+            Payload::LeaseRequest(ask) => self.asked(now, from, ask),
+            Payload::LeaseReply(grant) => self.answered(now, from, grant),
+            Payload::LeaseRelease(drop) => {
                 let held = self.granted.as_ref().is_some_and(|granted| granted.renewed && granted.holder == from);
                 self.dropped(from, drop.epoch, drop.unheld);
-                if held && self.stand == Stand::Resting {
+                if held && self.phase == CandidatePhase::Resting {
                     // The duty is free: no need to wait for the end of its span.
                     self.next_ask = now + self.turn_wait();
                 }
@@ -323,11 +331,11 @@
     }
 
     /// The voter's side.
-    fn asked(&mut self, now: Duration, from: &str, ask: ClaimAsk) {
+    fn asked(&mut self, now: Duration, from: &str, ask: LeaseRequest) {
         // A disk that takes so long is out of the round.
         self.pending.retain(|_, (.., since)| now < *since + self.times.span / 3);
         let busy = self.granted.as_ref().filter(|granted| now < granted.until);
-        // Whoever holds the claim goes on holding it, also by a voter that has forgotten, or that granted a
+        // Whoever holds the lease goes on holding it, also by a voter that has forgotten, or that granted a
         // higher epoch to a candidate that failed: no other can have won meanwhile.
         let renewal = ask.renewal && busy.is_none_or(|granted| granted.holder == from);
         let wait = match busy {
@@ -342,7 +350,7 @@
         if wait.is_none() && renewal {
             self.grant(now, from, &ask);
         } else if wait.is_none() && !stale && self.pending.is_empty() {
-            let token = self.dice.roll();
+            let token = self.random.next_u64();
             self.seen_epoch = self.seen_epoch.max(ask.epoch);
             self.only_epoch = Some(ask.epoch).filter(|_| self.unheld);
             self.unheld = false;
@@ -351,35 +359,35 @@
             self.pending.insert(token, (from.to_owned(), ask, now));
         } else {
             let wait_ms = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
-            let ClaimAsk { epoch, nonce, .. } = ask;
-            let deny = ClaimGrant { epoch, nonce, granted: false, highest_epoch: known, wait_ms, first: false };
+            let LeaseRequest { epoch, nonce, .. } = ask;
+            let deny = LeaseReply { epoch, nonce, granted: false, highest_epoch: known, wait_ms, first: false };
             self.answer(now, from, deny);
         }
     }
 
-    fn grant(&mut self, now: Duration, from: &str, ask: &ClaimAsk) {
+    fn grant(&mut self, now: Duration, from: &str, ask: &LeaseRequest) {
         let until = now + self.times.span;
         self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until, renewed: ask.renewal });
-        let ClaimAsk { epoch, nonce, .. } = *ask;
+        let LeaseRequest { epoch, nonce, .. } = *ask;
         let first = self.only_epoch == Some(epoch);
-        self.answer(now, from, ClaimGrant { epoch, nonce, granted: true, highest_epoch: epoch, wait_ms: 0, first });
+        self.answer(now, from, LeaseReply { epoch, nonce, granted: true, highest_epoch: epoch, wait_ms: 0, first });
     }
 
-    fn answer(&mut self, now: Duration, to: &str, grant: ClaimGrant) {
+    fn answer(&mut self, now: Duration, to: &str, grant: LeaseReply) {
         if to == self.me {
             self.answered(now, to, grant);
         } else {
-            self.effects.push(Effect::Send { to: to.to_owned(), body: Body::ClaimGrant(grant) });
+            self.effects.push(Effect::Send { to: to.to_owned(), body: Payload::LeaseReply(grant) });
         }
     }
 
     /// The candidate's side.
-    fn answered(&mut self, now: Duration, from: &str, grant: ClaimGrant) {
+    fn answered(&mut self, now: Duration, from: &str, grant: LeaseReply) {
         self.seen_epoch = self.seen_epoch.max(grant.highest_epoch);
         let voters = majority(self.roster.len());
-        let (nonce, asked_at, epoch, grants) = match &mut self.stand {
-            Stand::Asking { nonce, asked_at, epoch, grants, .. }
-            | Stand::Renewing { nonce, asked_at, epoch, grants, .. } => (*nonce, *asked_at, *epoch, grants),
+        let (nonce, asked_at, epoch, grants) = match &mut self.phase {
+            CandidatePhase::Asking { nonce, asked_at, epoch, grants, .. }
+            | CandidatePhase::Renewing { nonce, asked_at, epoch, grants, .. } => (*nonce, *asked_at, *epoch, grants),
             _ => return,
         };
         if nonce != grant.nonce {
@@ -388,16 +396,16 @@
         if grant.granted && self.roster.iter().any(|voter| voter == from) {
             let new = grants.insert(from.to_owned());
             let enough = grants.len() >= voters;
-            if let Stand::Asking { firsts, .. } = &mut self.stand {
+            if let CandidatePhase::Asking { firsts, .. } = &mut self.phase {
                 *firsts += usize::from(new && grant.first);
                 // Any earlier holder had a majority too, and some voter of it is in this one.
                 self.founder = Some(epoch).filter(|_| *firsts >= voters).or(self.founder);
             }
             if enough {
                 self.next_ask = asked_at + self.times.span / 3;
-                self.turn(Stand::Holding { epoch, until: asked_at + self.times.span - self.times.margin });
+                self.turn(CandidatePhase::Holding { epoch, until: asked_at + self.times.span - self.times.margin });
             }
-        } else if matches!(self.stand, Stand::Asking { .. }) {
+        } else if matches!(self.phase, CandidatePhase::Asking { .. }) {
             let wait = Duration::from_millis(grant.wait_ms.min(self.times.span.as_millis() as u64));
             self.give_up(now, wait);
         }
--- a/crates/lease/tests/arbitrary.rs
+++ b/crates/lease/tests/arbitrary.rs
@@ -2,15 +2,15 @@
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
-use claims::{Claims, Effect, Event, Times};
-use parcel::Body;
+use lease::{Effect, Event, Lease, Times};
+use protocol::Payload;
 use std::time::Duration;
 
 const VOTERS: usize = 5;
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 struct Node {
-    claims: Claims,
+    lease: Lease,
     /// The highest epoch that its disk has.
     epoch: u64,
     born_at: Duration,
@@ -22,7 +22,7 @@
 struct Site {
     nodes: Vec<Node>,
     now: Duration,
-    wire: Vec<(usize, usize, Body)>,
+    wire: Vec<(usize, usize, Payload)>,
     syncs: Vec<(usize, u64, u64)>,
     held: usize,
     /// Under which epoch the duty was held first of all, and how often a holder took itself for that one.
@@ -39,9 +39,9 @@
 }
 
 fn born(at: usize, seed: u64, epoch: u64, now: Duration, drift: i64) -> Node {
-    let mut claims = Claims::new(name(at), times(), seed);
-    claims.step(Duration::ZERO, Event::Roster { roster: (0..VOTERS).map(name).collect(), epoch });
-    Node { claims, epoch, born_at: now, drift, frozen_until: Duration::ZERO }
+    let mut lease = Lease::new(name(at), times(), seed);
+    lease.step(Duration::ZERO, Event::Roster { roster: (0..VOTERS).map(name).collect(), epoch });
+    Node { lease, epoch, born_at: now, drift, frozen_until: Duration::ZERO }
 }
 
 impl Site {
@@ -49,7 +49,7 @@
         let node = &mut self.nodes[at];
         let lived = self.now - node.born_at;
         let local = lived.mul_f64(1.0 + node.drift as f64 / 1000.0);
-        let effects = node.claims.step(local, event);
+        let effects = node.lease.step(local, event);
         effects.into_iter().for_each(|effect| match effect {
             Effect::Send { to, body } => {
                 let to = (0..VOTERS).find(|other| name(*other) == to).expect("a voter");
@@ -59,7 +59,7 @@
         });
         let holders = self.nodes.iter().filter_map(|node| {
             let local = (self.now - node.born_at).mul_f64(1.0 + node.drift as f64 / 1000.0);
-            node.claims.holds(local).map(|epoch| (epoch, node.claims.is_founder(epoch)))
+            node.lease.holds(local).map(|epoch| (epoch, node.lease.is_founder(epoch)))
         });
         let holders: Vec<(u64, bool)> = holders.collect();
         let count = holders.len();
@@ -94,7 +94,7 @@
                 let next = noise.int_in_range(0..=self.wire.len().min(8) - 1)?;
                 let (from, to, body) = self.wire.remove(next);
                 if self.awake(to) {
-                    self.step(to, Event::Parcel { from: name(from), body });
+                    self.step(to, Event::Received { from: name(from), body });
                 } else {
                     self.wire.push((from, to, body));
                 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,9 +9,9 @@
 
 pub use members::{ALIVE, GONE, LEFT, SUSPECT, supersedes};
 
-use address::Dice;
+use address::Random;
 use members::{distance, folded, mark, unfolded};
-use parcel::{Body, Heard, Member, Probe, ProbeFor};
+use protocol::{Heard, Member, Payload, Probe, ProbeFor};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -51,9 +51,9 @@
 pub enum Event {
     Tick,
     /// A message, with the address it came from.
-    Parcel {
+    Received {
         address: String,
-        body: Body,
+        body: Payload,
     },
     /// This node is closing.
     Leave,
@@ -64,7 +64,7 @@
 pub enum Effect {
     Send {
         address: String,
-        body: Body,
+        body: Payload,
     },
     /// The list of members changed.
     Changed,
@@ -93,13 +93,13 @@
 }
 
 /// One node's view of the others.
-pub struct Rounds {
+pub struct Membership {
     me: Member,
     /// How often this node's own record was told since it changed.
     me_told: u32,
     seeds: Vec<String>,
     times: Times,
-    dice: Dice,
+    random: Random,
     known: BTreeMap<String, Known>,
     /// Whom to probe next, by distance.
     turn: [Vec<String>; 3],
@@ -119,25 +119,25 @@
     effects: Vec<Effect>,
 }
 
-impl Rounds {
+impl Membership {
     /// A node that knows itself and its seeds.
     ///
     /// ```
-    /// use rounds::{Event, Rounds, Times};
+    /// use membership::{Event, Membership, Times};
     /// use std::time::Duration;
     /// let times = Times { probe_every: Duration::from_millis(300), suspect_for: Duration::from_millis(1500) };
-    /// let me = parcel::Member { node: "a".into(), probe_address: "127.0.0.1:1".into(), ..Default::default() };
-    /// let mut rounds = Rounds::new(me, vec!["127.0.0.1:2".into()], times, 7);
-    /// let effects = rounds.step(Duration::ZERO, Event::Tick);
-    /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
+    /// let me = protocol::Member { node: "a".into(), probe_address: "127.0.0.1:1".into(), ..Default::default() };
+    /// let mut membership = Membership::new(me, vec!["127.0.0.1:2".into()], times, 7);
+    /// let effects = membership.step(Duration::ZERO, Event::Tick);
+    /// assert!(matches!(&effects[0], membership::Effect::Send { address, .. } if address == "127.0.0.1:2"));
     /// ```
     pub fn new(me: Member, seeds: Vec<String>, times: Times, seed: u64) -> Self {
-        let mut rounds = Rounds {
+        let mut membership = Membership {
             me: unfolded(Member { incarnation: me.incarnation.max(1), condition: ALIVE, ..me }),
             me_told: 0,
             seeds: Vec::new(),
             times,
-            dice: Dice::new(seed),
+            random: Random::new(seed),
             known: BTreeMap::new(),
             turn: Default::default(),
             turns: 0,
@@ -153,19 +153,19 @@
             seed_turn: 0,
             effects: Vec::new(),
         };
-        rounds.learn_seeds(seeds);
-        rounds
+        membership.learn_seeds(seeds);
+        membership
     }
 
     /// Other seeds than so far; whom it knows stays known.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = rounds::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
-    /// let mut rounds = rounds::Rounds::new(Default::default(), vec!["127.0.0.1:1".into()], times, 7);
-    /// rounds.learn_seeds(vec!["127.0.0.1:2".into()]);
-    /// let effects = rounds.step(Duration::ZERO, rounds::Event::Tick);
-    /// assert!(matches!(&effects[0], rounds::Effect::Send { address, .. } if address == "127.0.0.1:2"));
+    /// # let times = membership::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
+    /// let mut membership = membership::Membership::new(Default::default(), vec!["127.0.0.1:1".into()], times, 7);
+    /// membership.learn_seeds(vec!["127.0.0.1:2".into()]);
+    /// let effects = membership.step(Duration::ZERO, membership::Event::Tick);
+    /// assert!(matches!(&effects[0], membership::Effect::Send { address, .. } if address == "127.0.0.1:2"));
     /// ```
     pub fn learn_seeds(&mut self, seeds: Vec<String>) {
         self.seeds = seeds.into_iter().filter(|address| *address != self.me.probe_address).collect();
@@ -174,21 +174,21 @@
     /// The one reducer: takes an event in, gives effects out.
     ///
     /// ```
-    /// use rounds::{Effect, Event, Rounds, Times};
+    /// use membership::{Effect, Event, Membership, Times};
     /// use std::time::Duration;
     /// let times = Times { probe_every: Duration::from_millis(300), suspect_for: Duration::from_millis(1500) };
-    /// let node = |name: &str| parcel::Member { node: name.into(), probe_address: name.into(), ..Default::default() };
-    /// let mut a = Rounds::new(node("a"), vec!["b".into()], times, 1);
-    /// let mut b = Rounds::new(node("b"), vec![], times, 2);
+    /// let node = |name: &str| protocol::Member { node: name.into(), probe_address: name.into(), ..Default::default() };
+    /// let mut a = Membership::new(node("a"), vec!["b".into()], times, 1);
+    /// let mut b = Membership::new(node("b"), vec![], times, 2);
     /// let effects = a.step(Duration::ZERO, Event::Tick);
     /// let Effect::Send { body, .. } = effects[0].clone() else { panic!() };
-    /// b.step(Duration::ZERO, Event::Parcel { address: "a".into(), body });
+    /// b.step(Duration::ZERO, Event::Received { address: "a".into(), body });
     /// assert_eq!(b.members().map(|member| member.node.as_str()).collect::<Vec<_>>(), ["a", "b"]);
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => self.tick(now),
-            Event::Parcel { address, body } => self.take(now, &address, body),
+            Event::Received { address, body } => self.take(now, &address, body),
             Event::Leave => self.leave(),
         }
         std::mem::take(&mut self.effects)
@@ -198,10 +198,10 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = rounds::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
-    /// let me = parcel::Member { node: "a".into(), ..Default::default() };
-    /// let rounds = rounds::Rounds::new(me, vec![], times, 7);
-    /// assert_eq!(rounds.members().count(), 1);
+    /// # let times = membership::Times { probe_every: Duration::from_millis(9), suspect_for: Duration::from_millis(9) };
+    /// let me = protocol::Member { node: "a".into(), ..Default::default() };
+    /// let membership = membership::Membership::new(me, vec![], times, 7);
+    /// assert_eq!(membership.members().count(), 1);
     /// ```
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         let mut all: Vec<&Member> =
@@ -246,12 +246,12 @@
                 .map(|known| known.member.probe_address.clone())
                 .collect();
             while others.len() > SECOND_OPINIONS {
-                let drop = self.dice.below(others.len() as u64) as usize;
+                let drop = self.random.below(others.len() as u64) as usize;
                 others.swap_remove(drop);
             }
             others.into_iter().for_each(|address| {
                 let members = self.tell(Some(&node));
-                let body = Body::ProbeFor(ProbeFor { nonce, target: node.clone(), members });
+                let body = Payload::ProbeFor(ProbeFor { nonce, target: node.clone(), members });
                 self.effects.push(Effect::Send { address, body });
             });
             self.probing = Probing::SecondOpinion { nonce, node };
@@ -296,7 +296,7 @@
         if turn.is_empty() {
             *turn = std::mem::take(&mut all[reach]);
             (1..turn.len()).for_each(|at| {
-                let other = self.dice.below(at as u64 + 1) as usize;
+                let other = self.random.below(at as u64 + 1) as usize;
                 turn.swap(at, other);
             });
         }
@@ -322,7 +322,7 @@
         let mut all: Vec<String> = known.map(|known| known.member.probe_address.clone()).collect();
         all.extend(self.seeds.iter().filter(|seed| !all.contains(seed)).cloned().collect::<Vec<_>>());
         (0..INTRODUCED).for_each(|_| {
-            let at = self.dice.below(all.len() as u64) as usize;
+            let at = self.random.below(all.len() as u64) as usize;
             let next = all.get(at).cloned();
             next.into_iter().for_each(|address| {
                 let nonce = self.nonce();
@@ -356,7 +356,7 @@
             members.push(folded(&self.me));
         }
         let (node, table) = (self.me.node.clone(), self.table());
-        self.effects.push(Effect::Send { address, body: Body::Probe(Probe { nonce, members, node, table }) });
+        self.effects.push(Effect::Send { address, body: Payload::Probe(Probe { nonce, members, node, table }) });
     }
 
     /// A digest of all that count as there.
@@ -401,9 +401,9 @@
         members
     }
 
-    fn take(&mut self, now: Duration, address: &str, body: Body) {
+    fn take(&mut self, now: Duration, address: &str, body: Payload) {
         match body {
-            Body::Probe(Probe { nonce, members, node, table }) => {
+            Payload::Probe(Probe { nonce, members, node, table }) => {
                 let stale = self.learn_all(now, members);
                 let told = self.tell(Some(&node));
                 let mut answer = Heard { nonce, members: with(told, stale), ..self.said() };
@@ -413,9 +413,9 @@
                     answer.part = self.part;
                     answer.marks = self.marks(answer.part, answer.parts);
                 }
-                self.effects.push(Effect::Send { address: address.to_owned(), body: Body::Heard(answer) });
+                self.effects.push(Effect::Send { address: address.to_owned(), body: Payload::Heard(answer) });
             }
-            Body::ProbeFor(ProbeFor { nonce, target, members }) => {
+            Payload::ProbeFor(ProbeFor { nonce, target, members }) => {
                 self.learn_all(now, members);
                 let known = self.known.get(&target).map(|known| known.member.probe_address.clone());
                 known.filter(|_| self.favours.len() < MOST_FAVOURS * 2).into_iter().for_each(|to| {
@@ -428,7 +428,7 @@
                     self.send_probe(to, mine, Some(&target));
                 });
             }
-            Body::Heard(heard) => {
+            Payload::Heard(heard) => {
                 let stale = self.learn_all(now, heard.members);
                 self.settle(address, heard.nonce, stale, heard.part, heard.parts, heard.marks);
                 self.heard(heard.nonce, &heard.node);
@@ -439,7 +439,7 @@
 
     /// 32 bits suffice for the few answers that are waited for.
     fn nonce(&mut self) -> u64 {
-        (self.dice.roll() >> 32).max(1)
+        (self.random.next_u64() >> 32).max(1)
     }
 
     fn said(&self) -> Heard {
@@ -460,7 +460,7 @@
         while first.is_some() || !told.is_empty() {
             let rest = told.split_off(told.len().min(MOST_TOLD));
             let body = Heard { members: told, ..first.take().unwrap_or_else(|| self.said()) };
-            self.effects.push(Effect::Send { address: address.to_owned(), body: Body::Heard(body) });
+            self.effects.push(Effect::Send { address: address.to_owned(), body: Payload::Heard(body) });
             told = rest;
         }
     }
@@ -476,7 +476,7 @@
         }
         let favour = self.favours.iter().position(|favour| favour.nonce == nonce && favour.node == node);
         favour.map(|at| self.favours.swap_remove(at)).into_iter().for_each(|favour| {
-            let body = Body::Heard(Heard { nonce: favour.theirs, node: favour.node, ..Heard::default() });
+            let body = Payload::Heard(Heard { nonce: favour.theirs, node: favour.node, ..Heard::default() });
             self.effects.push(Effect::Send { address: favour.address, body });
         });
     }
@@ -521,7 +521,7 @@
         let others = self.known.values().filter(alive).filter(|known| distance(member, &known.member) < 2);
         let mut others: Vec<String> = others.map(|known| known.member.node.clone()).collect();
         (1..others.len()).for_each(|at| {
-            let other = self.dice.below(at as u64 + 1) as usize;
+            let other = self.random.below(at as u64 + 1) as usize;
             others.swap(at, other);
         });
         self.turn[2].retain(|node| !others.contains(node));
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -1,7 +1,7 @@
 //! Which of two records about a node counts.
 
-use address::Dice;
-use parcel::{Member, Message};
+use address::Random;
+use protocol::{Member, Message};
 
 /// It answers.
 pub const ALIVE: u32 = 0;
@@ -15,8 +15,8 @@
 /// True where `told` is newer than `known`: a higher incarnation, or the worse condition in the same one.
 ///
 /// ```
-/// use parcel::Member;
-/// use rounds::{ALIVE, SUSPECT, supersedes};
+/// use protocol::Member;
+/// use membership::{ALIVE, SUSPECT, supersedes};
 /// let alive = Member { incarnation: 3, condition: ALIVE, ..Default::default() };
 /// let suspect = Member { incarnation: 3, condition: SUSPECT, ..Default::default() };
 /// let refuted = Member { incarnation: 4, condition: ALIVE, ..Default::default() };
@@ -31,7 +31,7 @@
 /// A number for all that a record says: equal records have the same on every node.
 pub(crate) fn mark(member: &Member) -> u64 {
     let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    Dice::new(member.encode_to_vec().into_iter().fold(0xcbf2_9ce4_8422_2325, fold)).roll()
+    Random::new(member.encode_to_vec().into_iter().fold(0xcbf2_9ce4_8422_2325, fold)).next_u64()
 }
 
 /// The record as it travels: one address for links and probes is told once.
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -1,7 +1,7 @@
 //! How fast a site of some size learns of its members, and how many bytes that takes.
 
-use parcel::{Body, Member, Message, Parcel};
-use rounds::{ALIVE, Effect, Event, Rounds, Times};
+use membership::{ALIVE, Effect, Event, Membership, Times};
+use protocol::{Envelope, Member, Message, Payload};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -11,8 +11,8 @@
 /// Nodes in three regions of two zones each, on a virtual network.
 struct Site {
     now: Duration,
-    nodes: Vec<Option<Rounds>>,
-    wire: BTreeMap<(Duration, u64), (usize, usize, Body)>,
+    nodes: Vec<Option<Membership>>,
+    wire: BTreeMap<(Duration, u64), (usize, usize, Payload)>,
     number: u64,
     /// Bytes within zones, between zones and between regions.
     bytes: [u64; 3],
@@ -27,7 +27,7 @@
     at % 6
 }
 
-fn born(at: usize, seed: u64) -> Rounds {
+fn born(at: usize, seed: u64) -> Membership {
     let zone = zone(at);
     let me = Member {
         node: format!("carrier-{at}"),
@@ -39,7 +39,7 @@
         ..Member::default()
     };
     let seeds = vec![name(0), name(1), name(2)];
-    Rounds::new(me, seeds, Times { probe_every: MS(300), suspect_for: MS(1500) }, seed)
+    Membership::new(me, seeds, Times { probe_every: MS(300), suspect_for: MS(1500) }, seed)
 }
 
 impl Site {
@@ -55,7 +55,7 @@
             if let Effect::Send { address, body } = effect {
                 let to = (0..self.nodes.len()).find(|other| name(*other) == address).expect("a node");
                 let far = usize::from(zone(at) != zone(to)) + usize::from(zone(at) / 2 != zone(to) / 2);
-                let length = Parcel { from: String::new(), body: Some(body.clone()) }.encoded_len();
+                let length = Envelope { from: String::new(), body: Some(body.clone()) }.encoded_len();
                 self.bytes[far] += length as u64;
                 self.largest = self.largest.max(length);
                 self.number += 1;
@@ -72,7 +72,7 @@
             while let Some(entry) = self.wire.first_entry().filter(|entry| entry.key().0 <= next) {
                 self.now = self.now.max(entry.key().0);
                 let (from, to, body) = entry.remove();
-                self.step(to, Event::Parcel { address: name(from), body });
+                self.step(to, Event::Received { address: name(from), body });
             }
             self.now = next;
             (0..self.nodes.len()).for_each(|at| self.step(at, Event::Tick));
@@ -82,8 +82,8 @@
     /// True where everybody that runs counts those that run as alive, and nobody else.
     fn agrees(&self) -> bool {
         let up = self.nodes.iter().flatten().count();
-        let alive = |node: &Rounds| node.members().filter(|member| member.condition == ALIVE).count();
-        let all = |node: &Rounds| node.members().count();
+        let alive = |node: &Membership| node.members().filter(|member| member.condition == ALIVE).count();
+        let all = |node: &Membership| node.members().count();
         self.nodes.iter().flatten().all(|node| alive(node) == up && all(node) == up)
     }
 
--- a/crates/protocol/src/frames.rs
+++ b/crates/protocol/src/frames.rs
@@ -1,6 +1,6 @@
-//! Length-prefixed frames of one `Parcel` each.
+//! Length-prefixed frames of one `Envelope` each.
 
-use crate::Parcel;
+use crate::Envelope;
 use bytes::{Buf, BufMut, BytesMut};
 use prost::Message;
 use std::io;
@@ -10,11 +10,11 @@
 ///
 /// ```
 /// use bytes::BytesMut;
-/// use parcel::{Frames, Parcel};
+/// use protocol::{Frames, Envelope};
 /// use tokio_util::codec::{Decoder, Encoder};
 /// let mut frames = Frames { most_bytes: 1024 };
 /// let mut wire = BytesMut::new();
-/// let sent = Parcel { from: "pm-1".into(), ..Parcel::default() };
+/// let sent = Envelope { from: "pm-1".into(), ..Envelope::default() };
 /// frames.encode(sent.clone(), &mut wire).unwrap();
 /// assert_eq!(frames.decode(&mut wire).unwrap(), Some(sent));
 /// let mut absurd = BytesMut::from(&[255u8; 8][..]);
@@ -25,10 +25,10 @@
 }
 
 impl Decoder for Frames {
-    type Item = Parcel;
+    type Item = Envelope;
     type Error = io::Error;
 
-    fn decode(&mut self, wire: &mut BytesMut) -> io::Result<Option<Parcel>> {
+    fn decode(&mut self, wire: &mut BytesMut) -> io::Result<Option<Envelope>> {
         if wire.len() < 4 {
             return Ok(None);
         }
@@ -41,22 +41,22 @@
             return Ok(None);
         }
         wire.advance(4);
-        Parcel::decode(wire.split_to(length))
+        Envelope::decode(wire.split_to(length))
             .map(Some)
             .map_err(|failure| io::Error::new(io::ErrorKind::InvalidData, failure))
     }
 }
 
-impl Encoder<Parcel> for Frames {
+impl Encoder<Envelope> for Frames {
     type Error = io::Error;
 
-    fn encode(&mut self, parcel: Parcel, wire: &mut BytesMut) -> io::Result<()> {
-        let length = parcel.encoded_len();
+    fn encode(&mut self, envelope: Envelope, wire: &mut BytesMut) -> io::Result<()> {
+        let length = envelope.encoded_len();
         if length > self.most_bytes {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "frame too large"));
         }
         wire.reserve(4 + length);
         wire.put_u32(length as u32);
-        parcel.encode(wire).map_err(io::Error::other)
+        envelope.encode(wire).map_err(io::Error::other)
     }
 }
--- a/crates/protocol/src/kinds.rs
+++ b/crates/protocol/src/kinds.rs
@@ -1,30 +1,32 @@
 //! What messages are called where they are counted.
 
-use crate::Body;
+use crate::Payload;
 
 /// A message's kind, for counters.
 ///
 /// ```
-/// assert_eq!(parcel::kind(&parcel::Body::RollAsk(Default::default())), "rollAsk");
+/// assert_eq!(protocol::kind(&protocol::Payload::UpstreamsRequest(Default::default())), "rollAsk");
 /// ```
-pub fn kind(body: &Body) -> &'static str {
+pub fn kind(body: &Payload) -> &'static str {
     match body {
-        Body::Probe(_) | Body::ProbeFor(_) | Body::Heard(_) => "membership",
-        Body::Read(_) | Body::ReadBack(_) => "confirmations",
-        Body::ClaimAsk(_) | Body::ClaimGrant(_) | Body::ClaimDrop(_) | Body::Holder(_) => "claims",
-        Body::Beats(_) => "beats",
-        Body::Alive(_) => "alive",
-        Body::KeyLoads(_) => "keyLoads",
-        Body::SharesAsk(_) | Body::SharesGiven(_) => "shares",
-        Body::Placement(_) | Body::PlacementAsk(_) => "placement",
-        Body::NewsAsk(_) => "newsAsk",
-        Body::Fresh(_) | Body::NewsKept(_) | Body::CarrierKept(_) => "newsKept",
-        Body::News(news) if news.number == 0 => "newsImage",
-        Body::News(_) => "newsChange",
-        Body::RollAsk(_) => "rollAsk",
-        Body::RollTold(_) => "rollTold",
-        Body::SetupBytes(_) | Body::SetupAsk(_) => "setups",
-        Body::Prepare(_) | Body::Promise(_) | Body::Accept(_) | Body::Accepted(_) | Body::Chosen(_) => "rounds",
-        Body::Endorse(_) | Body::Founded(_) => "founding",
+        Payload::Probe(_) | Payload::ProbeFor(_) | Payload::Heard(_) => "membership",
+        Payload::Read(_) | Payload::ReadBack(_) => "confirmations",
+        Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) | Payload::Holder(_) => "claims",
+        Payload::Beats(_) => "beats",
+        Payload::Alive(_) => "alive",
+        Payload::KeyLoads(_) => "keyLoads",
+        Payload::SharesRequest(_) | Payload::SharesReply(_) => "shares",
+        Payload::Placement(_) | Payload::PlacementRequest(_) => "placement",
+        Payload::UpdateRequest(_) => "newsAsk",
+        Payload::Freshness(_) | Payload::UpdateAck(_) | Payload::CarrierAck(_) => "newsKept",
+        Payload::ViewUpdate(news) if news.number == 0 => "newsImage",
+        Payload::ViewUpdate(_) => "newsChange",
+        Payload::UpstreamsRequest(_) => "rollAsk",
+        Payload::UpstreamsReply(_) => "rollTold",
+        Payload::SetupBytes(_) | Payload::SetupAsk(_) => "setups",
+        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
+            "rounds"
+        }
+        Payload::BootstrapVote(_) | Payload::Bootstrapped(_) => "founding",
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,8 +16,8 @@
 /// The hexadecimal digest that names a setup's bytes.
 ///
 /// ```
-/// assert_eq!(parcel::digest(b"").len(), 64);
-/// assert_ne!(parcel::digest(b"a"), parcel::digest(b"b"));
+/// assert_eq!(protocol::digest(b"").len(), 64);
+/// assert_ne!(protocol::digest(b"a"), protocol::digest(b"b"));
 /// ```
 pub fn digest(bytes: &[u8]) -> String {
     hex(&Sha256::digest(bytes))
@@ -26,11 +26,11 @@
 /// A message as a file holds it: its digest ahead of the bytes, so that rot shows.
 ///
 /// ```
-/// let ballot = parcel::Ballot { round: 7, ..Default::default() };
-/// let mut bytes = parcel::pack(&ballot);
-/// assert_eq!(parcel::unpack(&bytes), Some(ballot));
+/// let ballot = protocol::Ballot { round: 7, ..Default::default() };
+/// let mut bytes = protocol::pack(&ballot);
+/// assert_eq!(protocol::unpack(&bytes), Some(ballot));
 /// bytes.pop();
-/// assert_eq!(parcel::unpack::<parcel::Ballot>(&bytes), None);
+/// assert_eq!(protocol::unpack::<protocol::Ballot>(&bytes), None);
 /// ```
 pub fn pack(message: &impl Message) -> Vec<u8> {
     let bytes = message.encode_to_vec();
@@ -40,7 +40,7 @@
 /// The message in such a file; none where it is damaged.
 ///
 /// ```
-/// assert_eq!(parcel::unpack::<parcel::Ballot>(b"rotten"), None);
+/// assert_eq!(protocol::unpack::<protocol::Ballot>(b"rotten"), None);
 /// ```
 pub fn unpack<M: Message + Default>(stored: &[u8]) -> Option<M> {
     let (told, bytes) = stored.split_at_checked(64)?;
@@ -50,9 +50,9 @@
 /// The seal an upstream puts on a verdict: it binds the body to one try, one instance and one status.
 ///
 /// ```
-/// let seal = parcel::seal("try-1", "unit-3", 200, b"booked");
-/// assert_ne!(seal, parcel::seal("try-2", "unit-3", 200, b"booked"));
-/// assert_ne!(seal, parcel::seal("try-1", "unit-3", 200, b"booke"));
+/// let seal = protocol::seal("try-1", "unit-3", 200, b"booked");
+/// assert_ne!(seal, protocol::seal("try-2", "unit-3", 200, b"booked"));
+/// assert_ne!(seal, protocol::seal("try-1", "unit-3", 200, b"booke"));
 /// ```
 pub fn seal(try_id: &str, instance: &str, status: u16, body: &[u8]) -> String {
     let mut hash = Sha256::new();
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,19 +4,19 @@
 
 /// One message with its sender.
 #[derive(Clone, PartialEq, Message)]
-pub struct Parcel {
+pub struct Envelope {
     #[prost(string, tag = "1")]
     pub from: String,
     #[prost(
-        oneof = "Body",
+        oneof = "Payload",
         tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41"
     )]
-    pub body: Option<Body>,
+    pub body: Option<Payload>,
 }
 
-/// What a parcel may hold.
+/// What a envelope may hold.
 #[derive(Clone, PartialEq, Oneof)]
-pub enum Body {
+pub enum Payload {
     #[prost(message, tag = "2")]
     Prepare(Prepare),
     #[prost(message, tag = "3")]
@@ -36,9 +36,9 @@
     #[prost(message, tag = "10")]
     SetupAsk(SetupAsk),
     #[prost(message, tag = "11")]
-    Endorse(Endorse),
+    BootstrapVote(BootstrapVote),
     #[prost(message, tag = "12")]
-    Founded(Founded),
+    Bootstrapped(Bootstrapped),
     #[prost(message, tag = "13")]
     Probe(Probe),
     #[prost(message, tag = "14")]
@@ -46,50 +46,50 @@
     #[prost(message, tag = "15")]
     Heard(Heard),
     #[prost(message, tag = "16")]
-    ClaimAsk(ClaimAsk),
+    LeaseRequest(LeaseRequest),
     #[prost(message, tag = "17")]
-    ClaimGrant(ClaimGrant),
+    LeaseReply(LeaseReply),
     #[prost(message, tag = "18")]
     Beats(Beats),
     #[prost(message, tag = "19")]
-    SharesAsk(SharesAsk),
+    SharesRequest(SharesRequest),
     #[prost(message, tag = "20")]
-    SharesGiven(SharesGiven),
+    SharesReply(SharesReply),
     #[prost(message, tag = "21")]
     Placement(Placement),
     #[prost(message, tag = "22")]
-    NewsAsk(NewsAsk),
+    UpdateRequest(UpdateRequest),
     #[prost(message, tag = "23")]
-    Fresh(Fresh),
+    Freshness(Freshness),
     #[prost(message, tag = "24")]
-    News(News),
+    ViewUpdate(ViewUpdate),
     #[prost(message, tag = "25")]
-    NewsKept(NewsKept),
+    UpdateAck(UpdateAck),
     #[prost(message, tag = "26")]
-    ClaimDrop(ClaimDrop),
+    LeaseRelease(LeaseRelease),
     #[prost(message, tag = "27")]
-    RollAsk(RollAsk),
+    UpstreamsRequest(UpstreamsRequest),
     #[prost(message, tag = "28")]
-    RollTold(RollTold),
+    UpstreamsReply(UpstreamsReply),
     #[prost(message, tag = "29")]
     Holder(Holder),
     #[prost(message, tag = "30")]
-    CarrierKept(CarrierKept),
+    CarrierAck(CarrierAck),
     #[prost(message, tag = "40")]
     KeyLoads(KeyLoads),
     #[prost(message, tag = "31")]
     Alive(Alive),
     #[prost(message, tag = "41")]
-    PlacementAsk(PlacementAsk),
+    PlacementRequest(PlacementRequest),
 }
 
-/// A proposer's turn. Higher rounds win; `stamp` is drawn anew at each start of a process, so a
+/// A proposer's turn. Higher rounds win; `incarnation` is drawn anew at each start of a process, so a
 /// ballot is never used twice.
 ///
 /// ```
-/// use parcel::Ballot;
-/// let low = Ballot { round: 1, voter: "b".into(), stamp: 9 };
-/// let high = Ballot { round: 2, voter: "a".into(), stamp: 1 };
+/// use protocol::Ballot;
+/// let low = Ballot { round: 1, voter: "b".into(), incarnation: 9 };
+/// let high = Ballot { round: 2, voter: "a".into(), incarnation: 1 };
 /// assert!(low < high);
 /// ```
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
@@ -99,12 +99,12 @@
     #[prost(string, tag = "2")]
     pub voter: String,
     #[prost(uint64, tag = "3")]
-    pub stamp: u64,
+    pub incarnation: u64,
 }
 
-/// The operator's word: all that the register keeps.
+/// The replicated state: all that the register keeps.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct Word {
+pub struct ClusterState {
     #[prost(uint64, tag = "1")]
     pub edition: u64,
     /// The digest of the setup's bytes; empty before the first.
@@ -138,7 +138,7 @@
 
 /// What a voter keeps on disk and answers from.
 #[derive(Clone, PartialEq, Message)]
-pub struct Durable {
+pub struct DurableState {
     /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
     #[prost(uint64, tag = "1")]
     pub disk: u64,
@@ -153,10 +153,10 @@
     #[prost(message, required, tag = "5")]
     pub accepted_at: Ballot,
     #[prost(message, required, tag = "6")]
-    pub accepted: Word,
-    /// The highest claim epoch this voter ever granted.
+    pub accepted: ClusterState,
+    /// The highest lease epoch this voter ever granted.
     #[prost(uint64, tag = "7")]
-    pub claim_epoch: u64,
+    pub lease_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -176,11 +176,11 @@
     #[prost(message, required, tag = "3")]
     pub accepted_at: Ballot,
     #[prost(message, required, tag = "4")]
-    pub accepted: Word,
+    pub accepted: ClusterState,
     #[prost(uint64, tag = "5")]
     pub disk: u64,
     #[prost(uint64, tag = "6")]
-    pub claim_epoch: u64,
+    pub lease_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -188,7 +188,7 @@
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
     #[prost(message, required, tag = "2")]
-    pub word: Word,
+    pub state: ClusterState,
     /// The disk whose promise was counted: another disk must deny.
     #[prost(uint64, tag = "3")]
     pub disk: u64,
@@ -211,7 +211,7 @@
 pub struct Read {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    /// What the reader knows already: a word accepted at this ballot is left out of the answer.
+    /// What the reader knows already: a state accepted at this ballot is left out of the answer.
     #[prost(message, required, tag = "2")]
     pub known: Ballot,
 }
@@ -220,20 +220,20 @@
 pub struct ReadBack {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    /// None where it is what the question named as known; then the word is left out too.
+    /// None where it is what the question named as known; then the state is left out too.
     #[prost(message, optional, tag = "2")]
     pub accepted_at: Option<Ballot>,
     #[prost(message, optional, tag = "3")]
-    pub accepted: Option<Word>,
+    pub accepted: Option<ClusterState>,
 }
 
-/// A word known to be accepted by a majority.
+/// A state known to be accepted by a majority.
 #[derive(Clone, PartialEq, Message)]
 pub struct Chosen {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
     #[prost(message, required, tag = "2")]
-    pub word: Word,
+    pub state: ClusterState,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -252,14 +252,14 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct Endorse {
+pub struct BootstrapVote {
     /// The roster that the sender endorsed; empty while it endorsed none.
     #[prost(string, repeated, tag = "1")]
     pub roster: Vec<String>,
     /// Drawn anew at each start of the sender; wants to be echoed.
     #[prost(uint64, tag = "2")]
-    pub stamp: u64,
-    /// The receiver's stamp, where this is an answer.
+    pub incarnation: u64,
+    /// The receiver's incarnation, where this is an answer.
     #[prost(uint64, tag = "3")]
     pub echo: u64,
     /// What an operator left on the sender's disk for a founding after the voters were lost; else empty.
@@ -269,18 +269,18 @@
 
 /// What one surviving voter's disk says, for a founding after too many others were lost.
 #[derive(Clone, PartialEq, Message)]
-pub struct Testament {
+pub struct SurvivorState {
     #[prost(string, tag = "1")]
     pub node: String,
     #[prost(message, required, tag = "2")]
-    pub durable: Durable,
+    pub durable: DurableState,
     /// The bytes of the accepted setup, where the disk has them.
     #[prost(bytes = "vec", tag = "3")]
     pub setup: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct Founded {
+pub struct Bootstrapped {
     #[prost(string, repeated, tag = "1")]
     pub roster: Vec<String>,
 }
@@ -315,7 +315,7 @@
 pub struct Probe {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    /// News of members; mostly there is none.
+    /// ViewUpdate of members; mostly there is none.
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
     /// Who asks.
@@ -357,7 +357,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct ClaimAsk {
+pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     #[prost(uint64, tag = "2")]
@@ -368,7 +368,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct ClaimGrant {
+pub struct LeaseReply {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     #[prost(uint64, tag = "2")]
@@ -380,14 +380,14 @@
     /// Where denied: how long until asking again may help.
     #[prost(uint64, tag = "5")]
     pub wait_ms: u64,
-    /// This voter never granted any claim before.
+    /// This voter never granted any lease before.
     #[prost(bool, tag = "6")]
     pub first: bool,
 }
 
-/// Gives a claim, or a candidate's votes, back before the end.
+/// Gives a lease, or a candidate's votes, back before the end.
 #[derive(Clone, PartialEq, Message)]
-pub struct ClaimDrop {
+pub struct LeaseRelease {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// It was never held: the candidate gave up without a majority.
@@ -473,14 +473,14 @@
 
 /// A postmaster that just started asks for all that the others know of upstreams; with marks, one asks for just these.
 #[derive(Clone, PartialEq, Message)]
-pub struct RollAsk {
+pub struct UpstreamsRequest {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
 }
 
 /// All of it, with the last placement.
 #[derive(Clone, PartialEq, Message)]
-pub struct RollTold {
+pub struct UpstreamsReply {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
     #[prost(message, required, tag = "2")]
@@ -497,7 +497,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct SharesAsk {
+pub struct SharesRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
     #[prost(message, required, tag = "2")]
@@ -505,7 +505,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct SharesGiven {
+pub struct SharesReply {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
     #[prost(message, repeated, tag = "2")]
@@ -546,7 +546,7 @@
     pub age_ms: u64,
 }
 
-/// All that the placement duty decided, under its claim.
+/// All that the placement duty decided, under its lease.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Placement {
     #[prost(uint64, tag = "1")]
@@ -577,7 +577,7 @@
 
 /// A carrier asks how current it is, naming the last news it kept.
 #[derive(Clone, PartialEq, Message)]
-pub struct NewsAsk {
+pub struct UpdateRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
     #[prost(uint64, tag = "2")]
@@ -590,7 +590,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct Fresh {
+pub struct Freshness {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
     /// How long ago a majority confirmed the edition.
@@ -605,15 +605,15 @@
     pub edition: u64,
 }
 
-/// News to a carrier: an image (number 0 of a new stream), or the change after the last.
+/// ViewUpdate to a carrier: an image (number 0 of a new stream), or the change after the last.
 #[derive(Clone, PartialEq, Message)]
-pub struct News {
+pub struct ViewUpdate {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     #[prost(uint64, tag = "2")]
     pub number: u64,
     #[prost(message, optional, tag = "3")]
-    pub word: Option<Word>,
+    pub state: Option<ClusterState>,
     /// Squeezed on the way.
     #[prost(bytes = "vec", optional, tag = "4")]
     pub setup: Option<Vec<u8>>,
@@ -627,7 +627,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct NewsKept {
+pub struct UpdateAck {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     #[prost(uint64, tag = "2")]
@@ -639,7 +639,7 @@
 
 /// A postmaster tells the others which edition a carrier acknowledged to it.
 #[derive(Clone, PartialEq, Message)]
-pub struct CarrierKept {
+pub struct CarrierAck {
     #[prost(string, tag = "1")]
     pub node: String,
     #[prost(uint64, tag = "2")]
@@ -668,4 +668,4 @@
 
 /// Wants the placement whole: a change did not follow what is known.
 #[derive(Clone, PartialEq, Message)]
-pub struct PlacementAsk {}
+pub struct PlacementRequest {}
--- a/crates/protocol/src/squeeze.rs
+++ b/crates/protocol/src/squeeze.rs
@@ -11,7 +11,7 @@
 ///
 /// ```
 /// let long = b"{\"names\": [\"booking\", \"booking\", \"booking\"]}".repeat(9);
-/// assert!(parcel::squeeze(&long).len() < long.len() / 4);
+/// assert!(protocol::squeeze(&long).len() < long.len() / 4);
 /// ```
 pub fn squeeze(bytes: &[u8]) -> Vec<u8> {
     let mut squeezed = Vec::new();
@@ -23,9 +23,9 @@
 /// What was squeezed; none where that is damaged or comes to more than a setup may.
 ///
 /// ```
-/// assert_eq!(parcel::unsqueeze(&parcel::squeeze(b"{}")).as_deref(), Some(&b"{}"[..]));
-/// assert_eq!(parcel::unsqueeze(&parcel::squeeze(&vec![0; parcel::MOST_SETUP_BYTES + 1])), None);
-/// assert_eq!(parcel::unsqueeze(b"\xff\xff\xff"), None);
+/// assert_eq!(protocol::unsqueeze(&protocol::squeeze(b"{}")).as_deref(), Some(&b"{}"[..]));
+/// assert_eq!(protocol::unsqueeze(&protocol::squeeze(&vec![0; protocol::MOST_SETUP_BYTES + 1])), None);
+/// assert_eq!(protocol::unsqueeze(b"\xff\xff\xff"), None);
 /// ```
 pub fn unsqueeze(squeezed: &[u8]) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
--- a/crates/protocol/tests/garbage.rs
+++ b/crates/protocol/tests/garbage.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use bytes::BytesMut;
-use parcel::{Frames, Message, Parcel};
+use protocol::{Envelope, Frames, Message};
 use tokio_util::codec::Decoder;
 
 #[test]
@@ -11,7 +11,7 @@
     (1..400u64).for_each(|number| {
         arbtest(|noise| {
             let bytes: Vec<u8> = noise.arbitrary()?;
-            let _ = Parcel::decode(bytes.as_slice());
+            let _ = Envelope::decode(bytes.as_slice());
             let mut wire = BytesMut::from(bytes.as_slice());
             let mut frames = Frames { most_bytes: 4096 };
             while let Ok(Some(_)) = frames.decode(&mut wire) {}
@@ -28,13 +28,13 @@
     (1..17u64).for_each(|number| {
         arbtest(|noise| {
             let bytes = noise.bytes(noise.len())?;
-            assert_eq!(parcel::unsqueeze(&parcel::squeeze(bytes)).as_deref(), Some(bytes));
-            assert!(parcel::unsqueeze(bytes).is_none_or(|out| out.len() <= parcel::MOST_SETUP_BYTES));
+            assert_eq!(protocol::unsqueeze(&protocol::squeeze(bytes)).as_deref(), Some(bytes));
+            assert!(protocol::unsqueeze(bytes).is_none_or(|out| out.len() <= protocol::MOST_SETUP_BYTES));
             Ok(())
         })
         .seed(number << 32 | 5_000);
     });
-    let bomb = parcel::squeeze(&vec![b' '; 64 * 1024 * 1024]);
+    let bomb = protocol::squeeze(&vec![b' '; 64 * 1024 * 1024]);
     assert!(bomb.len() < 100_000);
-    assert_eq!(parcel::unsqueeze(&bomb), None);
+    assert_eq!(protocol::unsqueeze(&bomb), None);
 }
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -1,10 +1,10 @@
-//! What operators ask of the word, and how the word changes by it.
+//! What operators ask of the state, and how the state changes by it.
 
 use address::Code;
-use parcel::{Submission, Word};
+use protocol::{ClusterState, Submission};
 
-/// How many decided submissions the word remembers.
-const MOST_SUBMISSIONS: usize = 256;
+/// How many decided submissions the state remembers.
+const MAX_SUBMISSIONS: usize = 256;
 
 /// A change that an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,38 +20,38 @@
 
 /// What became of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct Decision {
     pub code: Code,
     pub edition: u64,
 }
 
-/// Applies a change to the word. Decided ids keep their verdict.
+/// Applies a change to the state. Decided ids keep their decision.
 ///
 /// ```
 /// use address::Code;
-/// use registered::{Change, apply};
-/// let mut word = parcel::Word::default();
+/// use quorum_register::{Change, apply};
+/// let mut state = protocol::ClusterState::default();
 /// let change = |id: &str, base| Change::Setup { id: id.into(), base, number: None, digest: "d".into() };
-/// assert_eq!(apply(&mut word, &change("a", Some(0))).edition, 1);
-/// assert_eq!(apply(&mut word, &change("a", Some(0))).edition, 1);
-/// assert_eq!(apply(&mut word, &change("b", Some(0))).code, Code::SetupBehind);
-/// assert_eq!(apply(&mut word, &change("c", None)).edition, 2);
+/// assert_eq!(apply(&mut state, &change("a", Some(0))).edition, 1);
+/// assert_eq!(apply(&mut state, &change("a", Some(0))).edition, 1);
+/// assert_eq!(apply(&mut state, &change("b", Some(0))).code, Code::SetupBehind);
+/// assert_eq!(apply(&mut state, &change("c", None)).edition, 2);
 /// let numbered = |number| Change::Setup { id: "".into(), base: None, number: Some(number), digest: "e".into() };
-/// assert_eq!(apply(&mut word, &numbered(7)).edition, 3);
-/// assert_eq!(apply(&mut word, &numbered(5)).edition, 3, "the highest holds");
-/// assert_eq!(apply(&mut parcel::Word::default(), &numbered(0)).edition, 1, "the first is new, whatever its number");
+/// assert_eq!(apply(&mut state, &numbered(7)).edition, 3);
+/// assert_eq!(apply(&mut state, &numbered(5)).edition, 3, "the highest holds");
+/// assert_eq!(apply(&mut protocol::ClusterState::default(), &numbered(0)).edition, 1, "the first is new, whatever its number");
 /// ```
-pub fn apply(word: &mut Word, change: &Change) -> Verdict {
+pub fn apply(state: &mut ClusterState, change: &Change) -> Decision {
     let (id, asked) = match change {
         Change::Setup { id, base, digest, .. } => (id, format!("{digest} {base:?}")),
         Change::Evacuate { id, locality, back } => (id, format!("{locality} {back}")),
-        Change::Finish => return Verdict { code: Code::Fine, edition: word.edition },
+        Change::Finish => return Decision { code: Code::Fine, edition: state.edition },
     };
     // Without an id, asking again finds it done.
     if id.is_empty() {
-        return Verdict { code: change_word(word, change), edition: word.edition };
+        return Decision { code: change_word(state, change), edition: state.edition };
     }
-    let decided = word.submissions.iter().find(|submission| submission.id == *id).map(|submission| Verdict {
+    let decided = state.submissions.iter().find(|submission| submission.id == *id).map(|submission| Decision {
         code: Some(submission)
             .filter(|submission| submission.asked == asked)
             .and_then(|submission| Code::from_number(submission.code))
@@ -59,32 +59,32 @@
         edition: submission.edition,
     });
     decided.unwrap_or_else(|| {
-        let code = change_word(word, change);
-        let submission = Submission { id: id.clone(), asked, edition: word.edition, code: code.number() };
-        word.submissions.push(submission);
-        let excess = word.submissions.len().saturating_sub(MOST_SUBMISSIONS);
-        word.submissions.drain(..excess);
-        Verdict { code, edition: word.edition }
+        let code = change_word(state, change);
+        let submission = Submission { id: id.clone(), asked, edition: state.edition, code: code.number() };
+        state.submissions.push(submission);
+        let excess = state.submissions.len().saturating_sub(MAX_SUBMISSIONS);
+        state.submissions.drain(..excess);
+        Decision { code, edition: state.edition }
     })
 }
 
-fn change_word(word: &mut Word, change: &Change) -> Code {
+fn change_word(state: &mut ClusterState, change: &Change) -> Code {
     match change {
-        Change::Setup { base, .. } if base.is_some_and(|base| base != word.edition) => return Code::SetupBehind,
-        Change::Setup { number: Some(number), .. } if *number <= word.number && !word.digest.is_empty() => {
+        Change::Setup { base, .. } if base.is_some_and(|base| base != state.edition) => return Code::SetupBehind,
+        Change::Setup { number: Some(number), .. } if *number <= state.number && !state.digest.is_empty() => {
             return Code::Fine;
         }
         Change::Setup { digest, number, .. } => {
-            word.digest = digest.clone();
-            word.number = number.unwrap_or(word.number);
+            state.digest = digest.clone();
+            state.number = number.unwrap_or(state.number);
         }
-        Change::Evacuate { locality, back, .. } if word.evacuated.contains(locality) != *back => return Code::Fine,
+        Change::Evacuate { locality, back, .. } if state.evacuated.contains(locality) != *back => return Code::Fine,
         Change::Evacuate { locality, back, .. } => {
-            word.evacuated.retain(|other| other != locality);
-            word.evacuated.extend(Some(locality.clone()).filter(|_| !back));
+            state.evacuated.retain(|other| other != locality);
+            state.evacuated.extend(Some(locality.clone()).filter(|_| !back));
         }
         Change::Finish => {}
     }
-    word.edition += 1;
+    state.edition += 1;
     Code::Fine
 }
--- a/crates/quorum-register/src/disaster_recovery.rs
+++ b/crates/quorum-register/src/disaster_recovery.rs
@@ -2,11 +2,11 @@
 //! which a whole new roster founds itself.
 
 use address::majority;
-use parcel::{Ballot, Durable, Testament, Word};
+use protocol::{Ballot, ClusterState, DurableState, SurvivorState};
 use std::collections::BTreeSet;
 use std::fmt;
 
-/// Editions and claim epochs go on this far above the highest that a survivor knows, so that whatever only the lost
+/// Editions and lease epochs go on this far above the highest that a survivor knows, so that whatever only the lost
 /// ones knew stays below.
 const LEAP: u64 = 1000;
 
@@ -43,13 +43,13 @@
 impl fmt::Display for Unsettled {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Unsettled::NoTestament => f.write_str("no testament was given"),
+            Unsettled::NoTestament => f.write_str("no survivor was given"),
             Unsettled::NeverFounded { node } => write!(f, "{node}: its disk was never founded"),
             Unsettled::OtherRoster { node } => write!(f, "{node}: its roster is not that of the others"),
             Unsettled::NotInRoster { node } => write!(f, "{node}: is not in the roster"),
             Unsettled::Twice { node } => write!(f, "{node}: is named twice, or is both a survivor and lost"),
             Unsettled::MayLive { node } => {
-                write!(f, "{node}: is in the roster and may live; bring its testament, or name it as lost")
+                write!(f, "{node}: is in the roster and may live; bring its survivor, or name it as lost")
             }
             Unsettled::StillMajority { count, of } => {
                 write!(f, "{count} of {of} voters survive: start them, and the others mend from them")
@@ -65,52 +65,53 @@
 /// every voter is accounted for, and while the survivors could mend the others.
 ///
 /// ```
-/// use parcel::{Ballot, Durable, Testament, Word};
-/// use registered::{Unsettled, settle};
+/// use protocol::{Ballot, DurableState, SurvivorState, ClusterState};
+/// use quorum_register::{Unsettled, settle};
 /// let roster: Vec<String> = ["a", "b", "c", "d"].map(String::from).to_vec();
-/// let word = Word { edition: 7, digest: parcel::digest(b"{}"), ..Word::default() };
+/// let state = ClusterState { edition: 7, digest: protocol::digest(b"{}"), ..ClusterState::default() };
 /// let accepted_at = Ballot { round: 3, ..Ballot::default() };
-/// let durable = Durable { disk: 1, roster, accepted: word, accepted_at, ..Durable::default() };
-/// let one = |node: &str| Testament { node: node.into(), durable: durable.clone(), setup: b"{}".to_vec() };
+/// let durable = DurableState { disk: 1, roster, accepted: state, accepted_at, ..DurableState::default() };
+/// let one = |node: &str| SurvivorState { node: node.into(), durable: durable.clone(), setup: b"{}".to_vec() };
 /// let lost: Vec<String> = ["b", "c", "d"].map(String::from).to_vec();
 /// let inheritance = settle(&[one("a")], &lost).unwrap();
 /// assert!(inheritance.durable.accepted.edition > 7, "editions go on rising");
 /// assert_eq!(settle(&[one("a")], &lost[..2]), Err(Unsettled::MayLive { node: "d".into() }));
 /// assert_eq!(settle(&[one("a"), one("b"), one("c")], &lost[2..]), Err(Unsettled::StillMajority { count: 3, of: 4 }));
 /// ```
-pub fn settle(testaments: &[Testament], lost: &[String]) -> Result<Testament, Unsettled> {
-    let first = testaments.first().ok_or(Unsettled::NoTestament)?;
+pub fn settle(survivors: &[SurvivorState], lost: &[String]) -> Result<SurvivorState, Unsettled> {
+    let first = survivors.first().ok_or(Unsettled::NoTestament)?;
     let roster = &first.durable.roster;
     let mut named = BTreeSet::new();
-    testaments.iter().map(|testament| &testament.node).chain(lost).try_for_each(|node| {
+    survivors.iter().map(|survivor| &survivor.node).chain(lost).try_for_each(|node| {
         let known = roster.contains(node) || roster.is_empty();
         known.then_some(()).ok_or(Unsettled::NotInRoster { node: node.clone() })?;
         named.insert(node).then_some(()).ok_or(Unsettled::Twice { node: node.clone() })
     })?;
-    testaments.iter().try_for_each(|testament| {
-        let (node, durable) = (testament.node.clone(), &testament.durable);
+    survivors.iter().try_for_each(|survivor| {
+        let (node, durable) = (survivor.node.clone(), &survivor.durable);
         let founded = durable.disk != 0 && !durable.roster.is_empty();
         founded.then_some(()).ok_or(Unsettled::NeverFounded { node: node.clone() })?;
         (durable.roster == *roster).then_some(()).ok_or(Unsettled::OtherRoster { node })
     })?;
     let open = roster.iter().find(|voter| !named.contains(voter));
     open.map_or(Ok(()), |node| Err(Unsettled::MayLive { node: node.clone() }))?;
-    let (count, of) = (testaments.len(), roster.len());
+    let (count, of) = (survivors.len(), roster.len());
     (count < majority(of)).then_some(()).ok_or(Unsettled::StillMajority { count, of })?;
-    let newest = testaments.iter().max_by(|a, b| a.durable.accepted_at.cmp(&b.durable.accepted_at));
+    let newest = survivors.iter().max_by(|a, b| a.durable.accepted_at.cmp(&b.durable.accepted_at));
     let accepted = newest.unwrap_or(first).durable.accepted.clone();
-    let bytes = testaments.iter().map(|testament| &testament.setup);
-    let setup = bytes.into_iter().find(|bytes| accepted.digest.is_empty() || parcel::digest(bytes) == accepted.digest);
+    let bytes = survivors.iter().map(|survivor| &survivor.setup);
+    let setup =
+        bytes.into_iter().find(|bytes| accepted.digest.is_empty() || protocol::digest(bytes) == accepted.digest);
     let setup = setup.ok_or(Unsettled::SetupMissing { digest: accepted.digest.clone() })?.clone();
-    let highest = |of: fn(&Durable) -> u64| testaments.iter().map(|t| of(&t.durable)).max().unwrap_or(0) + LEAP;
+    let highest = |of: fn(&DurableState) -> u64| survivors.iter().map(|t| of(&t.durable)).max().unwrap_or(0) + LEAP;
     let round = highest(|durable| durable.promised.round.max(durable.accepted_at.round));
     let ballot = Ballot { round, ..Ballot::default() };
-    let durable = Durable {
+    let durable = DurableState {
         promised: ballot.clone(),
         accepted_at: ballot,
-        accepted: Word { edition: highest(|durable| durable.accepted.edition), ..accepted },
-        claim_epoch: highest(|durable| durable.claim_epoch),
-        ..Durable::default()
+        accepted: ClusterState { edition: highest(|durable| durable.accepted.edition), ..accepted },
+        lease_epoch: highest(|durable| durable.lease_epoch),
+        ..DurableState::default()
     };
-    Ok(Testament { node: String::new(), durable, setup })
+    Ok(SurvivorState { node: String::new(), durable, setup })
 }
--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -1,16 +1,16 @@
-//! The majority register: one value, the operator's word, kept by the voters' disks.
+//! The majority register: one value, the replicated state, kept by the voters' disks.
 //!
 //! No log and no leader: any voter runs a two-phase round (prepare, accept) for the changes that wait with
 //! it. All of it is one reducer, [`Register::step`]; the shell carries out the effects.
 
-mod founding;
+mod bootstrap;
+mod change;
+mod disaster_recovery;
 mod proposer;
 mod reading;
 mod register;
-mod testament;
 mod voter;
-mod wish;
 
-pub use register::{Effect, Event, Register, Standing, Start, Tally, Times};
-pub use testament::{Unsettled, settle};
-pub use wish::{Change, Verdict, apply};
+pub use change::{Change, Decision, apply};
+pub use disaster_recovery::{Unsettled, settle};
+pub use register::{Effect, Event, Register, Start, Tally, Times, VoterPhase};
--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -1,19 +1,19 @@
 //! The proposer's half of a round.
 
-use crate::register::{Effect, Register, Standing};
-use crate::wish::{Change, Verdict, apply};
+use crate::change::{Change, Decision, apply};
+use crate::register::{Effect, Register, VoterPhase};
 use address::{Code, majority};
-use parcel::{Accept, Accepted, Ballot, Body, Prepare, Promise, SetupBytes, Word};
+use protocol::{Accept, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupBytes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How many changes may wait here; more are denied with a time to come back.
-const MOST_WISHES: usize = 64;
+const MAX_PENDING_CHANGES: usize = 64;
 /// How many changes one round takes along.
-const MOST_AT_ONCE: usize = 16;
+const MAX_AT_ONCE: usize = 16;
 
-/// A change that waits for its verdict.
-pub(crate) struct Wish {
+/// A change that waits for its decision.
+pub(crate) struct PendingChange {
     token: Option<u64>,
     change: Change,
     since: Duration,
@@ -21,9 +21,9 @@
     tried: bool,
 }
 
-impl Wish {
+impl PendingChange {
     pub(crate) fn new(since: Duration, token: Option<u64>, change: Change) -> Self {
-        Wish { token, change, since, tried: false }
+        PendingChange { token, change, since, tried: false }
     }
 
     pub(crate) fn digest(&self) -> Option<String> {
@@ -51,8 +51,8 @@
         asked_at: Duration,
         /// Started this phase.
         since: Duration,
-        word: Word,
-        verdicts: Vec<(Option<u64>, Verdict)>,
+        state: ClusterState,
+        decisions: Vec<(Option<u64>, Decision)>,
         accepted: BTreeSet<String>,
     },
 }
@@ -64,31 +64,31 @@
     }
 
     pub(crate) fn wish(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
-        let deny = match self.standing {
-            Standing::Voting if self.waitlist.len() < MOST_WISHES => None,
-            Standing::Voting => Some(Code::SetupCrowded),
+        let deny = match self.phase {
+            VoterPhase::Voting if self.pending.len() < MAX_PENDING_CHANGES => None,
+            VoterPhase::Voting => Some(Code::SetupCrowded),
             _ => Some(Code::Stale),
         };
         if let Some(code) = deny {
-            let verdict = Verdict { code, edition: self.current.word.edition };
-            self.effects.push(Effect::Verdict { token, verdict });
+            let decision = Decision { code, edition: self.current.state.edition };
+            self.effects.push(Effect::Decided { token, decision });
             return;
         }
-        self.push_wish(Wish::new(now, Some(token), change));
+        self.push_change(PendingChange::new(now, Some(token), change));
         if let Some(bytes) = bytes {
-            self.keep_setup(parcel::digest(&bytes), bytes);
+            self.keep_setup(protocol::digest(&bytes), bytes);
         }
         self.tick_round(now);
     }
 
-    pub(crate) fn push_wish(&mut self, wish: Wish) {
-        self.waitlist.push_back(wish);
+    pub(crate) fn push_change(&mut self, wish: PendingChange) {
+        self.pending.push_back(wish);
     }
 
     pub(crate) fn tick_round(&mut self, now: Duration) {
         let phase = self.times.phase;
         match &self.round {
-            Round::Idle if !self.waitlist.is_empty() => self.start_round(now),
+            Round::Idle if !self.pending.is_empty() => self.start_round(now),
             Round::BackingOff { until } if now >= *until => self.turn(Round::Idle),
             Round::Preparing { asked_at, .. } if now >= *asked_at + phase => self.back_off(now),
             Round::Accepting { since, .. } if now >= *since + phase => self.back_off(now),
@@ -99,47 +99,52 @@
 
     fn give_up_on_old(&mut self, now: Duration) {
         let patience = self.times.patience;
-        let edition = self.current.word.edition;
-        let (old, rest): (Vec<Wish>, Vec<Wish>) =
-            self.waitlist.drain(..).partition(|wish| now >= wish.since + patience);
-        self.waitlist.extend(rest);
+        let edition = self.current.state.edition;
+        let (old, rest): (Vec<PendingChange>, Vec<PendingChange>) =
+            self.pending.drain(..).partition(|wish| now >= wish.since + patience);
+        self.pending.extend(rest);
         if old.is_empty() {
             return;
         }
-        // The round under way may carry one of them, and its verdict must not be told twice.
+        // The round under way may carry one of them, and its decision must not be told twice.
         self.back_off(now);
         old.into_iter().for_each(|wish| {
             let code = if wish.tried { Code::SetupUnknown } else { Code::Stale };
-            let verdict = Verdict { code, edition };
-            self.effects.extend(wish.token.map(|token| Effect::Verdict { token, verdict }));
+            let decision = Decision { code, edition };
+            self.effects.extend(wish.token.map(|token| Effect::Decided { token, decision }));
         });
     }
 
     fn start_round(&mut self, now: Duration) {
         self.tally.rounds += 1;
         self.seen_round += 1;
-        let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), stamp: self.stamp };
+        let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), incarnation: self.incarnation };
         // A setup's bytes travel once, ahead of the round that needs them.
-        let untried: Vec<String> =
-            self.waitlist.iter().take(MOST_AT_ONCE).filter(|wish| !wish.tried).filter_map(Wish::digest).collect();
+        let untried: Vec<String> = self
+            .pending
+            .iter()
+            .take(MAX_AT_ONCE)
+            .filter(|wish| !wish.tried)
+            .filter_map(PendingChange::digest)
+            .collect();
         untried.into_iter().for_each(|digest| {
             if let Some(squeezed) = self.squeezed(&digest) {
-                self.send_all(Body::SetupBytes(SetupBytes { digest, squeezed }));
+                self.send_all(Payload::SetupBytes(SetupBytes { digest, squeezed }));
             }
         });
         self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, promises: BTreeMap::new() });
-        self.send_all(Body::Prepare(Prepare { ballot }));
+        self.send_all(Payload::Prepare(Prepare { ballot }));
     }
 
     fn back_off(&mut self, now: Duration) {
         self.tally.lost += 1;
-        let wait_ms = 20 + self.dice.below(180);
+        let wait_ms = 20 + self.random.below(180);
         self.turn(Round::BackingOff { until: now + Duration::from_millis(wait_ms) });
     }
 
     pub(crate) fn promise(&mut self, now: Duration, from: &str, promise: Promise) {
         self.seen_round = self.seen_round.max(promise.promised.round);
-        if matches!(self.standing, Standing::Mending { .. }) {
+        if matches!(self.phase, VoterPhase::Recovering { .. }) {
             return self.mend(now, from, promise);
         }
         let voters = majority(self.durable.roster.len());
@@ -155,45 +160,47 @@
                 }
                 None
             }
-            Round::Accepting { ballot, word, .. } if *ballot == promise.ballot && given => {
-                Some(Accept { ballot: ballot.clone(), word: word.clone(), disk: promise.disk })
+            Round::Accepting { ballot, state, .. } if *ballot == promise.ballot && given => {
+                Some(Accept { ballot: ballot.clone(), state: state.clone(), disk: promise.disk })
             }
             _ => None,
         };
-        late.into_iter().for_each(|accept| self.send(from, Body::Accept(accept)));
+        late.into_iter().for_each(|accept| self.send(from, Payload::Accept(accept)));
     }
 
     fn start_accepting(&mut self, now: Duration) {
         let round = std::mem::replace(&mut self.round, Round::Idle);
         let Round::Preparing { ballot, asked_at, promises } = round else { return };
         let highest = promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at));
-        let mut word = highest.map(|promise| promise.accepted.clone()).unwrap_or_default();
-        let verdicts = self
-            .waitlist
+        let mut state = highest.map(|promise| promise.accepted.clone()).unwrap_or_default();
+        let decisions = self
+            .pending
             .iter_mut()
-            .take(MOST_AT_ONCE)
+            .take(MAX_AT_ONCE)
             .map(|wish| {
                 wish.tried = true;
-                (wish.token, apply(&mut word, &wish.change))
+                (wish.token, apply(&mut state, &wish.change))
             })
             .collect();
         let accepts: Vec<(String, Accept)> = promises
             .into_iter()
-            .map(|(voter, promise)| (voter, Accept { ballot: ballot.clone(), word: word.clone(), disk: promise.disk }))
+            .map(|(voter, promise)| {
+                (voter, Accept { ballot: ballot.clone(), state: state.clone(), disk: promise.disk })
+            })
             .collect();
-        self.turn(Round::Accepting { ballot, asked_at, since: now, word, verdicts, accepted: BTreeSet::new() });
-        accepts.into_iter().for_each(|(voter, accept)| self.send(&voter, Body::Accept(accept)));
+        self.turn(Round::Accepting { ballot, asked_at, since: now, state, decisions, accepted: BTreeSet::new() });
+        accepts.into_iter().for_each(|(voter, accept)| self.send(&voter, Payload::Accept(accept)));
     }
 
     pub(crate) fn accepted(&mut self, now: Duration, from: &str, answer: Accepted) {
         self.seen_round = self.seen_round.max(answer.promised.round);
         let voters = majority(self.durable.roster.len());
-        let Round::Accepting { ballot, word, accepted, .. } = &mut self.round else { return };
+        let Round::Accepting { ballot, state, accepted, .. } = &mut self.round else { return };
         if *ballot != answer.ballot {
             return;
         }
         if answer.wants_bytes {
-            let digest = word.digest.clone();
+            let digest = state.digest.clone();
             return self.resend_setup(from, digest, answer.ballot);
         }
         if !answer.done {
@@ -208,18 +215,18 @@
     /// A voter came back without the bytes: send them, and ask for its promise again.
     fn resend_setup(&mut self, voter: &str, digest: String, ballot: Ballot) {
         if let Some(squeezed) = self.squeezed(&digest) {
-            self.send(voter, Body::SetupBytes(SetupBytes { digest, squeezed }));
-            self.send(voter, Body::Prepare(Prepare { ballot }));
+            self.send(voter, Payload::SetupBytes(SetupBytes { digest, squeezed }));
+            self.send(voter, Payload::Prepare(Prepare { ballot }));
         }
     }
 
     fn finish_round(&mut self) {
         let round = std::mem::replace(&mut self.round, Round::Idle);
-        let Round::Accepting { ballot, asked_at, word, verdicts, .. } = round else { return };
-        self.waitlist.drain(..verdicts.len());
-        self.adopt(ballot.clone(), word.clone(), Some(asked_at));
-        self.tell_chosen(ballot, word);
-        let told = verdicts.into_iter().filter_map(|(token, verdict)| token.map(|token| (token, verdict)));
-        self.effects.extend(told.map(|(token, verdict)| Effect::Verdict { token, verdict }));
+        let Round::Accepting { ballot, asked_at, state, decisions, .. } = round else { return };
+        self.pending.drain(..decisions.len());
+        self.adopt(ballot.clone(), state.clone(), Some(asked_at));
+        self.tell_chosen(ballot, state);
+        let told = decisions.into_iter().filter_map(|(token, decision)| token.map(|token| (token, decision)));
+        self.effects.extend(told.map(|(token, decision)| Effect::Decided { token, decision }));
     }
 }
--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -1,14 +1,14 @@
-//! Majority reads: what confirms that the word in force is the newest.
+//! Majority reads: what confirms that the state in force is the newest.
 
-use crate::proposer::Wish;
-use crate::register::{Register, Standing};
-use crate::wish::Change;
+use crate::change::Change;
+use crate::proposer::PendingChange;
+use crate::register::{Register, VoterPhase};
 use address::majority;
-use parcel::{Ballot, Body, Read, ReadBack, Word};
+use protocol::{Ballot, ClusterState, Payload, Read, ReadBack};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How often the word is asked for until it is confirmed for the first time.
+/// How often the state is asked for until it is confirmed for the first time.
 const FIRST_EVERY: Duration = Duration::from_millis(150);
 
 /// A read under way.
@@ -16,8 +16,8 @@
     nonce: u64,
     asked_at: Duration,
     /// The ballot that the question named as known.
-    known: (Ballot, Word),
-    backs: BTreeMap<String, (Ballot, Word)>,
+    known: (Ballot, ClusterState),
+    backs: BTreeMap<String, (Ballot, ClusterState)>,
 }
 
 impl Register {
@@ -31,7 +31,7 @@
 
     /// Joins a read that begins later than the asker: the one under way may have been answered before.
     pub(crate) fn confirm(&mut self, now: Duration) {
-        if self.standing != Standing::Voting {
+        if self.phase != VoterPhase::Voting {
             return;
         }
         match &self.reading {
@@ -46,9 +46,9 @@
         let every = self.times.confirm_every;
         self.next_read = now + if self.current.confirmed_at.is_some() { every } else { every.min(FIRST_EVERY) };
         self.read_again = false;
-        let nonce = self.dice.roll();
-        let known = (self.current.ballot.clone(), self.current.word.clone());
-        let body = Body::Read(Read { nonce, known: known.0.clone() });
+        let nonce = self.random.next_u64();
+        let known = (self.current.ballot.clone(), self.current.state.clone());
+        let body = Payload::Read(Read { nonce, known: known.0.clone() });
         self.reading = Some(Reading { nonce, asked_at: now, known, backs: BTreeMap::new() });
         self.send_all(body);
     }
@@ -58,8 +58,8 @@
         let voters = majority(self.durable.roster.len());
         let split = self.reading.take().filter(|reading| reading.backs.len() >= voters);
         let mine_to_do = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
-        if mine_to_do || (self.waitlist.is_empty() && self.reading_is_old(now) && self.dice.below(4) == 0) {
-            self.push_wish(Wish::new(now, None, Change::Finish));
+        if mine_to_do || (self.pending.is_empty() && self.reading_is_old(now) && self.random.below(4) == 0) {
+            self.push_change(PendingChange::new(now, None, Change::Finish));
         }
     }
 
@@ -68,19 +68,19 @@
     }
 
     pub(crate) fn read_back(&mut self, now: Duration, from: &str, back: ReadBack) {
-        if self.standing != Standing::Voting || !self.durable.roster.iter().any(|voter| voter == from) {
+        if self.phase != VoterPhase::Voting || !self.durable.roster.iter().any(|voter| voter == from) {
             return;
         }
         let voters = majority(self.durable.roster.len());
         let chosen = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce).and_then(|reading| {
-            let (ballot, word) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
-            reading.backs.insert(from.to_owned(), (ballot.clone(), word.clone()));
+            let (ballot, state) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
+            reading.backs.insert(from.to_owned(), (ballot.clone(), state.clone()));
             let alike = reading.backs.values().filter(|(other, _)| *other == ballot).count();
-            (alike >= voters).then_some((ballot, word, reading.asked_at))
+            (alike >= voters).then_some((ballot, state, reading.asked_at))
         });
-        if let Some((ballot, word, asked_at)) = chosen {
+        if let Some((ballot, state, asked_at)) = chosen {
             self.reading = None;
-            self.adopt(ballot, word, Some(asked_at));
+            self.adopt(ballot, state, Some(asked_at));
             if self.read_again {
                 self.start_reading(now);
             }
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -1,26 +1,26 @@
 //! The state of one voter and proposer, and the reducer over its events.
 
-use crate::proposer::{Round, Wish};
+use crate::change::{Change, Decision};
+use crate::proposer::{PendingChange, Round};
 use crate::reading::Reading;
-use crate::wish::{Change, Verdict};
-use address::Dice;
-use parcel::{Ballot, Body, Chosen, Durable, Promise, SetupAsk, SetupBytes, Word};
+use address::Random;
+use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, SetupBytes};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// How many disk writes may wait before the voter stays out of rounds.
-const MOST_WRITES: usize = 64;
+const MAX_WRITES: usize = 64;
 /// How many setups are kept in memory beside those in use.
 const SPARE_SETUPS: usize = 16;
 
 /// The register's time values.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    /// How often a majority confirms the word.
+    /// How often a majority confirms the state.
     pub confirm_every: Duration,
     /// How long one phase of a round may take.
     pub phase: Duration,
-    /// How long a change may wait for its verdict.
+    /// How long a change may wait for its decision.
     pub patience: Duration,
 }
 
@@ -41,7 +41,7 @@
     pub roster_size: usize,
     pub seed: u64,
     /// What the disk holds; default on a blank disk.
-    pub durable: Durable,
+    pub durable: DurableState,
     /// Undamaged setups found on the disk, by digest.
     pub setups: BTreeMap<String, Vec<u8>>,
     pub times: Times,
@@ -51,9 +51,9 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
-    Parcel {
+    Received {
         from: String,
-        body: Body,
+        body: Payload,
     },
     /// The postmasters that membership knows, this one included.
     Peers(Vec<String>),
@@ -63,7 +63,7 @@
         change: Change,
         bytes: Option<Vec<u8>>,
     },
-    /// Somebody wants to read: confirm the word anew, from now.
+    /// Somebody wants to read: confirm the state anew, from now.
     Confirm,
     /// The write with this ticket is synced.
     Kept {
@@ -71,7 +71,7 @@
     },
     /// The disk failed: this voter stays out from now on.
     DiskFailed,
-    /// Persist a claim epoch; answered by `EpochKept` with the token.
+    /// Persist a lease epoch; answered by `EpochKept` with the token.
     RaiseEpoch {
         epoch: u64,
         token: u64,
@@ -83,12 +83,12 @@
 pub enum Effect {
     Send {
         to: String,
-        body: Body,
+        body: Payload,
     },
     /// Sync this state, then tell `Kept`.
     Keep {
         ticket: u64,
-        durable: Durable,
+        durable: DurableState,
     },
     /// Sync this setup, then tell `Kept`.
     KeepSetup {
@@ -96,11 +96,11 @@
         digest: String,
         bytes: Vec<u8>,
     },
-    Verdict {
+    Decided {
         token: u64,
-        verdict: Verdict,
+        decision: Decision,
     },
-    /// The word in force changed.
+    /// The state in force changed.
     Adopted,
     EpochKept {
         token: u64,
@@ -109,13 +109,13 @@
 
 /// Where a voter stands.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Standing {
+pub enum VoterPhase {
     /// Nothing on disk: asks whether a roster was founded.
     Blank { unfounded: BTreeSet<String> },
     /// Endorsed a roster, waits for the others.
-    Founding { endorsed: BTreeSet<String> },
+    Bootstrapping { endorsed: BTreeSet<String> },
     /// Lost its disk: gathers what the others promised and accepted.
-    Mending { roster: Vec<String>, ballot: Ballot, promises: BTreeMap<String, Promise>, until: Duration },
+    Recovering { roster: Vec<String>, ballot: Ballot, promises: BTreeMap<String, Promise>, until: Duration },
     /// Takes part in rounds.
     Voting,
     /// The disk failed.
@@ -124,15 +124,15 @@
 
 pub(crate) struct Write {
     ticket: u64,
-    durable: Option<Durable>,
+    durable: Option<DurableState>,
     digest: Option<String>,
     then: Vec<Effect>,
 }
 
-/// A word known to be chosen.
+/// A state known to be chosen.
 pub(crate) struct Current {
     pub ballot: Ballot,
-    pub word: Word,
+    pub state: ClusterState,
     /// When the question was sent whose answers confirmed it.
     pub confirmed_at: Option<Duration>,
 }
@@ -152,14 +152,14 @@
     pub(crate) me: String,
     pub(crate) roster_size: usize,
     pub(crate) times: Times,
-    pub(crate) dice: Dice,
-    pub(crate) stamp: u64,
+    pub(crate) random: Random,
+    pub(crate) incarnation: u64,
     pub(crate) peers: Vec<String>,
-    pub(crate) standing: Standing,
+    pub(crate) phase: VoterPhase,
     /// What was decided, perhaps not synced yet.
-    pub(crate) durable: Durable,
+    pub(crate) durable: DurableState,
     /// What the disk surely holds: questions are answered from it.
-    pub(crate) synced: Durable,
+    pub(crate) synced: DurableState,
     pub(crate) setups: BTreeMap<String, Vec<u8>>,
     /// The setup that was last sent, by its digest.
     squeezed: Option<(String, Vec<u8>)>,
@@ -167,7 +167,7 @@
     pub(crate) current: Current,
     pub(crate) seen_round: u64,
     pub(crate) round: Round,
-    pub(crate) waitlist: VecDeque<Wish>,
+    pub(crate) pending: VecDeque<PendingChange>,
     pub(crate) reading: Option<Reading>,
     pub(crate) next_read: Duration,
     /// Somebody asked for a confirmation after the read under way was begun.
@@ -175,7 +175,7 @@
     pub(crate) next_tell: Duration,
     writes: VecDeque<Write>,
     ticket: u64,
-    inbox: VecDeque<Body>,
+    inbox: VecDeque<Payload>,
     pub(crate) tally: Tally,
     pub(crate) effects: Vec<Effect>,
 }
@@ -184,38 +184,38 @@
     /// A register as its disk left it.
     ///
     /// ```
-    /// use registered::{Register, Standing, Start, Times};
+    /// use quorum_register::{Register, VoterPhase, Start, Times};
     /// let register = Register::new(Start {
     ///     me: "pm-1".into(), roster_size: 1, seed: 7, durable: Default::default(),
     ///     setups: Default::default(), times: Times::default(),
     /// });
-    /// assert!(matches!(register.standing(), Standing::Blank { .. }));
+    /// assert!(matches!(register.phase(), VoterPhase::Blank { .. }));
     /// ```
     pub fn new(start: Start) -> Self {
-        let mut dice = Dice::new(start.seed);
-        let stamp = dice.roll();
-        let standing = match (start.durable.disk, start.durable.endorsed.is_empty()) {
-            (0, true) => Standing::Blank { unfounded: BTreeSet::new() },
-            (0, false) => Standing::Founding { endorsed: BTreeSet::new() },
-            _ => Standing::Voting,
+        let mut random = Random::new(start.seed);
+        let incarnation = random.next_u64();
+        let phase = match (start.durable.disk, start.durable.endorsed.is_empty()) {
+            (0, true) => VoterPhase::Blank { unfounded: BTreeSet::new() },
+            (0, false) => VoterPhase::Bootstrapping { endorsed: BTreeSet::new() },
+            _ => VoterPhase::Voting,
         };
         Register {
             me: start.me,
             roster_size: start.roster_size,
             times: start.times,
-            dice,
-            stamp,
+            random,
+            incarnation,
             peers: Vec::new(),
-            standing,
+            phase,
             synced: start.durable.clone(),
             seen_round: start.durable.promised.round,
             durable: start.durable,
             held: start.setups.keys().cloned().collect(),
             setups: start.setups,
             squeezed: None,
-            current: Current { ballot: Ballot::default(), word: Word::default(), confirmed_at: None },
+            current: Current { ballot: Ballot::default(), state: ClusterState::default(), confirmed_at: None },
             round: Round::Idle,
-            waitlist: VecDeque::new(),
+            pending: VecDeque::new(),
             reading: None,
             next_read: Duration::ZERO,
             read_again: false,
@@ -231,7 +231,7 @@
     /// The one reducer: takes an event in, gives effects out.
     ///
     /// ```
-    /// use registered::{Effect, Event, Register, Standing, Start, Times};
+    /// use quorum_register::{Effect, Event, Register, VoterPhase, Start, Times};
     /// use std::time::Duration;
     /// // A roster of one founds itself once its endorsement and its mark are synced.
     /// let mut register = Register::new(Start {
@@ -248,12 +248,12 @@
     ///     let now = Duration::from_secs(turn);
     ///     effects = events.into_iter().flat_map(|event| register.step(now, event)).collect();
     /// }
-    /// assert_eq!(*register.standing(), Standing::Voting);
+    /// assert_eq!(*register.phase(), VoterPhase::Voting);
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => self.tick(now),
-            Event::Parcel { from, body } => self.take(now, &from, body),
+            Event::Received { from, body } => self.take(now, &from, body),
             Event::Peers(mut peers) => {
                 peers.sort();
                 peers.dedup();
@@ -262,7 +262,7 @@
             Event::Ask { token, change, bytes } => self.wish(now, token, change, bytes),
             Event::Confirm => self.confirm(now),
             Event::Kept { ticket } => self.kept(ticket),
-            Event::DiskFailed => self.stand(Standing::Out),
+            Event::DiskFailed => self.enter_phase(VoterPhase::Out),
             Event::RaiseEpoch { epoch, token } => self.raise_epoch(epoch, token),
         }
         while let Some(body) = self.inbox.pop_front() {
@@ -274,7 +274,7 @@
 
     fn tick(&mut self, now: Duration) {
         self.tick_founding(now);
-        if self.standing == Standing::Voting {
+        if self.phase == VoterPhase::Voting {
             self.tick_reading(now);
             self.tick_round(now);
         }
@@ -284,70 +284,70 @@
         }
     }
 
-    fn take(&mut self, now: Duration, from: &str, body: Body) {
+    fn take(&mut self, now: Duration, from: &str, body: Payload) {
         match body {
-            Body::Prepare(prepare) => self.prepare(from, prepare),
-            Body::Promise(promise) => self.promise(now, from, promise),
-            Body::Accept(accept) => self.accept(from, accept),
-            Body::Accepted(accepted) => self.accepted(now, from, accepted),
-            Body::Read(read) => self.read(from, read),
-            Body::ReadBack(back) => self.read_back(now, from, back),
-            Body::Chosen(chosen) => self.adopt(chosen.ballot, chosen.word, None),
-            Body::SetupBytes(setup) => self.take_setup(setup),
-            Body::SetupAsk(ask) => self.give_setup(from, &ask),
-            Body::Endorse(endorse) => self.endorse(from, endorse),
-            Body::Founded(founded) => self.founded(now, founded.roster),
+            Payload::Prepare(prepare) => self.prepare(from, prepare),
+            Payload::Promise(promise) => self.promise(now, from, promise),
+            Payload::Accept(accept) => self.accept(from, accept),
+            Payload::Accepted(accepted) => self.accepted(now, from, accepted),
+            Payload::Read(read) => self.read(from, read),
+            Payload::ReadBack(back) => self.read_back(now, from, back),
+            Payload::Chosen(chosen) => self.adopt(chosen.ballot, chosen.state, None),
+            Payload::SetupBytes(setup) => self.take_setup(setup),
+            Payload::SetupAsk(ask) => self.give_setup(from, &ask),
+            Payload::BootstrapVote(endorse) => self.endorse(from, endorse),
+            Payload::Bootstrapped(founded) => self.founded(now, founded.roster),
             _ => {}
         }
     }
 
-    /// The one place where the standing changes.
-    pub(crate) fn stand(&mut self, standing: Standing) {
-        self.standing = standing;
+    /// The one place where the phase changes.
+    pub(crate) fn enter_phase(&mut self, phase: VoterPhase) {
+        self.phase = phase;
     }
 
     /// Where this voter stands.
     ///
     /// ```
-    /// # use registered::{Event, Register, Standing, Start, Times};
+    /// # use quorum_register::{Event, Register, VoterPhase, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// let mut register = Register::new(start);
     /// register.step(Default::default(), Event::DiskFailed);
-    /// assert_eq!(*register.standing(), Standing::Out);
+    /// assert_eq!(*register.phase(), VoterPhase::Out);
     /// ```
-    pub fn standing(&self) -> &Standing {
-        &self.standing
+    pub fn phase(&self) -> &VoterPhase {
+        &self.phase
     }
 
-    /// The word in force here, once one is known to be chosen.
+    /// The state in force here, once one is known to be chosen.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).word().edition, 0);
+    /// assert_eq!(Register::new(start).state().edition, 0);
     /// ```
-    pub fn word(&self) -> &Word {
-        &self.current.word
+    pub fn state(&self) -> &ClusterState {
+        &self.current.state
     }
 
     /// The bytes of the setup in force.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).setup(), None);
     /// ```
     pub fn setup(&self) -> Option<&[u8]> {
-        self.setups.get(&self.current.word.digest).map(Vec::as_slice)
+        self.setups.get(&self.current.state.digest).map(Vec::as_slice)
     }
 
-    /// How long ago a majority confirmed the word; none before the first time.
+    /// How long ago a majority confirmed the state; none before the first time.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).age(Default::default()), None);
@@ -356,10 +356,10 @@
         self.current.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// True where a majority confirmed the word by answers to a question sent at this moment or later.
+    /// True where a majority confirmed the state by answers to a question sent at this moment or later.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert!(!Register::new(start).is_confirmed_since(Default::default()));
@@ -371,7 +371,7 @@
     /// What it did since its start.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).tally().rounds, 0);
@@ -383,7 +383,7 @@
     /// The voters, once founded.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert!(Register::new(start).roster().is_empty());
@@ -392,19 +392,19 @@
         &self.synced.roster
     }
 
-    /// The highest claim epoch that is safe on this disk.
+    /// The highest lease epoch that is safe on this disk.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).claim_epoch(), 0);
+    /// assert_eq!(Register::new(start).lease_epoch(), 0);
     /// ```
-    pub fn claim_epoch(&self) -> u64 {
-        self.synced.claim_epoch
+    pub fn lease_epoch(&self) -> u64 {
+        self.synced.lease_epoch
     }
 
-    pub(crate) fn send(&mut self, to: &str, body: Body) {
+    pub(crate) fn send(&mut self, to: &str, body: Payload) {
         if to == self.me {
             self.inbox.push_back(body);
         } else {
@@ -412,14 +412,14 @@
         }
     }
 
-    pub(crate) fn send_all(&mut self, body: Body) {
+    pub(crate) fn send_all(&mut self, body: Payload) {
         let roster = self.durable.roster.clone();
         roster.iter().for_each(|voter| self.send(voter, body.clone()));
     }
 
     /// True while the disk keeps up.
     pub(crate) fn disk_is_free(&self) -> bool {
-        self.writes.len() < MOST_WRITES
+        self.writes.len() < MAX_WRITES
     }
 
     /// Syncs the decided state and only then lets `then` out.
@@ -450,17 +450,17 @@
     }
 
     fn raise_epoch(&mut self, epoch: u64, token: u64) {
-        let able = self.standing == Standing::Voting && self.disk_is_free();
-        if able && epoch >= self.durable.claim_epoch {
-            self.durable.claim_epoch = epoch;
+        let able = self.phase == VoterPhase::Voting && self.disk_is_free();
+        if able && epoch >= self.durable.lease_epoch {
+            self.durable.lease_epoch = epoch;
             self.keep(vec![Effect::EpochKept { token }]);
         }
     }
 
     fn take_setup(&mut self, setup: SetupBytes) {
         let wanted = !self.setups.contains_key(&setup.digest) && self.disk_is_free();
-        let bytes = Some(&setup.squeezed).filter(|_| wanted).and_then(|squeezed| parcel::unsqueeze(squeezed));
-        let right = bytes.filter(|bytes| parcel::digest(bytes) == setup.digest);
+        let bytes = Some(&setup.squeezed).filter(|_| wanted).and_then(|squeezed| protocol::unsqueeze(squeezed));
+        let right = bytes.filter(|bytes| protocol::digest(bytes) == setup.digest);
         right.into_iter().for_each(|bytes| self.keep_setup(setup.digest.clone(), bytes));
     }
 
@@ -480,7 +480,7 @@
     pub(crate) fn squeezed(&mut self, digest: &str) -> Option<Vec<u8>> {
         if self.squeezed.as_ref().is_none_or(|(last, _)| last != digest) {
             let bytes = self.setups.get(digest)?;
-            self.squeezed = Some((digest.to_owned(), parcel::squeeze(bytes)));
+            self.squeezed = Some((digest.to_owned(), protocol::squeeze(bytes)));
         }
         self.squeezed.as_ref().map(|(_, squeezed)| squeezed.clone())
     }
@@ -488,22 +488,22 @@
     /// The bytes of the setup in force, as they travel.
     ///
     /// ```
-    /// # use registered::{Register, Start, Times};
+    /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
     /// assert_eq!(Register::new(start).squeezed_setup(), None);
     /// ```
     pub fn squeezed_setup(&mut self) -> Option<Vec<u8>> {
-        let digest = self.current.word.digest.clone();
+        let digest = self.current.state.digest.clone();
         self.squeezed(&digest)
     }
 
     fn drop_spare_setups(&mut self) {
-        let in_round: BTreeSet<String> = self.waitlist.iter().filter_map(|wish| wish.digest()).collect();
+        let in_round: BTreeSet<String> = self.pending.iter().filter_map(|wish| wish.digest()).collect();
         let used = |digest: &String| {
             *digest == self.durable.accepted.digest
                 || *digest == self.synced.accepted.digest
-                || *digest == self.current.word.digest
+                || *digest == self.current.state.digest
                 || in_round.contains(digest)
                 || !self.held.contains(digest)
         };
@@ -517,7 +517,7 @@
 
     fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
         if let Some(squeezed) = self.squeezed(&ask.digest) {
-            self.send(from, Body::SetupBytes(SetupBytes { digest: ask.digest.clone(), squeezed }));
+            self.send(from, Payload::SetupBytes(SetupBytes { digest: ask.digest.clone(), squeezed }));
         }
     }
 
@@ -525,29 +525,29 @@
     fn ask_missing_setup(&mut self) {
         let digest = self.durable.accepted.digest.clone();
         if !digest.is_empty() && !self.setups.contains_key(&digest) {
-            self.send_all(Body::SetupAsk(SetupAsk { digest }));
+            self.send_all(Payload::SetupAsk(SetupAsk { digest }));
         }
     }
 
-    /// Takes a chosen word into force, unless a newer one is or its setup is not here yet.
-    pub(crate) fn adopt(&mut self, ballot: Ballot, word: Word, confirmed_at: Option<Duration>) {
-        let complete = word.digest.is_empty() || self.setups.contains_key(&word.digest);
+    /// Takes a chosen state into force, unless a newer one is or its setup is not here yet.
+    pub(crate) fn adopt(&mut self, ballot: Ballot, state: ClusterState, confirmed_at: Option<Duration>) {
+        let complete = state.digest.is_empty() || self.setups.contains_key(&state.digest);
         if ballot < self.current.ballot {
             return;
         }
         if !complete {
-            self.send_all(Body::SetupAsk(SetupAsk { digest: word.digest }));
+            self.send_all(Payload::SetupAsk(SetupAsk { digest: state.digest }));
             return;
         }
-        let changed = ballot > self.current.ballot && word != self.current.word;
+        let changed = ballot > self.current.ballot && state != self.current.state;
         let confirmed_at = confirmed_at.max(self.current.confirmed_at);
-        self.current = Current { ballot, word, confirmed_at };
+        self.current = Current { ballot, state, confirmed_at };
         if changed {
             self.effects.push(Effect::Adopted);
         }
     }
 
-    pub(crate) fn tell_chosen(&mut self, ballot: Ballot, word: Word) {
-        self.send_all(Body::Chosen(Chosen { ballot, word }));
+    pub(crate) fn tell_chosen(&mut self, ballot: Ballot, state: ClusterState) {
+        self.send_all(Payload::Chosen(Chosen { ballot, state }));
     }
 }
--- a/crates/quorum-register/src/voter.rs
+++ b/crates/quorum-register/src/voter.rs
@@ -1,25 +1,25 @@
 //! The voter's half of a round: promises and acceptances, each synced before it is answered.
 
-use crate::register::{Effect, Register, Standing};
-use parcel::{Accept, Accepted, Body, Prepare, Promise, Read, ReadBack};
+use crate::register::{Effect, Register, VoterPhase};
+use protocol::{Accept, Accepted, Payload, Prepare, Promise, Read, ReadBack};
 
 impl Register {
     pub(crate) fn prepare(&mut self, from: &str, prepare: Prepare) {
         self.seen_round = self.seen_round.max(prepare.ballot.round);
-        if self.standing != Standing::Voting || !self.disk_is_free() {
+        if self.phase != VoterPhase::Voting || !self.disk_is_free() {
             return;
         }
         let given = prepare.ballot >= self.durable.promised;
         if given {
             self.durable.promised = prepare.ballot.clone();
         }
-        let body = Body::Promise(Promise {
+        let body = Payload::Promise(Promise {
             ballot: prepare.ballot,
             promised: self.durable.promised.clone(),
             accepted_at: self.durable.accepted_at.clone(),
             accepted: self.durable.accepted.clone(),
             disk: self.durable.disk,
-            claim_epoch: self.durable.claim_epoch,
+            lease_epoch: self.durable.lease_epoch,
         });
         if given {
             self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
@@ -29,21 +29,21 @@
     }
 
     pub(crate) fn accept(&mut self, from: &str, accept: Accept) {
-        let Accept { ballot, word, disk } = accept;
+        let Accept { ballot, state, disk } = accept;
         self.seen_round = self.seen_round.max(ballot.round);
-        if self.standing != Standing::Voting || !self.disk_is_free() {
+        if self.phase != VoterPhase::Voting || !self.disk_is_free() {
             return;
         }
         let mine = disk == self.durable.disk && ballot >= self.durable.promised;
-        let wants_bytes = !word.digest.is_empty() && !self.setups.contains_key(&word.digest);
+        let wants_bytes = !state.digest.is_empty() && !self.setups.contains_key(&state.digest);
         let done = mine && !wants_bytes;
         if done {
             self.durable.promised = ballot.clone();
             self.durable.accepted_at = ballot.clone();
-            self.durable.accepted = word;
+            self.durable.accepted = state;
         }
         let promised = self.durable.promised.clone();
-        let body = Body::Accepted(Accepted { ballot, promised, done, wants_bytes: mine && wants_bytes });
+        let body = Payload::Accepted(Accepted { ballot, promised, done, wants_bytes: mine && wants_bytes });
         if done {
             // The setup's bytes were handed to the disk earlier, and the disk works in order.
             self.keep(vec![Effect::Send { to: from.to_owned(), body }]);
@@ -53,11 +53,11 @@
     }
 
     pub(crate) fn read(&mut self, from: &str, read: Read) {
-        if self.standing == Standing::Voting {
+        if self.phase == VoterPhase::Voting {
             let other = self.synced.accepted_at != read.known;
             let accepted_at = other.then(|| self.synced.accepted_at.clone());
             let accepted = other.then(|| self.synced.accepted.clone());
-            self.send(from, Body::ReadBack(ReadBack { nonce: read.nonce, accepted_at, accepted }));
+            self.send(from, Payload::ReadBack(ReadBack { nonce: read.nonce, accepted_at, accepted }));
         }
     }
 }
--- a/crates/quorum-register/tests/arbitrary.rs
+++ b/crates/quorum-register/tests/arbitrary.rs
@@ -1,23 +1,23 @@
-//! Whatever the network, crashes and one lost disk at a time do: one word for each edition, and none is lost.
+//! Whatever the network, crashes and one lost disk at a time do: one state for each edition, and none is lost.
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
-use parcel::{Body, Durable};
-use registered::{Change, Effect, Event, Register, Start, Times};
+use protocol::{DurableState, Payload};
+use quorum_register::{Change, Effect, Event, Register, Start, Times};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 const VOTERS: usize = 5;
 /// Beyond so many, the oldest are lost.
-const MOST_ON_THE_WAY: usize = 300;
+const MAX_ON_THE_WAY: usize = 300;
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 /// A ticket, and what it waits for: the state, or a setup.
-type Write = (u64, Option<Durable>, Option<(String, Vec<u8>)>);
+type Write = (u64, Option<DurableState>, Option<(String, Vec<u8>)>);
 
 struct Node {
     register: Register,
-    disk: Durable,
+    disk: DurableState,
     setups: BTreeMap<String, Vec<u8>>,
     writes: VecDeque<Write>,
     born_at: Duration,
@@ -27,8 +27,8 @@
 struct Site {
     nodes: Vec<Node>,
     now: Duration,
-    wire: Vec<(usize, usize, Body)>,
-    words: BTreeMap<u64, String>,
+    wire: Vec<(usize, usize, Payload)>,
+    states: BTreeMap<u64, String>,
     /// The highest edition that any operator was told is accepted.
     accepted: u64,
     submitted: u64,
@@ -38,7 +38,7 @@
     format!("v{at}")
 }
 
-fn born(at: usize, seed: u64, durable: Durable, setups: BTreeMap<String, Vec<u8>>, now: Duration) -> Node {
+fn born(at: usize, seed: u64, durable: DurableState, setups: BTreeMap<String, Vec<u8>>, now: Duration) -> Node {
     let start = Start {
         me: name(at),
         roster_size: VOTERS,
@@ -64,17 +64,17 @@
             Effect::KeepSetup { ticket, digest, bytes } => {
                 self.nodes[at].writes.push_back((ticket, None, Some((digest, bytes))));
             }
-            Effect::Verdict { verdict, .. } if verdict.code == address::Code::Fine => {
-                self.accepted = self.accepted.max(verdict.edition);
+            Effect::Decided { decision, .. } if decision.code == address::Code::Fine => {
+                self.accepted = self.accepted.max(decision.edition);
             }
             _ => {}
         });
-        let excess = self.wire.len().saturating_sub(MOST_ON_THE_WAY);
+        let excess = self.wire.len().saturating_sub(MAX_ON_THE_WAY);
         self.wire.drain(..excess);
-        let word = self.nodes[at].register.word();
-        let (edition, digest) = (word.edition, word.digest.clone());
-        let known = self.words.entry(edition).or_insert_with(|| digest.clone());
-        assert_eq!(*known, digest, "edition {edition} is two words");
+        let state = self.nodes[at].register.state();
+        let (edition, digest) = (state.edition, state.digest.clone());
+        let known = self.states.entry(edition).or_insert_with(|| digest.clone());
+        assert_eq!(*known, digest, "edition {edition} is two states");
         assert!(edition >= self.nodes[at].seen, "{} went back to {edition}", name(at));
         self.nodes[at].seen = edition;
     }
@@ -103,12 +103,12 @@
             }
             // A disk is lost only while every other one is whole: what two at once may lose is another matter.
             1 if self.nodes.iter().all(|node| node.disk.disk != 0) => {
-                self.nodes[at] = born(at, noise.arbitrary()?, Durable::default(), BTreeMap::new(), self.now);
+                self.nodes[at] = born(at, noise.arbitrary()?, DurableState::default(), BTreeMap::new(), self.now);
             }
             2..=5 => {
                 self.submitted += 1;
                 let (id, bytes) = (format!("s{}", self.submitted), format!("setup {}", self.submitted).into_bytes());
-                let change = Change::Setup { id, base: None, number: None, digest: parcel::digest(&bytes) };
+                let change = Change::Setup { id, base: None, number: None, digest: protocol::digest(&bytes) };
                 self.step(at, Event::Ask { token: self.submitted, change, bytes: Some(bytes) });
             }
             6..=15 if !self.wire.is_empty() => {
@@ -116,7 +116,7 @@
             }
             16..=150 if !self.wire.is_empty() => {
                 let (from, to, body) = self.wire.remove(noise.int_in_range(0..=self.wire.len().min(12) - 1)?);
-                self.step(to, Event::Parcel { from: name(from), body });
+                self.step(to, Event::Received { from: name(from), body });
             }
             151..=200 => self.sync(at),
             _ => {
@@ -133,27 +133,27 @@
     let mut accepted = 0;
     (1..50u64).for_each(|number| {
         arbtest(|noise| {
-            let blank = |at: usize| born(at, number * 13 + at as u64, Durable::default(), BTreeMap::new(), MS(0));
+            let blank = |at: usize| born(at, number * 13 + at as u64, DurableState::default(), BTreeMap::new(), MS(0));
             let nodes = (0..VOTERS).map(blank).collect();
-            let (words, now) = (BTreeMap::new(), Duration::ZERO);
-            let mut site = Site { nodes, now, wire: vec![], words, accepted: 0, submitted: 0 };
+            let (states, now) = (BTreeMap::new(), Duration::ZERO);
+            let mut site = Site { nodes, now, wire: vec![], states, accepted: 0, submitted: 0 };
             while !noise.is_empty() {
                 site.act(noise)?;
             }
-            // Whole again: everybody comes to a word that nothing accepted is missing from.
+            // Whole again: everybody comes to a state that nothing accepted is missing from.
             (0..400).for_each(|_| {
                 site.now += MS(20);
                 site.tick_all();
                 let mut carried = 0;
                 while !site.wire.is_empty() {
                     let (from, to, body) = site.wire.remove(0);
-                    site.step(to, Event::Parcel { from: name(from), body });
+                    site.step(to, Event::Received { from: name(from), body });
                     (0..VOTERS).for_each(|at| site.sync(at));
                     carried += 1;
                     assert!(carried < 20_000, "they never stop talking: {:?}", site.wire.last());
                 }
             });
-            let editions: Vec<u64> = site.nodes.iter().map(|node| node.register.word().edition).collect();
+            let editions: Vec<u64> = site.nodes.iter().map(|node| node.register.state().edition).collect();
             assert!(editions.iter().all(|edition| *edition >= site.accepted), "{editions:?}, {} lost", site.accepted);
             accepted += site.accepted;
             Ok(())
--- a/crates/sorting/src/board.rs
+++ b/crates/sorting/src/board.rs
@@ -4,7 +4,7 @@
 use crate::waitlist::{Bell, Waitlist};
 use crate::window::Window;
 use dashmap::DashMap;
-use parcel::KeyLoad;
+use protocol::KeyLoad;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
--- a/crates/sorting/src/choosing.rs
+++ b/crates/sorting/src/choosing.rs
@@ -5,7 +5,7 @@
 use crate::notes::{Note, Why};
 use address::Code;
 use gazetteer::View;
-use parcel::{Share, Upstream};
+use protocol::{Share, Upstream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -8,7 +8,7 @@
 use crate::waitlist::Bell;
 use address::{Code, Kind, Locality};
 use gazetteer::{Owners, View, is_home, is_within};
-use parcel::{Share, Upstream};
+use protocol::{Share, Upstream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/crates/sorting/src/notes.rs
+++ b/crates/sorting/src/notes.rs
@@ -1,7 +1,7 @@
 //! Why a request went where it went: compact while it is noted, text only once somebody asks.
 
 use address::Code;
-use parcel::Upstream;
+use protocol::Upstream;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -2,7 +2,7 @@
 //! block until the disk has synced, so they belong on a thread of their own.
 
 use error_stack::{Report, ResultExt};
-use parcel::Durable;
+use protocol::DurableState;
 use redb::{Database, DatabaseError, ReadableDatabase, TableDefinition};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -13,26 +13,26 @@
 const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
 const DURABLE: &str = "durable";
 /// How many setup files are left on the disk.
-const MOST_FILES: usize = 32;
+const MAX_FILES: usize = 32;
 
 /// The disk could not be used.
 #[derive(Debug)]
-pub struct Failure(String);
+pub struct StorageError(String);
 
-impl fmt::Display for Failure {
+impl fmt::Display for StorageError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "disk: {}", self.0)
     }
 }
 
-impl std::error::Error for Failure {}
+impl std::error::Error for StorageError {}
 
-fn failure(text: impl Into<String>) -> Failure {
-    Failure(text.into())
+fn storage_error(text: impl Into<String>) -> StorageError {
+    StorageError(text.into())
 }
 
 /// One data folder.
-pub struct Vault {
+pub struct Storage {
     folder: PathBuf,
     database: Database,
 }
@@ -40,56 +40,56 @@
 /// What a data folder held when it was opened.
 #[derive(Default)]
 pub struct Contents {
-    pub durable: Durable,
+    pub durable: DurableState,
     /// Undamaged setups by digest.
     pub setups: BTreeMap<String, Vec<u8>>,
     /// What was found damaged and counts as missing.
     pub damaged: Vec<String>,
 }
 
-impl Vault {
+impl Storage {
     /// Opens a data folder, making it where it is missing. What is damaged counts as missing.
     ///
     /// ```
-    /// let folder = std::env::temp_dir().join(format!("vault-open-{}", std::process::id()));
-    /// let (vault, contents) = vault::Vault::open(&folder).unwrap();
+    /// let folder = std::env::temp_dir().join(format!("storage-open-{}", std::process::id()));
+    /// let (storage, contents) = storage::Storage::open(&folder).unwrap();
     /// assert_eq!(contents.durable.disk, 0);
-    /// let digest = parcel::digest(b"{}");
-    /// vault.keep_setup(&digest, b"{}").unwrap();
-    /// vault.keep(&parcel::Durable { disk: 7, ..Default::default() }).unwrap();
-    /// drop(vault);
-    /// std::fs::write(folder.join("setups").join(format!("{}.json", parcel::digest(b"x"))), b"rotten").unwrap();
-    /// let (_, contents) = vault::Vault::open(&folder).unwrap();
+    /// let digest = protocol::digest(b"{}");
+    /// storage.keep_setup(&digest, b"{}").unwrap();
+    /// storage.keep(&protocol::DurableState { disk: 7, ..Default::default() }).unwrap();
+    /// drop(storage);
+    /// std::fs::write(folder.join("setups").join(format!("{}.json", protocol::digest(b"x"))), b"rotten").unwrap();
+    /// let (_, contents) = storage::Storage::open(&folder).unwrap();
     /// assert_eq!(contents.durable.disk, 7);
     /// assert_eq!(contents.setups[&digest], b"{}");
     /// assert_eq!(contents.damaged.len(), 1);
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
-    pub fn open(folder: &Path) -> Result<(Vault, Contents), Report<Failure>> {
-        fs::create_dir_all(folder.join("setups")).change_context(failure("cannot make the data folder"))?;
+    pub fn open(folder: &Path) -> Result<(Storage, Contents), Report<StorageError>> {
+        fs::create_dir_all(folder.join("setups")).change_context(storage_error("cannot make the data folder"))?;
         let mut contents = Contents::default();
         let file = folder.join("word.redb");
         let database = match Database::create(&file) {
             Err(DatabaseError::DatabaseAlreadyOpen) => {
-                return Err(Report::new(failure("another process uses this data folder")));
+                return Err(Report::new(storage_error("another process uses this data folder")));
             }
             Err(broken) => {
                 contents.damaged.push(format!("word.redb: {broken}"));
                 fs::rename(&file, folder.join("word.damaged"))
-                    .change_context(failure("cannot move word.redb aside"))?;
-                Database::create(&file).change_context(failure("cannot make word.redb"))?
+                    .change_context(storage_error("cannot move word.redb aside"))?;
+                Database::create(&file).change_context(storage_error("cannot make word.redb"))?
             }
             Ok(database) => database,
         };
-        let vault = Vault { folder: folder.to_owned(), database };
-        let stored = vault.read_state();
-        let readable = stored.as_deref().map(parcel::unpack);
+        let storage = Storage { folder: folder.to_owned(), database };
+        let stored = storage.read_state();
+        let readable = stored.as_deref().map(protocol::unpack);
         if readable == Some(None) {
             contents.damaged.push("word.redb: the state is damaged".into());
         }
         contents.durable = readable.flatten().unwrap_or_default();
-        vault.read_setups(&mut contents)?;
-        Ok((vault, contents))
+        storage.read_setups(&mut contents)?;
+        Ok((storage, contents))
     }
 
     fn read_state(&self) -> Option<Vec<u8>> {
@@ -99,13 +99,13 @@
         Some(value.value().to_vec())
     }
 
-    fn read_setups(&self, contents: &mut Contents) -> Result<(), Report<Failure>> {
-        let entries = fs::read_dir(self.folder.join("setups")).change_context(failure("cannot read setups"))?;
+    fn read_setups(&self, contents: &mut Contents) -> Result<(), Report<StorageError>> {
+        let entries = fs::read_dir(self.folder.join("setups")).change_context(storage_error("cannot read setups"))?;
         entries.filter_map(Result::ok).for_each(|entry| {
             let name = entry.file_name().to_string_lossy().into_owned();
             let digest = name.strip_suffix(".json").map(str::to_owned);
             let bytes = fs::read(entry.path()).unwrap_or_default();
-            match digest.filter(|digest| parcel::digest(&bytes) == *digest) {
+            match digest.filter(|digest| protocol::digest(&bytes) == *digest) {
                 Some(digest) => {
                     contents.setups.insert(digest, bytes);
                 }
@@ -121,19 +121,19 @@
     /// Syncs the voter's state.
     ///
     /// ```
-    /// let folder = std::env::temp_dir().join(format!("vault-keep-{}", std::process::id()));
-    /// let (vault, _) = vault::Vault::open(&folder).unwrap();
-    /// vault.keep(&parcel::Durable { claim_epoch: 3, ..Default::default() }).unwrap();
-    /// drop(vault);
-    /// assert_eq!(vault::Vault::open(&folder).unwrap().1.durable.claim_epoch, 3);
+    /// let folder = std::env::temp_dir().join(format!("storage-keep-{}", std::process::id()));
+    /// let (storage, _) = storage::Storage::open(&folder).unwrap();
+    /// storage.keep(&protocol::DurableState { lease_epoch: 3, ..Default::default() }).unwrap();
+    /// drop(storage);
+    /// assert_eq!(storage::Storage::open(&folder).unwrap().1.durable.lease_epoch, 3);
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
-    pub fn keep(&self, durable: &Durable) -> Result<(), Report<Failure>> {
-        let context = || failure("cannot write word.redb");
+    pub fn keep(&self, durable: &DurableState) -> Result<(), Report<StorageError>> {
+        let context = || storage_error("cannot write word.redb");
         let writing = self.database.begin_write().change_context_lazy(context)?;
         {
             let mut table = writing.open_table(STATE).change_context_lazy(context)?;
-            table.insert(DURABLE, parcel::pack(durable).as_slice()).change_context_lazy(context)?;
+            table.insert(DURABLE, protocol::pack(durable).as_slice()).change_context_lazy(context)?;
         }
         writing.commit().change_context_lazy(context)
     }
@@ -141,15 +141,15 @@
     /// Syncs a setup as a plain file: written aside, synced, renamed, and the folder synced.
     ///
     /// ```
-    /// let folder = std::env::temp_dir().join(format!("vault-setup-{}", std::process::id()));
-    /// let (vault, _) = vault::Vault::open(&folder).unwrap();
-    /// let digest = parcel::digest(b"{}");
-    /// vault.keep_setup(&digest, b"{}").unwrap();
+    /// let folder = std::env::temp_dir().join(format!("storage-setup-{}", std::process::id()));
+    /// let (storage, _) = storage::Storage::open(&folder).unwrap();
+    /// let digest = protocol::digest(b"{}");
+    /// storage.keep_setup(&digest, b"{}").unwrap();
     /// assert_eq!(std::fs::read(folder.join("setups").join(format!("{digest}.json"))).unwrap(), b"{}");
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
-    pub fn keep_setup(&self, digest: &str, bytes: &[u8]) -> Result<(), Report<Failure>> {
-        let context = || failure("cannot write a setup");
+    pub fn keep_setup(&self, digest: &str, bytes: &[u8]) -> Result<(), Report<StorageError>> {
+        let context = || storage_error("cannot write a setup");
         let setups = self.folder.join("setups");
         let (aside, name) = (self.folder.join("setup.new"), setups.join(format!("{digest}.json")));
         let mut file = File::create(&aside).change_context_lazy(context)?;
@@ -163,8 +163,11 @@
 
     /// Leaves the newest files, and always the one that the state names.
     fn drop_oldest(&self, setups: &Path) {
-        let used =
-            self.read_state().as_deref().and_then(parcel::unpack::<Durable>).map(|durable| durable.accepted.digest);
+        let used = self
+            .read_state()
+            .as_deref()
+            .and_then(protocol::unpack::<DurableState>)
+            .map(|durable| durable.accepted.digest);
         let used = format!("{}.json", used.unwrap_or_default());
         let files = fs::read_dir(setups).into_iter().flatten().filter_map(Result::ok);
         let mut aged: Vec<_> = files
@@ -172,7 +175,7 @@
             .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
             .collect();
         aged.sort();
-        let excess = aged.len().saturating_sub(MOST_FILES);
+        let excess = aged.len().saturating_sub(MAX_FILES);
         aged.into_iter().take(excess).for_each(|(_, path)| {
             let _ = fs::remove_file(path);
         });
--- a/crates/transport/src/call.rs
+++ b/crates/transport/src/call.rs
@@ -32,7 +32,7 @@
     /// A header's text; empty where it is missing.
     ///
     /// ```
-    /// let reply = wicket::Reply { status: 200, headers: Default::default(), body: Default::default() };
+    /// let reply = transport::Reply { status: 200, headers: Default::default(), body: Default::default() };
     /// assert_eq!(reply.header("x-code"), "");
     /// ```
     pub fn header(&self, name: &str) -> &str {
@@ -68,10 +68,10 @@
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// use std::time::{Duration, Instant};
-    /// let caller = wicket::Caller::default();
+    /// let caller = transport::Caller::default();
     /// let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
     /// let failed = caller.call(&free, "GET", "/", &[], Default::default(), Duration::from_secs(5), false).await;
-    /// assert_eq!(failed.unwrap_err(), wicket::Called::NotConnected);
+    /// assert_eq!(failed.unwrap_err(), transport::Called::NotConnected);
     /// # });
     /// ```
     #[allow(clippy::too_many_arguments)]
@@ -141,7 +141,7 @@
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// use std::time::{Duration, Instant};
     /// let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
-    /// assert!(wicket::Connection::open(&free, Duration::from_secs(5)).await.is_err());
+    /// assert!(transport::Connection::open(&free, Duration::from_secs(5)).await.is_err());
     /// # });
     /// ```
     pub async fn open(address: &str, within: Duration) -> Result<Connection, Called> {
@@ -167,11 +167,11 @@
     /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     /// let address = socket.local_addr().unwrap().to_string();
     /// let (_open, closing) = tokio::sync::watch::channel(false);
-    /// tokio::spawn(wicket::serve(socket, closing, |enquiry: wicket::Enquiry| async move {
-    ///     wicket::answer(address::Code::Fine, "text/plain", enquiry.body)
+    /// tokio::spawn(transport::serve(socket, closing, |enquiry: transport::Enquiry| async move {
+    ///     transport::answer(address::Code::Fine, "text/plain", enquiry.body)
     /// }));
     /// let within = Duration::from_secs(5);
-    /// let connection = wicket::Connection::open(&address, within).await.unwrap();
+    /// let connection = transport::Connection::open(&address, within).await.unwrap();
     /// let (reply, again) = connection.exchange("POST", "/", Default::default(), "hello".into(), within).await;
     /// assert_eq!(&reply.unwrap().body[..], b"hello");
     /// let (reply, _) = again.unwrap().exchange("POST", "/", Default::default(), "again".into(), within).await;
@@ -238,7 +238,7 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// assert!(wicket::Pool::default().take("127.0.0.1:1").await.is_none());
+    /// assert!(transport::Pool::default().take("127.0.0.1:1").await.is_none());
     /// # });
     /// ```
     pub async fn take(&self, address: &str) -> Option<Connection> {
@@ -256,8 +256,8 @@
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     /// let address = socket.local_addr().unwrap().to_string();
-    /// let connection = wicket::Connection::open(&address, std::time::Duration::from_secs(5)).await.unwrap();
-    /// let pool = wicket::Pool::default();
+    /// let connection = transport::Connection::open(&address, std::time::Duration::from_secs(5)).await.unwrap();
+    /// let pool = transport::Pool::default();
     /// pool.keep(connection);
     /// assert!(pool.take(&address).await.is_some());
     /// # });
@@ -274,7 +274,7 @@
     /// Closes those that lay idle for too long.
     ///
     /// ```
-    /// wicket::Pool::default().sweep();
+    /// transport::Pool::default().sweep();
     /// ```
     pub fn sweep(&self) {
         self.with(|idle| {
@@ -303,7 +303,7 @@
 /// Headers from names and values; what can't be one is left out.
 ///
 /// ```
-/// assert_eq!(wicket::headers(&[("x-try-id", "t-1"), ("x-bad", "\n")]).len(), 1);
+/// assert_eq!(transport::headers(&[("x-try-id", "t-1"), ("x-bad", "\n")]).len(), 1);
 /// ```
 pub fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
     let header = |(name, value): &(&str, &str)| {
--- a/crates/transport/src/desk.rs
+++ b/crates/transport/src/desk.rs
@@ -41,7 +41,7 @@
     /// A header's text; empty where it is missing or unreadable.
     ///
     /// ```
-    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(), target: "/".into(), query: Default::default(),
+    /// let enquiry = transport::Enquiry { method: hyper::Method::GET, path: "/".into(), target: "/".into(), query: Default::default(),
     ///     headers: Default::default(), body: Default::default() };
     /// assert_eq!(enquiry.header("x-try-id"), "");
     /// ```
@@ -52,7 +52,7 @@
     /// A query field; empty where it is missing.
     ///
     /// ```
-    /// let enquiry = wicket::Enquiry { method: hyper::Method::GET, path: "/".into(),
+    /// let enquiry = transport::Enquiry { method: hyper::Method::GET, path: "/".into(),
     ///     target: "/".into(), query: [("name".to_owned(), "book".to_owned())].into_iter().collect(),
     ///     headers: Default::default(), body: Default::default() };
     /// assert_eq!(enquiry.query("name"), "book");
@@ -65,7 +65,7 @@
 /// A JSON answer with a code.
 ///
 /// ```
-/// let response = wicket::json(address::Code::Fine, &tariff::Sheet::Null);
+/// let response = transport::json(address::Code::Fine, &tariff::Sheet::Null);
 /// assert_eq!(response.status(), 200);
 /// ```
 pub fn json(code: Code, sheet: &Sheet) -> Response<Full<Bytes>> {
@@ -76,7 +76,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// let response = wicket::verdict(address::Code::Busy, Some(Duration::from_millis(900)));
+/// let response = transport::verdict(address::Code::Busy, Some(Duration::from_millis(900)));
 /// assert_eq!(response.headers()["retry-after"], "1");
 /// assert_eq!(response.headers()["x-code"], "1201");
 /// ```
@@ -94,7 +94,7 @@
 /// Bytes as an answer with a code.
 ///
 /// ```
-/// let response = wicket::answer(address::Code::Fine, "text/plain", "hello".into());
+/// let response = transport::answer(address::Code::Fine, "text/plain", "hello".into());
 /// assert_eq!(response.headers()["content-type"], "text/plain");
 /// ```
 pub fn answer(code: Code, kind: &'static str, body: Bytes) -> Response<Full<Bytes>> {
@@ -112,10 +112,10 @@
 /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 /// let address = socket.local_addr().unwrap().to_string();
 /// let (close, closing) = tokio::sync::watch::channel(false);
-/// let server = tokio::spawn(wicket::serve(socket, closing, |enquiry: wicket::Enquiry| async move {
-///     wicket::answer(address::Code::Fine, "text/plain", enquiry.body)
+/// let server = tokio::spawn(transport::serve(socket, closing, |enquiry: transport::Enquiry| async move {
+///     transport::answer(address::Code::Fine, "text/plain", enquiry.body)
 /// }));
-/// let caller = wicket::Caller::default();
+/// let caller = transport::Caller::default();
 /// let reply = caller.call(&address, "POST", "/", &[], "hello".into(), std::time::Duration::from_secs(5), false);
 /// assert_eq!(&reply.await.unwrap().body[..], b"hello");
 /// close.send(true).unwrap();
--- a/crates/transport/src/doors.rs
+++ b/crates/transport/src/doors.rs
@@ -13,7 +13,7 @@
     /// A sentence on what could not be done; causes are attached below it.
     ///
     /// ```
-    /// assert_eq!(wicket::NoStart::new("data: can't be opened").to_string(), "data: can't be opened");
+    /// assert_eq!(transport::NoStart::new("data: can't be opened").to_string(), "data: can't be opened");
     /// ```
     pub fn new(text: impl Into<String>) -> Self {
         NoStart(text.into())
@@ -45,7 +45,7 @@
     ///     |name| Setting { name, shape: Shape::Address, fallback: Some("127.0.0.1:0"), help: "" };
     /// let table = [ADDRESS("http"), ADDRESS("link")];
     /// let settings = Settings::read(&[&table], None, &[]).unwrap();
-    /// assert!(wicket::Doors::open(&settings).await.is_ok());
+    /// assert!(transport::Doors::open(&settings).await.is_ok());
     /// # });
     /// ```
     pub async fn open(settings: &Settings) -> Result<Doors, Report<NoStart>> {
@@ -65,7 +65,7 @@
 /// use tariff::{Setting, Settings, Shape};
 /// let table = [Setting { name: "http", shape: Shape::Address, fallback: Some("127.0.0.1:0"), help: "" }];
 /// let settings = Settings::read(&[&table], None, &[]).unwrap();
-/// assert!(wicket::listen(&settings, "http").await.is_ok());
+/// assert!(transport::listen(&settings, "http").await.is_ok());
 /// # });
 /// ```
 pub async fn listen(settings: &Settings, name: &str) -> Result<TcpListener, Report<NoStart>> {
@@ -77,8 +77,8 @@
 ///
 /// ```
 /// use error_stack::Report;
-/// let report = Report::new(wicket::NoStart::new("no disk")).change_context(wicket::NoStart::new("data"));
-/// assert_eq!(wicket::causes(&report), "data: no disk");
+/// let report = Report::new(transport::NoStart::new("no disk")).change_context(transport::NoStart::new("data"));
+/// assert_eq!(transport::causes(&report), "data: no disk");
 /// ```
 pub fn causes<C>(report: &Report<C>) -> String {
     let frames = report.frames().filter_map(|frame| match frame.kind() {
@@ -91,7 +91,7 @@
 /// Tells why a daemon ended, where it could not start, and ends the process.
 ///
 /// ```
-/// wicket::end("carrier", Ok(()));
+/// transport::end("carrier", Ok(()));
 /// ```
 pub fn end(name: &str, run: Result<(), Report<NoStart>>) {
     if let Err(report) = run {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -1,8 +1,8 @@
-//! Held connections to other processes. A parcel to a node goes over the connection that is open, or a new
+//! Held connections to other processes. A envelope to a node goes over the connection that is open, or a new
 //! one; where neither works it is dropped, as any message may be.
 
 use futures::{SinkExt, StreamExt};
-use parcel::{Body, Frames, Message, Parcel};
+use protocol::{Envelope, Frames, Message, Payload};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,14 +20,14 @@
 
 #[derive(Default)]
 struct Table {
-    open: HashMap<String, mpsc::Sender<Parcel>>,
+    open: HashMap<String, mpsc::Sender<Envelope>>,
     addresses: HashMap<String, String>,
 }
 
 /// Messages and bytes sent since the start, by kind.
 pub type Sent = BTreeMap<&'static str, (u64, u64)>;
 
-type Waitlist = (mpsc::Sender<Parcel>, mpsc::Receiver<Parcel>);
+type Waitlist = (mpsc::Sender<Envelope>, mpsc::Receiver<Envelope>);
 
 /// All links of one process.
 #[derive(Clone)]
@@ -37,7 +37,7 @@
     source: Option<IpAddr>,
     table: Arc<Mutex<Table>>,
     sent: Arc<Mutex<Sent>>,
-    arrivals: mpsc::Sender<(String, Body)>,
+    arrivals: mpsc::Sender<(String, Payload)>,
 }
 
 impl Links {
@@ -45,19 +45,19 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use parcel::{Body, Read};
+    /// use protocol::{Payload, Read};
     /// let (told, mut heard) = tokio::sync::mpsc::channel(8);
     /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     /// let address = socket.local_addr().unwrap().to_string();
-    /// let _b = wicket::Links::open("b".into(), Some(socket), told);
-    /// let a = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(8).0);
+    /// let _b = transport::Links::open("b".into(), Some(socket), told);
+    /// let a = transport::Links::open("a".into(), None, tokio::sync::mpsc::channel(8).0);
     /// a.learn(vec![("b".into(), address)]);
-    /// let read = Body::Read(Read { nonce: 7, known: Default::default() });
+    /// let read = Payload::Read(Read { nonce: 7, known: Default::default() });
     /// a.send("b", read.clone());
     /// assert_eq!(heard.recv().await, Some(("a".to_owned(), read)));
     /// # });
     /// ```
-    pub fn open(me: String, socket: Option<TcpListener>, arrivals: mpsc::Sender<(String, Body)>) -> Links {
+    pub fn open(me: String, socket: Option<TcpListener>, arrivals: mpsc::Sender<(String, Payload)>) -> Links {
         let source = socket.as_ref().and_then(|socket| socket.local_addr().ok()).map(|address| address.ip());
         let links = Links { me, source, table: Arc::default(), sent: Arc::default(), arrivals };
         socket.into_iter().for_each(|socket| {
@@ -78,7 +78,7 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// let links = transport::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
     /// links.learn(vec![("b".into(), "127.0.0.1:1".into())]);
     /// # });
     /// ```
@@ -94,29 +94,29 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
-    /// links.send("nobody", parcel::Body::Founded(Default::default()));
+    /// let links = transport::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// links.send("nobody", protocol::Payload::Bootstrapped(Default::default()));
     /// # });
     /// ```
-    pub fn send(&self, to: &str, body: Body) {
-        let kind = parcel::kind(&body);
-        let parcel = Parcel { from: self.me.clone(), body: Some(body) };
+    pub fn send(&self, to: &str, body: Payload) {
+        let kind = protocol::kind(&body);
+        let envelope = Envelope { from: self.me.clone(), body: Some(body) };
         {
             let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
             let counts = sent.entry(kind).or_default();
-            *counts = (counts.0 + 1, counts.1 + parcel.encoded_len() as u64);
+            *counts = (counts.0 + 1, counts.1 + envelope.encoded_len() as u64);
         }
         let dial = self.with(|table| {
             let open = table.open.get(to).filter(|sender| !sender.is_closed());
             if let Some(sender) = open {
-                let _ = sender.try_send(parcel);
+                let _ = sender.try_send(envelope);
                 return None;
             }
             let address = table.addresses.get(to).cloned();
             address.map(|address| {
                 // Registered at once, so that what follows waits behind it in order.
                 let (sender, receiver) = mpsc::channel(MOST_WAITING);
-                let _ = sender.try_send(parcel);
+                let _ = sender.try_send(envelope);
                 table.open.insert(to.to_owned(), sender.clone());
                 (address, (sender, receiver))
             })
@@ -136,8 +136,8 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// let links = wicket::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
-    /// links.send("nobody", parcel::Body::RollAsk(Default::default()));
+    /// let links = transport::Links::open("a".into(), None, tokio::sync::mpsc::channel(1).0);
+    /// links.send("nobody", protocol::Payload::UpstreamsRequest(Default::default()));
     /// assert_eq!(links.sent()["rollAsk"].0, 1);
     /// # });
     /// ```
@@ -155,7 +155,7 @@
         socket.connect(to).await
     }
 
-    /// Serves one connection until either side ends it. An accepted one is known by its first parcel.
+    /// Serves one connection until either side ends it. An accepted one is known by its first envelope.
     async fn hold(self, stream: TcpStream, dialled: Option<Waitlist>) {
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
@@ -176,13 +176,13 @@
                 Err(reader.next().await)
             };
             match next {
-                Ok(Some(parcel)) => {
-                    let sent = tokio::time::timeout(WRITE_WITHIN, writer.send(parcel)).await;
+                Ok(Some(envelope)) => {
+                    let sent = tokio::time::timeout(WRITE_WITHIN, writer.send(envelope)).await;
                     if !matches!(sent, Ok(Ok(()))) {
                         return;
                     }
                 }
-                Err(Some(Ok(Parcel { from, body }))) => {
+                Err(Some(Ok(Envelope { from, body }))) => {
                     if !registered {
                         registered = true;
                         self.with(|table| {
@@ -205,16 +205,16 @@
     }
 }
 
-/// Sends one parcel as a datagram; a full socket loses it, as the network may.
+/// Sends one envelope as a datagram; a full socket loses it, as the network may.
 ///
 /// ```
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
-/// wicket::send_datagram(&socket, "nowhere", parcel::Body::Founded(Default::default()));
+/// transport::send_datagram(&socket, "nowhere", protocol::Payload::Bootstrapped(Default::default()));
 /// # });
 /// ```
-pub fn send_datagram(socket: &UdpSocket, address: &str, body: Body) {
-    let bytes = Parcel { from: String::new(), body: Some(body) }.encode_to_vec();
+pub fn send_datagram(socket: &UdpSocket, address: &str, body: Payload) {
+    let bytes = Envelope { from: String::new(), body: Some(body) }.encode_to_vec();
     let to = address.parse::<std::net::SocketAddr>().ok();
     to.into_iter().for_each(|to| drop(socket.try_send_to(&bytes, to)));
 }
--- a/crates/transport/src/reload.rs
+++ b/crates/transport/src/reload.rs
@@ -17,9 +17,9 @@
 ///
 /// ```
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-/// const PROGRAM: wicket::Program =
-///     wicket::Program { name: "carrier", about: "", tables: &[tariff::TIMES], check: |_| Vec::new() };
-/// let mut reload = wicket::reload_signal(&PROGRAM, &Default::default());
+/// const PROGRAM: transport::Program =
+///     transport::Program { name: "carrier", about: "", tables: &[tariff::TIMES], check: |_| Vec::new() };
+/// let mut reload = transport::reload_signal(&PROGRAM, &Default::default());
 /// let waiting = tokio::time::timeout(std::time::Duration::from_millis(1), reload.seeds());
 /// assert!(waiting.await.is_err(), "nobody sent one");
 /// # });
@@ -34,7 +34,7 @@
     /// complaint about settings that can't be used; the process then goes on with those it has.
     ///
     /// ```no_run
-    /// # async fn wait(mut reload: wicket::Reload) {
+    /// # async fn wait(mut reload: transport::Reload) {
     /// println!("{:?}", reload.seeds().await);
     /// # }
     /// ```
--- a/crates/transport/src/start.rs
+++ b/crates/transport/src/start.rs
@@ -1,6 +1,6 @@
 //! Starting a daemon: flags, settings file, logs and the clock.
 
-use address::Dice;
+use address::Random;
 use log::LevelFilter;
 use simplelog::{Config, ConfigBuilder, SimpleLogger};
 use std::time::Duration;
@@ -33,7 +33,7 @@
 /// meanwhile.
 ///
 /// ```
-/// let clock = wicket::Clock::default();
+/// let clock = transport::Clock::default();
 /// assert!(clock.now() <= clock.now());
 /// ```
 #[derive(Clone, Copy)]
@@ -49,7 +49,7 @@
     /// Time since the start.
     ///
     /// ```
-    /// assert!(wicket::Clock::default().now().as_secs() < 60);
+    /// assert!(transport::Clock::default().now().as_secs() < 60);
     /// ```
     pub fn now(&self) -> Duration {
         since_boot().saturating_sub(self.0)
@@ -64,9 +64,9 @@
 /// Reads flags and settings, sets up the log; ends the process where it was only asked or told wrongly.
 ///
 /// ```no_run
-/// let program = wicket::Program { name: "carrier", about: "The data plane.", tables: &[tariff::TIMES],
+/// let program = transport::Program { name: "carrier", about: "The data plane.", tables: &[tariff::TIMES],
 ///     check: |_| Vec::new() };
-/// let settings = wicket::begin(&program);
+/// let settings = transport::begin(&program);
 /// ```
 pub fn begin(program: &Program) -> Settings {
     // Until the process listens for it, this signal would end it.
@@ -175,7 +175,7 @@
 ///     Setting { name: "seeds", shape: Shape::Addresses, fallback: Some("127.0.0.1:1,127.0.0.2:1"), help: "" },
 ///     Setting { name: "seed-port", shape: Shape::Count(0, 65_535), fallback: Some("7"), help: "" },
 /// ];
-/// assert_eq!(wicket::seeds(&Settings::read(&[&table], None, &[]).unwrap()), ["127.0.0.1:7", "127.0.0.2:7"]);
+/// assert_eq!(transport::seeds(&Settings::read(&[&table], None, &[]).unwrap()), ["127.0.0.1:7", "127.0.0.2:7"]);
 /// ```
 pub fn seeds(settings: &Settings) -> Vec<String> {
     let port = settings.get("seed-port");
@@ -189,19 +189,19 @@
 /// A seed that differs at each start.
 ///
 /// ```
-/// assert_ne!(wicket::chance(), wicket::chance());
+/// assert_ne!(transport::chance(), transport::chance());
 /// ```
 pub fn chance() -> u64 {
     use std::hash::{BuildHasher, Hasher};
     let drawn = std::collections::hash_map::RandomState::new().build_hasher().finish();
-    Dice::new(drawn).roll()
+    Random::new(drawn).next_u64()
 }
 
 /// Done when the process is asked to stop (SIGTERM or SIGINT).
 ///
 /// ```no_run
 /// # async fn wait() {
-/// wicket::stop_signal().await;
+/// transport::stop_signal().await;
 /// # }
 /// ```
 pub async fn stop_signal() {
