--- a/deploy/hunting/bench.py
+++ b/deploy/hunting/bench.py
@@ -56,7 +56,10 @@
         return {path.relative_to(journal) for path in journal.rglob("*") if path.is_file()}
 
     def copy_entries(self, names, journal):
-        """Copies journal files as they are into another journal; an entry that is there stays."""
+        """Copies journal files as they are into another journal; an entry that is there stays.
+
+        The bench writes an entry when a run starts and again when it ends, so name those of ended runs only.
+        """
         for name in sorted(names):
             target = pathlib.Path(journal) / name
             target.parent.mkdir(parents=True, exist_ok=True)
--- a/deploy/hunting/command.py
+++ b/deploy/hunting/command.py
@@ -78,29 +78,30 @@
     plays = [play for play in plays if (play[1].stem, play[2]) not in known]
     print(f"{len(plays)} runs on {site.stem} at {commit[:12]}, {flags.jobs} side by side; {len(known)} are known")
     player.build()
-    found = _play_and_keep(player, plays, flags, kept)
+    found = play_and_keep(player, plays, flags, kept)
     asked = {(path.stem, seed) for path in files for seed in seeds(flags.seeds)}
     earlier = [result for result in before if (result.day, result.seed) in asked & known]
     return _tell(earlier + found)
 
 
-def _play_and_keep(player, plays, flags, kept):
-    """Plays, and after each run keeps its result and copies the new entries of the journal."""
+def play_and_keep(player, plays, flags, kept):
+    """Plays; keeps each result and its journal entry as it comes, and at the end all that the journal has besides."""
     found = []
-    copied = player.entries()
+    there_before = player.entries()
 
     def tell(result, is_again):
-        nonlocal copied
-        present = player.entries()
-        player.copy_entries(present - copied, flags.journal)
-        copied = present
+        if result.entry:
+            player.copy_entries([result.entry], flags.journal)
         print(_line(result) + (", to be played again" if is_again else ""), flush=True)
         if not is_again:
             found.append(result)
             with kept.open("a") as file:
                 file.write(result.to_json() + "\n")
 
-    bench.play_all(player, plays, flags.jobs, tell)
+    try:
+        bench.play_all(player, plays, flags.jobs, tell)
+    finally:
+        player.copy_entries(player.entries() - there_before, flags.journal)
     return found
 
 
--- a/deploy/hunting/tests/test_bench.py
+++ b/deploy/hunting/tests/test_bench.py
@@ -1,16 +1,19 @@
 """The runner, with a script in the place of the bench."""
 
+import argparse
 import json
 import pathlib
 import stat
 import subprocess
 import tempfile
+import threading
 import unittest
 
 from hunting import bench, command, results
 
 # Writes the entry that a run of the bench would leave. A day named 'busy' is given up the first time that anything is
-# played, as on a machine that is too busy; one named 'odd' leaves no entry.
+# played, as on a machine that is too busy; one named 'odd' leaves no entry, and one named 'slow' waits for the file 'go'.
+# As the bench does, it writes an entry also when it starts.
 SCRIPT = """#!/bin/sh
 [ "$1" = build ] && exit 0
 day=$(basename "$3" .toml); seed=$5
@@ -19,8 +22,11 @@
 [ "$day" = busy ] && [ ! -e played ] && error='"too busy: the day was given up"'
 touch played
 mkdir -p journal
+entry="journal/1-$seed$(printf %s "$day" | od -An -tx1 | tr -d ' \\n').json"
+echo '{"error": "the run did not finish", "days": []}' > "$entry"
+while [ "$day" = slow ] && [ ! -e go ]; do :; done
 printf '{"site": "north", "error": %s, "days": [{"name": "%s", "seed": %s, "rules": {}, "gate": true, "served": 1.0}]}' \
-    "$error" "$day" "$seed" > "journal/1-$seed$(printf %s "$day" | od -An -tx1 | tr -d ' \\n').json"
+    "$error" "$day" "$seed" > "$entry"
 echo "snapshot $seed$(printf %s "$day" | od -An -tx1 | tr -d ' \\n')"
 """
 
@@ -83,6 +89,21 @@
         self.assertEqual((target / name).read_text(), "mine")
 
 
+    def test_an_entry_is_copied_when_its_run_has_ended_and_not_as_it_stands_meanwhile(self):
+        flags = argparse.Namespace(jobs=2, journal=self.folder / "copies")
+        plays = [(pathlib.Path("north.toml"), pathlib.Path(f"{day}.toml"), 7, "why") for day in ("slow", "calm")]
+        kept = self.folder / "results.jsonl"
+        run = threading.Thread(target=command.play_and_keep, args=(self.player, plays, flags, kept))
+        run.start()
+        while not (kept.exists() and kept.read_text().endswith("\n")):
+            pass
+        (self.worktree / "go").touch()
+        run.join()
+        for entry in (self.worktree / "journal").iterdir():
+            self.assertEqual((flags.journal / entry.name).read_text(), entry.read_text())
+            self.assertNotIn("did not finish", entry.read_text())
+
+
 class CleanWorktree(unittest.TestCase):
     """The worktree that is measured."""
 
