--- a/deploy/hunting/bench.py
+++ b/deploy/hunting/bench.py
@@ -7,8 +7,9 @@
 import re
 import shutil
 import subprocess
+import tomllib
 
-from . import results
+from . import results, strikes
 
 SNAPSHOT = re.compile(r"^snapshot ([0-9a-f]+)$", re.MULTILINE)
 JOURNAL = "journal"
@@ -48,7 +49,12 @@
         if not snapshot:
             last_line = (done.stderr or done.stdout).strip().splitlines()[-1:]
             return results.not_played(site.stem, day.stem, seed, " ".join(last_line) or f"ended with {done.returncode}")
-        return self._result(snapshot.group(1), seed)
+        result = self._result(snapshot.group(1), seed)
+        report = pathlib.Path(f"{stem}.report.json")
+        if result.outcome == results.NOT_PLAYED or not report.exists():
+            return result
+        events = json.loads(report.read_text())["events"]
+        return dataclasses.replace(result, missing=strikes.missing(tomllib.loads(day.read_text()), events))
 
     def entries(self):
         """The files of the worktree's journal, relative to it."""
--- a/deploy/hunting/results.py
+++ b/deploy/hunting/results.py
@@ -24,6 +24,8 @@
     notes: list
     served: float | None
     entry: str
+    # How often a kind of the day's troubles did not strike.
+    missing: dict = dataclasses.field(default_factory=dict)
 
     def to_json(self):
         """One line for a file of results."""
@@ -70,7 +72,10 @@
     by_day = collections.defaultdict(list)
     for result in results:
         by_day[(result.site, result.day)].append(result)
-    lines = ["| site | day | runs | broken | rules broken, by seed | gate |", "|---|---|---|---|---|---|"]
+    lines = [
+        "| site | day | runs | broken | rules broken, by seed | gate | did not strike |",
+        "|---|---|---|---|---|---|---|",
+    ]
     lines += [_row(site, day, runs) for (site, day), runs in sorted(by_day.items())]
     counts = collections.Counter(result.outcome for result in results)
     summary = f"{len(results)} runs: {counts[PASSED]} passed, {counts[BROKEN]} broken, {counts[NOT_PLAYED]} not played"
@@ -84,11 +89,16 @@
     gate = _cell("; ".join(dict.fromkeys(note for run in broken for note in run.notes[:1])))
     left = len(runs) - len(played)
     missed = f" (+{left} not played)" if left else ""
-    return f"| {site} | {day} | {len(played)}{missed} | {len(broken)} | {rules} | {gate} |"
+    absent = "; ".join(f"{run.seed}: {_counts(run.missing)}" for run in played if run.missing)
+    return f"| {site} | {day} | {len(played)}{missed} | {len(broken)} | {rules} | {gate} | {absent} |"
 
 
 def _rules(run):
-    return " ".join(f"{rule} {count}" for rule, count in run.rules.items()) or "gate only"
+    return _counts(run.rules) or "gate only"
+
+
+def _counts(counts):
+    return " ".join(f"{name} {count}" for name, count in counts.items())
 
 
 def _cell(text, longest=200):
--- a/deploy/hunting/tests/test_bench.py
+++ b/deploy/hunting/tests/test_bench.py
@@ -63,6 +63,13 @@
         (result,) = self.play(["calm"])
         self.assertEqual((result.day, result.seed, result.outcome), ("calm", 7, results.PASSED))
 
+    def test_troubles_that_did_not_strike_are_read_from_the_report(self):
+        day = self.folder / "calm.toml"
+        day.write_text('faults = [{ at = 1.0, kind = "cut" }, { at = 2.0, kind = "wipe" }]')
+        (self.folder / "north.calm.7.report.json").write_text('{"events": [{"kind": "cut (leader)"}]}')
+        result = self.player.play(pathlib.Path("north.toml"), day, 7, "why")
+        self.assertEqual(result.missing, {"wipe": 1})
+
     def test_a_day_that_was_given_up_is_played_again(self):
         (result,) = self.play(["busy"])
         self.assertEqual(result.outcome, results.PASSED)
--- a/deploy/hunting/tests/test_results.py
+++ b/deploy/hunting/tests/test_results.py
@@ -1,5 +1,6 @@
 """What counts as broken, what as not played, and the table."""
 
+import dataclasses
 import unittest
 
 from hunting import results
@@ -55,6 +56,10 @@
         found = results.of_entry(entry(gate=False, short=["no ack after 6054 ms"]), "a.json")
         self.assertIn("3: gate only | no ack after 6054 ms |", results.table(found))
 
+    def test_troubles_that_did_not_strike_are_told(self):
+        found = dataclasses.replace(results.of_entry(entry(), "a.json")[0], missing={"wipe": 2})
+        self.assertIn("| 3: wipe 2 |", results.table([found]))
+
 
 if __name__ == "__main__":
     unittest.main()
