Setups are dropped by the register, by what refers to them, never by file times

Cause: storage thinned setup files out by modification time, sparing only what the state on disk named at that moment. A file just written for the round under way could go on all voters at once; the accepted state then named bytes that nobody held, and after a restart of all control nodes nothing came into force again. Change: which bytes may go is decided in the register's step: not what the decided or synced state names, not what is in force, in a round or waits; beyond 16 others or 8 MiB the earliest go. The disk removes a file after all writes before. A proposer that takes over a state without its bytes asks the others for them. Tests: register, property test: no state on a disk ever names bytes that are not on it. Simulator: 'long-storm', 200 setups at 120 ms, then all control nodes are killed; with disks that thin out by themselves the world stays down, and the test sees it.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -143,6 +143,10 @@
         digest: String,
         bytes: Vec<u8>,
     },
+    /// The file of this setup may go, after all writes before.
+    DropSetup {
+        digest: String,
+    },
     Answer {
         token: u64,
         answer: Answer,
@@ -422,6 +426,7 @@
             quorum_register::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.effects.push_back(Effect::KeepSetup { ticket, digest, bytes });
             }
+            quorum_register::Effect::DropSetup { digest } => self.effects.push_back(Effect::DropSetup { digest }),
             quorum_register::Effect::Decided { token, decision } => self.decided(now, token, decision),
             quorum_register::Effect::Adopted => self.adopted(),
             quorum_register::Effect::EpochKept { token } => self.run_lease(now, lease::Event::EpochKept { token }),
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -91,6 +91,7 @@
 enum Write {
     State(u64, DurableState),
     Setup(u64, String, Vec<u8>),
+    Drop(String),
 }
 
 /// What the HTTP side shares with the core's task.
@@ -239,6 +240,7 @@
         effects.into_iter().for_each(|effect| match effect {
             Effect::Keep { ticket, durable } => drop(writes.try_send(Write::State(ticket, durable))),
             Effect::KeepSetup { ticket, digest, bytes } => drop(writes.try_send(Write::Setup(ticket, digest, bytes))),
+            Effect::DropSetup { digest } => drop(writes.try_send(Write::Drop(digest))),
             Effect::Answer { token, answer } => {
                 answers.remove(&token).into_iter().for_each(|waiting| drop(waiting.send(answer.clone())));
             }
@@ -274,6 +276,12 @@
             let (ticket, done) = match write {
                 Write::State(ticket, durable) => (ticket, storage.keep(&durable)),
                 Write::Setup(ticket, digest, bytes) => (ticket, storage.keep_setup(&digest, &bytes)),
+                Write::Drop(digest) => {
+                    // It takes room and nothing else: the next start finds it and drops it again.
+                    let dropped = storage.drop_setup(&digest);
+                    dropped.unwrap_or_else(|failure| log::warn!("disk: {failure:?}"));
+                    continue;
+                }
             };
             let took_ms = (clock.now() - begun_at).as_millis() as u64;
             spans.writes.fetch_add(1, Ordering::Relaxed);
--- a/crates/drill/src/hollow/steps.rs
+++ b/crates/drill/src/hollow/steps.rs
@@ -62,6 +62,7 @@
             controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.keep(at, ticket, Write::Setup(digest, bytes));
             }
+            controller::Effect::DropSetup { digest } => drop(self.nodes[at].setups.remove(&digest)),
             controller::Effect::Answer { token, answer } => self.answered(at, token, answer),
             controller::Effect::Addresses(book) => self.look_up(at, &book),
             controller::Effect::Note(_) => {}
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -1,6 +1,6 @@
 //! How faults come about, and how they heal.
 
-use super::faults::{Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, Step};
+use super::faults::{Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, STORM_GAP, STORM_SETTLES, Step};
 use super::net::Cut;
 use super::nodes::{Disk, Node};
 use super::operators::What;
@@ -151,6 +151,7 @@
                 });
             }),
             Fault::HotKey => self.hot_key = true,
+            Fault::LongStorm(count) => self.storm_on(count),
             Fault::NumberRace(times) => {
                 self.race_numbers();
                 let next = self.now + Duration::from_millis(150);
@@ -263,6 +264,7 @@
             | Fault::NumberRace(_)
             | Fault::RestartPostmasters
             | Fault::SetupStorm
+            | Fault::LongStorm(_)
             | Fault::OperatorRace
             | Fault::JumpClock(..)
             | Fault::JumpPlacement(_) => {}
@@ -321,6 +323,19 @@
         self.at(until, super::world::Action::Heal { at: step });
     }
 
+    /// One more setup of a storm; after the last, all control nodes are killed.
+    fn storm_on(&mut self, left: u32) {
+        let (next, slow_disk) = (self.now + STORM_GAP, Duration::from_millis(40));
+        self.set_disk(0, |disk| disk.slowed = slow_disk);
+        if left == 0 {
+            self.set_disk(0, |disk| disk.slowed = Duration::ZERO);
+            let killed_at = self.now + STORM_SETTLES;
+            return self.push_step(killed_at, killed_at + Duration::from_millis(300), Fault::KillPostmasters);
+        }
+        self.submit_setup(0, None);
+        self.push_step(next, next, Fault::LongStorm(left - 1));
+    }
+
     fn first_service_garbles(&mut self, per_mille: u64) {
         let service = self.shape.services[0].service;
         let bad = self.units.iter_mut().filter(|unit| unit.work.service == service);
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -81,6 +81,8 @@
     JumpPlacement(Duration),
     /// A part of the answers to beats with numeric keys takes up to 1.5 s longer.
     LateAnswers,
+    /// A setup every 120 ms, so many in all, while a disk is slow; then all postmasters are killed.
+    LongStorm(u32),
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
     /// A setup is accepted, and all postmasters end at that moment.
@@ -92,6 +94,10 @@
 
 /// How long a rolling restart gives each machine.
 pub(super) const RESTART_EVERY: Duration = Duration::from_millis(4500);
+/// Between two setups of a long storm.
+pub(super) const STORM_GAP: Duration = Duration::from_millis(120);
+/// From a long storm's last setup until all postmasters are killed: everything is decided by then.
+pub(super) const STORM_SETTLES: Duration = Duration::from_secs(4);
 /// How long each zone is evacuated while names are moved about.
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
@@ -154,6 +160,7 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("long-storm", |_| Fault::LongStorm(200)),
 ];
 
 /// Every kind by name.
@@ -230,6 +237,7 @@
         };
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
+            Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
             Fault::MoveNames => at + MOVE_EVERY * 6,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use tariff::{Complaint, Setup};
 
+/// How many setups a disk keeps that drops the newest.
+const MAX_KEPT_BLINDLY: usize = 32;
 const TICK: Duration = Duration::from_millis(50);
 /// How far a clock may run off, in parts of a million: a hundred times what real ones do.
 pub const DRIFT: u64 = 10_000;
@@ -38,6 +40,7 @@
 pub enum Write {
     State(u64, DurableState),
     Setup(u64, String, Vec<u8>),
+    Drop(String),
 }
 
 /// A disk: what is synced, and what waits to be.
@@ -55,6 +58,33 @@
     pub power_at: Option<(u32, bool)>,
     /// What a disk that lies still has after a power cut.
     pub early: DurableState,
+    /// See [`super::Weakness::drops_newest`].
+    pub drops_newest: bool,
+}
+
+impl Disk {
+    /// Carries out one write; gives the ticket that it is confirmed by.
+    fn apply(&mut self, write: Write) -> Option<u64> {
+        match write {
+            Write::State(ticket, durable) => {
+                if self.early.disk == 0 {
+                    self.early = durable.clone();
+                }
+                self.durable = durable;
+                Some(ticket)
+            }
+            Write::Setup(ticket, digest, bytes) => {
+                if !self.drops_newest || self.setups.len() < MAX_KEPT_BLINDLY {
+                    self.setups.insert(digest, bytes);
+                }
+                Some(ticket)
+            }
+            Write::Drop(digest) => {
+                self.setups.retain(|known, _| *known != digest || self.drops_newest);
+                None
+            }
+        }
+    }
 }
 
 pub enum Core {
@@ -352,6 +382,7 @@
             controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.write(at, Write::Setup(ticket, digest, bytes));
             }
+            controller::Effect::DropSetup { digest } => self.write(at, Write::Drop(digest)),
             controller::Effect::Answer { token, answer } => self.control_answered(at, token, answer),
             controller::Effect::Addresses(_) | controller::Effect::Note(_) => {}
         });
@@ -386,22 +417,9 @@
         }
         let event = if node.disk.broken {
             node.disk.waiting.clear();
-            controller::Event::DiskFailed
+            Some(controller::Event::DiskFailed)
         } else {
-            let ticket = match write {
-                Write::State(ticket, durable) => {
-                    if node.disk.early.disk == 0 {
-                        node.disk.early = durable.clone();
-                    }
-                    node.disk.durable = durable;
-                    ticket
-                }
-                Write::Setup(ticket, digest, bytes) => {
-                    node.disk.setups.insert(digest, bytes);
-                    ticket
-                }
-            };
-            controller::Event::Kept { ticket }
+            node.disk.apply(write).map(|ticket| controller::Event::Kept { ticket })
         };
         if powerless.is_some() {
             return self.kill(at);
@@ -410,8 +428,8 @@
         if more {
             self.after(Duration::from_micros(micros) + slowed, Action::Disk { node: at, life });
         }
-        let effects = match &mut self.nodes[at].core {
-            Core::ControlNode(control) => control.step(local, event),
+        let effects = match (&mut self.nodes[at].core, event) {
+            (Core::ControlNode(control), Some(event)) => control.step(local, event),
             _ => Vec::new(),
         };
         self.run_control(at, effects);
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -82,6 +82,9 @@
     pub lifetime: Duration,
     /// Disks tell that they synced, and lose it in a power cut.
     pub disks_lie: bool,
+    /// Disks thin out setups by the times of their files, on a clock that jumped back: the newest go first, whatever refers
+    /// to them.
+    pub drops_newest: bool,
     /// Proxies pass on whatever an upstream says, and call a lost verdict busy.
     pub trusting: bool,
     /// Upstreams hold their shares this much longer than they may.
@@ -117,6 +120,7 @@
             stale_after: span,
             lifetime: span,
             disks_lie: false,
+            drops_newest: false,
             trusting: false,
             holds_on: Duration::ZERO,
             takes_late: false,
@@ -282,7 +286,10 @@
     /// The same for any site.
     pub fn weakened_site(seed: u64, plan: Plan, shape: Shape, weak: Weakness) -> World {
         let mut world = World::new(seed, Some(plan), shape);
-        world.nodes.iter_mut().for_each(|node| node.site.stale_after = weak.stale_after);
+        world.nodes.iter_mut().for_each(|node| {
+            node.site.stale_after = weak.stale_after;
+            node.disk.drops_newest = weak.drops_newest;
+        });
         world.weak = weak;
         if weak.unnumbered {
             (0..world.nodes.len()).for_each(|node| world.kill(node));
--- a/crates/drill/tests/seeds.rs
+++ b/crates/drill/tests/seeds.rs
@@ -158,6 +158,21 @@
     });
 }
 
+/// Setups were thinned out by the age of their files: in a storm the bytes of the accepted state went on all disks, and
+/// after a restart nobody had anything in force.
+#[test]
+fn a_long_storm_and_a_restart_of_all_lose_nothing() {
+    assert_eq!(failures((1..5).map(|seed| (Some("long-storm".to_owned()), seed)).collect()), Vec::<String>::new());
+}
+
+/// The same world with disks that thin out by themselves: nothing is served any more, and the test above sees it.
+#[test]
+fn disks_that_thin_out_by_themselves_are_caught() {
+    let plan = Plan::named("long-storm", 1).expect("a known plan");
+    let outcome = World::weakened(1, plan, Weakness { drops_newest: true, ..Weakness::default() }).run();
+    assert!(!outcome.fine(), "served again after {:?}", outcome.resumed_after);
+}
+
 /// Rules broken by a world that lacks one thing they rest on, over a few seeds.
 fn broken_by(plan: &str, weak: Weakness) -> Vec<u32> {
     let plan = |seed| if plan == "blackout" { blackout() } else { Plan::named(plan, seed).expect("a known plan") };
--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -3,7 +3,7 @@
 use crate::change::{Change, Decision, apply};
 use crate::register::{Effect, Register, VoterPhase};
 use address::{Code, majority};
-use protocol::{Accept, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupBytes};
+use protocol::{Accept, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupAsk, SetupBytes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -57,6 +57,16 @@
     },
 }
 
+impl Round {
+    /// The state that waits for a majority's acceptance.
+    pub(crate) fn proposed_state(&self) -> Option<&ClusterState> {
+        match self {
+            Round::Accepting { state, .. } => Some(state),
+            _ => None,
+        }
+    }
+}
+
 impl Register {
     /// The one place where the round's state changes.
     fn turn(&mut self, round: Round) {
@@ -217,6 +227,9 @@
         if let Some(squeezed) = self.squeezed(&digest) {
             self.send(voter, Payload::SetupBytes(SetupBytes { digest, squeezed }));
             self.send(voter, Payload::Prepare(Prepare { ballot }));
+        } else {
+            // Taken over from an earlier round, with its bytes on other voters only.
+            self.send_all(Payload::SetupAsk(SetupAsk { digest }));
         }
     }
 
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -10,8 +10,9 @@
 
 /// How many disk writes may wait before the voter stays out of rounds.
 const MAX_WRITES: usize = 64;
-/// How many setups are kept in memory beside those in use.
-const SPARE_SETUPS: usize = 16;
+/// How many setups are kept beside those that something refers to, and how many bytes of them at most.
+const MAX_SPARE_SETUPS: usize = 16;
+const MAX_SPARE_BYTES: usize = 8 * 1024 * 1024;
 
 /// The register's time values.
 #[derive(Clone, Copy, Debug)]
@@ -96,6 +97,10 @@
         digest: String,
         bytes: Vec<u8>,
     },
+    /// Nothing refers to this setup any more: its file may go, after all writes before.
+    DropSetup {
+        digest: String,
+    },
     Decided {
         token: u64,
         decision: Decision,
@@ -161,6 +166,8 @@
     /// What the disk surely holds: questions are answered from it.
     pub(crate) synced: DurableState,
     pub(crate) setups: BTreeMap<String, Vec<u8>>,
+    /// Digests of the setups, the earliest first.
+    arrivals: VecDeque<String>,
     /// The setup that was last sent, by its digest.
     squeezed: Option<(String, Vec<u8>)>,
     pub(crate) held: BTreeSet<String>,
@@ -211,6 +218,7 @@
             seen_round: start.durable.promised.round,
             durable: start.durable,
             held: start.setups.keys().cloned().collect(),
+            arrivals: start.setups.keys().cloned().collect(),
             setups: start.setups,
             squeezed: None,
             current: Current { ballot: Ballot::default(), state: ClusterState::default(), confirmed_at: None },
@@ -447,6 +455,7 @@
         }
         self.settle_founding();
         self.settle_mending();
+        self.drop_spare_setups();
     }
 
     fn raise_epoch(&mut self, epoch: u64, token: u64) {
@@ -471,8 +480,8 @@
             let ticket = self.ticket;
             self.writes.push_back(Write { ticket, durable: None, digest: Some(digest.clone()), then: Vec::new() });
             self.setups.insert(digest.clone(), bytes.clone());
+            self.arrivals.push_back(digest.clone());
             self.effects.push(Effect::KeepSetup { ticket, digest, bytes });
-            self.drop_spare_setups();
         }
     }
 
@@ -498,21 +507,51 @@
         self.squeezed(&digest)
     }
 
+    /// Drops the earliest setups that nothing refers to, beyond a bound. What a state on this disk names, decided or
+    /// synced, and what a round or a waiting change needs stays, whatever its age: a voter accepts a state only while it
+    /// holds the bytes, so a chosen state's bytes stay on a majority.
     fn drop_spare_setups(&mut self) {
-        let in_round: BTreeSet<String> = self.pending.iter().filter_map(|wish| wish.digest()).collect();
-        let used = |digest: &String| {
-            *digest == self.durable.accepted.digest
-                || *digest == self.synced.accepted.digest
-                || *digest == self.current.state.digest
-                || in_round.contains(digest)
-                || !self.held.contains(digest)
-        };
-        let spare: Vec<String> = self.setups.keys().filter(|digest| !used(digest)).cloned().collect();
-        let excess = spare.len().saturating_sub(SPARE_SETUPS);
-        spare.into_iter().take(excess).for_each(|digest| {
+        let referenced = self.referenced_setups();
+        let spare = |digest: &&String| !referenced.contains(*digest) && self.held.contains(*digest);
+        let mut count = self.arrivals.iter().filter(spare).count();
+        let size = |digest: &String| self.setups.get(digest).map_or(0, Vec::len);
+        let mut bytes: usize = self.arrivals.iter().filter(spare).map(size).sum();
+        let mut dropped = Vec::new();
+        for digest in self.arrivals.iter().filter(spare) {
+            if count <= MAX_SPARE_SETUPS && bytes <= MAX_SPARE_BYTES {
+                break;
+            }
+            count -= 1;
+            bytes -= size(digest);
+            dropped.push(digest.clone());
+        }
+        self.arrivals.retain(|digest| !dropped.contains(digest));
+        for digest in dropped {
             self.setups.remove(&digest);
             self.held.remove(&digest);
-        });
+            self.effects.push(Effect::DropSetup { digest });
+        }
+    }
+
+    /// Digests of the setups that must be kept.
+    fn referenced_setups(&self) -> BTreeSet<String> {
+        let states = [&self.durable.accepted, &self.synced.accepted, &self.current.state];
+        let states = states.into_iter().chain(self.round.proposed_state());
+        let pending = self.pending.iter().filter_map(|change| change.digest());
+        states.map(|state| state.digest.clone()).chain(pending).collect()
+    }
+
+    /// True where the state accepted here names a setup whose bytes this node lacks.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(!Register::new(start).lacks_accepted_setup());
+    /// ```
+    pub fn lacks_accepted_setup(&self) -> bool {
+        let digest = &self.durable.accepted.digest;
+        !digest.is_empty() && !self.setups.contains_key(digest)
     }
 
     fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
@@ -523,8 +562,8 @@
 
     /// A damaged or missing file is mended from the others.
     fn ask_missing_setup(&mut self) {
-        let digest = self.durable.accepted.digest.clone();
-        if !digest.is_empty() && !self.setups.contains_key(&digest) {
+        if self.lacks_accepted_setup() {
+            let digest = self.durable.accepted.digest.clone();
             self.send_all(Payload::SetupAsk(SetupAsk { digest }));
         }
     }
--- a/crates/quorum-register/tests/arbitrary.rs
+++ b/crates/quorum-register/tests/arbitrary.rs
@@ -64,6 +64,7 @@
             Effect::KeepSetup { ticket, digest, bytes } => {
                 self.nodes[at].writes.push_back((ticket, None, Some((digest, bytes))));
             }
+            Effect::DropSetup { digest } => self.nodes[at].writes.push_back((0, None, Some((digest, Vec::new())))),
             Effect::Decided { decision, .. } if decision.code == address::Code::Fine => {
                 self.accepted = self.accepted.max(decision.edition);
             }
@@ -83,8 +84,16 @@
         let Some((ticket, durable, setup)) = self.nodes[at].writes.pop_front() else { return };
         let node = &mut self.nodes[at];
         node.disk = durable.unwrap_or_else(|| node.disk.clone());
-        node.setups.extend(setup);
-        self.step(at, Event::Kept { ticket });
+        match setup {
+            Some((digest, bytes)) if bytes.is_empty() => drop(node.setups.remove(&digest)),
+            setup => node.setups.extend(setup),
+        }
+        // Whatever crash comes next, the state on this disk names only bytes that are on it.
+        let digest = &node.disk.accepted.digest;
+        assert!(digest.is_empty() || node.setups.contains_key(digest), "{} lost the bytes of its state", name(at));
+        if ticket > 0 {
+            self.step(at, Event::Kept { ticket });
+        }
     }
 
     fn tick_all(&mut self) {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,13 +7,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::fs::{self, File};
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
 const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
 const DURABLE: &str = "durable";
-/// How many setup files are left on the disk.
-const MAX_FILES: usize = 32;
 
 /// The disk could not be used.
 #[derive(Debug)]
@@ -157,27 +155,30 @@
         file.sync_all().change_context_lazy(context)?;
         fs::rename(&aside, &name).change_context_lazy(context)?;
         File::open(&setups).and_then(|folder| folder.sync_all()).change_context_lazy(context)?;
-        self.drop_oldest(&setups);
         Ok(())
     }
 
-    /// Leaves the newest files, and always the one that the state names.
-    fn drop_oldest(&self, setups: &Path) {
-        let used = self
-            .read_state()
-            .as_deref()
-            .and_then(protocol::unpack::<DurableState>)
-            .map(|durable| durable.accepted.digest);
-        let used = format!("{}.json", used.unwrap_or_default());
-        let files = fs::read_dir(setups).into_iter().flatten().filter_map(Result::ok);
-        let mut aged: Vec<_> = files
-            .filter(|entry| entry.file_name().to_string_lossy() != used.as_str())
-            .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
-            .collect();
-        aged.sort();
-        let excess = aged.len().saturating_sub(MAX_FILES);
-        aged.into_iter().take(excess).for_each(|(_, path)| {
-            let _ = fs::remove_file(path);
-        });
+    /// Removes a setup's file. Which may go is decided by the register, from what refers to it; a file that comes back
+    /// after a power cut does no harm.
+    ///
+    /// ```
+    /// let folder = std::env::temp_dir().join(format!("storage-drop-{}", std::process::id()));
+    /// let (storage, _) = storage::Storage::open(&folder).unwrap();
+    /// let digest = protocol::digest(b"{}");
+    /// storage.keep_setup(&digest, b"{}").unwrap();
+    /// storage.drop_setup(&digest).unwrap();
+    /// storage.drop_setup(&digest).unwrap();
+    /// drop(storage);
+    /// assert!(storage::Storage::open(&folder).unwrap().1.setups.is_empty());
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn drop_setup(&self, digest: &str) -> Result<(), Report<StorageError>> {
+        let file = self.folder.join("setups").join(format!("{digest}.json"));
+        match fs::remove_file(file) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                Err(error).change_context(storage_error("cannot remove a setup"))
+            }
+            _ => Ok(()),
+        }
     }
 }
