--- a/crates/address/src/code.rs
+++ b/crates/address/src/code.rs
@@ -105,6 +105,8 @@
     NoWord = 1405, 404, NotRun, "No setup has been accepted yet.";
     NoPostmaster = 1406, 503, NotRun, "No postmaster can be reached from here.";
     IdReused = 1407, 409, NotRun, "The submission id was used for something else.";
+    VotersBehind = 1408, 409, NotRun, "The voters changed meanwhile, or would not change; look at them again.";
+    VotersBusy = 1409, 503, NotRun, "An earlier change is not decided yet; come back later.";
     NoSuchTrace = 1501, 404, NotRun, "The try id is unknown here or its trace has expired.";
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 mod requests;
 pub mod shell;
 mod updates;
+mod voters;
 
 pub use dialect::{Dialect, Unread, beat_sheet};
 pub use node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -4,6 +4,7 @@
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
+use crate::voters::VoterChanges;
 use address::{Code, Random};
 use enrolment::Roll;
 use gazetteer::{Owners, SetupReader};
@@ -223,7 +224,8 @@
     pub(crate) held_epoch: u64,
     pub(crate) counts: Counts,
     /// True once it was told to end: whoever asks is sent elsewhere.
-    closing: bool,
+    pub(crate) closing: bool,
+    pub(crate) voter_changes: VoterChanges,
 }
 
 impl ControlNode {
@@ -277,6 +279,7 @@
             held_epoch: 0,
             counts: Counts::default(),
             closing: false,
+            voter_changes: VoterChanges::default(),
         }
     }
 
@@ -319,12 +322,7 @@
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
             Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
-            Event::Close => {
-                self.closing = true;
-                let effects = self.membership.step(now, membership::Event::Leave);
-                self.run_membership(now, effects);
-                self.run_lease(now, lease::Event::Close);
-            }
+            Event::Close => self.close(now),
         }
         self.answer_reads(now);
         std::mem::take(&mut self.effects).into()
@@ -334,11 +332,11 @@
         let effects = self.membership.step(now, membership::Event::Tick);
         self.run_membership(now, effects);
         self.run_register(now, quorum_register::Event::Tick);
-        let (roster, epoch) = (self.register.roster().to_vec(), self.register.lease_epoch());
-        if *self.register.phase() == VoterPhase::Voting {
-            self.run_lease(now, lease::Event::Roster { roster, epoch });
+        if *self.register.phase() == VoterPhase::Active {
+            self.tell_lease_voters(now);
             self.run_lease(now, lease::Event::Tick);
         }
+        self.tick_voters(now);
         if now >= self.next_sweep {
             self.next_sweep = now + BATCH_EVERY;
             // What others hear of comes with their next batch.
@@ -362,8 +360,9 @@
             let text = match now {
                 VoterPhase::Blank { .. } => "the disk is blank",
                 VoterPhase::Bootstrapping { .. } => "endorsed a roster",
-                VoterPhase::Recovering { .. } => "mending from the other voters",
-                VoterPhase::Voting => "voting",
+                VoterPhase::Recovering(_) => "recovering from the voters",
+                VoterPhase::Active if self.register.is_voter() => "voting",
+                VoterPhase::Active => "following, without a vote",
                 VoterPhase::Out => "the disk failed: out of rounds",
             };
             self.effects.push_back(Effect::Note(text.into()));
@@ -374,7 +373,8 @@
         match body {
             Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => {
                 // A voter that has lost its disk has forgotten the epochs it granted.
-                if *self.register.phase() == VoterPhase::Voting {
+                if *self.register.phase() == VoterPhase::Active {
+                    self.tell_lease_voters(now);
                     self.run_lease(now, lease::Event::Received { from, body });
                 }
             }
@@ -389,6 +389,7 @@
             Payload::SharesReply(given) => self.shares_given(given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
+            Payload::VoterLeaving(_) => self.voter_leaving(now, from),
             Payload::KeyLoads(told) => self.count_keys(told.loads),
             Payload::UpdateRequest(ask) => self.news_asked(now, from, ask),
             Payload::UpdateAck(kept) => self.news_kept(&from, &kept),
@@ -397,7 +398,7 @@
         }
     }
 
-    fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
+    pub(crate) fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
         let changed = effects.contains(&membership::Effect::Changed);
         effects.into_iter().for_each(|effect| {
             if let membership::Effect::Send { address, body } = effect {
@@ -433,7 +434,13 @@
         });
     }
 
-    fn run_lease(&mut self, now: Duration, event: lease::Event) {
+    /// Whom the lease asks, and what it may grant, follows every newer state at once.
+    fn tell_lease_voters(&mut self, now: Duration) {
+        let (voter_set, epoch) = (self.register.voter_set().clone(), self.register.lease_epoch());
+        self.run_lease(now, lease::Event::Voters { voter_set, epoch });
+    }
+
+    pub(crate) fn run_lease(&mut self, now: Duration, event: lease::Event) {
         let effects = self.lease.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
             lease::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -182,8 +182,9 @@
         let phase = match self.register.phase() {
             VoterPhase::Blank { .. } => "blank",
             VoterPhase::Bootstrapping { .. } => "founding",
-            VoterPhase::Recovering { .. } => "mending",
-            VoterPhase::Voting => "voting",
+            VoterPhase::Recovering(_) => "mending",
+            VoterPhase::Active if self.register.is_voter() => "voting",
+            VoterPhase::Active => "following",
             VoterPhase::Out => "out",
         };
         let members = self.members.iter().map(|member| {
@@ -208,7 +209,8 @@
             ("evacuated", state.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
-            ("roster", self.register.roster().iter().map(|voter| Sheet::from(voter.as_str())).collect()),
+            ("roster", self.register.voter_set().members().map(|voter| Sheet::from(voter.as_str())).collect()),
+            ("voters", self.show_voters(now)),
             ("placement", self.placed_by.as_str().into()),
             ("placementEpoch", self.held_epoch.into()),
             ("counts", self.show_counts()),
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -181,7 +181,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = std::pin::pin!(transport::stop_signal());
     let mut datagram = vec![0u8; 65_536];
-    let mut end_at = None;
+    let (mut stopping, mut end_at) = (false, None);
     let mut next_told = Duration::ZERO;
     while end_at.is_none_or(|end_at| clock.now() < end_at) {
         let event = tokio::select! {
@@ -203,11 +203,10 @@
                 }
             }
             seeds = reload.seeds() => Event::Seeds(seeds),
-            _ = &mut stop, if end_at.is_none() => {
+            _ = &mut stop, if !stopping => {
                 log::info!("close: asked to stop");
                 shared.closing.store(true, Ordering::Relaxed);
-                // What is said now must still leave the process, and what was on its way be answered.
-                end_at = Some(clock.now() + LAST_WORDS);
+                stopping = true;
                 Event::Close
             }
         };
@@ -215,6 +214,10 @@
         let ticked = matches!(event, Event::Tick);
         let effects = control.step(now, event);
         run(effects, &links, &probe, &writes, &mut answers);
+        if control.may_end() && end_at.is_none() {
+            // What is said now must still leave the process, and what was on its way be answered.
+            end_at = Some(now + LAST_WORDS);
+        }
         if ticked {
             shared.ready.store(control.is_current(now), Ordering::Relaxed);
             answers.retain(|_, answer| !answer.is_closed());
--- /dev/null
+++ b/crates/controller/src/voters.rs
@@ -0,0 +1,218 @@
+//! Who votes: a voter that is gone is replaced by a control node that holds everything and has no vote yet.
+//!
+//! The holder of the placement lease decides, so one node at a time does. Its decisions are changes of the replicated state
+//! like any other: the register sees that quorums before and after a change share a voter, whoever proposes it. The number
+//! of voters stays: a voter loses its vote only to a node that takes its place. So a zone or region that is lost takes no
+//! votes along, and the nodes that are left never decide that they are enough.
+
+use crate::node::{ControlNode, Effect};
+use membership::ALIVE;
+use protocol::{Payload, VoterLeaving};
+use quorum_register::{Change, Event};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tariff::Sheet;
+
+/// How often the voters are looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// A voter that said nothing for so long is replaced, where a node of its locality can take its place.
+const REPLACE_AFTER: Duration = Duration::from_millis(2500);
+/// The same, where only a node of another locality can.
+const REPLACE_ELSEWHERE_AFTER: Duration = Duration::from_secs(30);
+/// A node that was silent for this long doesn't take a place.
+const HEARD_WITHIN: Duration = Duration::from_millis(1500);
+/// How long a voter that is told to end waits for its place to be taken.
+const HAND_OVER_WITHIN: Duration = Duration::from_millis(3000);
+/// How long the word of a voter that it leaves counts.
+const LEAVING_FOR: Duration = Duration::from_secs(6);
+/// Most control nodes whose localities are remembered.
+const MAX_LOCALITIES: usize = 256;
+
+/// What is known for changes of the voters.
+#[derive(Default)]
+pub(crate) struct VoterChanges {
+    next_look: Duration,
+    /// Where control nodes stood, also those that are gone.
+    localities: BTreeMap<String, String>,
+    /// Voters that are about to end, and when they said so.
+    leaving: BTreeMap<String, Duration>,
+    /// Until when this node, told to end, waits for another to take its place.
+    hand_over_until: Option<Duration>,
+}
+
+impl ControlNode {
+    pub(crate) fn tick_voters(&mut self, now: Duration) {
+        if now < self.voter_changes.next_look {
+            return;
+        }
+        self.voter_changes.next_look = now + LOOK_EVERY;
+        self.remember_localities();
+        self.voter_changes.leaving.retain(|_, said_at| now < *said_at + LEAVING_FOR);
+        self.finish_hand_over(now);
+        if self.lease.holds(now).is_some() && self.is_current(now) {
+            self.mind_voters(now);
+        }
+    }
+
+    fn remember_localities(&mut self) {
+        let control_nodes = self.members.iter().filter(|member| member.roles == "postmaster");
+        for member in control_nodes {
+            let localities = &mut self.voter_changes.localities;
+            if localities.len() < MAX_LOCALITIES || localities.contains_key(&member.node) {
+                localities.insert(member.node.clone(), member.locality.clone());
+            }
+        }
+    }
+
+    /// Completes a change that is under way, or begins one where a voter is gone and its place can be taken.
+    fn mind_voters(&mut self, now: Duration) {
+        let voter_set = self.register.state().voter_set.clone();
+        let epoch = voter_set.epoch;
+        if voter_set.is_joint() {
+            return self.propose(now, Change::CompleteVoters { epoch });
+        }
+        // A lease that an earlier set of voters granted must have run out before the set after the next may grant one.
+        let least = self.times.lease.span + self.times.lease.margin;
+        if self.register.voters_settled_for(now).is_none_or(|settled| settled < least) {
+            return;
+        }
+        let Some((gone, successor)) = self.replacement(now) else { return };
+        if !self.register.is_caught_up(&successor) {
+            // A round that changes nothing brings it the state in force.
+            return self.propose(now, Change::Finish);
+        }
+        let mut voters: Vec<String> = voter_set.voters.into_iter().filter(|voter| *voter != gone).collect();
+        voters.push(successor.clone());
+        self.effects.push_back(Effect::Note(format!("voters: {successor} takes the place of {gone}")));
+        self.propose(now, Change::BeginVoters { epoch, voters });
+    }
+
+    fn propose(&mut self, now: Duration, change: Change) {
+        self.run_register(now, Event::Propose(change));
+    }
+
+    /// A voter that is gone or leaves, and the node that can take its place: of the same locality if there is one.
+    fn replacement(&self, now: Duration) -> Option<(String, String)> {
+        let candidates = self.candidates(now);
+        let voters = self.register.voter_set().voters.iter();
+        let pairs = voters.filter_map(|voter| {
+            let successor = candidates.iter().min_by_key(|candidate| !self.share_locality(voter, candidate))?;
+            let near = self.share_locality(voter, successor);
+            self.is_gone(now, voter, near).then(|| (near, voter.clone(), successor.clone()))
+        });
+        pairs.max_by_key(|(near, ..)| *near).map(|(_, voter, successor)| (voter, successor))
+    }
+
+    /// Control nodes that are there and have no vote.
+    fn candidates(&self, now: Duration) -> Vec<String> {
+        let voter_set = self.register.voter_set();
+        let others = self.members.iter().filter(|member| {
+            member.roles == "postmaster" && member.condition == ALIVE && !voter_set.contains(&member.node)
+        });
+        let heard = others
+            .filter(|member| member.node == self.me.node || self.register.silent_for(now, &member.node) < HEARD_WITHIN);
+        heard.map(|member| member.node.clone()).collect()
+    }
+
+    fn share_locality(&self, one: &str, other: &str) -> bool {
+        let localities = &self.voter_changes.localities;
+        localities.get(one).is_some_and(|locality| localities.get(other) == Some(locality))
+    }
+
+    fn is_gone(&self, now: Duration, voter: &str, near: bool) -> bool {
+        if voter == self.me.node {
+            return self.closing;
+        }
+        let patience = if near { REPLACE_AFTER } else { REPLACE_ELSEWHERE_AFTER };
+        let leaves = near && self.voter_changes.leaving.contains_key(voter);
+        leaves || self.register.silent_for(now, voter) >= patience
+    }
+
+    pub(crate) fn voter_leaving(&mut self, now: Duration, from: String) {
+        if self.register.voter_set().contains(&from) {
+            self.voter_changes.leaving.insert(from, now);
+            self.voter_changes.next_look = now;
+        }
+    }
+
+    /// Told to end. A voter whose place can be taken says so and votes on until it is; any other node leaves at once.
+    pub(crate) fn close(&mut self, now: Duration) {
+        self.closing = true;
+        let candidates = self.candidates(now);
+        let replaceable = candidates.iter().any(|candidate| self.share_locality(&self.me.node, candidate));
+        if replaceable && self.register.is_voter() {
+            self.voter_changes.hand_over_until = Some(now + HAND_OVER_WITHIN);
+            self.tell_postmasters(Payload::VoterLeaving(VoterLeaving {}));
+            self.voter_changes.next_look = now;
+        } else {
+            self.leave(now);
+        }
+    }
+
+    fn finish_hand_over(&mut self, now: Duration) {
+        let Some(until) = self.voter_changes.hand_over_until else { return };
+        if now >= until || !self.register.is_voter() {
+            self.voter_changes.hand_over_until = None;
+            self.leave(now);
+        }
+    }
+
+    fn leave(&mut self, now: Duration) {
+        let effects = self.membership.step(now, membership::Event::Leave);
+        self.run_membership(now, effects);
+        self.run_lease(now, lease::Event::Close);
+    }
+
+    /// True once a node that was told to end owes nobody anything: its place is taken, or cannot be.
+    ///
+    /// ```
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// let mut control = controller::ControlNode::new(start);
+    /// assert!(!control.may_end());
+    /// control.step(Default::default(), controller::Event::Close);
+    /// assert!(control.may_end());
+    /// ```
+    pub fn may_end(&self) -> bool {
+        self.closing && self.voter_changes.hand_over_until.is_none()
+    }
+
+    /// Who votes, as far as this node knows.
+    ///
+    /// ```
+    /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
+    /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
+    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// assert!(controller::ControlNode::new(start).voters().is_empty());
+    /// ```
+    pub fn voters(&self) -> Vec<String> {
+        self.register.voter_set().members().cloned().collect()
+    }
+
+    /// The voters and the control nodes beside them, for the status page.
+    pub(crate) fn show_voters(&self, now: Duration) -> Sheet {
+        let voter_set = self.register.voter_set();
+        let role = |node: &str| match (voter_set.voters.iter().any(|voter| voter == node), voter_set.contains(node)) {
+            (true, _) if !voter_set.is_joint() || voter_set.next.iter().any(|voter| voter == node) => "voter",
+            (true, _) => "leaving",
+            (false, true) => "joining",
+            (false, false) => "replica",
+        };
+        let beside = self.members.iter().filter(|member| member.roles == "postmaster");
+        let beside = beside.map(|member| &member.node).filter(|node| !voter_set.contains(node));
+        let rows = voter_set.members().chain(beside).map(|node| {
+            let mine = *node == self.me.node;
+            let silent_ms = if mine { 0 } else { self.register.silent_for(now, node).as_millis() as u64 };
+            let synced = if mine { None } else { self.register.synced_round(node) };
+            Sheet::fields([
+                ("node", node.as_str().into()),
+                ("role", role(node).into()),
+                ("silentMs", silent_ms.into()),
+                ("syncedRound", synced.map(Sheet::from).unwrap_or(Sheet::Null)),
+                ("caughtUp", (mine || self.register.is_caught_up(node)).into()),
+            ])
+        });
+        Sheet::fields([("epoch", voter_set.epoch.into()), ("members", rows.collect())])
+    }
+}
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -1,6 +1,8 @@
 //! How faults come about, and how they heal.
 
-use super::faults::{Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, STORM_GAP, STORM_SETTLES, Step};
+use super::faults::{
+    Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, STORM_GAP, STORM_SETTLES, SUCCESSOR_EARLIER, SUCCESSOR_LATER, Step,
+};
 use super::net::Cut;
 use super::nodes::{Disk, Node};
 use super::operators::What;
@@ -152,6 +154,20 @@
             }),
             Fault::HotKey => self.hot_key = true,
             Fault::LongStorm(count) => self.storm_on(count),
+            Fault::ReplaceVoters { places, gap, planned } => places.iter().enumerate().for_each(|(order, place)| {
+                let from = self.now + gap * order as u32;
+                let step = Fault::ReplaceOne { place: *place, planned };
+                self.push_step(from, from + if planned { SUCCESSOR_EARLIER } else { SUCCESSOR_LATER }, step);
+            }),
+            Fault::ReplaceOne { place, planned } => {
+                self.submit_setup(0, None);
+                if planned {
+                    self.add_machine(place);
+                } else {
+                    let lost = self.machine_in_place_of(place);
+                    lost.into_iter().for_each(|machine| self.remove_machine(machine));
+                }
+            }
             Fault::NumberRace(times) => {
                 self.race_numbers();
                 let next = self.now + Duration::from_millis(150);
@@ -217,6 +233,11 @@
                     self.start(node);
                 });
             }
+            Fault::ReplaceOne { place, planned: true } => {
+                let old = self.machine_in_place_of(place);
+                old.into_iter().for_each(|machine| self.end_for_good(machine));
+            }
+            Fault::ReplaceOne { place, planned: false } => self.add_machine(place),
             Fault::Freeze(_) | Fault::FreezePlacement | Fault::Ambush { .. } => {
                 (0..self.nodes.len()).for_each(|node| self.thaw(node))
             }
@@ -265,6 +286,7 @@
             | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::LongStorm(_)
+            | Fault::ReplaceVoters { .. }
             | Fault::OperatorRace
             | Fault::JumpClock(..)
             | Fault::JumpPlacement(_) => {}
@@ -323,6 +345,15 @@
         self.at(until, super::world::Action::Heal { at: step });
     }
 
+    /// A machine is told to end and never comes back.
+    fn end_for_good(&mut self, machine: usize) {
+        let nodes: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].machine == machine).collect();
+        nodes.into_iter().for_each(|at| {
+            self.nodes[at].removed = true;
+            self.stop(at);
+        });
+    }
+
     /// One more setup of a storm; after the last, all control nodes are killed.
     fn storm_on(&mut self, left: u32) {
         let (next, slow_disk) = (self.now + STORM_GAP, Duration::from_millis(40));
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -83,6 +83,18 @@
     LateAnswers,
     /// A setup every 120 ms, so many in all, while a disk is slow; then all postmasters are killed.
     LongStorm(u32),
+    /// Machines of voters, one after the other in these places, are gone for good; an empty one comes for each 1 s
+    /// later, or 5 s earlier where it is planned. Meanwhile setups come.
+    ReplaceVoters {
+        places: Vec<usize>,
+        gap: Duration,
+        planned: bool,
+    },
+    /// The machine in this place is gone, and another is there or comes.
+    ReplaceOne {
+        place: usize,
+        planned: bool,
+    },
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
     /// A setup is accepted, and all postmasters end at that moment.
@@ -98,6 +110,9 @@
 pub(super) const STORM_GAP: Duration = Duration::from_millis(120);
 /// From a long storm's last setup until all postmasters are killed: everything is decided by then.
 pub(super) const STORM_SETTLES: Duration = Duration::from_secs(4);
+/// How much later than the loss the machine comes that takes its place, and how much earlier where it is planned.
+pub(super) const SUCCESSOR_LATER: Duration = Duration::from_secs(1);
+pub(super) const SUCCESSOR_EARLIER: Duration = Duration::from_millis(2500);
 /// How long each zone is evacuated while names are moved about.
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
@@ -160,9 +175,18 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("replace-voters", |d| drawn_replacements(d, false)),
+    ("replace-planned", |d| drawn_replacements(d, true)),
     ("long-storm", |_| Fault::LongStorm(200)),
 ];
 
+/// Five of six places, one machine after the other.
+fn drawn_replacements(random: &mut Random, planned: bool) -> Fault {
+    let first = random.below(6) as usize;
+    let places = (0..5).map(|at| (first + at) % 6).collect();
+    Fault::ReplaceVoters { places, gap: Duration::from_millis(5000 + random.below(3000)), planned }
+}
+
 /// Every kind by name.
 ///
 /// ```
@@ -237,6 +261,7 @@
         };
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
+            Fault::ReplaceVoters { ref places, gap, .. } => at + gap * (places.len() as u32 + 1),
             Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
             Fault::MoveNames => at + MOVE_EVERY * 6,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -4,8 +4,8 @@
 //! moment it granted. So the holder always stops first, whatever the network or a freeze does. A restarted
 //! voter grants nothing for one whole span, since it has forgotten whom it granted.
 
-use address::{Random, majority};
-use protocol::{LeaseRelease, LeaseReply, LeaseRequest, Payload};
+use address::Random;
+use protocol::{LeaseRelease, LeaseReply, LeaseRequest, Payload, VoterSet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -26,8 +26,8 @@
         body: Payload,
     },
     /// The voters, and the highest epoch safe on this disk.
-    Roster {
-        roster: Vec<String>,
+    Voters {
+        voter_set: VoterSet,
         epoch: u64,
     },
     /// The epoch asked for with this token is synced.
@@ -64,7 +64,7 @@
 #[derive(Debug, PartialEq)]
 enum CandidatePhase {
     Resting,
-    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: usize },
+    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: BTreeSet<String> },
     Holding { epoch: u64, until: Duration },
     Renewing { epoch: u64, until: Duration, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
     Closed,
@@ -73,7 +73,7 @@
 /// One voter's and candidate's state for one duty.
 pub struct Lease {
     me: String,
-    roster: Vec<String>,
+    voter_set: VoterSet,
     times: Times,
     random: Random,
     granted: Option<Granted>,
@@ -108,7 +108,7 @@
     pub fn new(me: String, times: Times, seed: u64) -> Self {
         Lease {
             me,
-            roster: Vec::new(),
+            voter_set: VoterSet::default(),
             times,
             random: Random::new(seed),
             granted: None,
@@ -133,7 +133,7 @@
     /// use std::time::Duration;
     /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
     /// let mut alone = Lease::new("a".into(), times, 1);
-    /// alone.step(Duration::ZERO, Event::Roster { roster: vec!["a".into()], epoch: 4 });
+    /// alone.step(Duration::ZERO, Event::Voters { voter_set: protocol::VoterSet::new(vec!["a".into()]), epoch: 4 });
     /// let (mut now, mut effects) = (Duration::ZERO, vec![]);
     /// while effects.is_empty() {
     ///     now += Duration::from_millis(10);
@@ -183,8 +183,8 @@
         self.mind_gap(now);
         match event {
             Event::Tick => self.tick(now),
-            Event::Roster { roster, epoch } => {
-                self.roster = roster;
+            Event::Voters { voter_set, epoch } => {
+                self.learn_voters(now, voter_set);
                 self.seen_epoch = self.seen_epoch.max(epoch);
                 // The disk knows of grants of an earlier life.
                 self.unheld = self.unheld && epoch <= self.granted_epoch;
@@ -216,10 +216,25 @@
         }
     }
 
+    /// Newer voters: whoever is none of them holds nothing any more, and asks for nothing.
+    fn learn_voters(&mut self, now: Duration, voter_set: VoterSet) {
+        if voter_set == self.voter_set {
+            return;
+        }
+        self.voter_set = voter_set;
+        // What was asked of the voters before must not be granted among those after.
+        let epoch = self.voter_set.epoch;
+        self.pending.retain(|_, (_, ask, _)| ask.voter_epoch >= epoch);
+        let busy = !matches!(self.phase, CandidatePhase::Resting | CandidatePhase::Closed);
+        if busy && !self.voter_set.contains(&self.me) {
+            self.give_up(now, Duration::ZERO);
+        }
+    }
+
     /// How long to wait before asking when the duty is free: one after the other, so that votes are not split.
     fn turn_wait(&mut self) -> Duration {
-        let count = self.roster.len().max(1) as u64;
-        let at = self.roster.iter().position(|voter| *voter == self.me).unwrap_or(0) as u64;
+        let count = self.voter_set.members().count().max(1) as u64;
+        let at = self.voter_set.members().position(|voter| *voter == self.me).unwrap_or(0) as u64;
         let rank = (at + self.seen_epoch) % count;
         Duration::from_millis(20 + rank * 120 + self.random.below(40))
     }
@@ -230,7 +245,7 @@
     }
 
     fn tick(&mut self, now: Duration) {
-        if self.roster.is_empty() {
+        if !self.voter_set.contains(&self.me) {
             return;
         }
         let phase = self.times.span / 6;
@@ -253,8 +268,14 @@
     fn ask(&mut self, now: Duration) {
         self.seen_epoch += 1;
         let (epoch, nonce) = (self.seen_epoch, self.random.next_u64());
-        self.turn(CandidatePhase::Asking { epoch, nonce, asked_at: now, grants: BTreeSet::new(), firsts: 0 });
-        self.ask_all(now, LeaseRequest { epoch, nonce, renewal: false });
+        self.turn(CandidatePhase::Asking {
+            epoch,
+            nonce,
+            asked_at: now,
+            grants: BTreeSet::new(),
+            firsts: BTreeSet::new(),
+        });
+        self.ask_all(now, LeaseRequest { epoch, nonce, renewal: false, voter_epoch: self.voter_set.epoch });
     }
 
     fn renew(&mut self, now: Duration) {
@@ -267,16 +288,17 @@
         held.into_iter().for_each(|(epoch, until)| {
             let nonce = self.random.next_u64();
             self.turn(CandidatePhase::Renewing { epoch, until, nonce, asked_at: now, grants: BTreeSet::new() });
-            self.ask_all(now, LeaseRequest { epoch, nonce, renewal: true });
+            self.ask_all(now, LeaseRequest { epoch, nonce, renewal: true, voter_epoch: self.voter_set.epoch });
         });
     }
 
     fn ask_all(&mut self, now: Duration, ask: LeaseRequest) {
-        let (me, roster) = (self.me.clone(), self.roster.clone());
-        roster.iter().filter(|voter| **voter != me).for_each(|voter| {
+        let me = self.me.clone();
+        let others: Vec<String> = self.voter_set.members().filter(|voter| **voter != me).cloned().collect();
+        others.iter().for_each(|voter| {
             self.effects.push(Effect::Send { to: voter.clone(), body: Payload::LeaseRequest(ask.clone()) });
         });
-        if roster.contains(&me) {
+        if self.voter_set.contains(&me) {
             self.asked(now, &me, ask);
         }
     }
@@ -299,7 +321,7 @@
             let unheld = matches!(self.phase, CandidatePhase::Asking { .. });
             self.dropped(&me, epoch, unheld);
             let drop = Payload::LeaseRelease(LeaseRelease { epoch, unheld });
-            let others = self.roster.iter().filter(|voter| **voter != me);
+            let others = self.voter_set.members().filter(|voter| **voter != me);
             self.effects.extend(others.map(|voter| Effect::Send { to: voter.clone(), body: drop.clone() }));
         });
     }
@@ -335,9 +357,11 @@
         // A disk that takes so long is out of the round.
         self.pending.retain(|_, (.., since)| now < *since + self.times.span / 3);
         let busy = self.granted.as_ref().filter(|granted| now < granted.until);
+        // Its quorum may share no voter with that of a candidate that knows the newer voters.
+        let outdated = ask.voter_epoch < self.voter_set.epoch;
         // Whoever holds the lease goes on holding it, also by a voter that has forgotten, or that granted a
         // higher epoch to a candidate that failed: no other can have won meanwhile.
-        let renewal = ask.renewal && busy.is_none_or(|granted| granted.holder == from);
+        let renewal = ask.renewal && !outdated && busy.is_none_or(|granted| granted.holder == from);
         let wait = match busy {
             _ if now < self.quiet_until => Some(self.quiet_until - now),
             // A candidate that has not won may drop its votes any moment.
@@ -345,7 +369,7 @@
             Some(granted) if granted.holder != from => Some(granted.until - now),
             _ => None,
         };
-        let stale = ask.epoch <= self.granted_epoch;
+        let stale = outdated || ask.epoch <= self.granted_epoch;
         let known = self.seen_epoch;
         if wait.is_none() && renewal {
             self.grant(now, from, &ask);
@@ -384,7 +408,7 @@
     /// The candidate's side.
     fn answered(&mut self, now: Duration, from: &str, grant: LeaseReply) {
         self.seen_epoch = self.seen_epoch.max(grant.highest_epoch);
-        let voters = majority(self.roster.len());
+        let voter_set = self.voter_set.clone();
         let (nonce, asked_at, epoch, grants) = match &mut self.phase {
             CandidatePhase::Asking { nonce, asked_at, epoch, grants, .. }
             | CandidatePhase::Renewing { nonce, asked_at, epoch, grants, .. } => (*nonce, *asked_at, *epoch, grants),
@@ -393,13 +417,14 @@
         if nonce != grant.nonce {
             return;
         }
-        if grant.granted && self.roster.iter().any(|voter| voter == from) {
-            let new = grants.insert(from.to_owned());
-            let enough = grants.len() >= voters;
+        if grant.granted && voter_set.contains(from) {
+            grants.insert(from.to_owned());
+            let enough = voter_set.is_quorum(|voter| grants.contains(voter));
             if let CandidatePhase::Asking { firsts, .. } = &mut self.phase {
-                *firsts += usize::from(new && grant.first);
-                // Any earlier holder had a majority too, and some voter of it is in this one.
-                self.founder = Some(epoch).filter(|_| *firsts >= voters).or(self.founder);
+                firsts.extend(Some(from.to_owned()).filter(|_| grant.first));
+                // Any earlier holder had a quorum too, and some voter of it is in this one.
+                let first_of_all = voter_set.is_quorum(|voter| firsts.contains(voter));
+                self.founder = Some(epoch).filter(|_| first_of_all).or(self.founder);
             }
             if enough {
                 self.next_ask = asked_at + self.times.span / 3;
--- a/crates/protocol/src/kinds.rs
+++ b/crates/protocol/src/kinds.rs
@@ -27,6 +27,6 @@
         Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
             "rounds"
         }
-        Payload::BootstrapVote(_) | Payload::Bootstrapped(_) => "founding",
+        Payload::BootstrapVote(_) | Payload::Bootstrapped(_) | Payload::VoterLeaving(_) => "founding",
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,12 +4,14 @@
 mod kinds;
 mod messages;
 mod squeeze;
+mod voters;
 
 pub use frames::Frames;
 pub use kinds::kind;
 pub use messages::*;
 pub use prost::Message;
 pub use squeeze::{MOST_SETUP_BYTES, squeeze, unsqueeze};
+pub use voters::VoterSet;
 
 use sha2::{Digest, Sha256};
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -1,5 +1,6 @@
 //! The messages. Spans and ages travel in milliseconds; no message carries an instant.
 
+use crate::VoterSet;
 use prost::{Message, Oneof};
 
 /// One message with its sender.
@@ -9,7 +10,7 @@
     pub from: String,
     #[prost(
         oneof = "Payload",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41"
     )]
     pub body: Option<Payload>,
 }
@@ -81,6 +82,8 @@
     Alive(Alive),
     #[prost(message, tag = "41")]
     PlacementRequest(PlacementRequest),
+    #[prost(message, tag = "32")]
+    VoterLeaving(VoterLeaving),
 }
 
 /// A proposer's turn. Higher rounds win; `incarnation` is drawn anew at each start of a process, so a
@@ -119,6 +122,9 @@
     /// The operator's own number of the setup; 0 where there is none.
     #[prost(uint64, tag = "5")]
     pub number: u64,
+    /// Who votes on the next state.
+    #[prost(message, required, tag = "6")]
+    pub voter_set: VoterSet,
 }
 
 /// A submission that was decided.
@@ -142,7 +148,7 @@
     /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
     #[prost(uint64, tag = "1")]
     pub disk: u64,
-    /// The voters, once founded.
+    /// The voters when this disk was founded or recovered; empty before. Who votes now stands in the accepted state.
     #[prost(string, repeated, tag = "2")]
     pub roster: Vec<String>,
     /// The one roster this voter endorsed while founding.
@@ -192,6 +198,9 @@
     /// The disk whose promise was counted: another disk must deny.
     #[prost(uint64, tag = "3")]
     pub disk: u64,
+    /// The highest lease epoch among the promises: a new voter must know what the others granted.
+    #[prost(uint64, tag = "4")]
+    pub lease_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -281,10 +290,15 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Bootstrapped {
-    #[prost(string, repeated, tag = "1")]
-    pub roster: Vec<String>,
+    /// Who votes, as far as the sender knows.
+    #[prost(message, required, tag = "2")]
+    pub voter_set: VoterSet,
 }
 
+/// A voter is about to end, and hands its place to a replica that can take it.
+#[derive(Clone, PartialEq, Message)]
+pub struct VoterLeaving {}
+
 /// What is known of one node, as membership tells it on.
 #[derive(Clone, PartialEq, Message)]
 pub struct Member {
@@ -365,6 +379,9 @@
     /// The sender holds this epoch at the moment.
     #[prost(bool, tag = "3")]
     pub renewal: bool,
+    /// The epoch of the voters whose quorum the sender asks: a voter that knows newer voters denies.
+    #[prost(uint64, tag = "4")]
+    pub voter_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- /dev/null
+++ b/crates/protocol/src/voters.rs
@@ -0,0 +1,108 @@
+//! The voters of the replicated state, and what makes a quorum of them.
+
+use address::majority;
+use prost::Message;
+
+/// Who votes. It is part of the replicated state, so it changes by agreement, and one change at a time: first to a joint
+/// set, whose quorums are majorities of the voters before *and* after, and then to the voters after.
+///
+/// ```
+/// use protocol::VoterSet;
+/// let three = VoterSet::new(["a", "b", "c"].map(String::from).to_vec());
+/// assert!(three.is_quorum(|voter| voter != "c"));
+/// let joint = three.begin_change(["a", "b", "d"].map(String::from).to_vec()).unwrap();
+/// assert!(!joint.is_quorum(|voter| ["b", "c"].contains(&voter)), "no majority of the voters after");
+/// assert!(joint.is_quorum(|voter| ["a", "b"].contains(&voter)));
+/// let after = joint.complete_change().unwrap();
+/// assert_eq!((after.epoch, after.contains("c"), after.contains("d")), (2, false, true));
+/// ```
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct VoterSet {
+    /// Rises by one with each step of a change: even where it is settled, odd while it is joint.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub voters: Vec<String>,
+    /// The voters after the change that is under way; empty where none is.
+    #[prost(string, repeated, tag = "3")]
+    pub next: Vec<String>,
+}
+
+impl VoterSet {
+    /// The first set of a new cluster.
+    ///
+    /// ```
+    /// assert_eq!(protocol::VoterSet::new(vec!["a".into()]).epoch, 0);
+    /// ```
+    pub fn new(voters: Vec<String>) -> VoterSet {
+        VoterSet { epoch: 0, voters, next: Vec::new() }
+    }
+
+    /// True while a change is under way.
+    ///
+    /// ```
+    /// assert!(!protocol::VoterSet::new(vec!["a".into()]).is_joint());
+    /// ```
+    pub fn is_joint(&self) -> bool {
+        !self.next.is_empty()
+    }
+
+    /// True for a voter before or after the change under way.
+    ///
+    /// ```
+    /// assert!(protocol::VoterSet::new(vec!["a".into()]).contains("a"));
+    /// ```
+    pub fn contains(&self, node: &str) -> bool {
+        self.members().any(|voter| voter == node)
+    }
+
+    /// Every voter once, those before and after the change under way.
+    ///
+    /// ```
+    /// assert_eq!(protocol::VoterSet::new(vec!["a".into(), "b".into()]).members().count(), 2);
+    /// ```
+    pub fn members(&self) -> impl Iterator<Item = &String> {
+        let joining = self.next.iter().filter(|voter| !self.voters.contains(voter));
+        self.voters.iter().chain(joining)
+    }
+
+    /// True where those who agreed suffice to decide: a majority of the voters, and of the voters after the change under
+    /// way too. Any two quorums of one set, and of a set and the one before or after it, share a voter.
+    ///
+    /// ```
+    /// use protocol::VoterSet;
+    /// assert!(!VoterSet::default().is_quorum(|_| true), "nobody decides where nobody votes");
+    /// let six = VoterSet::new((0..6).map(|at| at.to_string()).collect());
+    /// assert!(!six.is_quorum(|voter| voter < "3"));
+    /// assert!(six.is_quorum(|voter| voter < "4"));
+    /// ```
+    pub fn is_quorum(&self, agreed: impl Fn(&str) -> bool) -> bool {
+        let has_majority =
+            |voters: &[String]| voters.iter().filter(|voter| agreed(voter)).count() >= majority(voters.len());
+        has_majority(&self.voters) && (!self.is_joint() || has_majority(&self.next))
+    }
+
+    /// The joint set that a change to these voters begins with; none where one is under way, nothing changes, or nobody
+    /// would be left.
+    ///
+    /// ```
+    /// let alone = protocol::VoterSet::new(vec!["a".into()]);
+    /// assert_eq!(alone.begin_change(Vec::new()), None);
+    /// assert_eq!(alone.begin_change(vec!["a".into()]), None);
+    /// ```
+    pub fn begin_change(&self, mut next: Vec<String>) -> Option<VoterSet> {
+        next.sort();
+        next.dedup();
+        let changes = !self.is_joint() && !next.is_empty() && next != self.voters;
+        changes.then(|| VoterSet { epoch: self.epoch + 1, voters: self.voters.clone(), next })
+    }
+
+    /// The set after the change under way; none where there is none.
+    ///
+    /// ```
+    /// assert_eq!(protocol::VoterSet::new(vec!["a".into()]).complete_change(), None);
+    /// ```
+    pub fn complete_change(&self) -> Option<VoterSet> {
+        self.is_joint().then(|| VoterSet { epoch: self.epoch + 1, voters: self.next.clone(), next: Vec::new() })
+    }
+}
--- a/crates/quorum-register/src/bootstrap.rs
+++ b/crates/quorum-register/src/bootstrap.rs
@@ -3,20 +3,23 @@
 //! A blank voter asks everybody first. If any was founded, this disk has forgotten promises and must be
 //! mended. Only where the full roster is there and none was founded does it endorse a roster, durably.
 
-use crate::register::{Effect, Register, VoterPhase};
-use address::majority;
-use protocol::{Ballot, BootstrapVote, Bootstrapped, DurableState, Payload, Prepare, Promise, SetupAsk};
+use crate::proposer::newest_promise;
+use crate::register::{Effect, Recovery, Register, VoterPhase};
+use protocol::{Ballot, BootstrapVote, Bootstrapped, DurableState, Payload, Prepare, Promise, SetupAsk, VoterSet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-const MEND_PHASE: Duration = Duration::from_millis(1000);
+/// How long one try of a recovery may take.
+const RECOVERY_PHASE: Duration = Duration::from_millis(1000);
+/// When a recovery that was outbid tries again.
+const RECOVERY_RETRY: Duration = Duration::from_millis(50);
 
 impl Register {
     pub(crate) fn tick_founding(&mut self, now: Duration) {
-        if let VoterPhase::Recovering { roster, until, .. } = &self.phase {
-            if now >= *until {
-                let roster = roster.clone();
-                self.start_mending(now, roster);
+        if let VoterPhase::Recovering(recovery) = &self.phase {
+            if now >= recovery.until {
+                let voter_set = recovery.voter_set.clone();
+                self.start_recovery(now, voter_set);
             }
             return;
         }
@@ -32,12 +35,12 @@
     pub(crate) fn endorse(&mut self, from: &str, endorse: BootstrapVote) {
         if !self.synced.roster.is_empty() {
             if endorse.echo == 0 {
-                let roster = self.synced.roster.clone();
-                self.send(from, Payload::Bootstrapped(Bootstrapped { roster }));
+                let voter_set = self.voter_set().clone();
+                self.send(from, Payload::Bootstrapped(Bootstrapped { voter_set }));
             }
             return;
         }
-        if matches!(self.phase, VoterPhase::Recovering { .. } | VoterPhase::Out) {
+        if matches!(self.phase, VoterPhase::Recovering(_) | VoterPhase::Out) {
             return;
         }
         if endorse.echo == 0 {
@@ -93,7 +96,7 @@
             self.enter_phase(VoterPhase::Bootstrapping { endorsed: BTreeSet::new() });
         }
         if matches!(self.phase, VoterPhase::Bootstrapping { .. }) && !self.synced.roster.is_empty() {
-            return self.enter_phase(VoterPhase::Voting);
+            return self.enter_phase(VoterPhase::Active);
         }
         let VoterPhase::Bootstrapping { endorsed } = &self.phase else { return };
         let others = self.synced.endorsed.iter().filter(|voter| **voter != self.me);
@@ -105,10 +108,11 @@
     fn found(&mut self) {
         if self.durable.roster.is_empty() {
             self.durable.roster = self.durable.endorsed.clone();
+            self.durable.accepted.voter_set.voters = self.durable.endorsed.clone();
             self.durable.disk = self.random.next_u64().max(1);
-            let roster = self.durable.roster.clone();
+            let voter_set = self.durable.accepted.voter_set.clone();
             let tell = |voter: &String| {
-                let body = Payload::Bootstrapped(Bootstrapped { roster: roster.clone() });
+                let body = Payload::Bootstrapped(Bootstrapped { voter_set: voter_set.clone() });
                 Effect::Send { to: voter.clone(), body }
             };
             let told = self.durable.roster.iter().filter(|voter| **voter != self.me).map(tell).collect();
@@ -116,58 +120,108 @@
         }
     }
 
-    pub(crate) fn founded(&mut self, now: Duration, roster: Vec<String>) {
-        if !roster.contains(&self.me) {
+    /// Others were founded. A disk that endorsed just these voters never voted, so it forgot nothing and joins as it is.
+    /// Any other blank disk may have held promises, and recovers first; so does that of a node that never voted.
+    pub(crate) fn founded(&mut self, now: Duration, voter_set: VoterSet) {
+        if voter_set.voters.is_empty() {
             return;
         }
         match &self.phase {
-            // It endorsed this roster on this very disk and never voted: nothing was forgotten.
-            VoterPhase::Bootstrapping { .. } if self.synced.endorsed == roster => self.found(),
-            VoterPhase::Blank { .. } if self.durable.endorsed.is_empty() => self.start_mending(now, roster),
+            VoterPhase::Bootstrapping { .. } if self.synced.endorsed == voter_set.voters && !voter_set.is_joint() => {
+                self.found();
+            }
+            VoterPhase::Bootstrapping { .. } if self.durable.roster.is_empty() => self.start_recovery(now, voter_set),
+            VoterPhase::Blank { .. } if self.durable.endorsed.is_empty() => self.start_recovery(now, voter_set),
             _ => {}
         }
     }
 
-    fn start_mending(&mut self, now: Duration, roster: Vec<String>) {
+    fn start_recovery(&mut self, now: Duration, voter_set: VoterSet) {
         self.seen_round += 1;
         let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), incarnation: self.incarnation };
-        let others: Vec<String> = roster.iter().filter(|voter| **voter != self.me).cloned().collect();
-        let until = now + MEND_PHASE;
-        self.enter_phase(VoterPhase::Recovering { roster, ballot: ballot.clone(), promises: BTreeMap::new(), until });
-        others.iter().for_each(|voter| self.send(voter, Payload::Prepare(Prepare { ballot: ballot.clone() })));
+        let recovery = Recovery { voter_set, ballot, promises: BTreeMap::new(), until: now + RECOVERY_PHASE };
+        self.ask_for_recovery(&recovery, |_| true);
+        self.enter_phase(VoterPhase::Recovering(recovery));
+    }
+
+    fn ask_for_recovery(&mut self, recovery: &Recovery, wanted: impl Fn(&str) -> bool) {
+        let others = recovery.voter_set.members().filter(|voter| **voter != self.me && wanted(voter));
+        let others: Vec<String> = others.cloned().collect();
+        let prepare = Payload::Prepare(Prepare { ballot: recovery.ballot.clone() });
+        others.iter().for_each(|voter| self.send(voter, prepare.clone()));
     }
 
-    /// A promise for the mending round. Those who gave it can no longer accept what went before.
-    pub(crate) fn mend(&mut self, now: Duration, from: &str, promise: Promise) {
-        let VoterPhase::Recovering { roster, ballot, promises, until } = &mut self.phase else { return };
-        if *ballot != promise.ballot {
+    /// A promise for the recovery round. Those who gave it can no longer accept what went before. A quorum of the others
+    /// is needed, without this node: whatever its lost disk helped to choose, one of them has.
+    pub(crate) fn take_recovery_promise(&mut self, now: Duration, from: &str, promise: Promise) {
+        let VoterPhase::Recovering(recovery) = &mut self.phase else { return };
+        if recovery.ballot != promise.ballot {
             return;
         }
         if promise.promised != promise.ballot {
-            *until = now + Duration::from_millis(50);
+            recovery.until = now + RECOVERY_RETRY;
             return;
         }
-        promises.insert(from.to_owned(), promise);
-        if promises.len() < majority(roster.len()) || self.durable.disk != 0 {
-            return;
+        recovery.promises.insert(from.to_owned(), promise);
+        let recovery = recovery.clone();
+        self.recover_if_promised(recovery);
+    }
+
+    fn recover_if_promised(&mut self, recovery: Recovery) {
+        let Some(newest) = newest_promise(&recovery.promises) else { return };
+        // The newest state tells who votes: it may not be those that the first answer named.
+        let voter_set = newest.accepted.voter_set.clone();
+        let promised = |voter: &str| voter != self.me && recovery.promises.contains_key(voter);
+        if !voter_set.is_quorum(promised) {
+            return self.widen_recovery(recovery, voter_set);
+        }
+        if self.durable.disk == 0 {
+            self.recover(&recovery);
         }
-        let newest = promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at)).cloned();
-        let lease_epoch = promises.values().map(|promise| promise.lease_epoch).max().unwrap_or(0);
-        let (roster, promised) = (roster.clone(), ballot.clone());
-        let Promise { accepted_at, accepted, .. } = newest.unwrap_or_default();
+    }
+
+    fn widen_recovery(&mut self, recovery: Recovery, voter_set: VoterSet) {
+        let asked: Vec<String> = recovery.voter_set.members().cloned().collect();
+        let wider = Recovery { voter_set, ..recovery };
+        self.ask_for_recovery(&wider, |voter| !asked.iter().any(|known| known == voter));
+        self.enter_phase(VoterPhase::Recovering(wider));
+    }
+
+    fn recover(&mut self, recovery: &Recovery) {
+        let newest = newest_promise(&recovery.promises).cloned().unwrap_or_default();
+        let Promise { accepted_at, accepted, .. } = newest;
         if !accepted.digest.is_empty() && !self.held.contains(&accepted.digest) {
-            // First the bytes: the next try finds them.
-            return self.send(from, Payload::SetupAsk(SetupAsk { digest: accepted.digest }));
+            return self.ask_for_recovered_setup(recovery, accepted.digest);
         }
+        let lease_epoch = recovery.promises.values().map(|promise| promise.lease_epoch).max().unwrap_or(0);
         let disk = self.random.next_u64().max(1);
-        let endorsed = roster.clone();
-        self.durable = DurableState { disk, roster, endorsed, promised, accepted_at, accepted, lease_epoch };
+        let roster = accepted.voter_set.voters.clone();
+        let promised = recovery.ballot.clone();
+        self.durable =
+            DurableState { disk, endorsed: roster.clone(), roster, promised, accepted_at, accepted, lease_epoch };
         self.keep(Vec::new());
     }
 
-    pub(crate) fn settle_mending(&mut self) {
-        if matches!(self.phase, VoterPhase::Recovering { .. }) && self.synced.disk != 0 {
-            self.enter_phase(VoterPhase::Voting);
+    /// First the bytes, from one of those that have them; once they are synced, the recovery goes on.
+    fn ask_for_recovered_setup(&mut self, recovery: &Recovery, digest: String) {
+        let has_bytes = |promise: &Promise| promise.accepted.digest == digest;
+        let holders = recovery.promises.iter().filter(|(_, promise)| has_bytes(promise));
+        let holders: Vec<String> = holders.map(|(voter, _)| voter.clone()).collect();
+        let chosen = self.random.below(holders.len() as u64) as usize;
+        if let Some(holder) = holders.get(chosen) {
+            self.send(holder, Payload::SetupAsk(SetupAsk { digest }));
+        }
+    }
+
+    /// After a sync: the bytes that a recovery waited for are there, or its state is.
+    pub(crate) fn settle_recovery(&mut self) {
+        let VoterPhase::Recovering(recovery) = &self.phase else { return };
+        if self.synced.disk != 0 {
+            return self.enter_phase(VoterPhase::Active);
+        }
+        if self.durable.disk == 0 {
+            let recovery = recovery.clone();
+            self.recover_if_promised(recovery);
         }
     }
 }
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -14,6 +14,10 @@
     Setup { id: String, base: Option<u64>, number: Option<u64>, digest: String },
     /// Evacuate a locality, or take it back.
     Evacuate { id: String, locality: String, back: bool },
+    /// Let these vote from now on, where the voter set has this epoch: first together with those that vote now.
+    BeginVoters { epoch: u64, voters: Vec<String> },
+    /// Only the new voters vote from now on, where the joint voter set has this epoch.
+    CompleteVoters { epoch: u64 },
     /// Change nothing: only bring a half-done round to its end.
     Finish,
 }
@@ -45,7 +49,9 @@
     let (id, asked) = match change {
         Change::Setup { id, base, digest, .. } => (id, format!("{digest} {base:?}")),
         Change::Evacuate { id, locality, back } => (id, format!("{locality} {back}")),
-        Change::Finish => return Decision { code: Code::Fine, edition: state.edition },
+        Change::BeginVoters { .. } | Change::CompleteVoters { .. } | Change::Finish => {
+            return Decision { code: Code::Fine, edition: state.edition };
+        }
     };
     // Without an id, asking again finds it done.
     if id.is_empty() {
@@ -83,8 +89,41 @@
             state.evacuated.retain(|other| other != locality);
             state.evacuated.extend(Some(locality.clone()).filter(|_| !back));
         }
-        Change::Finish => {}
+        Change::BeginVoters { .. } | Change::CompleteVoters { .. } | Change::Finish => {}
     }
     state.edition += 1;
     Code::Fine
 }
+
+/// Applies a change of the voter set to a state. The state it starts from must be known to be chosen: so no second change
+/// is begun before the first is decided, and every quorum that may decide shares a voter with any other that may.
+/// Any other change leaves the voters as they are.
+///
+/// ```
+/// use address::Code;
+/// use quorum_register::{Change, apply_to_voters};
+/// let mut state = protocol::ClusterState::default();
+/// state.voter_set.voters = vec!["a".into(), "b".into(), "c".into()];
+/// let begin = Change::BeginVoters { epoch: 0, voters: vec!["a".into(), "b".into(), "d".into()] };
+/// assert_eq!(apply_to_voters(&mut state.clone(), &begin, false), Code::VotersBusy);
+/// assert_eq!(apply_to_voters(&mut state, &begin, true), Code::Fine);
+/// assert_eq!(apply_to_voters(&mut state, &begin, true), Code::VotersBehind);
+/// assert_eq!(apply_to_voters(&mut state, &Change::CompleteVoters { epoch: 1 }, true), Code::Fine);
+/// assert!(state.voter_set.contains("d") && !state.voter_set.contains("c"));
+/// ```
+pub fn apply_to_voters(state: &mut ClusterState, change: &Change, is_chosen: bool) -> Code {
+    let (epoch, after) = match change {
+        Change::BeginVoters { epoch, voters } => (*epoch, state.voter_set.begin_change(voters.clone())),
+        Change::CompleteVoters { epoch } => (*epoch, state.voter_set.complete_change()),
+        Change::Setup { .. } | Change::Evacuate { .. } | Change::Finish => return Code::Fine,
+    };
+    match after {
+        _ if epoch != state.voter_set.epoch => Code::VotersBehind,
+        None => Code::VotersBehind,
+        Some(_) if !is_chosen => Code::VotersBusy,
+        Some(after) => {
+            state.voter_set = after;
+            Code::Fine
+        }
+    }
+}
--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -9,8 +9,9 @@
 mod proposer;
 mod reading;
 mod register;
+mod replicas;
 mod voter;
 
-pub use change::{Change, Decision, apply};
+pub use change::{Change, Decision, apply, apply_to_voters};
 pub use disaster_recovery::{Unsettled, settle};
 pub use register::{Effect, Event, Register, Start, Tally, Times, VoterPhase};
--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -1,8 +1,8 @@
 //! The proposer's half of a round.
 
-use crate::change::{Change, Decision, apply};
+use crate::change::{Change, Decision, apply, apply_to_voters};
 use crate::register::{Effect, Register, VoterPhase};
-use address::{Code, majority};
+use address::Code;
 use protocol::{Accept, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupAsk, SetupBytes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -44,6 +44,8 @@
     Preparing {
         ballot: Ballot,
         asked_at: Duration,
+        /// Who was asked so far.
+        asked: BTreeSet<String>,
         promises: BTreeMap<String, Promise>,
     },
     Accepting {
@@ -52,6 +54,8 @@
         /// Started this phase.
         since: Duration,
         state: ClusterState,
+        /// The highest lease epoch among the promises.
+        lease_epoch: u64,
         decisions: Vec<(Option<u64>, Decision)>,
         accepted: BTreeSet<String>,
     },
@@ -73,10 +77,10 @@
         self.round = round;
     }
 
-    pub(crate) fn wish(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
+    pub(crate) fn ask(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
         let deny = match self.phase {
-            VoterPhase::Voting if self.pending.len() < MAX_PENDING_CHANGES => None,
-            VoterPhase::Voting => Some(Code::SetupCrowded),
+            VoterPhase::Active if self.pending.len() < MAX_PENDING_CHANGES => None,
+            VoterPhase::Active => Some(Code::SetupCrowded),
             _ => Some(Code::Stale),
         };
         if let Some(code) = deny {
@@ -91,8 +95,17 @@
         self.tick_round(now);
     }
 
-    pub(crate) fn push_change(&mut self, wish: PendingChange) {
-        self.pending.push_back(wish);
+    /// A change that nobody waits for; dropped where there is no room, or one like it waits already.
+    pub(crate) fn propose(&mut self, now: Duration, change: Change) {
+        let waits = self.pending.iter().any(|pending| pending.change == change);
+        if self.phase == VoterPhase::Active && self.pending.len() < MAX_PENDING_CHANGES && !waits {
+            self.push_change(PendingChange::new(now, None, change));
+            self.tick_round(now);
+        }
+    }
+
+    pub(crate) fn push_change(&mut self, change: PendingChange) {
+        self.pending.push_back(change);
     }
 
     pub(crate) fn tick_round(&mut self, now: Duration) {
@@ -111,17 +124,17 @@
         let patience = self.times.patience;
         let edition = self.current.state.edition;
         let (old, rest): (Vec<PendingChange>, Vec<PendingChange>) =
-            self.pending.drain(..).partition(|wish| now >= wish.since + patience);
+            self.pending.drain(..).partition(|change| now >= change.since + patience);
         self.pending.extend(rest);
         if old.is_empty() {
             return;
         }
         // The round under way may carry one of them, and its decision must not be told twice.
         self.back_off(now);
-        old.into_iter().for_each(|wish| {
-            let code = if wish.tried { Code::SetupUnknown } else { Code::Stale };
+        old.into_iter().for_each(|change| {
+            let code = if change.tried { Code::SetupUnknown } else { Code::Stale };
             let decision = Decision { code, edition };
-            self.effects.extend(wish.token.map(|token| Effect::Decided { token, decision }));
+            self.effects.extend(change.token.map(|token| Effect::Decided { token, decision }));
         });
     }
 
@@ -134,7 +147,7 @@
             .pending
             .iter()
             .take(MAX_AT_ONCE)
-            .filter(|wish| !wish.tried)
+            .filter(|change| !change.tried)
             .filter_map(PendingChange::digest)
             .collect();
         untried.into_iter().for_each(|digest| {
@@ -142,7 +155,8 @@
                 self.send_all(Payload::SetupBytes(SetupBytes { digest, squeezed }));
             }
         });
-        self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, promises: BTreeMap::new() });
+        let asked = self.replica_nodes().into_iter().collect();
+        self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, asked, promises: BTreeMap::new() });
         self.send_all(Payload::Prepare(Prepare { ballot }));
     }
 
@@ -154,10 +168,9 @@
 
     pub(crate) fn promise(&mut self, now: Duration, from: &str, promise: Promise) {
         self.seen_round = self.seen_round.max(promise.promised.round);
-        if matches!(self.phase, VoterPhase::Recovering { .. }) {
-            return self.mend(now, from, promise);
+        if matches!(self.phase, VoterPhase::Recovering(_)) {
+            return self.take_recovery_promise(now, from, promise);
         }
-        let voters = majority(self.durable.roster.len());
         let given = promise.promised == promise.ballot;
         let late = match &mut self.round {
             Round::Preparing { ballot, promises, .. } if *ballot == promise.ballot => {
@@ -165,46 +178,69 @@
                     return self.back_off(now);
                 }
                 promises.insert(from.to_owned(), promise);
-                if promises.len() >= voters {
-                    self.start_accepting(now);
-                }
+                self.start_accepting_if_promised(now);
                 None
             }
-            Round::Accepting { ballot, state, .. } if *ballot == promise.ballot && given => {
-                Some(Accept { ballot: ballot.clone(), state: state.clone(), disk: promise.disk })
-            }
+            Round::Accepting { ballot, state, lease_epoch, .. } if *ballot == promise.ballot && given => Some(Accept {
+                ballot: ballot.clone(),
+                state: state.clone(),
+                disk: promise.disk,
+                lease_epoch: *lease_epoch,
+            }),
             _ => None,
         };
         late.into_iter().for_each(|accept| self.send(from, Payload::Accept(accept)));
     }
 
+    /// The newest state among the promises tells who votes. Those of them that were not asked yet are asked now; once a
+    /// quorum of them promised, nothing newer can have been chosen.
+    fn start_accepting_if_promised(&mut self, now: Duration) {
+        let Round::Preparing { ballot, asked, promises, .. } = &mut self.round else { return };
+        let Some(newest) = newest_promise(promises) else { return };
+        let voter_set = &newest.accepted.voter_set;
+        let promised = voter_set.is_quorum(|voter| promises.contains_key(voter));
+        // A state known to be chosen is known to a quorum: until one of it answers, somebody is missing.
+        if promised && newest.accepted_at >= self.current.ballot {
+            return self.start_accepting(now);
+        }
+        let unasked: Vec<String> = voter_set.members().filter(|voter| !asked.contains(*voter)).cloned().collect();
+        asked.extend(unasked.iter().cloned());
+        let prepare = Payload::Prepare(Prepare { ballot: ballot.clone() });
+        unasked.iter().for_each(|voter| self.send(voter, prepare.clone()));
+    }
+
     fn start_accepting(&mut self, now: Duration) {
         let round = std::mem::replace(&mut self.round, Round::Idle);
-        let Round::Preparing { ballot, asked_at, promises } = round else { return };
-        let highest = promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at));
-        let mut state = highest.map(|promise| promise.accepted.clone()).unwrap_or_default();
-        let decisions = self
-            .pending
-            .iter_mut()
-            .take(MAX_AT_ONCE)
-            .map(|wish| {
-                wish.tried = true;
-                (wish.token, apply(&mut state, &wish.change))
-            })
-            .collect();
-        let accepts: Vec<(String, Accept)> = promises
-            .into_iter()
-            .map(|(voter, promise)| {
-                (voter, Accept { ballot: ballot.clone(), state: state.clone(), disk: promise.disk })
-            })
-            .collect();
-        self.turn(Round::Accepting { ballot, asked_at, since: now, state, decisions, accepted: BTreeSet::new() });
+        let Round::Preparing { ballot, asked_at, promises, .. } = round else { return };
+        let newest = newest_promise(&promises).cloned().unwrap_or_default();
+        let mut is_chosen = self.current.confirmed_at.is_some() && newest.accepted_at == self.current.ballot;
+        let mut state = newest.accepted;
+        let lease_epoch = promises.values().map(|promise| promise.lease_epoch).max().unwrap_or(0);
+        let mut decisions = Vec::new();
+        for pending in self.pending.iter_mut().take(MAX_AT_ONCE) {
+            pending.tried = true;
+            decisions.push((pending.token, apply_any(&mut state, &pending.change, &mut is_chosen)));
+        }
+        let accept = |disk| Accept { ballot: ballot.clone(), state: state.clone(), disk, lease_epoch };
+        let accepts: Vec<(String, Accept)> =
+            promises.into_iter().map(|(voter, promise)| (voter, accept(promise.disk))).collect();
+        self.turn(Round::Accepting {
+            ballot,
+            asked_at,
+            since: now,
+            state,
+            lease_epoch,
+            decisions,
+            accepted: BTreeSet::new(),
+        });
         accepts.into_iter().for_each(|(voter, accept)| self.send(&voter, Payload::Accept(accept)));
     }
 
     pub(crate) fn accepted(&mut self, now: Duration, from: &str, answer: Accepted) {
         self.seen_round = self.seen_round.max(answer.promised.round);
-        let voters = majority(self.durable.roster.len());
+        if answer.done {
+            self.replicas.told_synced(from, answer.ballot.clone());
+        }
         let Round::Accepting { ballot, state, accepted, .. } = &mut self.round else { return };
         if *ballot != answer.ballot {
             return;
@@ -217,7 +253,7 @@
             return self.back_off(now);
         }
         accepted.insert(from.to_owned());
-        if accepted.len() >= voters {
+        if state.voter_set.is_quorum(|voter| accepted.contains(voter)) {
             self.finish_round();
         }
     }
@@ -243,3 +279,20 @@
         self.effects.extend(told.map(|(token, decision)| Effect::Decided { token, decision }));
     }
 }
+
+/// The promise that tells of the newest state.
+pub(crate) fn newest_promise(promises: &BTreeMap<String, Promise>) -> Option<&Promise> {
+    promises.values().max_by(|a, b| a.accepted_at.cmp(&b.accepted_at))
+}
+
+/// Applies a change of any kind. After a change of the voters the state is not one that is known to be chosen.
+fn apply_any(state: &mut ClusterState, change: &Change, is_chosen: &mut bool) -> Decision {
+    match change {
+        Change::BeginVoters { .. } | Change::CompleteVoters { .. } => {
+            let code = apply_to_voters(state, change, *is_chosen);
+            *is_chosen &= code != Code::Fine;
+            Decision { code, edition: state.edition }
+        }
+        Change::Setup { .. } | Change::Evacuate { .. } | Change::Finish => apply(state, change),
+    }
+}
--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -3,7 +3,6 @@
 use crate::change::Change;
 use crate::proposer::PendingChange;
 use crate::register::{Register, VoterPhase};
-use address::majority;
 use protocol::{Ballot, ClusterState, Payload, Read, ReadBack};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,7 +30,7 @@
 
     /// Joins a read that begins later than the asker: the one under way may have been answered before.
     pub(crate) fn confirm(&mut self, now: Duration) {
-        if self.phase != VoterPhase::Voting {
+        if self.phase != VoterPhase::Active {
             return;
         }
         match &self.reading {
@@ -55,8 +54,9 @@
 
     /// The last read ended without a majority of one mind: some round was left half done.
     fn finish_if_split(&mut self, now: Duration) {
-        let voters = majority(self.durable.roster.len());
-        let split = self.reading.take().filter(|reading| reading.backs.len() >= voters);
+        let voter_set = self.voter_set().clone();
+        let answered = |reading: &Reading| voter_set.is_quorum(|voter| reading.backs.contains_key(voter));
+        let split = self.reading.take().filter(answered);
         let mine_to_do = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
         if mine_to_do || (self.pending.is_empty() && self.reading_is_old(now) && self.random.below(4) == 0) {
             self.push_change(PendingChange::new(now, None, Change::Finish));
@@ -68,17 +68,18 @@
     }
 
     pub(crate) fn read_back(&mut self, now: Duration, from: &str, back: ReadBack) {
-        if self.phase != VoterPhase::Voting || !self.durable.roster.iter().any(|voter| voter == from) {
+        if self.phase != VoterPhase::Active {
             return;
         }
-        let voters = majority(self.durable.roster.len());
-        let chosen = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce).and_then(|reading| {
-            let (ballot, state) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
-            reading.backs.insert(from.to_owned(), (ballot.clone(), state.clone()));
-            let alike = reading.backs.values().filter(|(other, _)| *other == ballot).count();
-            (alike >= voters).then_some((ballot, state, reading.asked_at))
-        });
-        if let Some((ballot, state, asked_at)) = chosen {
+        let Some(reading) = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce) else { return };
+        let (ballot, state) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
+        let asked_at = reading.asked_at;
+        reading.backs.insert(from.to_owned(), (ballot.clone(), state.clone()));
+        let alike = |voter: &str| reading.backs.get(voter).is_some_and(|(other, _)| *other == ballot);
+        // The state itself names those whose quorum makes it chosen.
+        let chosen = state.voter_set.is_quorum(alike);
+        self.replicas.told_synced(from, ballot.clone());
+        if chosen {
             self.reading = None;
             self.adopt(ballot, state, Some(asked_at));
             if self.read_again {
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -3,13 +3,18 @@
 use crate::change::{Change, Decision};
 use crate::proposer::{PendingChange, Round};
 use crate::reading::Reading;
+use crate::replicas::Replicas;
 use address::Random;
-use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, SetupBytes};
+use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, SetupBytes, VoterSet};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// How many disk writes may wait before the voter stays out of rounds.
 const MAX_WRITES: usize = 64;
+/// A node that is so many rounds behind the state in force, or fewer, has caught up.
+const MAX_ROUNDS_BEHIND: u64 = 16;
+/// How many control nodes beside the voters are sent what is decided.
+const MAX_NONVOTERS: usize = 8;
 /// How many setups are kept beside those that something refers to, and how many bytes of them at most.
 const MAX_SPARE_SETUPS: usize = 16;
 const MAX_SPARE_BYTES: usize = 8 * 1024 * 1024;
@@ -64,6 +69,8 @@
         change: Change,
         bytes: Option<Vec<u8>>,
     },
+    /// A change that nobody waits for.
+    Propose(Change),
     /// Somebody wants to read: confirm the state anew, from now.
     Confirm,
     /// The write with this ticket is synced.
@@ -120,13 +127,24 @@
     /// Endorsed a roster, waits for the others.
     Bootstrapping { endorsed: BTreeSet<String> },
     /// Lost its disk: gathers what the others promised and accepted.
-    Recovering { roster: Vec<String>, ballot: Ballot, promises: BTreeMap<String, Promise>, until: Duration },
-    /// Takes part in rounds.
-    Voting,
+    Recovering(Recovery),
+    /// Has a state: answers, accepts, reads and proposes. Whether its answers count is told by the voter set.
+    Active,
     /// The disk failed.
     Out,
 }
 
+/// What a blank disk gathers before it takes part.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recovery {
+    /// The voters asked, as far as they are known.
+    pub(crate) voter_set: VoterSet,
+    pub(crate) ballot: Ballot,
+    pub(crate) promises: BTreeMap<String, Promise>,
+    /// When to begin anew.
+    pub(crate) until: Duration,
+}
+
 pub(crate) struct Write {
     ticket: u64,
     durable: Option<DurableState>,
@@ -152,6 +170,13 @@
     pub writes: u64,
 }
 
+/// A disk written before the voters were part of the state: those it was founded with are the first.
+fn name_voters(durable: &mut DurableState) {
+    if durable.accepted.voter_set.voters.is_empty() {
+        durable.accepted.voter_set.voters.clone_from(&durable.roster);
+    }
+}
+
 /// One voter of the majority register.
 pub struct Register {
     pub(crate) me: String,
@@ -161,6 +186,11 @@
     pub(crate) incarnation: u64,
     pub(crate) peers: Vec<String>,
     pub(crate) phase: VoterPhase,
+    /// Time of the step under way.
+    pub(crate) now: Duration,
+    /// When the voter set in force was seen first.
+    voters_since: Duration,
+    pub(crate) replicas: Replicas,
     /// What was decided, perhaps not synced yet.
     pub(crate) durable: DurableState,
     /// What the disk surely holds: questions are answered from it.
@@ -198,13 +228,14 @@
     /// });
     /// assert!(matches!(register.phase(), VoterPhase::Blank { .. }));
     /// ```
-    pub fn new(start: Start) -> Self {
+    pub fn new(mut start: Start) -> Self {
         let mut random = Random::new(start.seed);
+        name_voters(&mut start.durable);
         let incarnation = random.next_u64();
         let phase = match (start.durable.disk, start.durable.endorsed.is_empty()) {
             (0, true) => VoterPhase::Blank { unfounded: BTreeSet::new() },
             (0, false) => VoterPhase::Bootstrapping { endorsed: BTreeSet::new() },
-            _ => VoterPhase::Voting,
+            _ => VoterPhase::Active,
         };
         Register {
             me: start.me,
@@ -214,6 +245,9 @@
             incarnation,
             peers: Vec::new(),
             phase,
+            now: Duration::ZERO,
+            voters_since: Duration::ZERO,
+            replicas: Replicas::default(),
             synced: start.durable.clone(),
             seen_round: start.durable.promised.round,
             durable: start.durable,
@@ -256,9 +290,10 @@
     ///     let now = Duration::from_secs(turn);
     ///     effects = events.into_iter().flat_map(|event| register.step(now, event)).collect();
     /// }
-    /// assert_eq!(*register.phase(), VoterPhase::Voting);
+    /// assert_eq!(*register.phase(), VoterPhase::Active);
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.now = now;
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, &from, body),
@@ -267,7 +302,8 @@
                 peers.dedup();
                 self.peers = peers;
             }
-            Event::Ask { token, change, bytes } => self.wish(now, token, change, bytes),
+            Event::Ask { token, change, bytes } => self.ask(now, token, change, bytes),
+            Event::Propose(change) => self.propose(now, change),
             Event::Confirm => self.confirm(now),
             Event::Kept { ticket } => self.kept(ticket),
             Event::DiskFailed => self.enter_phase(VoterPhase::Out),
@@ -282,7 +318,7 @@
 
     fn tick(&mut self, now: Duration) {
         self.tick_founding(now);
-        if self.phase == VoterPhase::Voting {
+        if self.phase == VoterPhase::Active {
             self.tick_reading(now);
             self.tick_round(now);
         }
@@ -293,6 +329,7 @@
     }
 
     fn take(&mut self, now: Duration, from: &str, body: Payload) {
+        self.replicas.heard(from, now);
         match body {
             Payload::Prepare(prepare) => self.prepare(from, prepare),
             Payload::Promise(promise) => self.promise(now, from, promise),
@@ -304,7 +341,7 @@
             Payload::SetupBytes(setup) => self.take_setup(setup),
             Payload::SetupAsk(ask) => self.give_setup(from, &ask),
             Payload::BootstrapVote(endorse) => self.endorse(from, endorse),
-            Payload::Bootstrapped(founded) => self.founded(now, founded.roster),
+            Payload::Bootstrapped(founded) => self.founded(now, founded.voter_set),
             _ => {}
         }
     }
@@ -388,16 +425,81 @@
         self.tally
     }
 
-    /// The voters, once founded.
+    /// Who votes, by the newest state known here; empty before the founding.
     ///
     /// ```
     /// # use quorum_register::{Register, Start, Times};
     /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
     /// #     setups: Default::default(), times: Times::default() };
-    /// assert!(Register::new(start).roster().is_empty());
+    /// assert_eq!(Register::new(start).voter_set().members().count(), 0);
     /// ```
-    pub fn roster(&self) -> &[String] {
-        &self.synced.roster
+    pub fn voter_set(&self) -> &VoterSet {
+        let known = self.current.ballot >= self.durable.accepted_at && !self.current.state.voter_set.voters.is_empty();
+        if known { &self.current.state.voter_set } else { &self.durable.accepted.voter_set }
+    }
+
+    /// True while this node votes.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(!Register::new(start).is_voter());
+    /// ```
+    pub fn is_voter(&self) -> bool {
+        self.phase == VoterPhase::Active && self.voter_set().contains(&self.me)
+    }
+
+    /// How long nothing came from a control node; the whole time since the start where nothing ever did.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # use std::time::Duration;
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).silent_for(Duration::from_secs(4), "b"), Duration::from_secs(4));
+    /// ```
+    pub fn silent_for(&self, now: Duration, node: &str) -> Duration {
+        now.saturating_sub(self.replicas.heard_at(node))
+    }
+
+    /// True where a node's disk surely holds a state that was in force a few rounds ago, or a newer one. In a storm of
+    /// changes nobody tells of the newest in time; and a voter accepts no state that it doesn't hold.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(!Register::new(start).is_caught_up("b"));
+    /// ```
+    pub fn is_caught_up(&self, node: &str) -> bool {
+        let current = self.current.ballot.round;
+        self.replicas.synced_ballot(node).is_some_and(|ballot| ballot.round + MAX_ROUNDS_BEHIND >= current)
+    }
+
+    /// The last ballot that a node's disk surely holds, as far as it told.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).synced_round("b"), None);
+    /// ```
+    pub fn synced_round(&self, node: &str) -> Option<u64> {
+        self.replicas.synced_ballot(node).map(|ballot| ballot.round)
+    }
+
+    /// For how long the voter set in force is known here; none while a change of it is under way, or none is in force.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).voters_settled_for(Default::default()), None);
+    /// ```
+    pub fn voters_settled_for(&self, now: Duration) -> Option<Duration> {
+        let settled = self.current.confirmed_at.is_some() && !self.voter_set().is_joint();
+        settled.then(|| now.saturating_sub(self.voters_since))
     }
 
     /// The highest lease epoch that is safe on this disk.
@@ -420,9 +522,19 @@
         }
     }
 
+    /// Sends to every voter, and to the control nodes that are there beside them: they follow what is decided, and one
+    /// of them may have to take a voter's place.
     pub(crate) fn send_all(&mut self, body: Payload) {
-        let roster = self.durable.roster.clone();
-        roster.iter().for_each(|voter| self.send(voter, body.clone()));
+        self.replica_nodes().iter().for_each(|node| self.send(node, body.clone()));
+    }
+
+    /// The voters, and a few further control nodes.
+    pub(crate) fn replica_nodes(&self) -> Vec<String> {
+        let mut nodes: Vec<String> = self.voter_set().members().cloned().collect();
+        let others: Vec<String> =
+            self.peers.iter().filter(|peer| !nodes.contains(peer)).take(MAX_NONVOTERS).cloned().collect();
+        nodes.extend(others);
+        nodes
     }
 
     /// True while the disk keeps up.
@@ -454,12 +566,12 @@
             });
         }
         self.settle_founding();
-        self.settle_mending();
+        self.settle_recovery();
         self.drop_spare_setups();
     }
 
     fn raise_epoch(&mut self, epoch: u64, token: u64) {
-        let able = self.phase == VoterPhase::Voting && self.disk_is_free();
+        let able = self.phase == VoterPhase::Active && self.disk_is_free();
         if able && epoch >= self.durable.lease_epoch {
             self.durable.lease_epoch = epoch;
             self.keep(vec![Effect::EpochKept { token }]);
@@ -580,6 +692,9 @@
         }
         let changed = ballot > self.current.ballot && state != self.current.state;
         let confirmed_at = confirmed_at.max(self.current.confirmed_at);
+        if state.voter_set != self.current.state.voter_set {
+            self.voters_since = self.now;
+        }
         self.current = Current { ballot, state, confirmed_at };
         if changed {
             self.effects.push(Effect::Adopted);
--- a/crates/quorum-register/src/voter.rs
+++ b/crates/quorum-register/src/voter.rs
@@ -1,12 +1,12 @@
 //! The voter's half of a round: promises and acceptances, each synced before it is answered.
 
 use crate::register::{Effect, Register, VoterPhase};
-use protocol::{Accept, Accepted, Payload, Prepare, Promise, Read, ReadBack};
+use protocol::{Accept, Accepted, Ballot, Payload, Prepare, Promise, Read, ReadBack};
 
 impl Register {
     pub(crate) fn prepare(&mut self, from: &str, prepare: Prepare) {
         self.seen_round = self.seen_round.max(prepare.ballot.round);
-        if self.phase != VoterPhase::Voting || !self.disk_is_free() {
+        if self.phase != VoterPhase::Active || !self.disk_is_free() {
             return;
         }
         let given = prepare.ballot >= self.durable.promised;
@@ -29,9 +29,9 @@
     }
 
     pub(crate) fn accept(&mut self, from: &str, accept: Accept) {
-        let Accept { ballot, state, disk } = accept;
+        let Accept { ballot, state, disk, lease_epoch } = accept;
         self.seen_round = self.seen_round.max(ballot.round);
-        if self.phase != VoterPhase::Voting || !self.disk_is_free() {
+        if self.phase != VoterPhase::Active || !self.disk_is_free() {
             return;
         }
         let mine = disk == self.durable.disk && ballot >= self.durable.promised;
@@ -41,6 +41,7 @@
             self.durable.promised = ballot.clone();
             self.durable.accepted_at = ballot.clone();
             self.durable.accepted = state;
+            self.durable.lease_epoch = self.durable.lease_epoch.max(lease_epoch);
         }
         let promised = self.durable.promised.clone();
         let body = Payload::Accepted(Accepted { ballot, promised, done, wants_bytes: mine && wants_bytes });
@@ -53,8 +54,9 @@
     }
 
     pub(crate) fn read(&mut self, from: &str, read: Read) {
-        if self.phase == VoterPhase::Voting {
-            let other = self.synced.accepted_at != read.known;
+        if self.phase == VoterPhase::Active {
+            // A reader that knows nothing yet has nothing that could be left out.
+            let other = self.synced.accepted_at != read.known || read.known == Ballot::default();
             let accepted_at = other.then(|| self.synced.accepted_at.clone());
             let accepted = other.then(|| self.synced.accepted.clone());
             self.send(from, Payload::ReadBack(ReadBack { nonce: read.nonce, accepted_at, accepted }));
