--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -91,6 +91,7 @@
 enum Write {
     State(u64, DurableState),
     Setup(u64, String, Vec<u8>),
+    Drop(String),
 }
 
 /// What the HTTP side shares with the core's task.
@@ -180,7 +181,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = std::pin::pin!(transport::stop_signal());
     let mut datagram = vec![0u8; 65_536];
-    let mut end_at = None;
+    let (mut stopping, mut end_at) = (false, None);
     let mut next_told = Duration::ZERO;
     while end_at.is_none_or(|end_at| clock.now() < end_at) {
         let event = tokio::select! {
@@ -202,11 +203,10 @@
                 }
             }
             seeds = reload.seeds() => Event::Seeds(seeds),
-            _ = &mut stop, if end_at.is_none() => {
+            _ = &mut stop, if !stopping => {
                 log::info!("close: asked to stop");
                 shared.closing.store(true, Ordering::Relaxed);
-                // What is said now must still leave the process, and what was on its way be answered.
-                end_at = Some(clock.now() + LAST_WORDS);
+                stopping = true;
                 Event::Close
             }
         };
@@ -214,6 +214,10 @@
         let ticked = matches!(event, Event::Tick);
         let effects = control.step(now, event);
         run(effects, &links, &probe, &writes, &mut answers);
+        if control.may_end() && end_at.is_none() {
+            // What is said now must still leave the process, and what was on its way be answered.
+            end_at = Some(now + LAST_WORDS);
+        }
         if ticked {
             shared.ready.store(control.is_current(now), Ordering::Relaxed);
             answers.retain(|_, answer| !answer.is_closed());
@@ -239,6 +243,7 @@
         effects.into_iter().for_each(|effect| match effect {
             Effect::Keep { ticket, durable } => drop(writes.try_send(Write::State(ticket, durable))),
             Effect::KeepSetup { ticket, digest, bytes } => drop(writes.try_send(Write::Setup(ticket, digest, bytes))),
+            Effect::DropSetup { digest } => drop(writes.try_send(Write::Drop(digest))),
             Effect::Answer { token, answer } => {
                 answers.remove(&token).into_iter().for_each(|waiting| drop(waiting.send(answer.clone())));
             }
@@ -274,6 +279,12 @@
             let (ticket, done) = match write {
                 Write::State(ticket, durable) => (ticket, storage.keep(&durable)),
                 Write::Setup(ticket, digest, bytes) => (ticket, storage.keep_setup(&digest, &bytes)),
+                Write::Drop(digest) => {
+                    // It takes room and nothing else: the next start finds it and drops it again.
+                    let dropped = storage.drop_setup(&digest);
+                    dropped.unwrap_or_else(|failure| log::warn!("disk: {failure:?}"));
+                    continue;
+                }
             };
             let took_ms = (clock.now() - begun_at).as_millis() as u64;
             spans.writes.fetch_add(1, Ordering::Relaxed);
