--- a/deploy/hunting/bench.py
+++ b/deploy/hunting/bench.py
@@ -13,6 +13,9 @@
 
 SNAPSHOT = re.compile(r"^snapshot ([0-9a-f]+)$", re.MULTILINE)
 JOURNAL = "journal"
+# The journal's folder of sources, whose files are named by the first digits of what they hold.
+SOURCES = "blobs"
+DIGEST_IN_NAME = 16
 
 
 class BenchError(Exception):
@@ -57,20 +60,30 @@
         return dataclasses.replace(result, missing=strikes.missing(tomllib.loads(day.read_text()), events))
 
     def entries(self):
-        """The files of the worktree's journal, relative to it."""
+        """The names of the worktree's journal entries, also of those that the bench took over from other worktrees."""
+        return {path.name for path in (self.worktree / JOURNAL).glob("*.json")}
+
+    def own_entries(self, why):
+        """The entries of runs that were started for this reason."""
         journal = self.worktree / JOURNAL
-        return {path.relative_to(journal) for path in journal.rglob("*") if path.is_file()}
+        return {name for name in self.entries() if json.loads((journal / name).read_text()).get("why") == why}
 
     def copy_entries(self, names, journal):
-        """Copies journal files as they are into another journal; an entry that is there stays.
+        """Copies entries as they are into another journal, with the sources they name; an entry that is there stays.
 
         The bench writes an entry when a run starts and again when it ends, so name those of ended runs only.
         """
         for name in sorted(names):
-            target = pathlib.Path(journal) / name
+            entry = json.loads((self.worktree / JOURNAL / name).read_text())
+            for path in [name, *_sources(entry)]:
+                self._copy(path, pathlib.Path(journal))
+
+    def _copy(self, path, journal):
+        source = self.worktree / JOURNAL / path
+        target = journal / path
+        if source.exists() and not target.exists():
             target.parent.mkdir(parents=True, exist_ok=True)
-            if not target.exists():
-                shutil.copyfile(self.worktree / JOURNAL / name, target)
+            shutil.copyfile(source, target)
 
     def _result(self, snapshot, seed):
         found = list((self.worktree / JOURNAL).glob(f"*-{snapshot}.json"))
@@ -116,6 +129,12 @@
         plays, jobs = again, max(1, jobs // 2)
 
 
+def _sources(entry):
+    """Where the journal keeps the files that an entry's sources have changed since its base."""
+    files = (entry.get("tree") or {}).get("files", [])
+    return [f"{SOURCES}/{file['sha256'][:DIGEST_IN_NAME]}.txt" for file in files]
+
+
 def _is_journal(line):
     return line[3:].startswith(f"{JOURNAL}/")
 
--- a/deploy/hunting/command.py
+++ b/deploy/hunting/command.py
@@ -85,7 +85,7 @@
 
 
 def play_and_keep(player, plays, flags, kept):
-    """Plays; keeps each result and its journal entry as it comes, and at the end all that the journal has besides."""
+    """Plays; keeps each result and its journal entry as it comes, and at the end those of runs that broke off."""
     found = []
     there_before = player.entries()
 
@@ -101,7 +101,7 @@
     try:
         bench.play_all(player, plays, flags.jobs, tell)
     finally:
-        player.copy_entries(player.entries() - there_before, flags.journal)
+        player.copy_entries(player.own_entries(flags.why) - there_before, flags.journal)
     return found
 
 
--- a/deploy/hunting/tests/test_bench.py
+++ b/deploy/hunting/tests/test_bench.py
@@ -83,21 +83,31 @@
         (result,) = self.play(["odd"])
         self.assertEqual((result.outcome, result.notes), (results.NOT_PLAYED, ["the day can't be read"]))
 
-    def test_new_entries_are_copied_as_they_are_and_old_ones_stay(self):
+    def test_an_entry_is_copied_as_it_is_with_its_sources_and_one_that_is_there_stays(self):
         self.play(["calm"])
-        names = self.player.entries()
+        (name,) = self.player.entries()
+        path = self.worktree / "journal" / name
+        entry = json.loads(path.read_text()) | {"tree": {"files": [{"path": "a", "sha256": "0123456789abcdef0123"}]}}
+        path.write_text(json.dumps(entry))
+        (path.parent / "blobs").mkdir()
+        (path.parent / "blobs" / "0123456789abcdef.txt").write_text("a source")
         target = self.folder / "journal"
-        self.player.copy_entries(names, target)
-        (name,) = names
-        written = (self.worktree / "journal" / name).read_text()
-        self.assertEqual((target / name).read_text(), written)
+        self.player.copy_entries([name], target)
+        self.assertEqual((target / name).read_text(), path.read_text())
+        self.assertEqual((target / "blobs" / "0123456789abcdef.txt").read_text(), "a source")
         (target / name).write_text("mine")
-        self.player.copy_entries(names, target)
+        self.player.copy_entries([name], target)
         self.assertEqual((target / name).read_text(), "mine")
 
+    def test_entries_that_the_bench_took_over_from_other_worktrees_are_not_ours(self):
+        journal = self.worktree / "journal"
+        journal.mkdir()
+        (journal / "1-ours.json").write_text('{"why": "why", "error": "the run did not finish", "days": []}')
+        (journal / "1-theirs.json").write_text('{"why": "another", "error": "the run did not finish", "days": []}')
+        self.assertEqual(self.player.own_entries("why"), {"1-ours.json"})
 
     def test_an_entry_is_copied_when_its_run_has_ended_and_not_as_it_stands_meanwhile(self):
-        flags = argparse.Namespace(jobs=2, journal=self.folder / "copies")
+        flags = argparse.Namespace(jobs=2, why="why", journal=self.folder / "copies")
         plays = [(pathlib.Path("north.toml"), pathlib.Path(f"{day}.toml"), 7, "why") for day in ("slow", "calm")]
         kept = self.folder / "results.jsonl"
         run = threading.Thread(target=command.play_and_keep, args=(self.player, plays, flags, kept))
