--- a/crates/address/src/code.rs
+++ b/crates/address/src/code.rs
@@ -107,6 +107,7 @@
     IdReused = 1407, 409, NotRun, "The submission id was used for something else.";
     VotersBehind = 1408, 409, NotRun, "The voters changed meanwhile, or would not change; look at them again.";
     VotersBusy = 1409, 503, NotRun, "An earlier change is not decided yet; come back later.";
+    VoterUnfit = 1410, 409, NotRun, "No such voter, or the node that should vote is not there or has not caught up.";
     NoSuchTrace = 1501, 404, NotRun, "The try id is unknown here or its trace has expired.";
 }
 
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -18,6 +18,7 @@
 
 /// No page of one node, but of all.
 const SITE: &str = "site";
+const VOTERS: &str = "voters";
 
 const HELP: &str = "clerk drives any mothspindle node.
 
@@ -27,6 +28,8 @@
   read                                              print the setup in force (its edition goes to stderr)
   evacuate LOCALITY [--id ID] [--wait]              take all work away from a locality (region/zone)
   take-back LOCALITY [--id ID] [--wait]             let work go there again
+  voters                                            who votes, and how far each is behind
+  voters add NODE | remove NODE | replace OLD NEW   change who votes; a node must follow already to be added
   site                                              the whole site at a glance, and what is wrong with it (then 1)
   status | node | upstreams | reservations | marks | counters | ready
   lookup NAME LOCALITY                              ask a directory node as an origin there would
@@ -36,8 +39,8 @@
   manifest FILE --services SETUP                    turn manifests in the manner of the Gateway API into a setup
 
   After a majority of the voters is lost for good (docs/operating.md), without a node:
-  survivor NODE FOLDER FILE                        write down what a survivor's data folder says
-  settle FILE TESTAMENT ... --lost NODE,...         settle the survivors; every voter is given or lost
+  survivor NODE FOLDER FILE                         write down what a survivor's data folder says
+  settle FILE SURVIVOR ... --lost NODE,...          settle the survivors; every voter is given or lost
   inherit FILE FOLDER                               leave what was settled in a blank data folder
 
   --node may be given several times: the next is tried where one can't be reached.
@@ -65,6 +68,10 @@
     body: Vec<u8>,
 }
 
+fn change_voters(change: &str) -> Call {
+    Call { method: "POST", path: format!("/voters?{change}"), body: Vec::new() }
+}
+
 fn get(path: impl Into<String>) -> Call {
     Call { method: "GET", path: path.into(), body: Vec::new() }
 }
@@ -142,7 +149,7 @@
             let text = |file: &str| read(file).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
             return Err(turned(manifest::turn(&text(file)?, &text(services)?)));
         }
-        ["testament", node, folder, file] => return Err(done(rescue::survivor(node, folder, file))),
+        ["survivor" | "testament", node, folder, file] => return Err(done(rescue::survivor(node, folder, file))),
         ["settle", file, survivors @ ..] => return Err(done(rescue::settle(file, &flags.lost, survivors))),
         ["inherit", file, folder] => return Err(done(rescue::inherit(file, folder))),
         ["check", file] => {
@@ -173,6 +180,10 @@
             get(format!("/trace?name={name}&path={path}&key={}", flags.key.as_deref().unwrap_or_default()))
         }
         ["site"] => get(SITE),
+        ["voters"] => get(VOTERS),
+        ["voters", "add", node] => change_voters(&format!("add={node}")),
+        ["voters", "remove", node] => change_voters(&format!("remove={node}")),
+        ["voters", "replace", old, new] => change_voters(&format!("remove={old}&add={new}")),
         [] => return Err((exit::USAGE, HELP.to_owned())),
         _ => return Err((exit::USAGE, format!("'{}' is no verb of mine; see --help", words.join(" ")))),
     };
@@ -210,6 +221,13 @@
             }
             continue;
         }
+        if call.path == VOTERS {
+            match site::voters(node).await {
+                Some(told) => return show_site(told),
+                None => eprintln!("clerk: {node} tells nothing of the voters"),
+            }
+            continue;
+        }
         let body = call.body.clone().into();
         match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
             Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
--- a/crates/clerk/src/site.rs
+++ b/crates/clerk/src/site.rs
@@ -50,6 +50,31 @@
     Some(describe(&status, &told, upstreams.as_ref()))
 }
 
+/// Who votes, as a node knows it, and what is wrong with that; none where the node tells nothing.
+pub async fn voters(node: &str) -> Option<(Vec<String>, Vec<String>)> {
+    let status = ask(node, "/status").await?;
+    status.get("voters").map(describe_voters)
+}
+
+fn describe_voters(voters: &Sheet) -> (Vec<String>, Vec<String>) {
+    let epoch = voters.count("epoch").unwrap_or(0);
+    let changing = if epoch % 2 == 1 { ", a change is under way" } else { "" };
+    let mut lines = vec![format!("voter epoch {epoch}{changing}")];
+    let mut wrong = Vec::new();
+    voters.list("members").iter().for_each(|member| {
+        let (node, role) = (member.text("node").unwrap_or_default(), member.text("role").unwrap_or_default());
+        let silent_ms = member.count("silentMs").unwrap_or(0);
+        let synced = member.count("syncedRound").map(|round| format!(", synced round {round}")).unwrap_or_default();
+        let caught_up = member.get("caughtUp") == Some(&Sheet::Truth(true));
+        let behind = if caught_up { "" } else { ", behind" };
+        lines.push(format!("{role} {node}: heard {silent_ms} ms ago{synced}{behind}"));
+        if role != "replica" && !caught_up {
+            wrong.push(format!("{role} {node} is behind or gone"));
+        }
+    });
+    (lines, wrong)
+}
+
 fn describe(status: &Sheet, told: &[Told], upstreams: Option<&Sheet>) -> (Vec<String>, Vec<String>) {
     let (mut lines, mut wrong) = (Vec::new(), Vec::new());
     let truth = |sheet: &Sheet, name: &str| sheet.get(name) == Some(&Sheet::Truth(true));
--- a/crates/controller/src/dialect.rs
+++ b/crates/controller/src/dialect.rs
@@ -64,6 +64,15 @@
             let back = enquiry.query("back") == "true";
             Ask::Evacuate { id, locality, back, in_force }
         }
+        ("POST", "/voters") => {
+            let named = |name: &str| Some(enquiry.query(name).to_owned()).filter(|node| !node.is_empty());
+            let (add, remove) = (named("add"), named("remove"));
+            let wrong = [&add, &remove].into_iter().flatten().any(|node| !address::is_id(node));
+            if wrong || (add.is_none() && remove.is_none()) {
+                complain(&mut complaints, "voters", "name the node to 'add', the one to 'remove', or both");
+            }
+            Ask::ChangeVoters { add, remove }
+        }
         ("GET", "/setup") => Ask::ReadSetup,
         ("GET", "/status") => Ask::Status,
         ("GET", "/upstreams") => Ask::Upstreams,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -62,6 +62,11 @@
         back: bool,
         in_force: bool,
     },
+    /// Let one node vote, another not any more, or both at once.
+    ChangeVoters {
+        add: Option<String>,
+        remove: Option<String>,
+    },
     ReadSetup,
     Status,
     Upstreams,
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -28,6 +28,7 @@
                 self.wait_for_force(now, token, in_force);
                 self.change(now, token, Change::Evacuate { id, locality, back }, None);
             }
+            Ask::ChangeVoters { add, remove } => self.change_voters(now, token, add, remove),
             Ask::ReadSetup => {
                 if self.read_waits.len() < MOST_READ_WAITS {
                     self.read_waits.push(ReadWait { token, asked_at: now });
--- a/crates/controller/src/voters.rs
+++ b/crates/controller/src/voters.rs
@@ -5,7 +5,8 @@
 //! of voters stays: a voter loses its vote only to a node that takes its place. So a zone or region that is lost takes no
 //! votes along, and the nodes that are left never decide that they are enough.
 
-use crate::node::{ControlNode, Effect};
+use crate::node::{Answer, ControlNode, Effect};
+use address::{Code, majority};
 use membership::ALIVE;
 use protocol::{Payload, VoterLeaving};
 use quorum_register::{Change, Event};
@@ -71,13 +72,11 @@
         if voter_set.is_joint() {
             return self.propose(now, Change::CompleteVoters { epoch });
         }
-        // A lease that an earlier set of voters granted must have run out before the set after the next may grant one.
-        let least = self.times.lease.span + self.times.lease.margin;
-        if self.register.voters_settled_for(now).is_none_or(|settled| settled < least) {
+        if !self.may_begin_change(now) {
             return;
         }
         let Some((gone, successor)) = self.replacement(now) else { return };
-        if !self.register.is_caught_up(&successor) {
+        if !self.has_caught_up(&successor) {
             // A round that changes nothing brings it the state in force.
             return self.propose(now, Change::Finish);
         }
@@ -87,6 +86,47 @@
         self.propose(now, Change::BeginVoters { epoch, voters });
     }
 
+    /// An operator's change of the voters. What is left must have caught up, so that nobody takes a last copy along.
+    pub(crate) fn change_voters(&mut self, now: Duration, token: u64, add: Option<String>, remove: Option<String>) {
+        let edition = self.edition();
+        match self.voters_after(now, add, remove) {
+            Err(code) => self.answer(token, Answer::Verdict { code, edition }),
+            Ok(voters) => {
+                let epoch = self.register.state().voter_set.epoch;
+                self.change(now, token, Change::BeginVoters { epoch, voters }, None);
+            }
+        }
+    }
+
+    fn voters_after(&self, now: Duration, add: Option<String>, remove: Option<String>) -> Result<Vec<String>, Code> {
+        if !self.is_current(now) {
+            return Err(Code::Stale);
+        }
+        if !self.may_begin_change(now) {
+            return Err(Code::VotersBusy);
+        }
+        let voters = &self.register.state().voter_set.voters;
+        let unknown = remove.as_ref().is_some_and(|node| !voters.contains(node));
+        let unfit = add.as_ref().is_some_and(|node| !self.candidates(now).contains(node) || !self.has_caught_up(node));
+        if unknown || unfit {
+            return Err(Code::VoterUnfit);
+        }
+        let kept = voters.iter().filter(|voter| Some(*voter) != remove.as_ref()).cloned();
+        let after: Vec<String> = kept.chain(add).collect();
+        let caught_up = after.iter().filter(|voter| self.has_caught_up(voter)).count();
+        if after.is_empty() || caught_up < majority(after.len()) { Err(Code::VoterUnfit) } else { Ok(after) }
+    }
+
+    fn has_caught_up(&self, node: &str) -> bool {
+        node == self.me.node || self.register.is_caught_up(node)
+    }
+
+    /// A lease that an earlier set of voters granted must have run out before the set after the next may grant one.
+    fn may_begin_change(&self, now: Duration) -> bool {
+        let least = self.times.lease.span + self.times.lease.margin;
+        self.register.voters_settled_for(now).is_some_and(|settled| settled >= least)
+    }
+
     fn propose(&mut self, now: Duration, change: Change) {
         self.run_register(now, Event::Propose(change));
     }
@@ -210,7 +250,7 @@
                 ("role", role(node).into()),
                 ("silentMs", silent_ms.into()),
                 ("syncedRound", synced.map(Sheet::from).unwrap_or(Sheet::Null)),
-                ("caughtUp", (mine || self.register.is_caught_up(node)).into()),
+                ("caughtUp", self.has_caught_up(node).into()),
             ])
         });
         Sheet::fields([("epoch", voter_set.epoch.into()), ("members", rows.collect())])
