Free keys are reserved at once, so that none waits for a second round of heartbeats

Cause: each heartbeat took what its upstream had room for at that moment.

Now all free keys are reserved as soon as they are free, the emptiest instance first, and each is given in the answer to its taker's next heartbeat. Keys whose taker stays away are given to whoever comes next, as before.

--- a/crates/drill/tests/numbered.rs
+++ b/crates/drill/tests/numbered.rs
@@ -95,7 +95,7 @@
 /// A key that moves is without a holder for one heartbeat of its next owner, half a second, and their ways.
 #[test]
 fn a_moved_key_has_a_holder_within_a_heartbeat() {
-    let jobs = (1..7).map(|seed| (Some("quiet".to_owned()), seed));
+    let jobs = (1..25).map(|seed| (Some("quiet".to_owned()), seed));
     let wrong = |outcome: &Outcome| {
         let (gap, key) = longest_gap(outcome);
         (gap > Duration::from_millis(700)).then(|| format!("keys from {key} had no holder for {gap:?}"))
--- a/crates/enrolment/src/fair.rs
+++ b/crates/enrolment/src/fair.rs
@@ -2,7 +2,7 @@
 
 use crate::load::Load;
 use crate::table::{State, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// At most this part of all keys is asked back in one step.
 const STEP: u32 = 4;
@@ -52,56 +52,138 @@
     }
 }
 
-/// The free keys that one takes: up to its fair part, and all where nobody has more room.
-pub(crate) fn takes(table: &Table, me: &str, active: &BTreeMap<&str, u32>, load: &Load) -> Spans {
-    let free = table.iter().filter(|(_, _, state)| state.held().is_none());
-    let free: f64 = free.map(|(from, to, _)| load.weight(from, to)).sum();
-    let loads = carried(table, active, load);
-    let level = level(&loads, active, free);
-    let room_of = |name: &str| level * capacity(active, name) - loads.get(name).copied().unwrap_or_default();
-    let others: Vec<&str> = active.keys().copied().filter(|name| *name != me).collect();
-    let most = others.iter().map(|name| room_of(name)).fold(f64::NEG_INFINITY, f64::max);
-    let emptiest = others.iter().map(|name| room_of(name) / capacity(active, name)).fold(f64::NEG_INFINITY, f64::max);
-    let mut room = room_of(me);
-    // What all have left once is for whoever comes next; it would lie without a holder for another round.
-    let left = |state: &State| matches!(state, State::Free { passed, .. } if *passed > active.len());
-    // Small parts would only be broken off what another is to have.
-    let nothing_left = !table.iter().any(|(_, _, state)| left(state));
-    if nothing_left && room < most && room / capacity(active, me) < emptiest / 2.0 {
-        return Vec::new();
+/// Free keys, and who is to take them with its next heartbeat.
+pub(crate) struct Reservation {
+    pub(crate) from: u32,
+    pub(crate) to: u32,
+    pub(crate) taker: String,
+}
+
+/// A part of the free keys between two of the load's edges.
+#[derive(Clone, Copy)]
+struct FreePiece {
+    from: u32,
+    to: u32,
+    weight: f64,
+}
+
+/// Neighbouring free keys that nobody is to take yet.
+struct FreeRun {
+    previous_owner: Option<String>,
+    left_neighbour: Option<String>,
+    right_neighbour: Option<String>,
+    pieces: VecDeque<FreePiece>,
+}
+
+impl FreeRun {
+    fn pop(&mut self, from_right: bool, taker: &str) -> Option<FreePiece> {
+        let (piece, neighbour) = match from_right {
+            true => (self.pieces.pop_back(), &mut self.right_neighbour),
+            false => (self.pieces.pop_front(), &mut self.left_neighbour),
+        };
+        *neighbour = Some(taker.to_owned());
+        piece
     }
-    let mine = |key: Option<u32>| {
-        let at = key.and_then(|key| table.within(key, key).into_iter().next());
-        at.is_some_and(|(_, _, state)| state.held_by(me).is_some())
-    };
-    let free = table.iter().filter_map(|(from, to, state)| match state {
-        State::Free { last, passed, .. } => {
-            // What it had first, then what lies next to its own, which it takes from that side.
-            let had = last.as_deref() == Some(me);
-            let (left, right) = (mine(from.checked_sub(1)), mine(Some(to + 1)));
-            let left_over = *passed > active.len();
-            Some((!had, !(left || right), from, to, right && !left, left_over))
+
+    fn peek(&self, from_right: bool) -> Option<&FreePiece> {
+        if from_right { self.pieces.back() } else { self.pieces.front() }
+    }
+
+    /// Lower comes first: what the taker had, then what lies next to its own.
+    fn rank(&self, taker: &str) -> (bool, bool) {
+        let had = self.previous_owner.as_deref() == Some(taker);
+        let adjoins = [&self.left_neighbour, &self.right_neighbour].iter().any(|side| side.as_deref() == Some(taker));
+        (!had, !adjoins)
+    }
+
+    /// A taker goes on from the side where its own keys lie.
+    fn takes_from_right(&self, taker: &str) -> bool {
+        self.right_neighbour.as_deref() == Some(taker) && self.left_neighbour.as_deref() != Some(taker)
+    }
+}
+
+/// The taker of all free keys that have none: each active instance gets up to its fair part, and what fits nobody goes
+/// to whoever has most room. Decided for all at once, so that nothing is left over when all were heard.
+pub(crate) fn reserve(table: &Table, active: &BTreeMap<&str, u32>, load: &Load) -> Vec<Reservation> {
+    let mut runs = free_runs(table, load);
+    let free = runs.iter().flat_map(|run| &run.pieces).map(|piece| piece.weight).sum();
+    let mut loads = carried(table, active, load);
+    table.iter().for_each(|(from, to, state)| {
+        let reserved = state.taker().and_then(|taker| loads.get_mut(taker));
+        reserved.into_iter().for_each(|sum| *sum += load.weight(from, to));
+    });
+    let level = level(&loads, active, free);
+    let mut rooms: Loads = loads.iter().map(|(name, load)| (*name, level * capacity(active, name) - load)).collect();
+    let mut takers: Vec<&str> = rooms.keys().copied().collect();
+    let emptiness = |name: &str| rooms[name] / capacity(active, name);
+    takers.sort_by(|one, other| emptiness(other).total_cmp(&emptiness(one)));
+    let mut reserved = Vec::new();
+    takers.into_iter().for_each(|taker| reserve_for(taker, &mut runs, &mut rooms, &mut reserved));
+    runs.iter_mut().for_each(|run| {
+        while let Some(piece) = run.pieces.pop_front() {
+            let roomiest = rooms.iter_mut().max_by(|one, other| one.1.total_cmp(other.1));
+            let Some((taker, room)) = roomiest else { return };
+            *room -= piece.weight;
+            reserved.push(Reservation { from: piece.from, to: piece.to, taker: (*taker).to_owned() });
         }
-        State::Held(_) => None,
     });
-    let mut free: Vec<_> = free.collect();
-    free.sort_unstable();
-    let mut taken = Vec::new();
-    free.into_iter().for_each(|(_, _, from, to, from_right, left_over)| {
-        let pieces: Spans = pieces(load, from, to);
-        let ordered: Box<dyn Iterator<Item = (u32, u32)>> =
-            if from_right { Box::new(pieces.into_iter().rev()) } else { Box::new(pieces.into_iter()) };
-        let fitting = ordered.take_while(|(from, to)| {
-            let weight = load.weight(*from, *to);
-            // The most room takes what fits nowhere.
-            let fits = left_over || weight / 2.0 <= room || room >= most;
-            room -= if fits { weight } else { 0.0 };
-            fits
-        });
-        let span = fitting.reduce(|one, other| (one.0.min(other.0), one.1.max(other.1)));
-        taken.extend(span);
+    joined(reserved)
+}
+
+/// What one takes of the runs that are left, as far as it has room.
+fn reserve_for(taker: &str, runs: &mut [FreeRun], rooms: &mut Loads, reserved: &mut Vec<Reservation>) {
+    let others = rooms.iter().filter(|(name, _)| **name != taker).map(|(_, room)| *room);
+    let most = others.fold(f64::NEG_INFINITY, f64::max);
+    let Some(room) = rooms.get_mut(taker) else { return };
+    let mut order: Vec<usize> = (0..runs.len()).filter(|at| !runs[*at].pieces.is_empty()).collect();
+    order.sort_by_key(|at| runs[*at].rank(taker));
+    order.into_iter().for_each(|at| {
+        let run = &mut runs[at];
+        let from_right = run.takes_from_right(taker);
+        // The most room takes what fits nowhere.
+        let fits = |piece: &FreePiece, room: f64| piece.weight / 2.0 <= room || room >= most;
+        while run.peek(from_right).is_some_and(|piece| fits(piece, *room)) {
+            let Some(piece) = run.pop(from_right, taker) else { return };
+            *room -= piece.weight;
+            reserved.push(Reservation { from: piece.from, to: piece.to, taker: taker.to_owned() });
+        }
+    });
+}
+
+/// The free keys that nobody is to take yet, with their neighbours.
+fn free_runs(table: &Table, load: &Load) -> Vec<FreeRun> {
+    let entries: Vec<_> = table.iter().collect();
+    let owner = |at: Option<usize>| {
+        let (_, _, state) = entries.get(at?)?;
+        state.held().map(|held| held.owner.as_str()).or(state.taker()).map(str::to_owned)
+    };
+    let open = entries.iter().enumerate().filter_map(|(at, (from, to, state))| match state {
+        State::Free { last, taker: None, .. } => Some(FreeRun {
+            previous_owner: last.clone(),
+            left_neighbour: owner(at.checked_sub(1)),
+            right_neighbour: owner(Some(at + 1)),
+            pieces: free_pieces(load, *from, *to),
+        }),
+        _ => None,
     });
-    taken
+    open.collect()
+}
+
+fn free_pieces(load: &Load, from: u32, to: u32) -> VecDeque<FreePiece> {
+    let weighed = |(from, to)| FreePiece { from, to, weight: load.weight(from, to) };
+    pieces(load, from, to).into_iter().map(weighed).collect()
+}
+
+/// Neighbouring reservations of one taker as one.
+fn joined(mut reserved: Vec<Reservation>) -> Vec<Reservation> {
+    reserved.sort_by_key(|reservation| reservation.from);
+    reserved.into_iter().fold(Vec::new(), |mut runs: Vec<Reservation>, next| {
+        match runs.last_mut() {
+            Some(run) if run.to + 1 == next.from && run.taker == next.taker => run.to = next.to,
+            _ => runs.push(next),
+        }
+        runs
+    })
 }
 
 /// A range cut at the load's edges.
--- a/crates/enrolment/src/ranges.rs
+++ b/crates/enrolment/src/ranges.rs
@@ -7,7 +7,7 @@
 use crate::fair;
 use crate::load::Load;
 use crate::table::{Held, State, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A heartbeat that lists more is no answer's worth.
@@ -102,6 +102,8 @@
     next_move: Duration,
     table: Table,
     heard: BTreeMap<String, Heard>,
+    /// Among whom the free keys were divided last.
+    reserved_among: BTreeSet<String>,
 }
 
 impl Ranges {
@@ -131,8 +133,18 @@
         let quiet_from = after(surely(terms.answer_within, terms.margin));
         // Holds count from the sending of a heartbeat, so the answer's way adds nothing.
         let free_from = after(surely(terms.hold.max(terms.answer_within), terms.margin));
-        let (table, heard) = (Table::new(keys), BTreeMap::new());
-        Ranges { terms, keys, lease_epoch, counter: 0, quiet_from, free_from, next_move: free_from, table, heard }
+        Ranges {
+            terms,
+            keys,
+            lease_epoch,
+            counter: 0,
+            quiet_from,
+            free_from,
+            next_move: free_from,
+            table: Table::new(keys),
+            heard: BTreeMap::new(),
+            reserved_among: BTreeSet::new(),
+        }
     }
 
     /// Answers a heartbeat with everything its upstream is to hold; `ready` are all that may be given any, and
@@ -264,8 +276,10 @@
             self.table.within(row.from, row.to).into_iter().for_each(|(from, to, state)| {
                 let handover = row.handover.clone();
                 let with_token = match state {
-                    State::Free { last, passed, .. } if last.as_ref().is_none_or(|last| *last == beat.instance) => {
-                        Some(State::Free { last, handover, passed })
+                    State::Free { last, taker, passed, .. }
+                        if last.as_ref().is_none_or(|last| *last == beat.instance) =>
+                    {
+                        Some(State::Free { last, handover, taker, passed })
                     }
                     State::Held(held) if held.dropped && held.owner == beat.instance => {
                         Some(State::Held(Held { handover, ..held }))
@@ -319,9 +333,41 @@
         });
     }
 
-    /// Gives free keys up to its fair part.
+    /// Decides who is to take the free keys that nobody is to take yet; all of them where others are active than before.
+    fn reserve(&mut self, active: &BTreeMap<&str, u32>, load: &Load) {
+        // Capacities change with each request, and what is reserved stays: it would pass by those already heard.
+        if !self.reserved_among.iter().map(String::as_str).eq(active.keys().copied()) {
+            self.reserved_among = active.keys().map(|name| (*name).to_owned()).collect();
+            self.table.each(|state| {
+                if let State::Free { taker, .. } = state {
+                    *taker = None;
+                }
+            });
+            self.table.join();
+        }
+        if !self.table.iter().any(|(_, _, state)| matches!(state, State::Free { taker: None, .. })) {
+            return;
+        }
+        fair::reserve(&self.table, active, load).into_iter().for_each(|reservation| {
+            self.table.within(reservation.from, reservation.to).into_iter().for_each(|(from, to, state)| {
+                if let State::Free { last, handover, passed, .. } = state {
+                    let taker = Some(reservation.taker.clone());
+                    self.table.set(from, to, State::Free { last, handover, taker, passed });
+                }
+            });
+        });
+    }
+
+    /// Gives the free keys that are reserved for this one, and those whose taker stays away.
     fn give(&mut self, now: Duration, me: &str, active: &BTreeMap<&str, u32>, load: &Load) {
-        let parts = fair::takes(&self.table, me, active, load);
+        self.reserve(active, load);
+        let stays_away = |passed: usize| passed > active.len();
+        let mine = |state: &State| match state {
+            State::Free { taker, passed, .. } => taker.as_deref() == Some(me) || stays_away(*passed),
+            State::Held(_) => false,
+        };
+        let parts: Spans =
+            self.table.iter().filter(|(_, _, state)| mine(state)).map(|(from, to, _)| (from, to)).collect();
         self.table.each(|state| match state {
             State::Free { passed, .. } => *passed += 1,
             State::Held(_) => {}
@@ -441,7 +487,7 @@
 fn freed(held: &Held, with_token: bool) -> State {
     let handover = held.handover.clone();
     let handover = Some(handover).filter(|_| with_token).unwrap_or_default();
-    State::Free { last: Some(held.owner.clone()), handover, passed: 0 }
+    State::Free { last: Some(held.owner.clone()), handover, taker: None, passed: 0 }
 }
 
 type Spans = Vec<(u32, u32)>;
--- a/crates/enrolment/src/table.rs
+++ b/crates/enrolment/src/table.rs
@@ -30,7 +30,9 @@
     Free {
         last: Option<String>,
         handover: String,
-        /// How many heartbeats left it where it is.
+        /// Who is to be given it in the answer to its next heartbeat.
+        taker: Option<String>,
+        /// How many heartbeats of others left it where it is.
         passed: usize,
     },
     Held(Held),
@@ -44,6 +46,14 @@
         }
     }
 
+    /// Who is to be given free keys.
+    pub(crate) fn taker(&self) -> Option<&str> {
+        match self {
+            State::Free { taker, .. } => taker.as_deref(),
+            State::Held(_) => None,
+        }
+    }
+
     pub(crate) fn held_by(&self, owner: &str) -> Option<&Held> {
         self.held().filter(|held| held.owner == owner)
     }
@@ -57,7 +67,7 @@
 
 impl Table {
     pub(crate) fn new(keys: u32) -> Self {
-        let free = State::Free { last: None, handover: String::new(), passed: 0 };
+        let free = State::Free { last: None, handover: String::new(), taker: None, passed: 0 };
         Table([(0, (keys.max(1) - 1, free))].into())
     }
 
--- a/crates/enrolment/tests/division.rs
+++ b/crates/enrolment/tests/division.rs
@@ -129,6 +129,31 @@
     assert_eq!(fleet.moved, KEYS / 4);
 }
 
+/// Wherever the round of heartbeats stands, and although capacities, told as free slots, change with each heartbeat.
+#[test]
+fn free_keys_have_a_holder_once_everybody_was_heard() {
+    let names: Vec<String> = (0..12).map(|at| format!("u{at:02}")).collect();
+    let counts: Vec<u64> = (0..1024u64).map(|at| at * at % 61 + if at % 200 < 20 { 300 } else { 0 }).collect();
+    let load = Load::new(KEYS, &counts);
+    let unheld =
+        (0..12).step_by(3).flat_map(|leaver| (1..12).map(move |first| (leaver, first))).filter(|(leaver, first)| {
+            let ready: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 8)).collect();
+            let mut fleet = Fleet::new(&ready);
+            fleet.rounds(3, &load);
+            fleet.ready.remove(&names[*leaver]);
+            fleet.now += MS(500);
+            let released = fleet.beat(&names[*leaver], Vec::new(), &load);
+            fleet.beat(&names[*leaver], released, &load);
+            (0..11).for_each(|at| {
+                let name = &names[(leaver + 1 + (first + at) % 11) % 12];
+                fleet.ready.insert(name.clone(), 5 + (at * 7 % 4) as u32);
+                fleet.beat(name, Vec::new(), &load);
+            });
+            !fleet.whole()
+        });
+    assert_eq!(unheld.collect::<Vec<_>>(), vec![], "who left, and how far the round had come");
+}
+
 #[test]
 fn close_busy_keys_are_divided_again_when_they_lie_elsewhere() {
     let mut fleet = Fleet::new(&[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
