A carrier adds its counts by key to those it has not told yet

Counts are drained each second and told with the next question; where none went out between two drains (an answer is waited for), the second replaced the first. They are summed now, six drains at most: what nobody asked for in longer counts for little at the holder, whose counts halve in 6 s, and would come all at once. Both tests fail before.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -1,5 +1,6 @@
 //! What a carrier decides away from the path of requests: whom it follows and how old its view is.
 
+use crate::pending_loads::PendingLoads;
 use address::{Locality, Random};
 use gazetteer::{Proxy, SetupReader, View};
 use membership::Membership;
@@ -129,7 +130,7 @@
     /// Not before this it goes back to its own zone.
     next_home: Duration,
     /// To be told with the next question.
-    loads: Vec<KeyLoad>,
+    loads: PendingLoads,
     effects: Vec<Effect>,
 }
 
@@ -162,7 +163,7 @@
             started_at: None,
             heard: false,
             next_home: Duration::ZERO,
-            loads: Vec::new(),
+            loads: PendingLoads::default(),
             effects: Vec::new(),
         };
         carrier.learn_members(Duration::ZERO);
@@ -241,7 +242,7 @@
             Event::Received { from, body: Payload::ViewUpdate(news) } => self.news(now, from, news),
             Event::Received { from, body: Payload::Freshness(fresh) } => self.fresh(now, from, fresh),
             Event::Received { .. } => {}
-            Event::Counted(loads) => self.loads = loads,
+            Event::Counted(loads) => self.loads.add(loads),
             Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
             Event::Close => {
                 let effects = self.membership.step(now, membership::Event::Leave);
@@ -378,8 +379,7 @@
         let nonce = self.random.next_u64();
         let every = self.times.ask_every;
         self.next_ask = now + if self.view.as_of.is_some() { every } else { every.min(FIRST_EVERY) };
-        let ask =
-            UpdateRequest { nonce, stream: self.stream, number: self.number, loads: std::mem::take(&mut self.loads) };
+        let ask = UpdateRequest { nonce, stream: self.stream, number: self.number, loads: self.loads.take() };
         self.effects.push(Effect::Send { to: source.clone(), body: Payload::UpdateRequest(ask) });
         self.follow(Following::Asked { source, nonce, asked_at: now });
     }
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod core;
 mod dialect;
+mod pending_loads;
 mod relay;
 mod serve;
 pub mod shell;
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -1,7 +1,7 @@
 //! Which postmaster a carrier follows, and when it leaves it.
 
 use carrier::{Carrier, Effect, Event, Start};
-use protocol::{ClusterState, Freshness, Heard, Member, Payload, Probe, UpdateRequest, ViewUpdate};
+use protocol::{ClusterState, Freshness, Heard, KeyLoad, Member, Payload, Probe, UpdateRequest, ViewUpdate};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -122,3 +122,34 @@
     });
     assert_eq!(order, ["zone", "region", "far", "far", "far", "far", "far", "far"]);
 }
+
+fn counted(service: &str, parts: &[u32], counts: &[u32]) -> KeyLoad {
+    KeyLoad { service: service.into(), parts: parts.to_vec(), counts: counts.to_vec() }
+}
+
+/// No question goes out between two counts where an answer is waited for.
+#[test]
+fn counts_by_key_are_added_to_those_not_told_yet() {
+    let mut carrier = carrier();
+    [vec![counted("s", &[3, 9], &[5, 1])], vec![counted("r", &[1], &[u32::MAX]), counted("s", &[2, 9], &[7, 4])]]
+        .into_iter()
+        .chain([vec![counted("r", &[1], &[1])]])
+        .for_each(|loads| {
+            carrier.step(MS(40), Event::Counted(loads));
+        });
+    let (at, first) = next(&mut carrier, 50);
+    assert_eq!(first.1.loads, [counted("r", &[1], &[u32::MAX]), counted("s", &[2, 3, 9], &[7, 5, 5])]);
+    answer(&mut carrier, at + 10, &first, 40);
+    let (_, second) = next(&mut carrier, at + 50);
+    assert_eq!(second.1.loads, [], "each is told once");
+}
+
+#[test]
+fn counts_that_nobody_asked_for_in_long_are_dropped() {
+    let mut carrier = carrier();
+    (0..100).for_each(|at| {
+        carrier.step(MS(40), Event::Counted(vec![counted("s", &[at], &[1])]));
+    });
+    let (_, asked) = next(&mut carrier, 50);
+    assert_eq!(asked.1.loads, [counted("s", &[94, 95, 96, 97, 98, 99], &[1; 6])]);
+}
