A data folder outlives a loss of power at every operation, and what is rotten is told

Cause: the data folder itself was never synced after word.redb was made, moved aside or (with setups/) created, nor its parent: after a loss of power the whole state could be gone although it had been reported as synced. What an earlier process left in the system's cache was reported as held at the next start without having been synced.

A new state file is made whole as word.new, synced and renamed; after a failed write the next one makes a new file, since what a failed sync left on the disk is unknown. word.synced holds the number of the last write known to be synced (written after it, never synced itself: no time is lost), so an older state is told as damage. An I/O error is an error to be tried again, never damage. clerk reads a survivor's disk without touching it. The folder is locked as a whole, as word.redb may be replaced.

Ruled out: redb's two-phase commit against the silent fallback (a second sync for each write).

--- a/crates/clerk/src/rescue.rs
+++ b/crates/clerk/src/rescue.rs
@@ -3,7 +3,8 @@
 use error_stack::{Report, ResultExt, ensure};
 use protocol::{DurableState, SurvivorState};
 use std::fmt;
-use std::fs;
+use std::fs::{self, File};
+use std::io::Write;
 use std::path::Path;
 use storage::{Contents, Storage};
 
@@ -27,8 +28,13 @@
     Storage::open(Path::new(folder)).change_context_lazy(|| failure(format!("{folder}: can't be opened")))
 }
 
+/// Writes a file, synced: what it was made from may be moved away next.
 fn write(file: &str, survivor: &SurvivorState) -> Result<(), Report<Failure>> {
-    fs::write(file, protocol::pack(survivor)).change_context_lazy(|| failure(format!("{file}: can't be written")))
+    let written = File::create(file).and_then(|mut out| {
+        out.write_all(&protocol::pack(survivor))?;
+        out.sync_all()
+    });
+    written.change_context_lazy(|| failure(format!("{file}: can't be written")))
 }
 
 fn read(file: &str) -> Result<SurvivorState, Report<Failure>> {
@@ -39,14 +45,23 @@
 /// Writes down what a survivor's disk says. Its postmaster must not run.
 pub fn survivor(node: &str, folder: &str, file: &str) -> Result<String, Report<Failure>> {
     ensure!(Path::new(folder).join("word.redb").exists(), failure(format!("{folder}: holds no state")));
-    let (_vault, Contents { durable, setups, damaged }) = open(folder)?;
-    ensure!(durable.disk != 0, failure(format!("{folder}: holds no voter's state {damaged:?}")));
+    // It may be the last copy: nothing in it is touched.
+    let inspected = Storage::inspect(Path::new(folder));
+    let Contents { durable, setups, damaged } =
+        inspected.change_context_lazy(|| failure(format!("{folder}: can't be read")))?;
+    let findings: Vec<String> = damaged.iter().map(|damage| format!("{}: {}", damage.file, damage.finding)).collect();
+    ensure!(durable.disk != 0, failure(format!("{folder}: holds no voter's state {findings:?}")));
     let setup = setups.get(&durable.accepted.digest).cloned().unwrap_or_default();
-    let told = format!("{node}: edition {}, a roster of {}", durable.accepted.edition, durable.roster.len());
+    let edition = durable.accepted.edition;
+    let told = format!("{node}: edition {edition}, a roster of {}{}", durable.roster.len(), told_damage(&findings));
     write(file, &SurvivorState { node: node.to_owned(), durable, setup })?;
     Ok(told)
 }
 
+fn told_damage(findings: &[String]) -> String {
+    if findings.is_empty() { String::new() } else { format!("; damaged: {}", findings.join(", ")) }
+}
+
 /// Settles the survivors' survivors into one inheritance.
 pub fn settle(file: &str, lost: &[String], survivors: &[&str]) -> Result<String, Report<Failure>> {
     let survivors = survivors.iter().map(|file| read(file)).collect::<Result<Vec<_>, _>>()?;
@@ -59,14 +74,14 @@
 pub fn inherit(file: &str, folder: &str) -> Result<String, Report<Failure>> {
     let inheritance = read(file)?;
     ensure!(inheritance.durable.disk == 0, failure(format!("{file}: is a survivor, not yet settled")));
-    let (storage, contents) = open(folder)?;
+    let (mut storage, contents) = open(folder)?;
     let blank = contents.durable == DurableState::default() && contents.damaged.is_empty();
     ensure!(blank, failure(format!("{folder}: is not blank; move it away first")));
     let digest = &inheritance.durable.accepted.digest;
     let kept = Some(digest)
         .filter(|digest| !digest.is_empty())
-        .map(|digest| storage.keep_setup(digest, &inheritance.setup).and_then(|()| storage.keep(&inheritance.durable)));
-    let kept = kept.unwrap_or_else(|| storage.keep(&inheritance.durable));
+        .map_or(Ok(()), |digest| storage.keep_setup(digest, &inheritance.setup))
+        .and_then(|()| storage.keep(&inheritance.durable));
     kept.change_context_lazy(|| failure(format!("{folder}: can't be written")))?;
     Ok(format!("{folder} inherits edition {}", inheritance.durable.accepted.edition))
 }
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -264,7 +264,7 @@
 
 /// The disk's own thread, with a bounded waitlist. After a failure it writes nothing more.
 fn disk_thread(
-    storage: Storage,
+    mut storage: Storage,
     events: mpsc::Sender<(Event, Option<oneshot::Sender<Answer>>)>,
     spans: Arc<DiskSpans>,
     clock: Clock,
--- /dev/null
+++ b/crates/storage/tests/failures.rs
@@ -0,0 +1,224 @@
+//! Disks that are full, that fail to sync, or that rot.
+
+mod simulated;
+
+use address::Random;
+use protocol::DurableState;
+use simulated::{Loss, Omits, SimulatedDisk};
+use std::path::Path;
+use std::sync::Arc;
+use storage::{Contents, Storage, Trouble};
+
+const FOLDER: &str = "/data";
+const STATE_FILE: &str = "/data/word.redb";
+
+fn open(disk: &SimulatedDisk) -> (Storage, Contents) {
+    Storage::open_on(Arc::new(disk.clone()), Path::new(FOLDER)).unwrap()
+}
+
+fn state(number: u64) -> DurableState {
+    let roster = (0..number * 40).map(|at| format!("voter-{at}")).collect();
+    DurableState { disk: 1, lease_epoch: number, roster, ..Default::default() }
+}
+
+/// What is found after the power went and came back.
+fn after_power_loss(disk: &SimulatedDisk, loss: Loss, seed: u64) -> Contents {
+    let disk = disk.platter().after(&mut Random::new(seed), loss, Omits::Nothing);
+    let opened = Storage::open_on(Arc::new(disk), Path::new(FOLDER)).unwrap();
+    opened.1
+}
+
+#[test]
+fn a_full_disk_takes_the_write_once_there_is_room() {
+    for room in [0, 100, 3000, 20_000, 60_000, 300_000] {
+        let disk = SimulatedDisk::new(Omits::Nothing);
+        let (mut storage, _) = open(&disk);
+        storage.keep(&state(1)).unwrap();
+        disk.set_room(Some(room));
+        let mut last = 1;
+        while storage.keep(&state(last + 1)).is_ok() {
+            last += 1;
+        }
+        assert!(storage.keep(&state(last + 1)).is_err(), "there is no room for a new file either");
+        for seed in 0..20 {
+            // What failed was handed over, so it may be there.
+            let found = after_power_loss(&disk, Loss::Some, seed);
+            assert!(found.damaged.is_empty(), "{:?}", found.damaged);
+            assert!([last, last + 1].contains(&found.durable.lease_epoch));
+        }
+        disk.set_room(None);
+        storage.keep(&state(last + 1)).unwrap();
+        assert_eq!(after_power_loss(&disk, Loss::All, 1).durable, state(last + 1));
+    }
+}
+
+#[test]
+fn a_full_disk_takes_a_setup_once_there_is_room() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, _) = open(&disk);
+    let (digest, bytes) = (protocol::digest(&[7; 9000]), [7; 9000]);
+    disk.set_room(Some(5000));
+    assert!(storage.keep_setup(&digest, &bytes).is_err());
+    disk.set_room(None);
+    storage.keep_setup(&digest, &bytes).unwrap();
+    storage.keep(&state(1)).unwrap();
+    let found = after_power_loss(&disk, Loss::All, 1);
+    assert_eq!((found.setups.get(&digest).map(Vec::len), found.durable), (Some(9000), state(1)));
+}
+
+/// After a failed sync the system may show what never reached the disk, and calls the next sync a success.
+#[test]
+fn what_is_reported_after_a_failed_sync_is_on_the_disk() {
+    for seed in 0..30 {
+        let disk = SimulatedDisk::new(Omits::Nothing);
+        let (mut storage, _) = open(&disk);
+        (1..4).for_each(|number| storage.keep(&state(number)).unwrap());
+        let (digest, bytes) = (protocol::digest(b"setup"), b"setup");
+        disk.set_syncs_fail(true);
+        assert!(storage.keep(&state(4)).is_err());
+        assert!(storage.keep(&state(4)).is_err());
+        assert!(storage.keep_setup(&digest, bytes).is_err());
+        disk.set_syncs_fail(false);
+        storage.keep_setup(&digest, bytes).unwrap();
+        storage.keep(&state(4)).unwrap();
+        let found = after_power_loss(&disk, if seed == 0 { Loss::All } else { Loss::Some }, seed);
+        assert_eq!(found.durable, state(4), "seed {seed}: {:?}", found.damaged);
+        assert!(found.setups.contains_key(&digest));
+    }
+}
+
+/// A disk that does not work just now is no damaged one: giving its state up would make this voter forget its promises.
+#[test]
+fn a_failing_disk_at_the_start_is_not_taken_for_a_damaged_one() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, _) = open(&disk);
+    storage.keep(&state(3)).unwrap();
+    drop(storage);
+    disk.set_syncs_fail(true);
+    let refused = Storage::open_on(Arc::new(disk.clone()), Path::new(FOLDER)).err().unwrap();
+    assert_eq!(refused.current_context().trouble(), Trouble::Failing);
+    disk.set_syncs_fail(false);
+    let (_, contents) = open(&disk);
+    assert_eq!((contents.durable, contents.damaged.len()), (state(3), 0));
+}
+
+#[test]
+fn a_full_disk_at_the_start_opens() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, _) = open(&disk);
+    (1..5).for_each(|number| storage.keep(&state(number)).unwrap());
+    // Killed, so that the next start has to repair.
+    let disk = disk.platter().after(&mut Random::new(1), Loss::All, Omits::Nothing);
+    disk.set_room(Some(0));
+    let refused = Storage::open_on(Arc::new(disk.clone()), Path::new(FOLDER)).err();
+    assert!(refused.is_none_or(|refused| refused.current_context().trouble() == Trouble::Failing));
+    disk.set_room(None);
+    assert_eq!(open(&disk).1.durable, state(4));
+}
+
+/// One change to the bytes of a file, as rot makes it.
+fn rot(random: &mut Random, bytes: &mut Vec<u8>) {
+    let length = bytes.len() as u64;
+    match random.below(5) {
+        0 => bytes.truncate(random.below(length) as usize),
+        1 => {
+            let from = random.below(length) as usize;
+            let until = (from + 4096).min(bytes.len());
+            bytes[from..until].fill(0);
+        }
+        2 => bytes.clear(),
+        // Where redb keeps what it trusts.
+        3 => bytes[random.below(length.min(320)) as usize] ^= 1 << random.below(8),
+        _ => (0..1 + random.below(40)).for_each(|_| bytes[random.below(length) as usize] ^= 1 << random.below(8)),
+    }
+}
+
+#[test]
+fn rot_is_told_or_harmless() {
+    let whole = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, _) = open(&whole);
+    (1..5).for_each(|number| storage.keep(&state(number)).unwrap());
+    let in_use = whole.platter();
+    drop(storage);
+    let closed = whole.platter();
+    let (mut told, mut random) = (0, Random::new(5));
+    for round in 0..600 {
+        let platter = if round % 2 == 0 { &in_use } else { &closed };
+        let disk = platter.after(&mut random, Loss::None, Omits::Nothing);
+        disk.rot(Path::new(STATE_FILE), |bytes| rot(&mut random, bytes));
+        let (mut storage, contents) = open(&disk);
+        if contents.damaged.is_empty() {
+            // redb falls back to the commit before where the newest has rotted: a voter that forgot a promise.
+            assert_eq!(contents.durable, state(4), "round {round}");
+        } else {
+            told += 1;
+            assert_eq!(contents.durable, DurableState::default());
+            assert_eq!(contents.damaged[0].file, "word.redb");
+        }
+        // It works on either way.
+        storage.keep(&state(9)).unwrap();
+        drop(storage);
+        let again = open(&disk).1;
+        assert_eq!((again.durable, again.damaged.len()), (state(9), 0), "round {round}");
+    }
+    println!("{told} of 600 told");
+    assert!(told > 100);
+}
+
+#[test]
+fn a_state_file_that_vanished_is_told() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, contents) = open(&disk);
+    assert!(contents.damaged.is_empty(), "a blank folder is no damage");
+    storage.keep_setup(&protocol::digest(b"{}"), b"{}").unwrap();
+    drop(storage);
+    storage::FileSystem::remove(&disk, Path::new(STATE_FILE)).unwrap();
+    let (_, contents) = open(&disk);
+    assert!(contents.damaged[0].to_string().starts_with("word.redb: missing, though"), "{:?}", contents.damaged);
+}
+
+#[test]
+fn a_rotten_setup_is_told_and_removed() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (mut storage, _) = open(&disk);
+    let digest = protocol::digest(b"{}");
+    storage.keep_setup(&digest, b"{}").unwrap();
+    drop(storage);
+    disk.rot(&Path::new("/data/setups").join(format!("{digest}.json")), |bytes| bytes.clear());
+    let (storage, contents) = open(&disk);
+    assert_eq!((contents.setups.len(), contents.damaged.len()), (0, 1));
+    drop(storage);
+    assert_eq!(open(&disk).1.damaged.len(), 0);
+}
+
+/// The last copy of a lost majority's state may lie in such a folder.
+#[test]
+fn inspecting_a_damaged_folder_changes_nothing() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("inspect-{}", std::process::id()));
+    let (mut storage, _) = Storage::open(&folder).unwrap();
+    storage.keep(&state(2)).unwrap();
+    storage.keep_setup(&protocol::digest(b"{}"), b"{}").unwrap();
+    drop(storage);
+    let setup = folder.join("setups").join(format!("{}.json", protocol::digest(b"{}")));
+    let mut bytes = std::fs::read(folder.join("word.redb")).unwrap();
+    bytes.truncate(5000);
+    std::fs::write(folder.join("word.redb"), &bytes).unwrap();
+    std::fs::write(&setup, b"rotten").unwrap();
+    let contents = Storage::inspect(&folder).unwrap();
+    assert_eq!((contents.durable, contents.damaged.len()), (DurableState::default(), 2));
+    assert_eq!(std::fs::read(folder.join("word.redb")).unwrap(), bytes);
+    assert_eq!(std::fs::read(&setup).unwrap(), b"rotten");
+    assert!(!folder.join("word.damaged").exists());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn two_processes_never_share_a_folder() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shared-{}", std::process::id()));
+    let first = Storage::open(&folder).unwrap();
+    let second = Storage::open(&folder).err().unwrap();
+    assert_eq!(second.current_context().trouble(), Trouble::InUse);
+    drop(first);
+    assert!(Storage::open(&folder).is_ok());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
