A number stands for one setup; an order sent again is never a new one

Cause: a setup whose number was not above the one in force was answered 'Fine' whatever its bytes, so two operators were both confirmed under one number. Decided ids were remembered for 256 submissions; one sent again after more was done anew, or, with a base, refused though it had been done. Change: the state keeps short digests of the last 32 numbers that were in force: other bytes under one of them are denied with 1408 NumberTaken, and a number that a higher one overtook is told so with 1001 Overtaken. It remembers 512 decided ids (what was asked for by a short digest) and counts how many were decided in all. An order may bear `since`, that count as its operator knew it before the first sending: an unknown id is new only where nothing decided after `since` was forgotten, or where its number or base alone says so; else it is answered 1409 OrderForgotten and does nothing. `clerk` finds `since` out for new orders.

--- a/crates/address/src/code.rs
+++ b/crates/address/src/code.rs
@@ -77,6 +77,7 @@
 
 codes! {
     Fine = 1000, 200, Ran, "Done; the verdict is whole and sealed.";
+    Overtaken = 1001, 200, Ran, "A higher number holds; nothing was changed.";
     Malformed = 1101, 400, NotRun, "The request cannot be read.";
     MissingTry = 1102, 400, NotRun, "The try id is missing or is not an id.";
     MissingRemaining = 1103, 400, NotRun, "The remaining time is missing or absurd.";
@@ -105,6 +106,8 @@
     NoWord = 1405, 404, NotRun, "No setup has been accepted yet.";
     NoPostmaster = 1406, 503, NotRun, "No postmaster can be reached from here.";
     IdReused = 1407, 409, NotRun, "The submission id was used for something else.";
+    NumberTaken = 1408, 409, NotRun, "The number is taken by another setup.";
+    OrderForgotten = 1409, 410, Unknown, "It may have been decided too long ago to tell; nothing was done now.";
     NoSuchTrace = 1501, 404, NotRun, "The try id is unknown here or its trace has expired.";
 }
 
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -40,6 +40,9 @@
   settle FILE TESTAMENT ... --lost NODE,...         settle the survivors; every voter is given or lost
   inherit FILE FOLDER                               leave what was settled in a blank data folder
 
+  An order that is sent again is done once: give the --id and the --since that the first sending printed. --since is
+  how many orders had been decided before it; without --id both are found out.
+
   --node may be given several times: the next is tried where one can't be reached.
   --help, --version
 
@@ -51,6 +54,7 @@
     words: Vec<String>,
     id: Option<String>,
     base: Option<String>,
+    since: Option<u64>,
     wait: bool,
     name: Option<String>,
     path: Option<String>,
@@ -63,10 +67,12 @@
     method: &'static str,
     path: String,
     body: Vec<u8>,
+    /// A new order, which tells how many were decided before it.
+    is_new_order: bool,
 }
 
 fn get(path: impl Into<String>) -> Call {
-    Call { method: "GET", path: path.into(), body: Vec::new() }
+    Call { method: "GET", path: path.into(), body: Vec::new(), is_new_order: false }
 }
 
 #[tokio::main]
@@ -110,6 +116,11 @@
             }
             Long("id") => flags.id = Some(value(&mut parser)?),
             Long("base") => flags.base = Some(value(&mut parser)?),
+            Long("since") => {
+                let since = value(&mut parser)?;
+                let count = since.parse().map_err(|_| wrong(format!("--since '{since}': must be a count")))?;
+                flags.since = Some(count);
+            }
             Long("name") => flags.name = Some(value(&mut parser)?),
             Long("path") => flags.path = Some(value(&mut parser)?),
             Long("key") => flags.key = Some(value(&mut parser)?),
@@ -127,11 +138,14 @@
     let words: Vec<&str> = flags.words.iter().map(String::as_str).collect();
     let id = flags.id.clone().unwrap_or_else(|| format!("clerk-{:016x}", transport::chance()));
     let wait = if flags.wait { "&wait=force" } else { "" };
+    let since = flags.since.map(|since| format!("&since={since}")).unwrap_or_default();
+    let is_new_order = flags.id.is_none() && flags.since.is_none();
     let read = |file: &str| std::fs::read(file).map_err(|failure| (exit::USAGE, format!("{file}: {failure}")));
     let evacuate = |place: &str, back: &str| Call {
         method: "POST",
-        path: format!("/evacuations?id={id}&locality={place}{back}{wait}"),
+        path: format!("/evacuations?id={id}&locality={place}{back}{wait}{since}"),
         body: Vec::new(),
+        is_new_order,
     };
     let done = |told: Result<String, Report<rescue::Failure>>| {
         told.map(|text| (exit::FINE, text)).unwrap_or_else(|failed| (exit::FAILED, transport::causes(&failed)))
@@ -154,7 +168,7 @@
         ["submit", file] => {
             let base = flags.base.as_ref().map(|base| format!("&base={base}")).unwrap_or_default();
             eprintln!("submission {id}");
-            Call { method: "PUT", path: format!("/setup?id={id}{base}{wait}"), body: read(file)? }
+            Call { method: "PUT", path: format!("/setup?id={id}{base}{wait}{since}"), body: read(file)?, is_new_order }
         }
         ["read"] => get("/setup"),
         ["evacuate", place] => evacuate(place, ""),
@@ -200,7 +214,7 @@
     }
 }
 
-async fn drive(flags: &Flags, call: Call) -> i32 {
+async fn drive(flags: &Flags, mut call: Call) -> i32 {
     let caller = Caller::default();
     for node in &flags.nodes {
         if call.path == SITE {
@@ -210,6 +224,13 @@
             }
             continue;
         }
+        if call.is_new_order
+            && let Some(since) = decided_orders(&caller, node).await
+        {
+            eprintln!("since {since}");
+            call.path.push_str(&format!("&since={since}"));
+            call.is_new_order = false;
+        }
         let body = call.body.clone().into();
         match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
             Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
@@ -226,6 +247,12 @@
     UNREACHED
 }
 
+/// How many orders were decided so far, as a node knows it.
+async fn decided_orders(caller: &Caller, node: &str) -> Option<u64> {
+    let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
+    Sheet::read(&String::from_utf8_lossy(&status.body)).ok()?.count("decided")
+}
+
 /// The proxy that served a try is not known: every proxy that membership knows is asked.
 async fn ask_all_proxies(caller: &Caller, node: &str, path: &str) -> Option<Reply> {
     let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
@@ -254,7 +281,7 @@
         told.into_iter().for_each(|(path, text)| eprintln!("clerk: {path}: {text}"));
     });
     match code {
-        Some(Code::Fine) => exit::FINE,
+        Some(Code::Fine | Code::Overtaken) => exit::FINE,
         Some(Code::SetupUnknown) => UNKNOWN,
         _ => exit::FAILED,
     }
--- a/crates/controller/src/dialect.rs
+++ b/crates/controller/src/dialect.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use protocol::{Share, Upstream};
+use quorum_register::OrderId;
 use std::time::Duration;
 use tariff::{Complaint, Fields, Sheet, complain};
 use transport::Enquiry;
@@ -41,11 +42,11 @@
 
 fn read_ask(enquiry: &Enquiry) -> Result<Ask, (Code, Vec<Complaint>)> {
     let mut complaints = Vec::new();
-    let id = enquiry.query("id").to_owned();
+    let id = read_order_id(enquiry, &mut complaints);
     let in_force = enquiry.query("wait") == "force";
     let needs_id =
         matches!((enquiry.method.as_str(), enquiry.path.as_str()), ("PUT", "/setup") | ("POST", "/evacuations"));
-    if needs_id && !address::is_id(&id) {
+    if needs_id && !address::is_id(&id.id) {
         complain(&mut complaints, "id", "a submission needs an id of 1 to 64 of a-z A-Z 0-9 - _ .");
     }
     let ask = match (enquiry.method.as_str(), enquiry.path.as_str()) {
@@ -75,6 +76,15 @@
     if complaints.is_empty() { Ok(ask) } else { Err((Code::Malformed, complaints)) }
 }
 
+/// The id of an order, and how many orders were decided before it was first sent.
+fn read_order_id(enquiry: &Enquiry, complaints: &mut Vec<Complaint>) -> OrderId {
+    let since = Some(enquiry.query("since")).filter(|since| !since.is_empty()).map(str::parse::<u64>);
+    if matches!(since, Some(Err(_))) {
+        complain(complaints, "since", "must be the count of decided orders that a status told");
+    }
+    OrderId { id: enquiry.query("id").to_owned(), since: since.and_then(Result::ok) }
+}
+
 fn read_beat(body: &[u8], complaints: &mut Vec<Complaint>) -> Upstream {
     let sheet = std::str::from_utf8(body).map_err(|_| "this is not UTF-8".to_owned()).and_then(Sheet::read);
     let sheet = sheet.unwrap_or_else(|text| {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -10,7 +10,7 @@
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,13 +50,13 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -114,6 +114,9 @@
     pub(crate) fn decided(&mut self, now: Duration, token: u64, decision: Decision) {
         let Decision { code, edition } = decision;
         let answer = Answer::Verdict { code, edition };
+        if matches!(code, Code::NumberTaken | Code::OrderForgotten) {
+            self.effects.push_back(Effect::Note(format!("an order was not taken: {code}")));
+        }
         let waiting = self.waiting_force.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
         match waiting {
             Some(waiting) => {
@@ -205,6 +208,7 @@
             ("standing", phase.into()),
             ("edition", state.edition.into()),
             ("digest", state.digest.as_str().into()),
+            ("decided", state.decided.into()),
             ("evacuated", state.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
--- a/crates/drill/src/hollow/sights.rs
+++ b/crates/drill/src/hollow/sights.rs
@@ -32,7 +32,8 @@
         let Some(at) = self.some_control_node() else { return };
         let token = self.token();
         self.submitted.insert(token, (asked, bytes.clone()));
-        let ask = Ask::Submit { id: format!("setup-{asked}"), base: None, bytes: bytes.clone(), in_force: false };
+        let ask =
+            Ask::Submit { id: format!("setup-{asked}").into(), base: None, bytes: bytes.clone(), in_force: false };
         self.queue.push(self.now + Duration::from_secs(3), Happening::Submit { bytes, asked });
         self.step_control(at, "submit", controller::Event::Ask { token, ask });
     }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -130,7 +130,7 @@
             return;
         }
         submission.asked += 1;
-        let id = submission.id.clone();
+        let id = submission.id.clone().into();
         let ask = match submission.what.clone() {
             What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), in_force: false },
             What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
@@ -180,7 +180,9 @@
         }
         let Answer::Verdict { code, edition } = answer else { return };
         match code {
-            Code::Fine | Code::SetupBehind => self.decide_submission(at, code, edition),
+            Code::Fine | Code::SetupBehind | Code::NumberTaken | Code::Overtaken => {
+                self.decide_submission(at, code, edition)
+            }
             // Not decided: again with the same id, after a moment.
             _ if !self.operators.submissions[at].asks_again && self.operators.submissions[at].asked < MOST_ASKS => {
                 self.operators.submissions[at].asks_again = true;
@@ -196,7 +198,7 @@
         let then = submission.then.take();
         let (what, took) = (submission.what.clone(), self.now - submission.submitted_at);
         self.operators.edition = self.operators.edition.max(edition);
-        if code != Code::Fine {
+        if !matches!(code, Code::Fine | Code::Overtaken) {
             return;
         }
         match what {
@@ -208,7 +210,9 @@
             What::Evacuate { locality, back: false } => self.note(Fact::Evacuated { locality, back: false }),
             What::Evacuate { back: true, .. } => {}
         }
-        self.note(Fact::Accepted { edition });
+        if code == Code::Fine {
+            self.note(Fact::Accepted { edition });
+        }
         then.into_iter().for_each(|then| self.submit(then));
     }
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -119,6 +119,22 @@
     /// The operator's own number of the setup; 0 where there is none.
     #[prost(uint64, tag = "5")]
     pub number: u64,
+    /// How many submissions with an id were decided so far, those included that are no longer remembered.
+    #[prost(uint64, tag = "6")]
+    pub decided: u64,
+    /// The latest setups with an operator's own number that came into force, oldest first.
+    #[prost(message, repeated, tag = "7")]
+    pub numbers: Vec<NumberedSetup>,
+}
+
+/// A setup that came into force under an operator's own number.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NumberedSetup {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// A short digest of the setup's own.
+    #[prost(string, tag = "2")]
+    pub digest: String,
 }
 
 /// A submission that was decided.
@@ -126,7 +142,7 @@
 pub struct Submission {
     #[prost(string, tag = "1")]
     pub id: String,
-    /// What was asked for, by digest, so that an id cannot be used for two things.
+    /// What was asked for, by a short digest, so that an id cannot be used for two things.
     #[prost(string, tag = "2")]
     pub asked: String,
     /// The edition it made, or the present one where it was denied.
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -1,19 +1,52 @@
 //! What operators ask of the state, and how the state changes by it.
 
 use address::Code;
-use protocol::{ClusterState, Submission};
+use protocol::{ClusterState, NumberedSetup, Submission};
 
 /// How many decided submissions the state remembers.
-const MAX_SUBMISSIONS: usize = 256;
+const MAX_SUBMISSIONS: usize = 512;
+/// How many an earlier version remembered, which did not count what it forgot.
+const MAX_SUBMISSIONS_BEFORE: usize = 256;
+/// How many numbers that were in force the state remembers, with what they stood for.
+const MAX_NUMBERS: usize = 32;
+/// How much of a digest is kept of what an order asked for, in hexadecimal digits.
+const SHORT_DIGEST: usize = 16;
+
+/// By what an order is known when it comes again.
+///
+/// ```
+/// # use quorum_register::OrderId;
+/// assert_eq!(OrderId::from("a"), OrderId { id: "a".into(), since: None });
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OrderId {
+    /// Drawn by the operator; empty where the order bears none.
+    pub id: String,
+    /// How many orders had been decided, as the operator knew it before it sent this one for the first time. It shows
+    /// that an order that is not remembered is new rather than forgotten.
+    pub since: Option<u64>,
+}
+
+impl From<String> for OrderId {
+    fn from(id: String) -> Self {
+        OrderId { id, since: None }
+    }
+}
+
+impl From<&str> for OrderId {
+    fn from(id: &str) -> Self {
+        id.to_owned().into()
+    }
+}
 
 /// A change that an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     /// Put this setup in force; `base` is the edition it was made from, where that matters.
     /// With the operator's own number, one that is not above the number in force changes nothing.
-    Setup { id: String, base: Option<u64>, number: Option<u64>, digest: String },
+    Setup { id: OrderId, base: Option<u64>, number: Option<u64>, digest: String },
     /// Evacuate a locality, or take it back.
-    Evacuate { id: String, locality: String, back: bool },
+    Evacuate { id: OrderId, locality: String, back: bool },
     /// Change nothing: only bring a half-done round to its end.
     Finish,
 }
@@ -25,7 +58,8 @@
     pub edition: u64,
 }
 
-/// Applies a change to the state. Decided ids keep their decision.
+/// Applies a change to the state. Decided ids keep their decision; an id that may have been decided and forgotten
+/// changes nothing.
 ///
 /// ```
 /// use address::Code;
@@ -36,47 +70,125 @@
 /// assert_eq!(apply(&mut state, &change("a", Some(0))).edition, 1);
 /// assert_eq!(apply(&mut state, &change("b", Some(0))).code, Code::SetupBehind);
 /// assert_eq!(apply(&mut state, &change("c", None)).edition, 2);
-/// let numbered = |number| Change::Setup { id: "".into(), base: None, number: Some(number), digest: "e".into() };
-/// assert_eq!(apply(&mut state, &numbered(7)).edition, 3);
-/// assert_eq!(apply(&mut state, &numbered(5)).edition, 3, "the highest holds");
-/// assert_eq!(apply(&mut protocol::ClusterState::default(), &numbered(0)).edition, 1, "the first is new, whatever its number");
+/// let numbered = |number, digest: &str| {
+///     Change::Setup { id: "".into(), base: None, number: Some(number), digest: digest.into() }
+/// };
+/// assert_eq!(apply(&mut state, &numbered(7, "e")).edition, 3);
+/// assert_eq!(apply(&mut state, &numbered(7, "f")).code, Code::NumberTaken);
+/// assert_eq!(apply(&mut state, &numbered(5, "e")).code, Code::Overtaken, "the highest holds");
+/// let first = apply(&mut protocol::ClusterState::default(), &numbered(0, "e"));
+/// assert_eq!(first.edition, 1, "the first is new, whatever its number");
 /// ```
 pub fn apply(state: &mut ClusterState, change: &Change) -> Decision {
-    let (id, asked) = match change {
-        Change::Setup { id, base, digest, .. } => (id, format!("{digest} {base:?}")),
-        Change::Evacuate { id, locality, back } => (id, format!("{locality} {back}")),
+    let order = match change {
+        Change::Setup { id, .. } | Change::Evacuate { id, .. } => id,
         Change::Finish => return Decision { code: Code::Fine, edition: state.edition },
     };
+    complete_older_version(state);
     // Without an id, asking again finds it done.
-    if id.is_empty() {
-        return Decision { code: change_word(state, change), edition: state.edition };
+    if order.id.is_empty() {
+        return Decision { code: change_state(state, change), edition: state.edition };
+    }
+    if let Some(decided) = state.submissions.iter().find(|submission| submission.id == order.id) {
+        return first_decision(decided, change);
+    }
+    if may_be_forgotten(state, order, change) {
+        return Decision { code: Code::OrderForgotten, edition: state.edition };
+    }
+    let code = change_state(state, change);
+    remember(state, order, change, code);
+    Decision { code, edition: state.edition }
+}
+
+/// Fills in what a state written by an earlier version lacks.
+fn complete_older_version(state: &mut ClusterState) {
+    if state.decided == 0 {
+        let forgot_some = state.submissions.len() >= MAX_SUBMISSIONS_BEFORE;
+        state.decided = state.submissions.len() as u64 + u64::from(forgot_some);
+    }
+    if state.numbers.is_empty() && state.number > 0 {
+        remember_number(state, state.number, &state.digest.clone());
     }
-    let decided = state.submissions.iter().find(|submission| submission.id == *id).map(|submission| Decision {
-        code: Some(submission)
-            .filter(|submission| submission.asked == asked)
-            .and_then(|submission| Code::from_number(submission.code))
-            .unwrap_or(Code::IdReused),
-        edition: submission.edition,
-    });
-    decided.unwrap_or_else(|| {
-        let code = change_word(state, change);
-        let submission = Submission { id: id.clone(), asked, edition: state.edition, code: code.number() };
-        state.submissions.push(submission);
-        let excess = state.submissions.len().saturating_sub(MAX_SUBMISSIONS);
-        state.submissions.drain(..excess);
-        Decision { code, edition: state.edition }
-    })
 }
 
-fn change_word(state: &mut ClusterState, change: &Change) -> Code {
+/// What the change asks for, as it is remembered: an id cannot be used for two things.
+fn asked(change: &Change) -> String {
     match change {
-        Change::Setup { base, .. } if base.is_some_and(|base| base != state.edition) => return Code::SetupBehind,
-        Change::Setup { number: Some(number), .. } if *number <= state.number && !state.digest.is_empty() => {
-            return Code::Fine;
+        Change::Setup { base, digest, .. } => format!("{digest} {base:?}"),
+        Change::Evacuate { locality, back, .. } => format!("{locality} {back}"),
+        Change::Finish => String::new(),
+    }
+}
+
+fn short(text: &str) -> String {
+    protocol::digest(text.as_bytes()).chars().take(SHORT_DIGEST).collect()
+}
+
+fn first_decision(decided: &Submission, change: &Change) -> Decision {
+    let asked = asked(change);
+    // An earlier version kept what was asked for in full.
+    let same = decided.asked == short(&asked) || decided.asked == asked;
+    let code = Code::from_number(decided.code).filter(|_| same).unwrap_or(Code::IdReused);
+    Decision { code, edition: decided.edition }
+}
+
+/// True where an order that is not remembered cannot be told from one that was decided and forgotten.
+fn may_be_forgotten(state: &ClusterState, order: &OrderId, change: &Change) -> bool {
+    let forgotten = state.decided.saturating_sub(state.submissions.len() as u64);
+    if forgotten == 0 || order.since.is_some_and(|since| (forgotten..=state.decided).contains(&since)) {
+        return false;
+    }
+    match change {
+        // Done at most once by its number alone.
+        Change::Setup { number: Some(_), base: None, .. } => false,
+        // Had it been decided, the edition would be past its base; and editions of what is forgotten are no higher
+        // than the oldest that is remembered.
+        Change::Setup { base: Some(base), .. } => {
+            let oldest = state.submissions.first().map_or(state.edition, |oldest| oldest.edition);
+            *base != state.edition && *base < oldest
         }
+        _ => true,
+    }
+}
+
+fn remember(state: &mut ClusterState, order: &OrderId, change: &Change, code: Code) {
+    let (id, asked, edition) = (order.id.clone(), short(&asked(change)), state.edition);
+    state.submissions.push(Submission { id, asked, edition, code: code.number() });
+    state.decided += 1;
+    let excess = state.submissions.len().saturating_sub(MAX_SUBMISSIONS);
+    state.submissions.drain(..excess);
+}
+
+fn remember_number(state: &mut ClusterState, number: u64, digest: &str) {
+    state.numbers.push(NumberedSetup { number, digest: short(digest) });
+    let excess = state.numbers.len().saturating_sub(MAX_NUMBERS);
+    state.numbers.drain(..excess);
+}
+
+/// What a setup with the operator's own number comes to where it changes nothing; none where it goes ahead.
+fn decided_by_number(state: &ClusterState, number: u64, digest: &str) -> Option<Code> {
+    let first = state.digest.is_empty() || state.numbers.is_empty();
+    match state.numbers.iter().find(|known| known.number == number) {
+        Some(known) if known.digest == short(digest) => Some(Code::Fine),
+        Some(_) => Some(Code::NumberTaken),
+        None if first || number > state.number => None,
+        None => Some(Code::Overtaken),
+    }
+}
+
+fn change_state(state: &mut ClusterState, change: &Change) -> Code {
+    match change {
+        Change::Setup { base, .. } if base.is_some_and(|base| base != state.edition) => return Code::SetupBehind,
         Change::Setup { digest, number, .. } => {
+            let decided = number.and_then(|number| decided_by_number(state, number, digest));
+            if let Some(code) = decided {
+                return code;
+            }
             state.digest = digest.clone();
-            state.number = number.unwrap_or(state.number);
+            if let Some(number) = *number {
+                state.number = number;
+                remember_number(state, number, digest);
+            }
         }
         Change::Evacuate { locality, back, .. } if state.evacuated.contains(locality) != *back => return Code::Fine,
         Change::Evacuate { locality, back, .. } => {
--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -11,6 +11,6 @@
 mod register;
 mod voter;
 
-pub use change::{Change, Decision, apply};
+pub use change::{Change, Decision, OrderId, apply};
 pub use disaster_recovery::{Unsettled, settle};
 pub use register::{Effect, Event, Register, Start, Tally, Times, VoterPhase};
--- a/crates/quorum-register/tests/arbitrary.rs
+++ b/crates/quorum-register/tests/arbitrary.rs
@@ -108,7 +108,8 @@
             2..=5 => {
                 self.submitted += 1;
                 let (id, bytes) = (format!("s{}", self.submitted), format!("setup {}", self.submitted).into_bytes());
-                let change = Change::Setup { id, base: None, number: None, digest: protocol::digest(&bytes) };
+                let change =
+                    Change::Setup { id: id.into(), base: None, number: None, digest: protocol::digest(&bytes) };
                 self.step(at, Event::Ask { token: self.submitted, change, bytes: Some(bytes) });
             }
             6..=15 if !self.wire.is_empty() => {
--- /dev/null
+++ b/crates/quorum-register/tests/changes.rs
@@ -0,0 +1,210 @@
+//! What operators are told of their orders: numbers that are taken, and orders that come again.
+
+use address::Code;
+use protocol::{ClusterState, Submission};
+use quorum_register::{Change, Decision, OrderId, apply};
+
+const TAKEN: Option<Code> = Some(Code::NumberTaken);
+
+fn numbered(id: &str, number: u64, bytes: &str) -> Change {
+    let digest = protocol::digest(bytes.as_bytes());
+    Change::Setup { id: id.into(), base: None, number: Some(number), digest }
+}
+
+fn setup(id: &str, base: Option<u64>) -> Change {
+    Change::Setup { id: id.into(), base, number: None, digest: protocol::digest(id.as_bytes()) }
+}
+
+fn evacuation(id: &str, back: bool) -> Change {
+    Change::Evacuate { id: id.into(), locality: "north/n1".into(), back }
+}
+
+fn code(state: &mut ClusterState, change: &Change) -> Option<Code> {
+    Some(apply(state, change).code)
+}
+
+/// So many orders of others, each of which changes something.
+fn others(state: &mut ClusterState, count: u64) {
+    (0..count).for_each(|at| {
+        let id = format!("other-{}-{at}", state.edition);
+        assert_eq!(apply(state, &setup(&id, Some(state.edition))).code, Code::Fine);
+    });
+}
+
+#[test]
+fn two_operators_are_not_both_confirmed_under_one_number() {
+    for (first, second) in [("", ""), ("a", "b")] {
+        let mut state = ClusterState::default();
+        assert_eq!(code(&mut state, &numbered(first, 7, "one")), Some(Code::Fine));
+        let before = (state.edition, state.digest.clone());
+        assert_eq!(code(&mut state, &numbered(second, 7, "other")), TAKEN);
+        assert_eq!((state.edition, state.digest.clone()), before);
+        // The first operator asks again, and is told again.
+        assert_eq!(code(&mut state, &numbered(first, 7, "one")), Some(Code::Fine));
+    }
+}
+
+#[test]
+fn a_number_stays_taken_once_a_higher_one_holds() {
+    let mut state = ClusterState::default();
+    apply(&mut state, &numbered("", 7, "one"));
+    apply(&mut state, &numbered("", 9, "two"));
+    assert_eq!(code(&mut state, &numbered("", 7, "other")), TAKEN);
+    assert_eq!(code(&mut state, &numbered("", 7, "one")), Some(Code::Fine));
+    assert_eq!((state.number, state.edition), (9, 2));
+}
+
+#[test]
+fn a_number_that_was_overtaken_is_told_so() {
+    let mut state = ClusterState::default();
+    apply(&mut state, &numbered("", 9, "two"));
+    assert_eq!(code(&mut state, &numbered("", 8, "late")), Some(Code::Overtaken));
+    assert_eq!((state.number, state.edition), (9, 1));
+}
+
+/// An order that was decided, and is sent again after so many others.
+fn resent(order: Change, after: u64) -> (Decision, Decision, ClusterState, ClusterState) {
+    let mut state = ClusterState::default();
+    others(&mut state, 3);
+    let first = apply(&mut state, &order);
+    assert_eq!(first.code, Code::Fine);
+    others(&mut state, after);
+    let before = state.clone();
+    let again = apply(&mut state, &order);
+    (first, again, before, state)
+}
+
+#[test]
+fn an_order_sent_again_hundreds_of_changes_later_gets_its_first_answer() {
+    let orders = [setup("order", None), setup("order", Some(3)), numbered("order", 7, "x"), evacuation("order", false)];
+    orders.into_iter().for_each(|order| {
+        let (first, again, before, after) = resent(order.clone(), 400);
+        assert_eq!(again, first, "{order:?}");
+        assert_eq!(after, before, "{order:?} was done twice");
+    });
+}
+
+#[test]
+fn an_order_sent_again_after_thousands_is_never_done_anew() {
+    let orders = [setup("order", None), setup("order", Some(3)), numbered("order", 7, "x"), evacuation("order", false)];
+    orders.into_iter().for_each(|order| {
+        let (_, again, before, after) = resent(order.clone(), 3000);
+        let changed =
+            (after.edition, &after.digest, &after.evacuated) != (before.edition, &before.digest, &before.evacuated);
+        assert!(!changed, "{order:?} was done twice");
+        let refused = again.code.kind() == address::Kind::NotRun;
+        assert!(!refused, "{order:?} was done, and is refused with {:?}", again.code);
+    });
+}
+
+#[test]
+fn a_begin_that_comes_late_does_not_evacuate_anew() {
+    let mut state = ClusterState::default();
+    let first = apply(&mut state, &evacuation("begin", false));
+    apply(&mut state, &evacuation("finish", true));
+    assert_eq!(apply(&mut state, &evacuation("begin", false)), first);
+    assert_eq!(state.evacuated, Vec::<String>::new());
+}
+
+/// A state that has forgotten some of the orders that it decided.
+fn forgetful() -> ClusterState {
+    let mut state = ClusterState::default();
+    others(&mut state, 3000);
+    state
+}
+
+fn evacuation_since(id: &str, since: Option<u64>) -> Change {
+    Change::Evacuate { id: OrderId { id: id.into(), since }, locality: "north/n1".into(), back: false }
+}
+
+#[test]
+fn a_new_order_goes_ahead_where_it_can_be_told_from_a_forgotten_one() {
+    let state = forgetful();
+    let new = [
+        evacuation_since("new", Some(state.decided)),
+        setup("new", Some(state.edition)),
+        numbered("new", 7, "x"),
+        numbered("", 7, "x"),
+    ];
+    new.into_iter().for_each(|order| {
+        let mut state = state.clone();
+        let decision = apply(&mut state, &order);
+        assert_eq!((decision.code, decision.edition), (Code::Fine, 3001), "{order:?}");
+        assert_eq!(apply(&mut state, &order), decision, "{order:?} again");
+    });
+}
+
+#[test]
+fn an_order_that_may_be_a_forgotten_one_does_nothing() {
+    let state = forgetful();
+    let old = [
+        evacuation_since("old", None),
+        evacuation_since("old", Some(5)),
+        // More than were ever decided: it cannot have been told so.
+        evacuation_since("old", Some(state.decided + 1)),
+        setup("old", None),
+        setup("old", Some(5)),
+    ];
+    old.into_iter().for_each(|order| {
+        let mut after = state.clone();
+        assert_eq!(code(&mut after, &order), Some(Code::OrderForgotten), "{order:?}");
+        assert_eq!(after, state, "{order:?}");
+    });
+}
+
+#[test]
+fn a_base_that_is_behind_is_told_so_while_its_time_is_remembered() {
+    let mut state = forgetful();
+    let base = state.edition - 100;
+    assert_eq!(code(&mut state, &setup("late", Some(base))), Some(Code::SetupBehind));
+}
+
+/// Decisions without effect raise no edition; new orders must go ahead after any number of them.
+#[test]
+fn orders_that_change_nothing_do_not_stop_new_ones() {
+    let mut state = ClusterState::default();
+    (0..2000).for_each(|at| {
+        let since = Some(state.decided);
+        assert_eq!(code(&mut state, &evacuation_since(&format!("e-{at}"), since)), Some(Code::Fine));
+    });
+    assert_eq!(state.edition, 1);
+    let decided = state.decided;
+    assert_eq!(code(&mut state, &evacuation_since("one-more", Some(decided))), Some(Code::Fine));
+}
+
+/// As an earlier version left it: what was asked for stands there in full, and nothing counts what was forgotten.
+#[test]
+fn a_state_of_an_earlier_version_keeps_its_decisions() {
+    let asked = format!("{} None", protocol::digest(b"s-0"));
+    let submission = |at: u64| Submission { id: format!("s-{at}"), asked: asked.clone(), edition: at + 1, code: 1000 };
+    let digest = protocol::digest(b"seven");
+    let before = |count: u64| ClusterState {
+        edition: count,
+        number: 7,
+        digest: digest.clone(),
+        submissions: (0..count).map(submission).collect(),
+        ..ClusterState::default()
+    };
+    let mut state = before(3);
+    assert_eq!(apply(&mut state, &setup("s-0", None)), Decision { code: Code::Fine, edition: 1 });
+    assert_eq!(code(&mut state, &numbered("", 7, "seven")), Some(Code::Fine));
+    assert_eq!(code(&mut state, &numbered("", 7, "other")), TAKEN);
+    assert_eq!(code(&mut state, &setup("new", None)), Some(Code::Fine));
+    // It may have forgotten some.
+    assert_eq!(code(&mut before(256), &setup("new", None)), Some(Code::OrderForgotten));
+}
+
+#[test]
+fn the_state_stays_small_however_many_orders_come() {
+    let size = |state: &ClusterState| protocol::Message::encoded_len(state);
+    let mut state = ClusterState::default();
+    let order = |state: &mut ClusterState, at: u64| {
+        apply(state, &numbered(&format!("operator-{at:08}"), at + 1, "x"));
+        apply(state, &evacuation(&format!("zone-{at:08}"), at % 2 == 1));
+    };
+    (0..400).for_each(|at| order(&mut state, at));
+    let early = size(&state);
+    (400..10_000).for_each(|at| order(&mut state, at));
+    assert!(size(&state) <= early + 1200, "{early} bytes after 800 orders, {} after 20000", size(&state));
+    assert!(early < 32 * 1024, "{early} bytes");
+}
