Carriers are not told what the voters remember of orders

Cause: the replicated state went to every carrier whole, with the ids and verdicts of all remembered orders, at each change. Change: updates bear the edition, the digest, the number and the evacuated localities only.

--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -57,7 +57,7 @@
     fn send_snapshot(&mut self, now: Duration, to: &str) {
         self.counts.images += 1;
         let stream = self.random.next_u64().max(1);
-        let state = self.register.state().clone();
+        let state = carrier_state(self.register.state());
         let (placement, edition, whole) = (self.bare_placement(now), 0, self.is_settled(now));
         let snapshot = ViewUpdate {
             stream,
@@ -86,10 +86,10 @@
         let current = &self.register.state().digest;
         let wanted = self.readers.values().any(|reader| reader.state.digest != *current);
         let squeezed = if wanted { self.register.squeezed_setup() } else { None };
-        let state = self.register.state();
+        let state = carrier_state(self.register.state());
         let placement = self.bare_placement(now);
         for (node, reader) in &mut self.readers {
-            let new_word = Some(state).filter(|state| **state != reader.state);
+            let new_word = Some(&state).filter(|state| **state != reader.state);
             let new_setup = new_word.filter(|state| state.digest != reader.state.digest).and(squeezed.as_ref());
             let new_placement = Some(&placement).filter(|placement| **placement != reader.placement);
             let news = ViewUpdate {
@@ -153,6 +153,18 @@
     }
 }
 
+/// What carriers need of the state: what is remembered of orders stays with the voters.
+fn carrier_state(state: &ClusterState) -> ClusterState {
+    let ClusterState { edition, digest, evacuated, number, .. } = state;
+    ClusterState {
+        edition: *edition,
+        digest: digest.clone(),
+        evacuated: evacuated.clone(),
+        number: *number,
+        ..ClusterState::default()
+    }
+}
+
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
     Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), released: Vec::new(), ..upstream }
