The simulator judges operators' calls as one history, and plays orders that go wrong

Cause: nothing judged whether what operators are told fits together: only that numbers and editions don't go back, and that an edition is one setup. Lost, late, doubled and resent orders were hardly played. Change: crates/drill/src/history.rs is a checker of linearizability (Wing and Gong's search with Lowe's memory) for a register of one setup with editions, operators' numbers, bases, evacuations and reads. It is pure; calls without an answer may take effect at any later moment or never. Every run of the simulator is judged by it (rule 13), and a second checker sees that an order sent again gets its first answer. Found on the way: the search was given up on one number-race (48 orders at once; 2000000 steps). Editions only rise, so an order of calls that went past an edition that some call was still to be told leads nowhere; with that cut off it is judged at once. Caught on each of five cases: nodes that read back what they hold, both confirmed under one number, every sending a new order (with lost answers, late begins and doubled orders).

--- a/crates/drill/src/breaches.rs
+++ b/crates/drill/src/breaches.rs
@@ -1,7 +1,9 @@
 //! Each checker must catch a deliberate breach, and pass its lawful twin.
 
 use crate::facts::{Fact, Seen};
+use crate::history::{Order, Reply};
 use crate::rules::{CHECKERS, Terms, judge};
+use address::Code;
 use std::collections::BTreeSet;
 use std::ops::Range;
 use std::time::Duration;
@@ -68,6 +70,14 @@
     let resent = |count: u64| (0..count).map(|ms| at(ms, arrived("t1", "north/n1", false))).collect::<Vec<_>>();
     let cold =
         |count: u64| (0..count).map(|ms| at(ms, arrived(&format!("t{ms}"), "north/n1", true))).collect::<Vec<_>>();
+    let called = || {
+        let order = Order::Setup { number: None, base: None, digest: "d".into() };
+        at(0, Fact::Called { call: "c".into(), order })
+    };
+    let returned = |ms, edition| {
+        let reply = Reply::Decided { code: Code::Fine, edition: Some(edition) };
+        at(ms, Fact::Returned { call: "c".into(), reply })
+    };
     let accepted = || at(0, Fact::Accepted { edition: 2 });
     let let_go = |keys: Range<u32>| Fact::LetGo { service: "payment".into(), keys, instance: "a".into() };
     let holds_all = || at(0, holds_keys("a", 0..100, 100));
@@ -145,6 +155,8 @@
             vec![holds_all(), at(8, holds_keys("a", 10..21, 200)), at(150, holds_keys("b", 0..11, 300))],
             vec![holds_all(), at(8, holds_keys("a", 10..21, 200)), at(150, holds_keys("b", 0..10, 300))],
         ),
+        (13, vec![called(), at(9, read_back(1, "e"))], vec![called(), at(9, read_back(1, "d"))]),
+        (13, vec![called(), returned(1, 1), returned(5, 2)], vec![called(), returned(1, 1), returned(5, 1)]),
         (12, vec![at(0, arrived("t", "south/s1", false))], vec![at(0, arrived("t", "north/n1", false))]),
     ]
 }
--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -1,5 +1,6 @@
 //! What was seen from outside the system, in the order it was seen. Checkers know nothing else.
 
+use crate::history::{Order, Reply};
 use std::ops::Range;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -80,6 +81,18 @@
     Acknowledged {
         number: u64,
     },
+    /// An operator calls for something, by a name of the call's own, however often it is sent.
+    Called {
+        call: String,
+        order: Order,
+    },
+    /// An operator is told the outcome of a call; again where it was sent again.
+    Returned {
+        call: String,
+        reply: Reply,
+    },
+    /// What was left after a lost majority was put in force.
+    Rescued,
     /// A probe through this proxy came to a marking upstream.
     Probed {
         node: String,
--- /dev/null
+++ b/crates/drill/src/history.rs
@@ -0,0 +1,405 @@
+//! Whether operators' calls look as if each had happened at one moment between its start and its answer.
+//!
+//! The search is Wing and Gong's with Lowe's memory of what was tried: calls are put in order one by one, only those
+//! that had begun before any other one ended, and a set of ordered calls that led to a known state is not tried again.
+//! The model is a register of one setup with an edition, operators' own numbers, and the evacuated localities. It
+//! knows nothing of the system.
+
+use crate::facts::{Fact, Seen};
+use address::Code;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+/// A search that takes more steps is given up, and says so.
+const MAX_STEPS: u64 = 2_000_000;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// A setup, with the operator's own number or the edition it was made from, where it has one.
+    Setup { number: Option<u64>, base: Option<u64>, digest: String },
+    /// Evacuates a locality, or takes it back.
+    Evacuate { locality: String, back: bool },
+    /// Reads the setup back.
+    Read,
+    /// Not an operator's: what was left after a lost majority was put in force under a far higher edition.
+    Rescue,
+}
+
+/// What an operator is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// An order was decided; the edition is missing where the answer may be to a later sending of the same order.
+    Decided { code: Code, edition: Option<u64> },
+    /// The setup read back; its digest is empty where there was none.
+    Read { edition: u64, digest: String },
+}
+
+/// One call, however often it was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    pub name: String,
+    pub called_at: Duration,
+    pub order: Order,
+    /// None where no clear answer ever came: it may take effect at any moment after its start, or never.
+    pub returned: Option<(Duration, Reply)>,
+}
+
+impl Call {
+    fn told_edition(&self) -> Option<u64> {
+        match self.returned.as_ref()? {
+            (_, Reply::Decided { edition, .. }) => *edition,
+            (_, Reply::Read { edition, .. }) => Some(*edition),
+        }
+    }
+}
+
+/// Why a history is not accepted.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Flaw {
+    /// However the calls are ordered, this answer fits none; it came at this moment.
+    NoOrder { call: String, at: Duration },
+    /// The search was given up.
+    TooLong,
+}
+
+/// Checks a history.
+///
+/// ```
+/// use drill::history::{Call, Order, Reply, check};
+/// use std::time::Duration;
+/// let read = |edition, digest: &str| Call {
+///     name: "read".into(),
+///     called_at: Duration::ZERO,
+///     order: Order::Read,
+///     returned: Some((Duration::from_secs(1), Reply::Read { edition, digest: digest.into() })),
+/// };
+/// assert!(check(&[read(0, "")]).is_ok());
+/// assert!(check(&[read(1, "d")]).is_err(), "nobody wrote it");
+/// ```
+pub fn check(calls: &[Call]) -> Result<(), Flaw> {
+    Search::new(calls).run()
+}
+
+/// What the calls that were put in order so far led to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Model {
+    /// None after a rescue, until an answer tells it.
+    edition: Option<u64>,
+    digest: String,
+    /// The highest number in force so far.
+    number: Option<u64>,
+    /// What each number that was in force stands for.
+    numbers: BTreeMap<u64, String>,
+    evacuated: BTreeSet<String>,
+}
+
+impl Model {
+    fn new() -> Model {
+        Model { edition: Some(0), ..Model::default() }
+    }
+
+    /// The state after a call, where its answer fits; without an answer, only where it changes something.
+    fn after(&self, call: &Call) -> Option<Model> {
+        match (&call.order, call.returned.as_ref().map(|(_, reply)| reply)) {
+            (Order::Rescue, _) => Some(Model { edition: None, ..self.clone() }),
+            (Order::Read, Some(Reply::Read { edition, digest })) => {
+                (*digest == self.digest).then(|| self.at_edition(Some(*edition))).flatten()
+            }
+            (Order::Read, _) => None,
+            (order, None) => self.changed(order),
+            (order, Some(Reply::Decided { code: Code::Fine, edition })) => match self.changed(order) {
+                Some(changed) => changed.at_edition(*edition),
+                None => self.stands(order).then(|| self.at_edition(*edition)).flatten(),
+            },
+            (order, Some(Reply::Decided { code, edition })) => {
+                self.refuses(order, *code).then(|| self.at_edition(*edition)).flatten()
+            }
+            (_, Some(Reply::Read { .. })) => None,
+        }
+    }
+
+    /// This state, where it may have the edition that an answer told.
+    fn at_edition(&self, told: Option<u64>) -> Option<Model> {
+        let fits = told.is_none() || self.edition.is_none() || told == self.edition;
+        fits.then(|| Model { edition: told.or(self.edition), ..self.clone() })
+    }
+
+    /// The state after an order that changes something.
+    fn changed(&self, order: &Order) -> Option<Model> {
+        let mut next = self.clone();
+        match order {
+            Order::Setup { base, .. } if base.is_some_and(|base| self.edition.is_some_and(|known| known != base)) => {
+                return None;
+            }
+            Order::Setup { number: Some(number), digest, .. } => {
+                if self.number.is_some_and(|held| *number <= held) {
+                    return None;
+                }
+                next.number = Some(*number);
+                next.numbers.insert(*number, digest.clone());
+                next.digest.clone_from(digest);
+            }
+            Order::Setup { digest, .. } => next.digest.clone_from(digest),
+            Order::Evacuate { locality, back: false } if !next.evacuated.insert(locality.clone()) => return None,
+            Order::Evacuate { locality, back: true } if !next.evacuated.remove(locality) => return None,
+            Order::Evacuate { .. } => {}
+            Order::Read | Order::Rescue => return None,
+        }
+        next.edition = self.edition.map(|edition| edition + 1);
+        Some(next)
+    }
+
+    /// True where an order that changes nothing finds what it asks for.
+    fn stands(&self, order: &Order) -> bool {
+        match order {
+            Order::Setup { number: Some(number), digest, .. } => self.numbers.get(number) == Some(digest),
+            Order::Evacuate { locality, back } => self.evacuated.contains(locality) != *back,
+            _ => false,
+        }
+    }
+
+    /// True where an order that changes nothing is rightly told so with this code.
+    fn refuses(&self, order: &Order, code: Code) -> bool {
+        let Order::Setup { number, base, digest } = order else { return false };
+        match code {
+            Code::SetupBehind => base.is_some() && (self.edition.is_none() || *base != self.edition),
+            Code::NumberTaken => {
+                let known = number.and_then(|number| self.numbers.get(&number));
+                known.is_some_and(|known| known != digest)
+            }
+            Code::Overtaken => number.is_some_and(|number| self.number.is_some_and(|held| number < held)),
+            _ => false,
+        }
+    }
+}
+
+/// Marks the end of the list of events.
+const NONE: usize = usize::MAX;
+/// The list's head, which is no event.
+const HEAD: usize = 0;
+
+/// A call's start or answer, in a list from which calls are taken as they are put in order.
+struct Event {
+    call: usize,
+    is_return: bool,
+    before: usize,
+    after: usize,
+}
+
+struct Search<'a> {
+    calls: &'a [Call],
+    events: Vec<Event>,
+    /// Where each call's answer stands in the list.
+    returns: Vec<usize>,
+    /// Answers of calls that are not put in order yet.
+    open: usize,
+    ordered: Vec<u64>,
+    /// How many calls that are not in order yet were told each edition. Editions only rise, so an order of calls that
+    /// went past one of these leads nowhere.
+    awaited: BTreeMap<u64, usize>,
+    model: Model,
+    tried: HashSet<(u64, u64)>,
+    /// The latest answer that could not be passed.
+    stuck: Option<usize>,
+}
+
+impl<'a> Search<'a> {
+    fn new(calls: &'a [Call]) -> Self {
+        let starts = calls.iter().enumerate().map(|(at, call)| (call.called_at, false, at));
+        let ends = calls.iter().enumerate().filter_map(|(at, call)| {
+            let (returned_at, _) = call.returned.as_ref()?;
+            Some((*returned_at, true, at))
+        });
+        // At the same moment starts come first: calls that touch may be in either order.
+        let mut moments: Vec<(Duration, bool, usize)> = starts.chain(ends).collect();
+        moments.sort();
+        let count = moments.len();
+        let mut events =
+            vec![Event { call: NONE, is_return: false, before: NONE, after: if count > 0 { 1 } else { NONE } }];
+        let mut returns = vec![NONE; calls.len()];
+        moments.into_iter().enumerate().for_each(|(at, (_, is_return, call))| {
+            let after = if at + 1 < count { at + 2 } else { NONE };
+            events.push(Event { call, is_return, before: at, after });
+            if is_return {
+                returns[call] = at + 1;
+            }
+        });
+        let open = returns.iter().filter(|at| **at != NONE).count();
+        let ordered = vec![0; calls.len().div_ceil(64)];
+        let mut awaited = BTreeMap::new();
+        calls.iter().filter_map(Call::told_edition).for_each(|edition| *awaited.entry(edition).or_insert(0) += 1);
+        let (model, tried, stuck) = (Model::new(), HashSet::new(), None);
+        Search { calls, events, returns, open, ordered, awaited, model, tried, stuck }
+    }
+
+    fn run(mut self) -> Result<(), Flaw> {
+        let mut chosen: Vec<(usize, Model)> = Vec::new();
+        let mut at = self.events[HEAD].after;
+        for _ in 0..MAX_STEPS {
+            if self.open == 0 {
+                return Ok(());
+            }
+            if !self.events[at].is_return {
+                at = match self.choose(at) {
+                    Some(before) => {
+                        chosen.push((at, before));
+                        self.events[HEAD].after
+                    }
+                    None => self.events[at].after,
+                };
+                continue;
+            }
+            // An answer whose call is not in order yet: what was chosen last was wrong.
+            self.stuck = self.stuck.max(Some(at));
+            let Some((last, before)) = chosen.pop() else { return Err(self.flaw()) };
+            self.model = before;
+            self.put_back(last);
+            at = self.events[last].after;
+        }
+        Err(Flaw::TooLong)
+    }
+
+    fn flaw(&self) -> Flaw {
+        let call = self.stuck.map(|at| &self.calls[self.events[at].call]);
+        let at = call.and_then(|call| call.returned.as_ref()).map(|(at, _)| *at).unwrap_or_default();
+        let told = call.map(|call| format!("{} {:?} -> {:?}", call.name, call.order, call.returned));
+        Flaw::NoOrder { call: told.unwrap_or_default(), at }
+    }
+
+    /// Puts a call next in order, where its answer fits and that was not tried; gives the state before it.
+    fn choose(&mut self, at: usize) -> Option<Model> {
+        let call = self.events[at].call;
+        let after = self.model.after(&self.calls[call])?;
+        self.mark(call);
+        self.await_edition(call, false);
+        let went_past = self.awaited.first_key_value().zip(after.edition).is_some_and(|((first, _), now)| *first < now);
+        if went_past || !self.tried.insert(self.fingerprint(&after)) {
+            self.mark(call);
+            self.await_edition(call, true);
+            return None;
+        }
+        self.unlink(at);
+        if self.returns[call] != NONE {
+            self.unlink(self.returns[call]);
+            self.open -= 1;
+        }
+        Some(std::mem::replace(&mut self.model, after))
+    }
+
+    fn put_back(&mut self, at: usize) {
+        let call = self.events[at].call;
+        if self.returns[call] != NONE {
+            self.link(self.returns[call]);
+            self.open += 1;
+        }
+        self.link(at);
+        self.mark(call);
+        self.await_edition(call, true);
+    }
+
+    /// Notes that a call's edition is awaited, or no longer.
+    fn await_edition(&mut self, call: usize, awaited: bool) {
+        let Some(edition) = self.calls[call].told_edition() else { return };
+        let count = self.awaited.entry(edition).or_insert(0);
+        *count = if awaited { *count + 1 } else { *count - 1 };
+        if *count == 0 {
+            self.awaited.remove(&edition);
+        }
+    }
+
+    /// Turns a call's mark over.
+    fn mark(&mut self, call: usize) {
+        self.ordered[call / 64] ^= 1 << (call % 64);
+    }
+
+    fn fingerprint(&self, model: &Model) -> (u64, u64) {
+        let hash = |salt: u8| {
+            let mut hasher = DefaultHasher::new();
+            (salt, &self.ordered, model).hash(&mut hasher);
+            hasher.finish()
+        };
+        (hash(0), hash(1))
+    }
+
+    fn unlink(&mut self, at: usize) {
+        let (before, after) = (self.events[at].before, self.events[at].after);
+        self.events[before].after = after;
+        if after != NONE {
+            self.events[after].before = before;
+        }
+    }
+
+    fn link(&mut self, at: usize) {
+        let (before, after) = (self.events[at].before, self.events[at].after);
+        self.events[before].after = at;
+        if after != NONE {
+            self.events[after].before = at;
+        }
+    }
+}
+
+/// The calls of a record. Reads count only where the orders were recorded too.
+///
+/// ```
+/// assert!(drill::history::calls(&[]).is_empty());
+/// ```
+pub fn calls(seen: &[Seen]) -> Vec<Call> {
+    let mut calls: Vec<Call> = Vec::new();
+    let mut known: BTreeMap<&str, usize> = BTreeMap::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Called { call, order } => {
+            known.insert(call, calls.len());
+            calls.push(Call { name: call.clone(), called_at: *at, order: order.clone(), returned: None });
+        }
+        Fact::Returned { call, reply } => {
+            let call = known.get(call.as_str()).map(|at| &mut calls[*at]);
+            let open = call.filter(|call| call.returned.is_none() && is_clear(reply));
+            open.into_iter().for_each(|call| call.returned = Some((*at, reply.clone())));
+        }
+        Fact::ReadBack { node, edition, digest, asked_at } => calls.push(Call {
+            name: format!("read at {node}"),
+            called_at: *asked_at,
+            order: Order::Read,
+            returned: Some((*at, Reply::Read { edition: *edition, digest: digest.clone() })),
+        }),
+        Fact::Rescued => {
+            let name = "rescue".to_owned();
+            calls.push(Call { name, called_at: *at, order: Order::Rescue, returned: None });
+        }
+        _ => {}
+    });
+    if known.is_empty() { Vec::new() } else { calls }
+}
+
+/// True where an answer tells what became of a call. An order without an id that a higher number overtook may have
+/// been in force before.
+fn is_clear(reply: &Reply) -> bool {
+    match reply {
+        Reply::Decided { code: Code::OrderForgotten, .. } => false,
+        Reply::Decided { code: Code::Overtaken, edition: None } => false,
+        Reply::Decided { .. } | Reply::Read { .. } => true,
+    }
+}
+
+/// Calls that were sent again and then told something else, with the moment of the later answer.
+///
+/// ```
+/// assert!(drill::history::changed_answers(&[]).is_empty());
+/// ```
+pub fn changed_answers(seen: &[Seen]) -> Vec<(Duration, String)> {
+    let mut first: BTreeMap<&str, &Reply> = BTreeMap::new();
+    let mut changed = Vec::new();
+    seen.iter().for_each(|(at, fact)| {
+        let Fact::Returned { call, reply } = fact else { return };
+        if is_clear(reply) {
+            let known = first.entry(call).or_insert(reply);
+            if *known != reply {
+                changed.push((*at, format!("{call} was told {known:?}, and later {reply:?}")));
+            }
+        }
+    });
+    changed
+}
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod facts;
 pub mod fleet;
+pub mod history;
 pub mod hollow;
 pub mod origins;
 pub mod report;
--- a/crates/drill/src/rules.rs
+++ b/crates/drill/src/rules.rs
@@ -1,6 +1,7 @@
 //! One checker per 'must never happen'. They judge recorded facts and know nothing of the system.
 
 use crate::facts::{Fact, Seen};
+use crate::history::{self, Flaw};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     (10, "a cold upstream stays within its warm-up rate", warm_up_is_kept),
     (11, "no two upstreams hold a key", keys_have_one_holder),
     (12, "region-bound work stays inside", homes_are_kept),
+    (13, "operators' calls happen one at a time", calls_are_linearizable),
+    (13, "an order sent again gets its first answer", answers_stay),
 ];
 
 /// Rules that hold within a span: on a machine that others share, real time may break them by itself, and the
@@ -362,3 +365,15 @@
     };
     seen.iter().filter_map(outside).collect()
 }
+
+fn calls_are_linearizable(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let found = history::check(&history::calls(seen)).err().map(|flaw| match flaw {
+        Flaw::NoOrder { call, at } => violation(13, at, format!("no order of the calls explains {call}")),
+        Flaw::TooLong => violation(13, Duration::ZERO, "too many orders of the calls to judge them".into()),
+    });
+    found.into_iter().collect()
+}
+
+fn answers_stay(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    history::changed_answers(seen).into_iter().map(|(at, text)| violation(13, at, text)).collect()
+}
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -164,6 +164,17 @@
             }
             Fault::KillPostmasters => self.control_nodes().into_iter().for_each(|node| self.kill(node)),
             Fault::LateAnswers => self.late_answers = true,
+            Fault::LoseOrderAnswers(per_mille) => self.operators.delivery.lost_per_mille = per_mille,
+            Fault::ScrambleOrders => self.operators.delivery.scrambled = true,
+            Fault::OrderStorm(count) | Fault::OldOrders(count) => self.start_storm(count),
+            Fault::EqualNumbers(times) => {
+                self.race_equal_numbers();
+                let next = self.now + Duration::from_millis(300);
+                if times > 1 {
+                    self.push_step(next, next, Fault::EqualNumbers(times - 1));
+                }
+            }
+            Fault::LateEvacuation(zone) => self.evacuate_repeatedly(self.zone(zone)),
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
                 bound.collect::<Vec<_>>().into_iter().for_each(|unit| self.crash_unit(unit));
@@ -227,6 +238,14 @@
             Fault::Loss(_) => self.net.loss_per_mille = 0,
             Fault::HotKey => self.hot_key = false,
             Fault::LateAnswers => self.late_answers = false,
+            Fault::LoseOrderAnswers(_) => self.operators.delivery.lost_per_mille = 0,
+            Fault::ScrambleOrders => self.operators.delivery.scrambled = false,
+            Fault::OrderStorm(_) => self.end_storm(),
+            Fault::OldOrders(_) => {
+                self.end_storm();
+                self.resend_oldest();
+            }
+            Fault::LateEvacuation(zone) => self.take_back(self.zone(zone)),
             Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
@@ -261,6 +280,7 @@
             Fault::RollingRestart
             | Fault::MoveNames
             | Fault::NumberRace(_)
+            | Fault::EqualNumbers(_)
             | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::OperatorRace
@@ -287,6 +307,7 @@
         let survivors: Vec<SurvivorState> = survivors.iter().map(survivor).collect();
         let lost: Vec<String> = lost.iter().map(|at| self.nodes[*at].name.clone()).collect();
         quorum_register::settle(&survivors, &lost).into_iter().for_each(|inheritance| {
+            self.note(Fact::Rescued);
             self.note(Fact::Fault { what: format!("rescued from {} voters", survivors.len()) });
             let SurvivorState { durable, setup, .. } = inheritance;
             control_nodes.iter().for_each(|at| {
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -83,6 +83,18 @@
     LateAnswers,
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
+    /// So many of a thousand answers to operators are lost; the same order is sent again, to another node.
+    LoseOrderAnswers(u64),
+    /// Orders and their answers come late, doubled and in any order.
+    ScrambleOrders,
+    /// So many orders of all kinds, up to eight under way at once.
+    OrderStorm(u32),
+    /// The same, and at the end the oldest are sent again.
+    OldOrders(u32),
+    /// Two operators offer different setups under one number at the same moment, to two nodes, so many times.
+    EqualNumbers(u32),
+    /// A zone is evacuated and taken back; the order to evacuate comes again before and after that, to other nodes.
+    LateEvacuation(usize),
     /// A setup is accepted, and all postmasters end at that moment.
     RestartPostmasters,
     KillPostmasters,
@@ -96,6 +108,9 @@
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
+/// How long a storm of hundreds of orders may take.
+const STORM_TAKES: Duration = Duration::from_secs(25);
+
 type Drawer = fn(&mut Random) -> Fault;
 
 /// Every kind of fault, as a seed draws it.
@@ -154,6 +169,12 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("lost-acks", |d| Fault::LoseOrderAnswers(500 + d.below(400))),
+    ("late-orders", |_| Fault::ScrambleOrders),
+    ("order-storm", |_| Fault::OrderStorm(300)),
+    ("old-orders", |_| Fault::OldOrders(300)),
+    ("equal-numbers", |_| Fault::EqualNumbers(8)),
+    ("late-evacuation", |d| Fault::LateEvacuation(d.below(6) as usize)),
 ];
 
 /// Every kind by name.
@@ -231,6 +252,7 @@
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
             _ => at + Duration::from_millis(1500 + random.below(9000)),
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -8,6 +8,7 @@
 mod net;
 mod nodes;
 mod operators;
+mod order_faults;
 mod path;
 mod ranged;
 mod units;
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -1,11 +1,14 @@
 //! Operators in the simulator: they submit, evacuate, race, ask again when the outcome is unknown, read back.
 
 use super::nodes::NodeEvent;
+use super::order_faults::{OrderDelivery, Storm};
 use super::world::{Action, World};
 use crate::facts::Fact;
+use crate::history::{Order, Reply};
 use crate::shapes::MARKS;
 use address::Code;
 use controller::{Answer, Ask};
+use quorum_register::OrderId;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,14 +17,42 @@
 
 /// What an operator wants, until it is decided.
 pub struct Submission {
-    id: String,
+    pub(super) id: String,
+    /// Sent without the id: only its number tells it from another.
+    anonymous: bool,
+    /// How many orders the operators knew to be decided when it was first sent.
+    since: u64,
     submitted_at: Duration,
     what: What,
-    decided: bool,
+    pub(super) decided: bool,
     asked: u32,
     asks_again: bool,
     /// Submitted once this one is decided.
-    then: Option<What>,
+    pub(super) then: Option<What>,
+}
+
+impl Submission {
+    fn ask(&self) -> Ask {
+        let id = OrderId { id: self.id.clone(), since: Some(self.since) };
+        let id = if self.anonymous { OrderId::default() } else { id };
+        match self.what.clone() {
+            What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), in_force: false },
+            What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
+            What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
+        }
+    }
+
+    /// The same, as the checker of histories has it.
+    fn order(&self) -> Order {
+        let digest = |bytes: &str| protocol::digest(bytes.as_bytes());
+        match &self.what {
+            What::Setup { bytes, base, .. } => Order::Setup { number: None, base: *base, digest: digest(bytes) },
+            What::Numbered { bytes, number } => {
+                Order::Setup { number: Some(*number), base: None, digest: digest(bytes) }
+            }
+            What::Evacuate { locality, back } => Order::Evacuate { locality: locality.clone(), back: *back },
+        }
+    }
 }
 
 #[derive(Clone)]
@@ -45,15 +76,19 @@
 /// All operators' state.
 #[derive(Default)]
 pub struct Operators {
-    submissions: Vec<Submission>,
+    pub(super) submissions: Vec<Submission>,
+    pub(super) delivery: OrderDelivery,
+    pub(super) storm: Storm,
+    /// Orders with an id that are known to be decided.
+    decided: u64,
     /// Which submission, or which node's read-back, a token stands for.
     tokens: BTreeMap<u64, (usize, usize)>,
     read_backs: BTreeMap<u64, (usize, Duration)>,
     pub(super) beats: BTreeMap<u64, (usize, u64, u64, Duration, usize)>,
     pub(super) edition: u64,
-    setups: usize,
+    pub(super) setups: usize,
     /// Numbered setups offered so far.
-    offered: Vec<(u64, String)>,
+    pub(super) offered: Vec<(u64, String)>,
 }
 
 impl Operators {
@@ -104,6 +139,11 @@
     }
 
     pub(super) fn submit(&mut self, what: What) {
+        self.submit_as(what, false);
+    }
+
+    /// Submits an order, without its id where it is anonymous; gives its number.
+    pub(super) fn submit_as(&mut self, what: What, anonymous: bool) -> usize {
         // Work may go there from the moment it is asked for: the yes comes later.
         if let What::Evacuate { locality, back: true } = &what {
             self.note(Fact::Evacuated { locality: locality.clone(), back: true });
@@ -112,7 +152,9 @@
         let id = format!("submission-{at}");
         let submitted_at = self.now;
         self.operators.submissions.push(Submission {
-            id,
+            id: id.clone(),
+            anonymous,
+            since: self.operators.decided,
             submitted_at,
             what,
             decided: false,
@@ -120,7 +162,10 @@
             asks_again: false,
             then: None,
         });
+        let order = self.operators.submissions[at].order();
+        self.note(Fact::Called { call: id, order });
         self.ask_submission(at);
+        at
     }
 
     pub(super) fn ask_submission(&mut self, at: usize) {
@@ -130,18 +175,26 @@
             return;
         }
         submission.asked += 1;
-        let id = submission.id.clone().into();
-        let ask = match submission.what.clone() {
-            What::Setup { bytes, base, .. } => Ask::Submit { id, base, bytes: bytes.into_bytes(), in_force: false },
-            What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
-            What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
-        };
-        let (node, token) = (self.some_control_node(), self.id());
-        self.operators.tokens.insert(token, (at, node));
-        self.after(Duration::from_millis(8), Action::Deliver { node, event: NodeEvent::Ask { token, ask } });
+        self.send_order(at);
+        self.send_stray_copy(at);
         // No answer at all: ask again with the same id, elsewhere.
         let unknown = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
-        self.after(Duration::from_secs(4), Action::OperatorAnswer { submission: at, answer: unknown });
+        let silence = self.operators.silence();
+        self.after(silence, Action::OperatorAnswer { submission: at, answer: unknown });
+    }
+
+    /// Sends an order once, to some node.
+    pub(super) fn send_order(&mut self, at: usize) {
+        let (node, token) = (self.some_control_node(), self.id());
+        self.operators.tokens.insert(token, (at, node));
+        let mut ask = self.operators.submissions[at].ask();
+        if let (true, Ask::Submit { id, .. } | Ask::Evacuate { id, .. }) = (self.weak.redoes_orders, &mut ask)
+            && !id.id.is_empty()
+        {
+            id.id = format!("{}-{token}", id.id);
+        }
+        let takes = self.order_takes();
+        self.after(takes, Action::Deliver { node, event: NodeEvent::Ask { token, ask } });
     }
 
     fn some_control_node(&mut self) -> usize {
@@ -168,21 +221,39 @@
             return;
         }
         let submission = self.operators.tokens.remove(&token);
-        submission.into_iter().for_each(|(submission, _)| {
-            let answer = answer.clone();
-            self.after(Duration::from_millis(8), Action::OperatorAnswer { submission, answer });
-        });
+        let answer = match answer {
+            Answer::Verdict { code: Code::NumberTaken, edition } if self.weak.confirms_taken => {
+                Answer::Verdict { code: Code::Fine, edition }
+            }
+            other => other,
+        };
+        submission.into_iter().for_each(|(submission, _)| self.carry_answer(submission, answer.clone()));
     }
 
     pub(super) fn operator_told(&mut self, at: usize, answer: Answer) {
-        if self.operators.submissions[at].decided {
+        let Answer::Verdict { code, edition } = answer else { return };
+        let is_final = matches!(
+            code,
+            Code::Fine
+                | Code::SetupBehind
+                | Code::NumberTaken
+                | Code::Overtaken
+                | Code::OrderForgotten
+                | Code::IdReused
+        );
+        let submission = &self.operators.submissions[at];
+        let already_decided = submission.decided;
+        if is_final {
+            // Without an id the answer may be to a later sending than the one that was decided.
+            let edition = Some(edition).filter(|_| !submission.anonymous);
+            let call = submission.id.clone();
+            self.note(Fact::Returned { call, reply: Reply::Decided { code, edition } });
+        }
+        if already_decided {
             return;
         }
-        let Answer::Verdict { code, edition } = answer else { return };
         match code {
-            Code::Fine | Code::SetupBehind | Code::NumberTaken | Code::Overtaken => {
-                self.decide_submission(at, code, edition)
-            }
+            _ if is_final => self.decide_submission(at, code, edition),
             // Not decided: again with the same id, after a moment.
             _ if !self.operators.submissions[at].asks_again && self.operators.submissions[at].asked < MOST_ASKS => {
                 self.operators.submissions[at].asks_again = true;
@@ -195,9 +266,12 @@
     fn decide_submission(&mut self, at: usize, code: Code, edition: u64) {
         let submission = &mut self.operators.submissions[at];
         submission.decided = true;
+        let remembered = !submission.anonymous;
         let then = submission.then.take();
         let (what, took) = (submission.what.clone(), self.now - submission.submitted_at);
+        self.operators.decided += u64::from(remembered);
         self.operators.edition = self.operators.edition.max(edition);
+        self.feed_storm();
         if !matches!(code, Code::Fine | Code::Overtaken) {
             return;
         }
@@ -231,6 +305,9 @@
     fn read_back(&mut self) {
         let control_nodes = self.control_nodes();
         control_nodes.into_iter().for_each(|node| {
+            if self.weak.reads_alone {
+                return self.read_alone(node);
+            }
             let token = self.id();
             self.operators.read_backs.insert(token, (node, self.now));
             let event = NodeEvent::Ask { token, ask: Ask::ReadSetup };
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -43,6 +43,7 @@
     OriginAnswer { work: u64, try_number: u32, answer: super::path::Reply },
     Operator,
     OperatorAsk { submission: usize },
+    OperatorRepeat { submission: usize },
     OperatorAnswer { submission: usize, answer: controller::Answer },
     Fault { at: usize },
     Heal { at: usize },
@@ -108,6 +109,12 @@
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
     pub forgets_warm_up: bool,
+    /// Nodes read back what their own disk holds.
+    pub reads_alone: bool,
+    /// An order under a number that is taken is confirmed.
+    pub confirms_taken: bool,
+    /// Every sending of an order is taken for a new one.
+    pub redoes_orders: bool,
 }
 
 impl Default for Weakness {
@@ -130,6 +137,9 @@
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
+            reads_alone: false,
+            confirms_taken: false,
+            redoes_orders: false,
         }
     }
 }
@@ -349,6 +359,7 @@
             Action::OriginAnswer { work, try_number, answer } => self.origin_answer(work, try_number, answer),
             Action::Operator => self.operate(),
             Action::OperatorAsk { submission } => self.ask_submission(submission),
+            Action::OperatorRepeat { submission } => self.send_order(submission),
             Action::OperatorAnswer { submission, answer } => self.operator_told(submission, answer),
             Action::Fault { at } => self.break_it(at),
             Action::Heal { at } => self.heal(at),
--- /dev/null
+++ b/crates/drill/tests/orders.rs
@@ -0,0 +1,110 @@
+//! Operators whose answers are lost and whose orders come late, doubled, by the hundred and under one number: what they
+//! are told must look as if each order had been done once, at one moment.
+
+use address::Code;
+use drill::facts::Fact;
+use drill::history::Reply;
+use drill::shapes::ROADWISE;
+use drill::sim::{Outcome, Plan, Weakness, World, run};
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const ORDER_FAULTS: [&str; 6] =
+    ["lost-acks", "late-orders", "order-storm", "old-orders", "equal-numbers", "late-evacuation"];
+
+/// Runs jobs on all cores; gives what was wrong with each.
+fn wrong(jobs: Vec<(String, u64)>) -> Vec<String> {
+    let next = AtomicUsize::new(0);
+    let threads = std::thread::available_parallelism().map(usize::from).unwrap_or(4);
+    let work = || {
+        std::iter::from_fn(|| jobs.get(next.fetch_add(1, Ordering::Relaxed)))
+            .filter_map(|(name, seed)| {
+                let plan = Plan::named(name, *seed).expect("a known plan");
+                unlawful(&run(*seed, Some(plan), ROADWISE)).map(|text| format!("{name} seed {seed}: {text}"))
+            })
+            .collect::<Vec<_>>()
+    };
+    std::thread::scope(|scope| {
+        let running: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        running.into_iter().flat_map(|thread| thread.join().expect("no run panics")).collect()
+    })
+}
+
+fn unlawful(outcome: &Outcome) -> Option<String> {
+    let fine = outcome.violations.is_empty() && outcome.agreed;
+    (!fine).then(|| format!("{:?}, agreed {}", outcome.violations, outcome.agreed))
+}
+
+fn seeds(plans: impl IntoIterator<Item = String>, seeds: std::ops::Range<u64>) -> Vec<(String, u64)> {
+    plans.into_iter().flat_map(|plan| seeds.clone().map(move |seed| (plan.clone(), seed))).collect()
+}
+
+#[test]
+fn orders_that_go_wrong_are_done_once_and_in_order() {
+    assert_eq!(wrong(seeds(ORDER_FAULTS.map(str::to_owned), 1..5)), Vec::<String>::new());
+}
+
+#[test]
+fn two_kinds_of_orders_that_go_wrong_at_once_are_done_once_and_in_order() {
+    let pairs = ORDER_FAULTS
+        .iter()
+        .enumerate()
+        .flat_map(|(at, first)| ORDER_FAULTS[at + 1..].iter().map(move |second| format!("{first}+{second}")));
+    assert_eq!(wrong(seeds(pairs, 1..2)), Vec::<String>::new());
+}
+
+#[test]
+fn orders_that_go_wrong_while_machines_do_are_done_once_and_in_order() {
+    let machines = ["kill-herd", "cut-zone", "cut-machine", "mute", "freeze", "restart-postmasters", "wipe-machine"];
+    let pairs = ORDER_FAULTS.iter().flat_map(|orders| machines.iter().map(move |fault| format!("{orders}+{fault}")));
+    assert_eq!(wrong(seeds(pairs, 1..2)), Vec::<String>::new());
+}
+
+/// How many answers with this code operators got in a run, and how many came to orders that had been answered before.
+fn answers(plan: &str, code: Code) -> (usize, usize) {
+    let outcome = run(1, Plan::named(plan, 1), ROADWISE);
+    let mut known = BTreeSet::new();
+    let told = outcome.seen.iter().filter_map(|(_, fact)| match fact {
+        Fact::Returned { call, reply: Reply::Decided { code: told, .. } } if *told == code => Some(call.clone()),
+        _ => None,
+    });
+    let (first, again): (Vec<_>, Vec<_>) = told.partition(|call| known.insert(call.clone()));
+    (first.len(), again.len())
+}
+
+#[test]
+fn orders_do_go_wrong_in_these_plans() {
+    assert!(answers("order-storm", Code::Fine).0 >= 100, "{:?}", answers("order-storm", Code::Fine));
+    assert_eq!(answers("equal-numbers", Code::NumberTaken).0, 8);
+    assert!(answers("old-orders", Code::Fine).1 >= 20, "{:?}", answers("old-orders", Code::Fine));
+    assert!(answers("late-evacuation", Code::Fine).1 >= 8, "{:?}", answers("late-evacuation", Code::Fine));
+    assert!(
+        answers("late-orders+order-storm", Code::Fine).1 >= 20,
+        "{:?}",
+        answers("late-orders+order-storm", Code::Fine)
+    );
+}
+
+/// How many of a few seeds break the rule on operators' calls in a weakened world.
+fn caught(plan: &str, weak: Weakness) -> usize {
+    let plan = |seed| Plan::named(plan, seed).expect("a known plan");
+    let runs = (1..5).map(|seed| World::weakened(seed, plan(seed), weak).run());
+    runs.filter(|run| run.violations.iter().any(|violation| violation.rule == 13)).count()
+}
+
+#[test]
+fn a_system_that_treats_orders_wrongly_is_caught() {
+    let alone = Weakness { reads_alone: true, ..Weakness::default() };
+    let confirms = Weakness { confirms_taken: true, ..Weakness::default() };
+    let redoes = Weakness { redoes_orders: true, ..Weakness::default() };
+    let cases = [
+        ("order-storm+cut-zone", alone, "nodes read back what they hold"),
+        ("equal-numbers", confirms, "both are confirmed under one number"),
+        ("lost-acks+setup-storm", redoes, "an order sent again is a new one"),
+        ("late-evacuation", redoes, "a late begin evacuates anew"),
+        ("late-orders+setup-storm", redoes, "a doubled order is done twice"),
+    ];
+    let missed =
+        cases.into_iter().filter(|(plan, weak, _)| caught(plan, *weak) == 0).map(|(plan, _, what)| (plan, what));
+    assert_eq!(missed.collect::<Vec<_>>(), Vec::<(&str, &str)>::new());
+}
