An evacuation without an id that comes late or waits too long does not begin anew

Cause: on the users' platform the orders to evacuate and to take back bear no id. One that lay in the sockets of a frozen node, or waited for its round while the same order, sent again, and the one that ends it were decided through other nodes, evacuated the zone anew, after its end was confirmed. Change: the state is confirmed by a majority after such an order came; where the zone is as the order wants it, that is the answer; else the order bears the confirmed edition, and does nothing if the zone changed since (the state remembers the last change of 64 localities). A node that took no step for 0.9 s denies such orders for 0.5 s with 1202: who still waits asks again. An order that strays in the network and comes to a healthy node after its end was confirmed can't be told from a new one by anybody; ids can (product interface). The checker of histories: a call that never changes anything is put in order at once, with no other order tried; a history that is wrong is then found wrong at once where the search was given up before. It costs such orders a round trip to a majority.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control plane. [`ControlNode`] is the pure core; `shell` turns the world into events and back.
 
+mod anonymous_orders;
 mod dialect;
 mod gossip;
 mod keys;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -206,6 +207,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
@@ -263,6 +265,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             heard_here: BTreeMap::new(),
             batches: 0,
@@ -301,6 +304,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -323,6 +327,7 @@
             }
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -26,7 +26,11 @@
             },
             Ask::Evacuate { id, locality, back, in_force } => {
                 self.wait_for_force(now, token, in_force);
-                self.change(now, token, Change::Evacuate { id, locality, back }, None);
+                if id.id.is_empty() {
+                    self.evacuate_anonymously(now, token, locality, back);
+                } else {
+                    self.change(now, token, Change::Evacuate { id, locality, back, seen: None }, None);
+                }
             }
             Ask::ReadSetup => {
                 if self.read_waits.len() < MOST_READ_WAITS {
--- /dev/null
+++ b/crates/controller/tests/anonymous_orders.rs
@@ -0,0 +1,41 @@
+//! Evacuations without an id: what a node that stood still takes for old.
+
+mod site;
+
+use address::Code;
+use controller::{Answer, Ask, Event};
+use site::{Site, site};
+use std::time::Duration;
+
+/// The code of the answer to an order to evacuate, after a moment.
+fn evacuated(site: &mut Site, back: bool) -> Option<Code> {
+    let ask = Ask::Evacuate { id: Default::default(), locality: "north/n1".into(), back, in_force: false };
+    site.step(Event::Ask { token: 1, ask });
+    site.run(Duration::from_millis(100));
+    site.answers.pop().and_then(|answer| match answer {
+        Answer::Verdict { code, .. } => Some(code),
+        _ => None,
+    })
+}
+
+#[test]
+fn an_evacuation_without_an_id_is_begun_and_ended() {
+    let mut site = site();
+    let before = site.control.edition();
+    assert_eq!(evacuated(&mut site, false), Some(Code::Fine));
+    assert_eq!(evacuated(&mut site, false), Some(Code::Fine));
+    assert_eq!(evacuated(&mut site, true), Some(Code::Fine));
+    assert_eq!(evacuated(&mut site, false), Some(Code::Fine));
+    assert_eq!(site.control.edition(), before + 3);
+}
+
+#[test]
+fn a_node_that_stood_still_takes_none_for_a_moment() {
+    let mut site = site();
+    let before = site.control.edition();
+    site.now += Duration::from_secs(3);
+    assert_eq!(evacuated(&mut site, false), Some(Code::Stale), "it may be three seconds old");
+    assert_eq!(site.control.edition(), before);
+    site.run(Duration::from_millis(500));
+    assert_eq!(evacuated(&mut site, false), Some(Code::Fine));
+}
--- /dev/null
+++ b/crates/controller/tests/site/mod.rs
@@ -0,0 +1,88 @@
+//! A site of one voter, for tests.
+#![allow(dead_code, reason = "not every test uses all of it")]
+
+use address::Code;
+use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
+use protocol::{Member, Payload, UpdateRequest, ViewUpdate};
+use std::time::Duration;
+
+const SETUP: &str = include_str!("../../../../docs/example-setup.json");
+
+/// The only voter of a small site, and its clock.
+pub struct Site {
+    pub control: ControlNode,
+    pub now: Duration,
+    pub answers: Vec<Answer>,
+    pub updates: Vec<ViewUpdate>,
+}
+
+impl Site {
+    pub fn new() -> Site {
+        let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
+        let me = Member {
+            node: "a".into(),
+            locality: "north/n1".into(),
+            roles: "postmaster".into(),
+            incarnation: 1,
+            probe_address: "a".into(),
+            link_address: "a".into(),
+            ..Member::default()
+        };
+        let control = ControlNode::new(Start {
+            reader: Default::default(),
+            owners: Default::default(),
+            me,
+            seeds: vec![],
+            roster_size: 1,
+            seed: 1,
+            durable: Default::default(),
+            setups: Default::default(),
+            times: controller::shell::times(&settings),
+        });
+        Site { control, now: Duration::ZERO, answers: Vec::new(), updates: Vec::new() }
+    }
+
+    pub fn step(&mut self, event: Event) {
+        let effects = self.control.step(self.now, event);
+        effects.into_iter().for_each(|effect| match effect {
+            Effect::Keep { ticket, .. } | Effect::KeepSetup { ticket, .. } => self.step(Event::Kept { ticket }),
+            Effect::Answer { answer, .. } => self.answers.push(answer),
+            Effect::Send { body: Payload::ViewUpdate(update), .. } => self.updates.push(update),
+            _ => {}
+        });
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += Duration::from_millis(50);
+            self.step(Event::Tick);
+        }
+    }
+
+    pub fn order(&mut self, ask: Ask) {
+        self.step(Event::Ask { token: 1, ask });
+        self.run(Duration::from_millis(100));
+        let fine = matches!(self.answers.pop(), Some(Answer::Verdict { code: Code::Fine, .. }));
+        assert!(fine, "an order was not taken");
+    }
+
+    pub fn evacuate(&mut self, at: usize, back: bool) {
+        let id = format!("evacuation-{at}").into();
+        self.order(Ask::Evacuate { id, locality: "north/n1".into(), back, in_force: false });
+    }
+
+    /// A carrier asks for the first time; the snapshot that it gets.
+    pub fn snapshot(&mut self, carrier: &str) -> ViewUpdate {
+        self.step(Event::Received { from: carrier.into(), body: Payload::UpdateRequest(UpdateRequest::default()) });
+        self.updates.pop().expect("a snapshot")
+    }
+}
+
+/// A site with its first setup.
+pub fn site() -> Site {
+    let mut site = Site::new();
+    site.run(Duration::from_secs(10));
+    site.order(Ask::Submit { id: "first".into(), base: None, bytes: SETUP.into(), in_force: false });
+    site
+}
--- a/crates/drill/src/history.rs
+++ b/crates/drill/src/history.rs
@@ -48,6 +48,15 @@
 }
 
 impl Call {
+    /// True for reads, and for orders that were told that they changed nothing.
+    fn never_changes(&self) -> bool {
+        match &self.returned {
+            Some((_, Reply::Decided { code, .. })) => *code != Code::Fine,
+            Some((_, Reply::Read { .. })) => true,
+            None => false,
+        }
+    }
+
     fn told_edition(&self) -> Option<u64> {
         match self.returned.as_ref()? {
             (_, Reply::Decided { edition, .. }) => *edition,
@@ -254,9 +263,7 @@
             }
             // An answer whose call is not in order yet: what was chosen last was wrong.
             self.stuck = self.stuck.max(Some(at));
-            let Some((last, before)) = chosen.pop() else { return Err(self.flaw()) };
-            self.model = before;
-            self.put_back(last);
+            let Some(last) = self.take_back(&mut chosen) else { return Err(self.flaw()) };
             at = self.events[last].after;
         }
         Err(Flaw::TooLong)
@@ -289,6 +296,19 @@
         Some(std::mem::replace(&mut self.model, after))
     }
 
+    /// Takes back what was chosen last, and with it what could not have been chosen otherwise. A call that never changes
+    /// anything may as well come at once: no other order is worth a try.
+    fn take_back(&mut self, chosen: &mut Vec<(usize, Model)>) -> Option<usize> {
+        loop {
+            let (last, before) = chosen.pop()?;
+            self.model = before;
+            self.put_back(last);
+            if !self.calls[self.events[last].call].never_changes() {
+                return Some(last);
+            }
+        }
+    }
+
     fn put_back(&mut self, at: usize) {
         let call = self.events[at].call;
         if self.returns[call] != NONE {
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -9,6 +9,9 @@
 use protocol::SurvivorState;
 use std::time::Duration;
 
+/// How long after its zone was taken back a node thaws that an order to evacuate it lies in.
+const THAWS_AFTER: Duration = Duration::from_secs(2);
+
 impl World {
     fn on_machine(&self, machine: usize) -> Vec<usize> {
         let machine = machine % self.shape.machines;
@@ -175,6 +178,12 @@
                 }
             }
             Fault::LateEvacuation(zone) => self.evacuate_repeatedly(self.zone(zone)),
+            Fault::FrozenEvacuation(zone) => {
+                let (machine, thaws_at) = (zone % self.shape.disks, self.plan.steps[at].until + THAWS_AFTER);
+                self.push_step(self.now, thaws_at, Fault::Freeze(machine));
+                let node = self.on_machine(machine).into_iter().find(|node| self.nodes[*node].is_office());
+                node.into_iter().for_each(|node| self.evacuate_through(node, self.zone(zone)));
+            }
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
                 bound.collect::<Vec<_>>().into_iter().for_each(|unit| self.crash_unit(unit));
@@ -245,7 +254,7 @@
                 self.end_storm();
                 self.resend_oldest();
             }
-            Fault::LateEvacuation(zone) => self.take_back(self.zone(zone)),
+            Fault::LateEvacuation(zone) | Fault::FrozenEvacuation(zone) => self.take_back(self.zone(zone)),
             Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -95,6 +95,9 @@
     EqualNumbers(u32),
     /// A zone is evacuated and taken back; the order to evacuate comes again before and after that, to other nodes.
     LateEvacuation(usize),
+    /// An order without an id to evacuate a zone lies in a frozen node's sockets, while the zone is evacuated by another
+    /// node and taken back.
+    FrozenEvacuation(usize),
     /// A setup is accepted, and all postmasters end at that moment.
     RestartPostmasters,
     KillPostmasters,
@@ -175,6 +178,7 @@
     ("old-orders", |_| Fault::OldOrders(300)),
     ("equal-numbers", |_| Fault::EqualNumbers(8)),
     ("late-evacuation", |d| Fault::LateEvacuation(d.below(6) as usize)),
+    ("frozen-evacuation", |d| Fault::FrozenEvacuation(d.below(6) as usize)),
 ];
 
 /// Every kind by name.
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -125,6 +125,18 @@
     /// The latest setups with an operator's own number that came into force, oldest first.
     #[prost(message, repeated, tag = "7")]
     pub numbers: Vec<NumberedSetup>,
+    /// When each locality was last evacuated or taken back, the latest last.
+    #[prost(message, repeated, tag = "8")]
+    pub locality_changes: Vec<LocalityChange>,
+}
+
+/// The edition that evacuated a locality, or took it back.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LocalityChange {
+    #[prost(string, tag = "1")]
+    pub locality: String,
+    #[prost(uint64, tag = "2")]
+    pub edition: u64,
 }
 
 /// A setup that came into force under an operator's own number.
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -1,7 +1,7 @@
 //! What operators ask of the state, and how the state changes by it.
 
 use address::Code;
-use protocol::{ClusterState, NumberedSetup, Submission};
+use protocol::{ClusterState, LocalityChange, NumberedSetup, Submission};
 
 /// How many decided submissions the state remembers.
 const MAX_SUBMISSIONS: usize = 512;
@@ -9,6 +9,8 @@
 const MAX_SUBMISSIONS_BEFORE: usize = 256;
 /// How many numbers that were in force the state remembers, with what they stood for.
 const MAX_NUMBERS: usize = 32;
+/// Of how many localities the state remembers when they were evacuated or taken back.
+const MAX_LOCALITY_CHANGES: usize = 64;
 /// How much of a digest is kept of what an order asked for, in hexadecimal digits.
 const SHORT_DIGEST: usize = 16;
 
@@ -45,8 +47,9 @@
     /// Put this setup in force; `base` is the edition it was made from, where that matters.
     /// With the operator's own number, one that is not above the number in force changes nothing.
     Setup { id: OrderId, base: Option<u64>, number: Option<u64>, digest: String },
-    /// Evacuate a locality, or take it back.
-    Evacuate { id: OrderId, locality: String, back: bool },
+    /// Evacuate a locality, or take it back. An order without an id bears the edition that a majority confirmed after
+    /// it came: where the locality changed since, it has been as the order wants it, and nothing is done.
+    Evacuate { id: OrderId, locality: String, back: bool, seen: Option<u64> },
     /// Change nothing: only bring a half-done round to its end.
     Finish,
 }
@@ -176,6 +179,26 @@
     }
 }
 
+/// What an order without an id comes to where its locality may have changed since this edition.
+fn decided_since(state: &ClusterState, locality: &str, seen: u64) -> Option<Code> {
+    let changes = &state.locality_changes;
+    match changes.iter().find(|change| change.locality == locality) {
+        Some(change) if change.edition > seen => Some(Code::Fine),
+        Some(_) => None,
+        // Its change may have been dropped.
+        None if changes.len() >= MAX_LOCALITY_CHANGES && changes[0].edition > seen => Some(Code::Stale),
+        None => None,
+    }
+}
+
+fn remember_locality(state: &mut ClusterState, locality: &str) {
+    state.locality_changes.retain(|change| change.locality != locality);
+    let (locality, edition) = (locality.to_owned(), state.edition + 1);
+    state.locality_changes.push(LocalityChange { locality, edition });
+    let excess = state.locality_changes.len().saturating_sub(MAX_LOCALITY_CHANGES);
+    state.locality_changes.drain(..excess);
+}
+
 fn change_state(state: &mut ClusterState, change: &Change) -> Code {
     match change {
         Change::Setup { base, .. } if base.is_some_and(|base| base != state.edition) => return Code::SetupBehind,
@@ -191,9 +214,14 @@
             }
         }
         Change::Evacuate { locality, back, .. } if state.evacuated.contains(locality) != *back => return Code::Fine,
-        Change::Evacuate { locality, back, .. } => {
+        Change::Evacuate { locality, back, seen, .. } => {
+            let decided = seen.and_then(|seen| decided_since(state, locality, seen));
+            if let Some(code) = decided {
+                return code;
+            }
             state.evacuated.retain(|other| other != locality);
             state.evacuated.extend(Some(locality.clone()).filter(|_| !back));
+            remember_locality(state, locality);
         }
         Change::Finish => {}
     }
