--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -11,7 +12,7 @@
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,13 +52,13 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
@@ -222,6 +223,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
@@ -284,6 +286,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             heard_here: BTreeMap::new(),
             batches: 0,
@@ -325,6 +328,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -344,6 +348,7 @@
             Event::Close => self.close(now),
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -26,7 +26,11 @@
             },
             Ask::Evacuate { id, locality, back, in_force } => {
                 self.wait_for_force(now, token, in_force);
-                self.change(now, token, Change::Evacuate { id, locality, back }, None);
+                if id.id.is_empty() {
+                    self.evacuate_anonymously(now, token, locality, back);
+                } else {
+                    self.change(now, token, Change::Evacuate { id, locality, back, seen: None }, None);
+                }
             }
             Ask::ChangeVoters { add, remove } => self.change_voters(now, token, add, remove),
             Ask::ReadSetup => {
@@ -115,6 +119,9 @@
     pub(crate) fn decided(&mut self, now: Duration, token: u64, decision: Decision) {
         let Decision { code, edition } = decision;
         let answer = Answer::Verdict { code, edition };
+        if matches!(code, Code::NumberTaken | Code::OrderForgotten) {
+            self.effects.push_back(Effect::Note(format!("an order was not taken: {code}")));
+        }
         let waiting = self.waiting_force.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
         match waiting {
             Some(waiting) => {
@@ -209,6 +216,7 @@
             ("setupMissing", self.register.lacks_accepted_setup().into()),
             ("edition", state.edition.into()),
             ("digest", state.digest.as_str().into()),
+            ("decided", state.decided.into()),
             ("evacuated", state.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -11,6 +11,9 @@
 use protocol::SurvivorState;
 use std::time::Duration;
 
+/// How long after its zone was taken back a node thaws that an order to evacuate it lies in.
+const THAWS_AFTER: Duration = Duration::from_secs(2);
+
 impl World {
     fn on_machine(&self, machine: usize) -> Vec<usize> {
         let machine = machine % self.shape.machines;
@@ -181,6 +184,23 @@
             }
             Fault::KillPostmasters => self.control_nodes().into_iter().for_each(|node| self.kill(node)),
             Fault::LateAnswers => self.late_answers = true,
+            Fault::LoseOrderAnswers(per_mille) => self.operators.delivery.lost_per_mille = per_mille,
+            Fault::ScrambleOrders => self.operators.delivery.scrambled = true,
+            Fault::OrderStorm(count) | Fault::OldOrders(count) => self.start_storm(count),
+            Fault::EqualNumbers(times) => {
+                self.race_equal_numbers();
+                let next = self.now + Duration::from_millis(300);
+                if times > 1 {
+                    self.push_step(next, next, Fault::EqualNumbers(times - 1));
+                }
+            }
+            Fault::LateEvacuation(zone) => self.evacuate_repeatedly(self.zone(zone)),
+            Fault::FrozenEvacuation(zone) => {
+                let (machine, thaws_at) = (zone % self.shape.disks, self.plan.steps[at].until + THAWS_AFTER);
+                self.push_step(self.now, thaws_at, Fault::Freeze(machine));
+                let node = self.on_machine(machine).into_iter().find(|node| self.nodes[*node].is_office());
+                node.into_iter().for_each(|node| self.evacuate_through(node, self.zone(zone)));
+            }
             Fault::HomesGone => {
                 let bound = (0..self.units.len()).filter(|unit| self.units[*unit].work.homes > 0);
                 bound.collect::<Vec<_>>().into_iter().for_each(|unit| self.crash_unit(unit));
@@ -249,6 +269,14 @@
             Fault::Loss(_) => self.net.loss_per_mille = 0,
             Fault::HotKey => self.hot_key = false,
             Fault::LateAnswers => self.late_answers = false,
+            Fault::LoseOrderAnswers(_) => self.operators.delivery.lost_per_mille = 0,
+            Fault::ScrambleOrders => self.operators.delivery.scrambled = false,
+            Fault::OrderStorm(_) => self.end_storm(),
+            Fault::OldOrders(_) => {
+                self.end_storm();
+                self.resend_oldest();
+            }
+            Fault::LateEvacuation(zone) | Fault::FrozenEvacuation(zone) => self.take_back(self.zone(zone)),
             Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
             Fault::Release(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
@@ -283,6 +311,7 @@
             Fault::RollingRestart
             | Fault::MoveNames
             | Fault::NumberRace(_)
+            | Fault::EqualNumbers(_)
             | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::LongStorm(_)
@@ -311,6 +340,7 @@
         let survivors: Vec<SurvivorState> = survivors.iter().map(survivor).collect();
         let lost: Vec<String> = lost.iter().map(|at| self.nodes[*at].name.clone()).collect();
         quorum_register::settle(&survivors, &lost).into_iter().for_each(|inheritance| {
+            self.note(Fact::Rescued);
             self.note(Fact::Fault { what: format!("rescued from {} voters", survivors.len()) });
             let SurvivorState { durable, setup, .. } = inheritance;
             control_nodes.iter().for_each(|at| {
