Each answer belongs to its request by the connection's own state

Cause: the HTTP client drove hyper's connection and judged by what hyper told. Three things followed. (1) A request that met a kept connection closed a moment ago waited for its whole deadline and was then answered as unknown, though no byte of it had left: hyper ends its driver and keeps the queued request until the driver is dropped, which nobody did. (2) An answer that began before the request was out, a half-written request, surplus bytes and HEAD left a connection in the pool. (3) A late answer to another try cost the request behind it its own answer.

Now the socket keeps a record of what the kernel took and of when the first answer byte came (wire.rs); a connection has one owner, is taken by an exchange and comes back only if all was as expected (connection.rs). "Not connected" means that the kernel took nothing; hyper's try_send_request hands the request back and agrees. An answer with another id is read past on the same connection, where the request is out whole and the answer's end is told; one without an id counts only on a connection that carried nothing else; bodies whose end only the close tells, and 1xx, are no answers. A kept connection that ends unsent costs no attempt: the same upstream on a new one, judged again.

Ruled out: reading past by an HTTP parser of our own (hyper does it: a second handshake on the same socket whose writes are withheld); resending repeatable requests only (leaves once-work unknown, and draws on the budget).

--- a/crates/carrier/src/dialect.rs
+++ b/crates/carrier/src/dialect.rs
@@ -77,6 +77,8 @@
     pub target: Box<Aiming>,
     /// Headers of a call.
     pub headers: Box<Heading>,
+    /// The header by which an upstream's answer names the try it is for.
+    pub answer_id: &'static str,
     /// What a reply to this try is worth, from this upstream where one is meant.
     pub judge: Box<Judging>,
     /// What an upstream's reply tells of its load.
@@ -106,6 +108,7 @@
             order: Box::new(crate::serve::own_order),
             target: Box::new(|_, order| order.path.clone()),
             headers: Box::new(crate::serve::own_headers),
+            answer_id: "x-try-id",
             judge: Box::new(crate::serve::judge),
             load: Box::new(|_| None),
             pass: Box::new(crate::serve::own_pass),
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod core;
 mod dialect;
+mod node;
 mod relay;
 mod serve;
 pub mod shell;
@@ -10,5 +11,6 @@
 
 pub use core::{Carrier, Effect, Event, Phase, Start, Times};
 pub use dialect::{Call, Dialect, Door, Page};
+pub use node::{Node, NodeTerms};
 pub use serve::{judge, service_headers};
 pub use traces::Traces;
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -1,6 +1,6 @@
 //! Operators and upstreams may call any node: a carrier passes what is not its own on to a postmaster.
 
-use crate::shell::Node;
+use crate::node::Node;
 use address::Code;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/crates/carrier/src/serve.rs
+++ b/crates/carrier/src/serve.rs
@@ -1,7 +1,7 @@
 //! One request through a proxy: enrol, resolve, choose, send, check, answer.
 
 use crate::dialect::Call;
-use crate::shell::Node;
+use crate::node::Node;
 use address::Code;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,7 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Notify;
-use transport::{Called, Connection, Enquiry, Reply};
+use transport::{AnswerId, Called, Connection, Enquiry, Outbound, Reply};
 
 /// No origin waits longer than this.
 const MOST_REMAINING_MS: u64 = 60_000;
@@ -134,9 +134,10 @@
         let mut journey = Journey::new(order.clone(), self.site.clone());
         let mut next = journey.start(self.clock.now(), &self.view.load(), &self.board);
         let (mut connection, mut reply) = (None, None);
+        let mut may_reuse = self.keeps_connections;
         let response = loop {
             let outcome = match next {
-                Move::Connect { upstream, within } => match self.connect(&upstream.address, within).await {
+                Move::Connect { upstream, within } => match self.connect(&upstream.address, within, may_reuse).await {
                     Err(failed) => (self.dialect.judge)(&Err(failed), &try_id, None),
                     Ok(open) => {
                         connection = Some((open, upstream.instance.clone()));
@@ -150,7 +151,14 @@
                     };
                     let target = (self.dialect.target)(&enquiry, &order);
                     let call = Call { node: &self.site.node, instance: Some(&instance), share: share.as_ref(), within };
+                    let was_used = open.is_used();
                     let (called, again) = self.send(&enquiry, &order, open, &target, call).await;
+                    if was_used && matches!(called, Err(Called::NotConnected)) {
+                        // It was closed between the look at it and the write: the upstream may be well.
+                        may_reuse = false;
+                        next = journey.unsent(self.clock.now());
+                        continue;
+                    }
                     let outcome = (self.dialect.judge)(&called, &try_id, Some(&instance));
                     if outcome != Outcome::Garbage {
                         again.into_iter().for_each(|connection| self.pool.keep(connection));
@@ -196,9 +204,10 @@
         (self.dialect.deny)(code, retry_after, try_id)
     }
 
-    /// An idle connection where one is known to be quiet, else a new one.
-    async fn connect(&self, address: &str, within: Duration) -> Result<Connection, Called> {
-        match self.pool.take(address).await.filter(|_| self.keeps_connections) {
+    /// An idle connection where one is wanted and known to be quiet, else a new one.
+    async fn connect(&self, address: &str, within: Duration, may_reuse: bool) -> Result<Connection, Called> {
+        let kept = if may_reuse { self.pool.take(address).await } else { None };
+        match kept {
             Some(connection) => Ok(connection),
             None => Connection::open(address, within).await,
         }
@@ -228,9 +237,14 @@
         target: &str,
         call: Call<'_>,
     ) -> (Result<Reply, Called>, Option<Connection>) {
-        let headers = (self.dialect.headers)(enquiry, order, call);
-        let (called, again) =
-            connection.exchange(enquiry.method.as_str(), target, headers, enquiry.body.clone(), call.within).await;
+        let outbound = Outbound {
+            method: enquiry.method.as_str(),
+            path: target,
+            headers: (self.dialect.headers)(enquiry, order, call),
+            body: enquiry.body.clone(),
+            id: Some(AnswerId { header: self.dialect.answer_id, value: &order.try_id }),
+        };
+        let (called, again) = connection.exchange(outbound, call.within).await;
         // Without reuse each request has its own: one that dies after a write can't be told from a lost verdict.
         (called, again.filter(|_| self.keeps_connections))
     }
@@ -244,9 +258,11 @@
         within: Duration,
     ) -> Result<Reply, Called> {
         for proxy in proxies {
-            if let Ok(connection) = Connection::open(proxy, within).await {
-                let call = Call { node: &self.site.node, instance: None, share: None, within };
-                return self.send(enquiry, order, connection, &enquiry.target, call).await.0;
+            let Ok(connection) = Connection::open(proxy, within).await else { continue };
+            let call = Call { node: &self.site.node, instance: None, share: None, within };
+            match self.send(enquiry, order, connection, &enquiry.target, call).await.0 {
+                Err(Called::NotConnected) => continue,
+                called => return called,
             }
         }
         Err(Called::NotConnected)
--- a/crates/sorting/src/journey.rs
+++ b/crates/sorting/src/journey.rs
@@ -117,7 +117,7 @@
     Sealed,
     /// The upstream sealed that it did not and will not run it.
     SealedNotRun,
-    /// No byte can have reached it.
+    /// No byte can have reached it: none left this process.
     NotConnected,
     /// It may have reached it, and no whole verdict came.
     Lost,
@@ -163,6 +163,8 @@
     pub(crate) calls: u32,
     /// How many upstreams it was written to.
     sends: u32,
+    /// What it was written to last.
+    sent_to: Option<(Arc<Upstream>, Option<Share>)>,
     /// When it was written last, and to how many requests on how many slots.
     sent_at: Option<(Duration, f64, u32)>,
     /// True once its try id was noted.
@@ -198,6 +200,7 @@
             edition: 0,
             calls: 0,
             sends: 0,
+            sent_to: None,
             sent_at: None,
             opened: false,
             written: false,
@@ -452,10 +455,31 @@
         self.sends += 1;
         self.sent_at = self.seat.as_ref().map(|(seat, _)| (now, seat.load(now), upstream.slots));
         self.turn(Stage::Sent { instance: upstream.instance.clone() });
+        self.sent_to = Some((upstream.clone(), share.clone()));
         self.notes.push(Note::Sent { upstream });
         Move::Send { share, within }
     }
 
+    /// The kept connection that it was to be written on had ended, and no byte of it left this process: the same
+    /// upstream is called on a new one, and the choice judged again.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Move, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let mut journey = Journey::new(Order::default(), site);
+    /// assert!(matches!(journey.unsent(Duration::ZERO), Move::Answer { .. }), "it was to be written nowhere");
+    /// ```
+    pub fn unsent(&mut self, now: Duration) -> Move {
+        let Some((upstream, share)) = self.sent_to.take().filter(|_| matches!(self.stage, Stage::Sent { .. })) else {
+            return self.answer(now, Code::Expired);
+        };
+        self.sends -= 1;
+        self.notes.push(Note::Unsent { upstream: upstream.clone() });
+        self.turn(Stage::Chosen { upstream: upstream.clone(), share });
+        Move::Connect { upstream, within: self.left(now) }
+    }
+
     /// Why what was chosen is not allowed any more.
     fn withdrawn(
         &self,
@@ -501,6 +525,9 @@
     /// ```
     pub fn after(&mut self, now: Duration, view: &View, board: &Board, outcome: Outcome) -> Move {
         let called = self.seat.is_some();
+        let was_sent = self.sent_to.take().is_some();
+        // The connection came up and ended before a byte went out.
+        self.sends -= u32::from(was_sent && outcome == Outcome::NotConnected);
         // A holder of keys may also deny because a share just moved.
         let least = u32::from(self.service.as_ref().is_some_and(|service| service.keyed));
         self.seat.iter().for_each(|(seat, _)| {
--- a/crates/sorting/src/notes.rs
+++ b/crates/sorting/src/notes.rs
@@ -42,18 +42,50 @@
 /// One decision on a request's way.
 #[derive(Clone, Debug)]
 pub enum Note {
-    Asked { name: String, route: Arc<Route>, edition: u64 },
-    Owner { locality: String, epoch: u64 },
-    Mark { to: String, epoch: u64 },
-    Forwarded { to: String },
-    Passed { upstream: Arc<Upstream>, why: Why },
-    Connecting { upstream: Arc<Upstream> },
-    Withdrawn { upstream: Arc<Upstream>, why: Why },
-    Sent { upstream: Arc<Upstream> },
-    Waits { within: Duration },
+    Asked {
+        name: String,
+        route: Arc<Route>,
+        edition: u64,
+    },
+    Owner {
+        locality: String,
+        epoch: u64,
+    },
+    Mark {
+        to: String,
+        epoch: u64,
+    },
+    Forwarded {
+        to: String,
+    },
+    Passed {
+        upstream: Arc<Upstream>,
+        why: Why,
+    },
+    Connecting {
+        upstream: Arc<Upstream>,
+    },
+    Withdrawn {
+        upstream: Arc<Upstream>,
+        why: Why,
+    },
+    Sent {
+        upstream: Arc<Upstream>,
+    },
+    /// The connection turned out to be closed before a byte went out.
+    Unsent {
+        upstream: Arc<Upstream>,
+    },
+    Waits {
+        within: Duration,
+    },
     Called,
-    Again { after: Code },
-    Answered { code: Code },
+    Again {
+        after: Code,
+    },
+    Answered {
+        code: Code,
+    },
 }
 
 impl fmt::Display for Note {
@@ -75,6 +107,9 @@
                 write!(f, "connected to {}, but nothing was sent: {why}", upstream.instance)
             }
             Note::Sent { upstream } => write!(f, "sent to {} in {}", upstream.instance, upstream.locality),
+            Note::Unsent { upstream } => {
+                write!(f, "the kept connection to {} was closed, and nothing was sent", upstream.instance)
+            }
             Note::Waits { within } => write!(f, "waits for a seat, {} ms at most", within.as_millis()),
             Note::Called => f.write_str("called: a seat may be free"),
             Note::Again { after } => write!(f, "sent again after: {after}"),
--- /dev/null
+++ b/crates/sorting/tests/unsent.rs
@@ -0,0 +1,100 @@
+//! A kept connection that turned out to be closed before a byte of the request went out.
+
+use gazetteer::{Owners, View};
+use protocol::{ClusterState, Upstream, ViewUpdate};
+use sorting::{Board, Journey, Move, Order, Outcome, Site};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn view() -> View {
+    let setup = r#"{"services": [{"name": "slots", "work": "once"}],
+                    "routes": [{"id": "r1", "name": "book", "path": "/book", "service": "slots"}]}"#;
+    let upstream = |instance: &str| Upstream {
+        service: "slots".into(),
+        instance: instance.into(),
+        address: instance.into(),
+        locality: "n/1".into(),
+        free_slots: 9,
+        warm: true,
+        ..Upstream::default()
+    };
+    let news = ViewUpdate {
+        state: Some(ClusterState { edition: 1, ..ClusterState::default() }),
+        setup: Some(setup.into()),
+        upstreams: vec![upstream("a"), upstream("b")],
+        ..ViewUpdate::default()
+    };
+    let mut view = View { as_of: Some(NOW), ..View::default() };
+    view.take(news, true).expect("the setup is fine");
+    view
+}
+
+fn journey() -> Journey {
+    let mut site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(9), Duration::ZERO);
+    site.owners = Owners::ByCaller;
+    let order = Order {
+        try_id: "t-1".into(),
+        name: "book".into(),
+        path: "/book".into(),
+        arrived_at: NOW,
+        remaining: Duration::from_secs(5),
+        ..Order::default()
+    };
+    Journey::new(order, site)
+}
+
+fn chosen(next: &Move) -> String {
+    match next {
+        Move::Connect { upstream, .. } => upstream.instance.clone(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn the_same_upstream_is_called_again_on_a_new_connection() {
+    let (view, board) = (view(), Board::default());
+    let mut journey = journey();
+    let first = journey.start(NOW, &view, &board);
+    assert!(matches!(journey.connected(NOW, &view, &board), Move::Send { .. }));
+    let again = journey.unsent(NOW);
+    assert_eq!(chosen(&again), chosen(&first));
+    assert!(matches!(journey.connected(NOW, &view, &board), Move::Send { .. }));
+    assert!(matches!(journey.after(NOW, &view, &board, Outcome::Sealed), Move::Pass));
+}
+
+#[test]
+fn the_choice_is_judged_again() {
+    let (mut view, board) = (view(), Board::default());
+    let mut journey = journey();
+    let first = chosen(&journey.start(NOW, &view, &board));
+    journey.connected(NOW, &view, &board);
+    assert_eq!(chosen(&journey.unsent(NOW)), first);
+    let gone = Upstream { service: "slots".into(), instance: first.clone(), condition: 2, ..Upstream::default() };
+    view.take(ViewUpdate { upstreams: vec![gone], ..ViewUpdate::default() }, false).unwrap();
+    let next = journey.connected(NOW, &view, &board);
+    assert_ne!(chosen(&next), first, "it has gone meanwhile");
+}
+
+#[test]
+fn what_was_never_written_is_told_as_not_run() {
+    let (view, board) = (view(), Board::default());
+    let mut journey = journey();
+    let mut next = journey.start(NOW, &view, &board);
+    while let Move::Connect { .. } = next {
+        assert!(matches!(journey.connected(NOW, &view, &board), Move::Send { .. }));
+        next = journey.after(NOW, &view, &board, Outcome::NotConnected);
+    }
+    let Move::Answer { code, .. } = next else { panic!("{next:?}") };
+    assert_eq!(code.kind(), address::Kind::NotRun);
+}
+
+#[test]
+fn a_request_that_was_answered_is_never_sent_again() {
+    let (view, board) = (view(), Board::default());
+    let mut journey = journey();
+    journey.start(NOW, &view, &board);
+    journey.connected(NOW, &view, &board);
+    journey.after(NOW, &view, &board, Outcome::Lost);
+    assert!(matches!(journey.unsent(NOW), Move::Answer { .. }));
+}
--- a/crates/transport/src/desk.rs
+++ b/crates/transport/src/desk.rs
@@ -26,7 +26,7 @@
 const BODY_WITHIN: Duration = Duration::from_secs(5);
 
 /// A request, read whole.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Enquiry {
     pub method: Method,
     pub path: String,
--- /dev/null
+++ b/crates/transport/src/identity.rs
@@ -0,0 +1,76 @@
+//! To which request an answer on a connection belongs.
+
+use hyper::HeaderMap;
+
+/// The lowest status of a refusal.
+const FIRST_REFUSAL: u16 = 400;
+
+/// The header by which the answer to a request is known, and its value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerId<'a> {
+    pub header: &'static str,
+    pub value: &'a str,
+}
+
+/// How an answer came, beside what it says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Came {
+    /// It is the first answer on a connection that carried one request.
+    pub sole: bool,
+    /// It began before the request was out whole.
+    pub early: bool,
+}
+
+/// To which request an answer belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belongs {
+    /// To the request under way.
+    Here,
+    /// To another one, by its id: the one that is due may follow.
+    ToAnother,
+    /// Nobody can tell.
+    ToNobody,
+}
+
+/// What an answer says of the request that it is for.
+enum Whose {
+    This,
+    Another,
+    /// It names none, or several.
+    Unsaid,
+}
+
+impl AnswerId<'_> {
+    fn whose(&self, headers: &HeaderMap) -> Whose {
+        let mut values = headers.get_all(self.header).iter();
+        match (values.next(), values.next()) {
+            (Some(value), None) if value.is_empty() => Whose::Unsaid,
+            (Some(value), None) if value == self.value => Whose::This,
+            (Some(_), None) => Whose::Another,
+            _ => Whose::Unsaid,
+        }
+    }
+}
+
+/// Judges an answer. Where ids are told, one with another id is another request's, and one without belongs to the
+/// request under way only if no other was ever sent on this connection. An answer that began before the request was
+/// out and names nobody can at most be a refusal.
+///
+/// ```
+/// use transport::{AnswerId, Belongs, Came, belongs, headers};
+/// let id = Some(AnswerId { header: "x-try-id", value: "t-2" });
+/// let (used, new) = (Came { sole: false, early: false }, Came { sole: true, early: false });
+/// assert_eq!(belongs(&headers(&[("x-try-id", "t-2")]), 200, id, used), Belongs::Here);
+/// assert_eq!(belongs(&headers(&[("x-try-id", "t-1")]), 200, id, used), Belongs::ToAnother);
+/// assert_eq!(belongs(&headers(&[]), 503, id, used), Belongs::ToNobody);
+/// assert_eq!(belongs(&headers(&[]), 503, id, new), Belongs::Here);
+/// ```
+pub fn belongs(headers: &HeaderMap, status: u16, id: Option<AnswerId<'_>>, came: Came) -> Belongs {
+    match id.map_or(Whose::Unsaid, |id| id.whose(headers)) {
+        Whose::This => Belongs::Here,
+        Whose::Another => Belongs::ToAnother,
+        Whose::Unsaid if id.is_some() && !came.sole => Belongs::ToNobody,
+        Whose::Unsaid if came.early && status < FIRST_REFUSAL => Belongs::ToNobody,
+        Whose::Unsaid => Belongs::Here,
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,15 +1,22 @@
 //! Plumbing shared by the programs: held links, HTTP on both sides, logs, command lines, the clock.
 
 mod call;
+mod connection;
 mod desk;
 mod doors;
+mod identity;
 mod links;
+mod pool;
 mod reload;
 mod start;
+mod wire;
 
-pub use call::{CONNECT_WITHIN, Called, Caller, Connection, Pool, Reply, headers};
+pub use call::{Called, Caller, Reply, headers};
+pub use connection::{CONNECT_WITHIN, Connection, MOST_PASSED, Outbound};
 pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, serve, verdict};
 pub use doors::{Doors, NoStart, causes, end, listen};
+pub use identity::{AnswerId, Belongs, Came, belongs};
 pub use links::{Links, Sent, send_datagram};
+pub use pool::Pool;
 pub use reload::{Reload, reload_signal};
 pub use start::{Clock, Program, begin, chance, exit, seeds, stop_signal};
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,71 @@
+//! Idle connections that wait for their next call.
+
+use crate::connection::Connection;
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// Most idle connections to one address.
+const MOST_IDLE: usize = 8;
+
+/// Idle connections by address, each with when it became idle.
+type Idle = HashMap<String, Vec<(Instant, Connection)>>;
+
+/// Connections that wait for their next call, by address; the last one used is the first taken.
+#[derive(Default)]
+pub struct Pool(Mutex<Idle>);
+
+impl Pool {
+    fn with<T>(&self, change: impl FnOnce(&mut Idle) -> T) -> T {
+        change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A connection on which nothing stands against another call; none where a new one must be opened.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// assert!(transport::Pool::default().take("127.0.0.1:1").await.is_none());
+    /// # });
+    /// ```
+    pub async fn take(&self, address: &str) -> Option<Connection> {
+        loop {
+            let (since, mut connection) = self.with(|idle| idle.get_mut(address).and_then(Vec::pop))?;
+            if since.elapsed() < connection.keep_for() && connection.is_quiet().await {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection for the next call.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = socket.local_addr().unwrap().to_string();
+    /// let connection = transport::Connection::open(&address, std::time::Duration::from_secs(5)).await.unwrap();
+    /// let pool = transport::Pool::default();
+    /// pool.keep(connection);
+    /// assert!(pool.take(&address).await.is_some());
+    /// # });
+    /// ```
+    pub fn keep(&self, connection: Connection) {
+        self.with(|idle| {
+            let kept = idle.entry(connection.address().to_owned()).or_default();
+            kept.push((Instant::now(), connection));
+            let excess = kept.len().saturating_sub(MOST_IDLE);
+            kept.drain(..excess);
+        });
+    }
+
+    /// Closes those that lay idle for too long.
+    ///
+    /// ```
+    /// transport::Pool::default().sweep();
+    /// ```
+    pub fn sweep(&self) {
+        self.with(|idle| {
+            idle.values_mut().for_each(|kept| kept.retain(|(since, kept)| since.elapsed() < kept.keep_for()));
+            idle.retain(|_, kept| !kept.is_empty());
+        });
+    }
+}
