A fuzzer drives the proxy's HTTP client against upstreams of every bad manner

Scripted upstreams on loopback do what upstreams may: surplus, late, half, garbage, unframed, nameless, doubly named, early, hung, closed and reset answers, and bad openings. Broken twins are caught: one that takes a lost answer for unsent, one that believes whatever comes, and a client that takes the next answer on its connection.

--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod origins;
 pub mod report;
 pub mod rules;
+pub mod scripted;
 pub mod shapes;
 pub mod sim;
 pub mod upstreams;
--- /dev/null
+++ b/crates/drill/src/scripted/clients.rs
@@ -0,0 +1,214 @@
+//! Who calls the scripted upstreams: a proxy's own node, and deliberately broken clients that the judge must catch.
+
+use super::{Fact, Facts, Peer, Said, Told, Try};
+use address::{Code, Kind};
+use bytes::Bytes;
+use carrier::{Dialect, Door, Node, NodeTerms};
+use gazetteer::{Owners, SetupReader, View};
+use http_body_util::BodyExt;
+use protocol::{ClusterState, Upstream, ViewUpdate};
+use sorting::Site;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use transport::{Clock, Enquiry};
+
+const LONG: Duration = Duration::from_secs(3600);
+
+/// How requests and answers look on a site.
+pub struct Manner {
+    pub dialect: fn() -> Dialect,
+    /// How its configurations are read.
+    pub reader: SetupReader,
+    /// A configuration with the services `once` and `again`, one of each kind of work.
+    pub setup: &'static str,
+    /// The header that names the try in a request to an upstream.
+    pub request_id: &'static str,
+    /// The same in an upstream's answer.
+    pub answer_id: &'static str,
+    /// The headers of an upstream's answer but for its length.
+    pub headers: fn(&Said) -> Vec<(&'static str, String)>,
+    /// A client's request, with the time that it has.
+    pub enquiry: fn(&Try, Duration) -> Enquiry,
+    /// What an answer tells a client.
+    pub told: fn(u16, &hyper::HeaderMap, Bytes) -> Told,
+}
+
+impl Manner {
+    /// The product's own interface.
+    pub const OWN: Manner = Manner {
+        dialect: Dialect::own,
+        reader: SetupReader(tariff::Setup::read),
+        setup: r#"{"services": [{"name": "once", "work": "once", "mostBytes": 1048576},
+                                {"name": "again", "work": "repeatable", "mostBytes": 1048576}],
+                   "routes": [{"id": "r1", "name": "once", "path": "/x", "service": "once"},
+                              {"id": "r2", "name": "again", "path": "/x", "service": "again"}]}"#,
+        request_id: "x-try-id",
+        answer_id: "x-try-id",
+        headers: |said| {
+            let seal = protocol::seal(said.try_id, said.instance, said.status, said.body.as_bytes());
+            vec![("x-try-id", said.try_id.into()), ("x-instance", said.instance.into()), ("x-seal", seal)]
+        },
+        enquiry: |told, within| {
+            let within = within.as_millis().to_string();
+            Enquiry {
+                method: hyper::Method::POST,
+                path: format!("/r/{}/x", service(told)),
+                target: format!("/r/{}/x", service(told)),
+                headers: transport::headers(&[("x-try-id", told.id.as_str()), ("x-remaining-ms", within.as_str())]),
+                body: vec![b'b'; told.body_bytes].into(),
+                ..Enquiry::default()
+            }
+        },
+        told: |status, headers, body| {
+            let code = headers.get("x-code").and_then(|code| code.to_str().ok()).and_then(|code| code.parse().ok());
+            match code.and_then(Code::from_number).map(Code::kind) {
+                Some(Kind::Ran) if status == 200 => Told::Success { body },
+                Some(Kind::NotRun) => Told::NotRun,
+                _ => Told::Unknown,
+            }
+        },
+    };
+}
+
+/// The service of a try.
+fn service(told: &Try) -> &'static str {
+    if told.once { "once" } else { "again" }
+}
+
+/// What a proxy believes; the broken ones are twins that the judge must catch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Takes {
+    /// As the product does.
+    ItsOwn,
+    /// A lost answer for a request that was never sent.
+    LostForUnsent,
+    /// Whatever comes for its own whole answer.
+    Anything,
+}
+
+/// A proxy's node before some scripted upstreams.
+pub struct Proxy {
+    node: Arc<Node>,
+    manner: &'static Manner,
+    facts: Facts,
+}
+
+impl Proxy {
+    /// A proxy that knows these upstreams, each for both services.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use drill::scripted::{Facts, Manner, Peer, Proxy, Takes, Told, Try, work};
+    /// let facts = Facts::default();
+    /// let peer = Peer::start(&Manner::OWN, "u-1", facts.clone(), (vec![], vec![])).await;
+    /// let proxy = Proxy::start(&Manner::OWN, &[peer], facts, Takes::ItsOwn);
+    /// let asked = Try { id: "t-1".into(), once: true, body_bytes: 9 };
+    /// let told = proxy.ask(&asked, std::time::Duration::from_secs(5)).await;
+    /// assert_eq!(told, Told::Success { body: work("t-1").into() });
+    /// # });
+    /// ```
+    pub fn start(manner: &'static Manner, peers: &[Peer], facts: Facts, takes: Takes) -> Proxy {
+        let mut site = Site::new("p", "n/1".parse().unwrap_or_default(), LONG, Duration::ZERO);
+        (site.owners, site.serves_on) = (Owners::ByCaller, true);
+        let terms =
+            NodeTerms { clock: Clock::default(), keeps_connections: true, roles: "proxy".into(), lifetime: LONG };
+        let node = Node::new(site, broken((manner.dialect)(), takes), terms);
+        node.publish(view(manner, peers));
+        Proxy { node: Arc::new(node), manner, facts }
+    }
+
+    /// Makes a try and notes what it is told.
+    pub async fn ask(&self, asked: &Try, within: Duration) -> Told {
+        self.facts.note(Fact::Asked { try_id: asked.id.clone(), once: asked.once });
+        let response = self.node.clone().serve(Door::Front, (self.manner.enquiry)(asked, within)).await;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let told = (self.manner.told)(head.status.as_u16(), &head.headers, body);
+        self.facts.note(Fact::Told { try_id: asked.id.clone(), told: told.clone() });
+        told
+    }
+
+    /// Why a try went where it went.
+    pub async fn trace(&self, try_id: &str) -> String {
+        let query = [("try".to_owned(), try_id.to_owned())].into();
+        let enquiry = Enquiry { path: "/trace".into(), query, ..Enquiry::default() };
+        let response = self.node.clone().serve(Door::Directory, enquiry).await;
+        let body = response.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+}
+
+fn view(manner: &Manner, peers: &[Peer]) -> View {
+    let known = |service: &str, peer: &Peer| Upstream {
+        service: service.into(),
+        instance: peer.instance.clone(),
+        address: peer.address.clone(),
+        locality: "n/1".into(),
+        free_slots: 1000,
+        warm: true,
+        ..Upstream::default()
+    };
+    let upstreams = peers.iter().flat_map(|peer| [known("once", peer), known("again", peer)]).collect();
+    let state = ClusterState { edition: 1, ..ClusterState::default() };
+    let news = ViewUpdate { state: Some(state), setup: Some(manner.setup.into()), upstreams, ..ViewUpdate::default() };
+    let mut view = View { reader: manner.reader, as_of: Some(Duration::ZERO), ..View::default() };
+    view.take(news, true).expect("the configuration is fine");
+    view
+}
+
+fn broken(dialect: Dialect, takes: Takes) -> Dialect {
+    let judge = dialect.judge;
+    match takes {
+        Takes::ItsOwn => Dialect { judge, ..dialect },
+        Takes::LostForUnsent => Dialect {
+            judge: Box::new(move |called, try_id, instance| match judge(called, try_id, instance) {
+                sorting::Outcome::Lost => sorting::Outcome::NotConnected,
+                outcome => outcome,
+            }),
+            ..dialect
+        },
+        Takes::Anything => Dialect {
+            // Nothing names a try by this, so that no answer is told apart.
+            answer_id: "x-nobody",
+            judge: Box::new(move |called, _, _| match called {
+                Ok(reply) if reply.status == 200 => sorting::Outcome::Sealed,
+                Ok(_) => sorting::Outcome::SealedNotRun,
+                Err(_) => sorting::Outcome::Lost,
+            }),
+            ..dialect
+        },
+    }
+}
+
+/// A client that keeps one connection and takes whatever comes next on it for its answer, as long as it seems to be.
+pub async fn ask_naively(
+    kept: &mut Option<TcpStream>,
+    peer: &Peer,
+    manner: &Manner,
+    facts: &Facts,
+    asked: &Try,
+) -> Told {
+    facts.note(Fact::Asked { try_id: asked.id.clone(), once: asked.once });
+    let mut read = vec![0; 1 << 20];
+    let id = manner.request_id;
+    let request = format!("POST /x HTTP/1.1\r\nhost: a\r\n{id}: {}\r\ncontent-length: 0\r\n\r\n", asked.id);
+    let mut told = Told::Unknown;
+    if kept.is_none() {
+        *kept = TcpStream::connect(&peer.address).await.ok();
+    }
+    let mut stream = kept.take();
+    if let Some(open) = &mut stream {
+        let wrote = open.write_all(request.as_bytes()).await;
+        let came = tokio::time::timeout(Duration::from_millis(20), open.read(&mut read)).await;
+        if let (Ok(()), Ok(Ok(count @ 1..))) = (wrote, came) {
+            let text = String::from_utf8_lossy(&read[..count]).into_owned();
+            let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default();
+            told = Told::Success { body: body.into() };
+            *kept = stream;
+        }
+    }
+    facts.note(Fact::Told { try_id: asked.id.clone(), told: told.clone() });
+    told
+}
