The simulator's proxies keep connections: surplus answers, resets, hangs, reused addresses

Five kinds beside the known ones: kept-connections, surplus-answers, upstream-resets, upstream-hangs, kept-reuse.

--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -1,6 +1,7 @@
 //! How faults come about, and how they heal.
 
-use super::faults::{Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, Step};
+use super::connections::Manners;
+use super::faults::{Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, REUSE_EVERY, Step};
 use super::net::Cut;
 use super::nodes::{Disk, Node};
 use super::operators::What;
@@ -110,6 +111,17 @@
                 let work = self.shape.services[(other.unwrap_or(0) + 1) % 3];
                 self.replace_unit(unit, work, false);
             }
+            Fault::Connections(manners) => {
+                self.connections.keeping += 1;
+                self.turn_manners(manners, |now, wanted| now.max(wanted));
+            }
+            Fault::ReuseKept(units) => {
+                self.connections.keeping += 1;
+                units.into_iter().enumerate().for_each(|(number, unit)| {
+                    let from = self.now + REUSE_EVERY * (number as u32 + 1);
+                    self.push_step(from, from + REUSE_EVERY, Fault::ReuseAddress(unit));
+                });
+            }
             Fault::ColdHerd(every) => {
                 (0..self.units.len()).filter(|unit| unit % every == 0).collect::<Vec<_>>().into_iter().for_each(
                     |unit| {
@@ -258,6 +270,11 @@
                     self.hold_on(self.unit(unit), span);
                 }
             }
+            Fault::Connections(manners) => {
+                self.connections.keeping -= 1;
+                self.turn_manners(manners, |now, wanted| if wanted > 0 { 0 } else { now });
+            }
+            Fault::ReuseKept(_) => self.connections.keeping -= 1,
             Fault::RollingRestart
             | Fault::MoveNames
             | Fault::NumberRace(_)
@@ -297,6 +314,13 @@
         });
     }
 
+    fn turn_manners(&mut self, wanted: Manners, turn: fn(u64, u64) -> u64) {
+        let now = &mut self.connections.manners;
+        now.surplus_per_mille = turn(now.surplus_per_mille, wanted.surplus_per_mille);
+        now.resets_per_mille = turn(now.resets_per_mille, wanted.resets_per_mille);
+        now.hangs_per_mille = turn(now.hangs_per_mille, wanted.hangs_per_mille);
+    }
+
     /// An upstream tells that it leaves.
     fn leave(&mut self, unit: usize) {
         self.units[unit].condition = if self.weak.leaves_quietly { enrolment::READY } else { enrolment::LEAVING };
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -1,5 +1,6 @@
 //! What is broken in a run, when, and how it heals.
 
+use super::connections::Manners;
 use super::world::LOAD_FROM;
 use address::Random;
 use std::time::Duration;
@@ -88,6 +89,10 @@
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// Proxies keep connections, and upstreams behave like this on them.
+    Connections(Manners),
+    /// Proxies keep connections, and some upstreams vanish while others take their addresses.
+    ReuseKept(Vec<usize>),
 }
 
 /// How long a rolling restart gives each machine.
@@ -96,6 +101,9 @@
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
+/// How long after each other addresses change hands.
+pub(super) const REUSE_EVERY: Duration = Duration::from_millis(700);
+
 type Drawer = fn(&mut Random) -> Fault;
 
 /// Every kind of fault, as a seed draws it.
@@ -154,6 +162,11 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("kept-connections", |_| Fault::Connections(Manners::default())),
+    ("surplus-answers", |_| Fault::Connections(Manners { surplus_per_mille: 300, ..Manners::default() })),
+    ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
+    ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
+    ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
 ];
 
 /// Every kind by name.
--- a/crates/drill/src/sim/path.rs
+++ b/crates/drill/src/sim/path.rs
@@ -49,8 +49,8 @@
         Reply { failed: Some(called), status: 0, code: None, ..Reply::coded("", Code::Lost, None) }
     }
 
-    /// The daemons' own judgement of it.
-    fn judge(&self, try_id: &str, instance: Option<&str>) -> Outcome {
+    /// Its headers, as the wire would carry them.
+    pub(super) fn headers(&self) -> hyper::HeaderMap {
         let mut headers = hyper::HeaderMap::new();
         [("x-try-id", &self.try_id), ("x-instance", &self.instance), ("x-seal", &self.seal)].into_iter().for_each(
             |(name, value)| {
@@ -59,7 +59,12 @@
                 });
             },
         );
-        let reply = transport::Reply { status: self.status, headers, body: self.body.clone().into() };
+        headers
+    }
+
+    /// The daemons' own judgement of it.
+    pub(super) fn judge(&self, try_id: &str, instance: Option<&str>) -> Outcome {
+        let reply = transport::Reply { status: self.status, headers: self.headers(), body: self.body.clone().into() };
         let called = self.failed.map(Err).unwrap_or(Ok(reply));
         carrier::judge(&called, try_id, instance)
     }
@@ -115,6 +120,11 @@
     /// Where the connection leads: the address, and the life of whoever accepted it.
     pub address: String,
     pub life: Option<(usize, u64)>,
+    /// The connection, where they are kept, and whether a kept one may be taken.
+    pub connection: Option<u64>,
+    pub may_reuse: bool,
+    /// How many answers to other requests were read past.
+    pub passed: usize,
     pub waiting: bool,
     /// In a world that does not judge again: what it chose by.
     pub chosen_by: Option<(Duration, View)>,
@@ -123,7 +133,10 @@
 /// What a journey is told.
 enum Told {
     Start,
-    Connected,
+    Connected {
+        /// Its kept connection ended, or something came on it, before it was written to.
+        unwritable: bool,
+    },
     Called,
     Outcome(Outcome, Option<Reply>),
 }
@@ -362,7 +375,21 @@
             epoch: None,
         };
         let (address, instance, life, waiting, chosen_by) = (String::new(), None, None, false, None);
-        let made = Trip { node: at, journey, request, sent, send: 0, instance, address, life, waiting, chosen_by };
+        let made = Trip {
+            node: at,
+            journey,
+            request,
+            sent,
+            send: 0,
+            instance,
+            address,
+            life,
+            connection: None,
+            may_reuse: true,
+            passed: 0,
+            waiting,
+            chosen_by,
+        };
         self.trips.insert(trip, made);
         self.decide(trip, Told::Start);
     }
@@ -389,8 +416,16 @@
     /// The connection that a proxy asked for came up.
     pub(super) fn connected(&mut self, at: usize, id: u64, send: u32, life: (usize, u64)) {
         let mine = self.trips.get_mut(&id).filter(|trip| trip.node == at && trip.send == send && trip.life.is_none());
-        let opened = mine.map(|trip| trip.life = Some(life));
-        opened.into_iter().for_each(|()| self.decide(id, Told::Connected));
+        let opened = mine.map(|trip| {
+            trip.life = Some(life);
+            (trip.address.clone(), trip.connection)
+        });
+        opened.into_iter().for_each(|(address, kept)| {
+            let connection = kept.or_else(|| self.open_kept(at, &address, life));
+            let unwritable = connection.is_some_and(|connection| self.is_unwritable(connection));
+            self.trips.get_mut(&id).into_iter().for_each(|trip| trip.connection = connection);
+            self.decide(id, Told::Connected { unwritable });
+        });
     }
 
     /// Steps a journey.
@@ -411,9 +446,15 @@
         let next = match told {
             Told::Start => trip.journey.start(local, &view, board),
             Told::Called => trip.journey.called(local, &view, board),
-            Told::Connected => {
-                let (local, view) = trip.chosen_by.take().unwrap_or((local, view.clone()));
-                trip.journey.connected(local, &view, board)
+            Told::Connected { unwritable } => {
+                let (judged_at, judged_by) = trip.chosen_by.take().unwrap_or((local, view.clone()));
+                match trip.journey.connected(judged_at, &judged_by, board) {
+                    Move::Send { .. } if unwritable => {
+                        trip.may_reuse = false;
+                        trip.journey.unsent(local)
+                    }
+                    next => next,
+                }
             }
             Told::Outcome(outcome, came) => {
                 reply = came;
@@ -428,9 +469,16 @@
             Move::Connect { upstream, within } => {
                 trip.send += 1;
                 trip.instance = Some(upstream.instance.clone());
-                (trip.address, trip.life) = (upstream.address.clone(), None);
+                (trip.address, trip.life, trip.connection, trip.passed) = (upstream.address.clone(), None, None, 0);
                 trip.chosen_by = Some((local, view)).filter(|_| self.weak.hasty);
-                let (send, at) = (trip.send, trip.node);
+                let (send, at, may_reuse) = (trip.send, trip.node, trip.may_reuse);
+                let kept = if may_reuse { self.take_kept(at, &upstream.address) } else { None };
+                if let Some((connection, life)) = kept {
+                    self.trips.get_mut(&id).into_iter().for_each(|trip| trip.connection = Some(connection));
+                    let event = NodeEvent::Connected { trip: id, send, life };
+                    self.after(Duration::ZERO, Action::Deliver { node: at, event });
+                    return self.spring_ambush(at, &upstream.instance);
+                }
                 let (delay, cut) = self.way_to(at, &upstream.address, within.min(transport::CONNECT_WITHIN));
                 self.after(delay, Action::UnitConnect { trip: id, send, address: upstream.address.clone(), cut });
                 let late = (Outcome::NotConnected, None);
@@ -560,6 +608,10 @@
     pub(super) fn outcome(&mut self, at: usize, trip: u64, send: u32, outcome: Outcome, reply: Option<Reply>) {
         let mine = self.trips.get(&trip).is_some_and(|trip| trip.node == at && trip.send == send);
         if mine {
+            let connection = self.trips.get_mut(&trip).and_then(|trip| trip.connection.take());
+            let answered = reply.as_ref().is_some_and(|reply| reply.failed.is_none());
+            let expected = answered && outcome != Outcome::Garbage;
+            connection.into_iter().for_each(|connection| self.end_kept(connection, expected));
             self.decide(trip, Told::Outcome(outcome, reply));
         }
     }
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -286,6 +286,12 @@
             let until = self.units[at].paused_until;
             return self.at(until, Action::UnitCall { trip, send, cut });
         }
+        if self.hangs() {
+            return;
+        }
+        if self.resets() {
+            return self.back(trip, send, Err(transport::Called::Lost), Duration::from_micros(300));
+        }
         let Some(order) = self.trips.get(&trip).map(|trip| trip.sent.clone()) else { return };
         let now = self.now;
         let unit = &mut self.units[at];
@@ -351,10 +357,14 @@
                 reply = Reply::sealed("try-of-another", &self.units[at].instance, 200, "work-of-another");
             }
         }
+        let lost = lost || self.resets();
         let called = if lost || !alive { Err(transport::Called::Lost) } else { Ok(reply) };
         let from = self.units[at].place.clone();
         let to = self.trips.get(&trip).map(|trip| self.nodes[trip.node].place.clone());
         let delay = to.and_then(|to| self.net.delay(&mut self.random, &from, &to));
-        delay.into_iter().for_each(|delay| self.back(trip, send, called.clone(), delay));
+        delay.into_iter().for_each(|delay| {
+            called.iter().for_each(|reply| self.send_surplus(trip, reply, delay));
+            self.back(trip, send, called.clone(), delay);
+        });
     }
 }
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -1,5 +1,6 @@
 //! The run itself: a queue of actions in virtual time.
 
+use super::connections::Connections;
 use super::faults::Plan;
 use super::net::{Net, Spoken};
 use super::nodes::{Node, NodeEvent};
@@ -37,6 +38,7 @@
     UnitConnect { trip: u64, send: u32, address: String, cut: bool },
     UnitCall { trip: u64, send: u32, cut: bool },
     UnitDone { trip: u64, send: u32, unit: usize, life: u64 },
+    Surplus { connection: u64, reply: super::path::Reply },
     OriginStart,
     OriginTry { work: u64 },
     OriginTold { work: u64, listing: Option<gazetteer::Listing>, asked_at: Duration },
@@ -108,6 +110,8 @@
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
     pub forgets_warm_up: bool,
+    /// Proxies take whatever comes next on a kept connection for the answer.
+    pub takes_next: bool,
 }
 
 impl Default for Weakness {
@@ -130,6 +134,7 @@
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
+            takes_next: false,
         }
     }
 }
@@ -174,6 +179,9 @@
     /// The same bytes and those of datagrams, by what they were about and how far they went.
     pub spoken: Spoken,
     pub lasted: Duration,
+    /// How often a connection to an upstream was used again, and how many answers to other requests were read past.
+    pub reused: u64,
+    pub passed_over: u64,
     /// True where at the end every node had the same edition, and every carrier the same reservations and marks.
     pub agreed: bool,
     /// A digest over everything seen.
@@ -190,6 +198,7 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    pub(super) connections: Connections,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
     pub(super) weak: Weakness,
@@ -231,6 +240,7 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            connections: Connections::default(),
             restart_due: false,
             weak: Weakness::default(),
             nodes: Vec::new(),
@@ -338,6 +348,7 @@
             Action::UnitConnect { trip, send, address, cut } => self.unit_connect(trip, send, &address, cut),
             Action::UnitCall { trip, send, cut } => self.unit_call(trip, send, cut),
             Action::UnitDone { trip, send, unit, life } => self.unit_done(trip, send, unit, life),
+            Action::Surplus { connection, reply } => self.surplus(connection, reply),
             Action::OriginStart => {
                 if self.now < load_until {
                     self.after(Duration::from_micros(1_000_000 / self.shape.per_second), Action::OriginStart);
@@ -422,6 +433,8 @@
             parcel_bytes: self.parcel_bytes,
             spoken: self.net.spoken,
             lasted: self.now,
+            reused: self.connections.reused,
+            passed_over: self.connections.passed_over,
             agreed,
             digest,
         }
