An answer to a question of an earlier life or following is not taken for one to the present

An image (number 0 of a new stream) was taken from whomever the carrier follows at the moment, whatever it answered. One that lay in the link of a frozen control node, to which the carrier had meanwhile come back, set its upstreams back to those of long ago until the next answer told that the stream was another. Images now name the question that they answer, and a carrier takes one only for a question of the present following, later than that of the last image. Two tests, both fail without the rule ("long-gone", "older").

A control node that starts asks the others for all upstreams and serves carriers once one told. An answer to the question of its earlier life, or of nobody, settled it as well; request and reply now carry the life. A share reply counts only from the node that was asked, beside its nonce.

New fields are 0 from nodes of an older version, which are believed as before, so that a site can be changed node by node.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -90,6 +90,9 @@
 /// How long a carrier that left a doubted postmaster waits before it asks the next one.
 const BETWEEN: Duration = Duration::from_millis(100);
 
+/// Most questions whose images are waited for.
+const MOST_ASKS: usize = 64;
+
 /// Whom the carrier follows.
 enum Following {
     Nobody,
@@ -116,6 +119,8 @@
     /// The stream and number of the last news kept; stream 0 wants an image.
     stream: u64,
     number: u64,
+    /// Questions to the present source whose images may still come, oldest first.
+    asks: Vec<u64>,
     next_ask: Duration,
     /// How many sources in a row were of no use.
     misses: usize,
@@ -154,6 +159,7 @@
             following: Following::Nobody,
             stream: 0,
             number: 0,
+            asks: Vec::new(),
             next_ask: Duration::ZERO,
             misses: 0,
             left: None,
@@ -374,8 +380,12 @@
         };
         if fresh {
             self.stream = 0;
+            self.asks.clear();
         }
         let nonce = self.random.next_u64();
+        self.asks.push(nonce);
+        let excess = self.asks.len().saturating_sub(MOST_ASKS);
+        self.asks.drain(..excess);
         let every = self.times.ask_every;
         self.next_ask = now + if self.view.as_of.is_some() { every } else { every.min(FIRST_EVERY) };
         let ask =
@@ -389,6 +399,9 @@
             return;
         }
         let (stream, number, image) = (news.stream, news.number, news.number == 0);
+        if image && !self.answers_an_ask(news.asked) {
+            return;
+        }
         if !image && (stream != self.stream || number != self.number + 1) {
             self.want_image(now);
             return;
@@ -417,6 +430,15 @@
         self.effects.push(Effect::Publish);
     }
 
+    /// True where an image answers a question of the present following, later than that of the last image: one from
+    /// before, which lay in a slow or frozen link, would set the view back.
+    fn answers_an_ask(&mut self, asked: u64) -> bool {
+        let at = self.asks.iter().position(|nonce| *nonce == asked);
+        at.into_iter().for_each(|at| drop(self.asks.drain(..=at)));
+        // Nodes of an older version do not say what they answer.
+        at.is_some() || asked == 0
+    }
+
     fn want_image(&mut self, now: Duration) {
         self.stream = 0;
         self.next_ask = now + self.times.ask_every / 10;
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -1,7 +1,7 @@
 //! Which postmaster a carrier follows, and when it leaves it.
 
 use carrier::{Carrier, Effect, Event, Start};
-use protocol::{ClusterState, Freshness, Heard, Member, Payload, Probe, UpdateRequest, ViewUpdate};
+use protocol::{ClusterState, Freshness, Heard, Member, Payload, Probe, UpdateRequest, Upstream, ViewUpdate};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -110,6 +110,56 @@
     assert_eq!(fifth.0, "region", "no way back and forth");
 }
 
+/// An image as an answer to a question, with one upstream.
+fn image(ask: &UpdateRequest, stream: u64, instance: &str) -> ViewUpdate {
+    let upstream = Upstream { service: "s".into(), instance: instance.into(), ..Upstream::default() };
+    ViewUpdate {
+        stream,
+        asked: ask.nonce,
+        state: Some(ClusterState::default()),
+        upstreams: vec![upstream],
+        ..ViewUpdate::default()
+    }
+}
+
+fn told(carrier: &mut Carrier, at: u64, from: &str, news: ViewUpdate) -> Vec<String> {
+    carrier.step(MS(at), Event::Received { from: from.into(), body: Payload::ViewUpdate(news) });
+    let upstreams = carrier.view().upstreams.values();
+    upstreams.flat_map(|known| known.keys().cloned()).collect()
+}
+
+/// A control node froze with an image on its way, the carrier went elsewhere and came back: what lay in the link told of
+/// upstreams that are long gone.
+#[test]
+fn an_image_from_before_it_went_elsewhere_is_not_taken() {
+    let mut carrier = carrier();
+    let (at, first) = next(&mut carrier, 50);
+    let (mut from, mut asks) = (at + 50, vec![]);
+    while asks.last().is_none_or(|(_, ask): &(String, UpdateRequest)| ask.nonce == first.1.nonce || asks.len() < 9) {
+        let (at, asked) = next(&mut carrier, from);
+        (from, asks) = (at + 50, [asks, vec![asked]].concat());
+    }
+    let (source, ask) = asks.last().unwrap().clone();
+    let again = asks.iter().rev().find(|(to, _)| *to != source).expect("it went elsewhere meanwhile");
+    assert_eq!(told(&mut carrier, from, &source, image(&first.1, 5, "long-gone")), Vec::<String>::new());
+    assert_eq!(told(&mut carrier, from, &source, image(&again.1, 6, "of-another")), Vec::<String>::new());
+    assert_eq!(told(&mut carrier, from, &source, image(&ask, 7, "present")), ["present"]);
+    assert_eq!(told(&mut carrier, from, &source, image(&ask, 8, "twice")), ["present"], "one image for each question");
+}
+
+#[test]
+fn an_image_that_answers_an_earlier_question_than_the_last_one_did_is_not_taken() {
+    let mut carrier = carrier();
+    let (at, first) = next(&mut carrier, 50);
+    answer(&mut carrier, at + 10, &first, 40);
+    let (at, second) = next(&mut carrier, at + 50);
+    answer(&mut carrier, at + 10, &second, 40);
+    let (at, third) = next(&mut carrier, at + 50);
+    assert_eq!((first.0.as_str(), second.0.as_str(), third.0.as_str()), ("zone", "zone", "zone"));
+    assert_eq!(told(&mut carrier, at, "zone", image(&third.1, 9, "present")), ["present"]);
+    assert_eq!(told(&mut carrier, at, "zone", image(&second.1, 8, "older")), ["present"]);
+}
+
 #[test]
 fn it_tries_each_once_where_all_are_old_and_then_stays() {
     let mut carrier = carrier();
--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -99,7 +99,7 @@
             wanted.truncate(MOST_WANTED);
             self.effects.push_back(Effect::Send {
                 to: from,
-                body: Payload::UpstreamsRequest(UpstreamsRequest { marks: wanted }),
+                body: Payload::UpstreamsRequest(UpstreamsRequest { marks: wanted, life: 0 }),
             });
         }
     }
@@ -111,7 +111,7 @@
             self.effects.push_back(Effect::Send { to: from, body: Payload::Beats(Beats { upstreams }) });
         } else if self.is_settled(now) {
             let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
-            let told = UpstreamsReply { upstreams: self.roll.all(now), placement, placed_by };
+            let told = UpstreamsReply { upstreams: self.roll.all(now), placement, placed_by, life: ask.life };
             self.effects.push_back(Effect::Send { to: from, body: Payload::UpstreamsReply(told) });
         }
     }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -168,6 +168,8 @@
 
 pub(crate) struct BeatWait {
     pub token: u64,
+    /// Who was asked.
+    pub asked: String,
     pub until: Duration,
 }
 
@@ -185,6 +187,8 @@
 /// The core of one postmaster.
 pub struct ControlNode {
     pub(crate) me: Member,
+    /// Tells this life of the process from earlier ones of the same name.
+    life: u64,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
@@ -232,6 +236,7 @@
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
+        let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(quorum_register::Start {
@@ -248,6 +253,7 @@
             told: register.phase().clone(),
             members: vec![me.clone()],
             me,
+            life,
             times,
             reader,
             owners,
@@ -340,7 +346,8 @@
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
+                let life = self.life;
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest { life, ..Default::default() }));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -382,7 +389,7 @@
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
             Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
             Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
-            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::SharesReply(given) => self.shares_given(&from, given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
             Payload::KeyLoads(told) => self.count_keys(told.loads),
@@ -463,6 +470,10 @@
     }
 
     fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
+        // An answer to an earlier life's question may be from before that life's end.
+        if told.life != 0 && told.life != self.life {
+            return;
+        }
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -153,8 +153,8 @@
             return self.answer_beat(token, self.held_epoch, given);
         }
         let nonce = self.random.next_u64();
-        self.beat_waits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
         let to = self.placed_by.clone();
+        self.beat_waits.insert(nonce, BeatWait { token, asked: to.clone(), until: now + BEAT_PATIENCE });
         self.effects.push_back(Effect::Send { to, body: Payload::SharesRequest(SharesRequest { nonce, upstream }) });
     }
 
@@ -167,7 +167,10 @@
         self.effects.push_back(Effect::Send { to: from, body: Payload::SharesReply(given) });
     }
 
-    pub(crate) fn shares_given(&mut self, given: SharesReply) {
+    pub(crate) fn shares_given(&mut self, from: &str, given: SharesReply) {
+        if self.beat_waits.get(&given.nonce).is_none_or(|wait| wait.asked != from) {
+            return;
+        }
         let wait = self.beat_waits.remove(&given.nonce);
         let shares = Some(given.shares).filter(|_| given.span_ms > 0);
         wait.into_iter().for_each(|wait| self.answer_beat(wait.token, given.holder, shares.clone()));
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -39,7 +39,7 @@
         // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
         // asks with stream 0.
         if !known && self.readers.len() < MOST_READERS {
-            self.send_snapshot(now, &from);
+            self.send_snapshot(now, &from, ask.nonce);
         }
         if let Some(reader) = self.readers.get_mut(&from) {
             reader.asked_at = now;
@@ -54,7 +54,7 @@
         }
     }
 
-    fn send_snapshot(&mut self, now: Duration, to: &str) {
+    fn send_snapshot(&mut self, now: Duration, to: &str, asked: u64) {
         self.counts.images += 1;
         let stream = self.random.next_u64().max(1);
         let state = self.register.state().clone();
@@ -67,6 +67,7 @@
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
             keeps_upstreams: !whole,
+            asked,
         };
         let reader = Reader { stream, number: 0, asked_at: now, state, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
@@ -100,6 +101,7 @@
                 upstreams: changed.clone(),
                 placement: new_placement.map(|new| gazetteer::change(&reader.placement, new).unwrap_or(new.clone())),
                 keeps_upstreams: false,
+                asked: 0,
             };
             if news.state.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
--- a/crates/controller/tests/gossip.rs
+++ b/crates/controller/tests/gossip.rs
@@ -1,7 +1,7 @@
 //! What postmasters tell one another of upstreams, and how lost news is made good.
 
 use controller::{Ask, ControlNode, Effect, Event, Start};
-use protocol::{Alive, Heard, Member, Payload, Probe, Upstream};
+use protocol::{Alive, Heard, Member, Payload, Probe, Upstream, UpstreamsReply, UpstreamsRequest};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -138,3 +138,37 @@
         },
     );
 }
+
+/// Everything that it sends on an event.
+fn sent(control: &mut ControlNode, at: u64, event: Event) -> Vec<Payload> {
+    let effects = control.step(MS(at), event).into_iter();
+    let bodies = effects.filter_map(|effect| match effect {
+        Effect::Send { body, .. } => Some(body),
+        _ => None,
+    });
+    bodies.collect()
+}
+
+/// Two lives of a node ask alike; only what answers the present one's question counts.
+#[test]
+fn an_answer_to_an_earlier_lifes_question_settles_nothing() {
+    let mut control = control("a");
+    let asked = sent(&mut control, 1000, Event::Tick).into_iter().find_map(|body| match body {
+        Payload::UpstreamsRequest(ask) if ask.marks.is_empty() => Some(ask.life),
+        _ => None,
+    });
+    let life = asked.expect("it asks the others");
+    let settled = |control: &mut ControlNode| {
+        let ask = Payload::UpstreamsRequest(UpstreamsRequest { life: 9, ..UpstreamsRequest::default() });
+        let told = sent(control, 1100, Event::Received { from: "b".into(), body: ask });
+        told.iter().any(|body| matches!(body, Payload::UpstreamsReply(told) if told.life == 9))
+    };
+    let answer = |life: u64| Event::Received {
+        from: "b".into(),
+        body: Payload::UpstreamsReply(UpstreamsReply { upstreams: vec![unit(1, 0)], life, ..Default::default() }),
+    };
+    sent(&mut control, 1050, answer(life ^ 1));
+    assert!(!settled(&mut control), "of another life");
+    sent(&mut control, 1060, answer(life));
+    assert!(settled(&mut control));
+}
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -476,6 +476,9 @@
 pub struct UpstreamsRequest {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
+    /// Drawn anew at each start of the asker, where it asks for all.
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
 }
 
 /// All of it, with the last placement.
@@ -487,6 +490,9 @@
     pub placement: Placement,
     #[prost(string, tag = "3")]
     pub placed_by: String,
+    /// The life of the asker, as it said; 0 where the sender is of an older version.
+    #[prost(uint64, tag = "4")]
+    pub life: u64,
 }
 
 /// Who holds the placement duty from now on.
@@ -624,6 +630,9 @@
     /// In an image: its sender does not know all upstreams yet, and what is known besides stays.
     #[prost(bool, tag = "7")]
     pub keeps_upstreams: bool,
+    /// In an image: the nonce of the question that it answers; 0 where the sender is of an older version.
+    #[prost(uint64, tag = "8")]
+    pub asked: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
