--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -1,5 +1,6 @@
 //! What is broken in a run, when, and how it heals.
 
+use super::connections::Manners;
 use super::world::LOAD_FROM;
 use address::Random;
 use std::time::Duration;
@@ -117,6 +118,10 @@
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// Proxies keep connections, and upstreams behave like this on them.
+    Connections(Manners),
+    /// Proxies keep connections, and some upstreams vanish while others take their addresses.
+    ReuseKept(Vec<usize>),
 }
 
 /// How long a rolling restart gives each machine.
@@ -134,6 +139,8 @@
 
 /// How long a storm of hundreds of orders may take.
 const STORM_TAKES: Duration = Duration::from_secs(25);
+/// How long after each other addresses change hands.
+pub(super) const REUSE_EVERY: Duration = Duration::from_millis(700);
 
 type Drawer = fn(&mut Random) -> Fault;
 
@@ -203,6 +210,11 @@
     ("equal-numbers", |_| Fault::EqualNumbers(8)),
     ("late-evacuation", |d| Fault::LateEvacuation(d.below(6) as usize)),
     ("frozen-evacuation", |d| Fault::FrozenEvacuation(d.below(6) as usize)),
+    ("kept-connections", |_| Fault::Connections(Manners::default())),
+    ("surplus-answers", |_| Fault::Connections(Manners { surplus_per_mille: 300, ..Manners::default() })),
+    ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
+    ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
+    ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
 ];
 
 /// Five of six places, one machine after the other.
