--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod core;
 mod dialect;
+mod node;
+mod pending_loads;
 mod relay;
 mod serve;
 pub mod shell;
@@ -10,5 +12,6 @@
 
 pub use core::{Carrier, Effect, Event, Phase, Start, Times};
 pub use dialect::{Call, Dialect, Door, Page};
+pub use node::{Node, NodeTerms};
 pub use serve::{judge, service_headers};
 pub use traces::Traces;
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -18,6 +18,7 @@
 
 /// No page of one node, but of all.
 const SITE: &str = "site";
+const VOTERS: &str = "voters";
 
 const HELP: &str = "clerk drives any mothspindle node.
 
@@ -27,6 +28,8 @@
   read                                              print the setup in force (its edition goes to stderr)
   evacuate LOCALITY [--id ID] [--wait]              take all work away from a locality (region/zone)
   take-back LOCALITY [--id ID] [--wait]             let work go there again
+  voters                                            who votes, and how far each is behind
+  voters add NODE | remove NODE | replace OLD NEW   change who votes; a node must follow already to be added
   site                                              the whole site at a glance, and what is wrong with it (then 1)
   status | node | upstreams | reservations | marks | counters | ready
   lookup NAME LOCALITY                              ask a directory node as an origin there would
@@ -36,10 +39,13 @@
   manifest FILE --services SETUP                    turn manifests in the manner of the Gateway API into a setup
 
   After a majority of the voters is lost for good (docs/operating.md), without a node:
-  survivor NODE FOLDER FILE                        write down what a survivor's data folder says
-  settle FILE TESTAMENT ... --lost NODE,...         settle the survivors; every voter is given or lost
+  survivor NODE FOLDER FILE                         write down what a survivor's data folder says
+  settle FILE SURVIVOR ... --lost NODE,...          settle the survivors; every voter is given or lost
   inherit FILE FOLDER                               leave what was settled in a blank data folder
 
+  An order that is sent again is done once: give the --id and the --since that the first sending printed. --since is
+  how many orders had been decided before it; without --id both are found out.
+
   --node may be given several times: the next is tried where one can't be reached.
   --help, --version
 
@@ -51,6 +57,7 @@
     words: Vec<String>,
     id: Option<String>,
     base: Option<String>,
+    since: Option<u64>,
     wait: bool,
     name: Option<String>,
     path: Option<String>,
@@ -63,10 +70,16 @@
     method: &'static str,
     path: String,
     body: Vec<u8>,
+    /// A new order, which tells how many were decided before it.
+    is_new_order: bool,
+}
+
+fn change_voters(change: &str) -> Call {
+    Call { method: "POST", path: format!("/voters?{change}"), body: Vec::new(), is_new_order: false }
 }
 
 fn get(path: impl Into<String>) -> Call {
-    Call { method: "GET", path: path.into(), body: Vec::new() }
+    Call { method: "GET", path: path.into(), body: Vec::new(), is_new_order: false }
 }
 
 #[tokio::main]
@@ -110,6 +123,11 @@
             }
             Long("id") => flags.id = Some(value(&mut parser)?),
             Long("base") => flags.base = Some(value(&mut parser)?),
+            Long("since") => {
+                let since = value(&mut parser)?;
+                let count = since.parse().map_err(|_| wrong(format!("--since '{since}': must be a count")))?;
+                flags.since = Some(count);
+            }
             Long("name") => flags.name = Some(value(&mut parser)?),
             Long("path") => flags.path = Some(value(&mut parser)?),
             Long("key") => flags.key = Some(value(&mut parser)?),
@@ -127,11 +145,14 @@
     let words: Vec<&str> = flags.words.iter().map(String::as_str).collect();
     let id = flags.id.clone().unwrap_or_else(|| format!("clerk-{:016x}", transport::chance()));
     let wait = if flags.wait { "&wait=force" } else { "" };
+    let since = flags.since.map(|since| format!("&since={since}")).unwrap_or_default();
+    let is_new_order = flags.id.is_none() && flags.since.is_none();
     let read = |file: &str| std::fs::read(file).map_err(|failure| (exit::USAGE, format!("{file}: {failure}")));
     let evacuate = |place: &str, back: &str| Call {
         method: "POST",
-        path: format!("/evacuations?id={id}&locality={place}{back}{wait}"),
+        path: format!("/evacuations?id={id}&locality={place}{back}{wait}{since}"),
         body: Vec::new(),
+        is_new_order,
     };
     let done = |told: Result<String, Report<rescue::Failure>>| {
         told.map(|text| (exit::FINE, text)).unwrap_or_else(|failed| (exit::FAILED, transport::causes(&failed)))
@@ -142,7 +163,7 @@
             let text = |file: &str| read(file).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
             return Err(turned(manifest::turn(&text(file)?, &text(services)?)));
         }
-        ["testament", node, folder, file] => return Err(done(rescue::survivor(node, folder, file))),
+        ["survivor" | "testament", node, folder, file] => return Err(done(rescue::survivor(node, folder, file))),
         ["settle", file, survivors @ ..] => return Err(done(rescue::settle(file, &flags.lost, survivors))),
         ["inherit", file, folder] => return Err(done(rescue::inherit(file, folder))),
         ["check", file] => {
@@ -154,7 +175,7 @@
         ["submit", file] => {
             let base = flags.base.as_ref().map(|base| format!("&base={base}")).unwrap_or_default();
             eprintln!("submission {id}");
-            Call { method: "PUT", path: format!("/setup?id={id}{base}{wait}"), body: read(file)? }
+            Call { method: "PUT", path: format!("/setup?id={id}{base}{wait}{since}"), body: read(file)?, is_new_order }
         }
         ["read"] => get("/setup"),
         ["evacuate", place] => evacuate(place, ""),
@@ -173,6 +194,10 @@
             get(format!("/trace?name={name}&path={path}&key={}", flags.key.as_deref().unwrap_or_default()))
         }
         ["site"] => get(SITE),
+        ["voters"] => get(VOTERS),
+        ["voters", "add", node] => change_voters(&format!("add={node}")),
+        ["voters", "remove", node] => change_voters(&format!("remove={node}")),
+        ["voters", "replace", old, new] => change_voters(&format!("remove={old}&add={new}")),
         [] => return Err((exit::USAGE, HELP.to_owned())),
         _ => return Err((exit::USAGE, format!("'{}' is no verb of mine; see --help", words.join(" ")))),
     };
@@ -200,7 +225,7 @@
     }
 }
 
-async fn drive(flags: &Flags, call: Call) -> i32 {
+async fn drive(flags: &Flags, mut call: Call) -> i32 {
     let caller = Caller::default();
     for node in &flags.nodes {
         if call.path == SITE {
@@ -210,6 +235,20 @@
             }
             continue;
         }
+        if call.path == VOTERS {
+            match site::voters(node).await {
+                Some(told) => return show_site(told),
+                None => eprintln!("clerk: {node} tells nothing of the voters"),
+            }
+            continue;
+        }
+        if call.is_new_order
+            && let Some(since) = decided_orders(&caller, node).await
+        {
+            eprintln!("since {since}");
+            call.path.push_str(&format!("&since={since}"));
+            call.is_new_order = false;
+        }
         let body = call.body.clone().into();
         match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
             Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
@@ -226,6 +265,12 @@
     UNREACHED
 }
 
+/// How many orders were decided so far, as a node knows it.
+async fn decided_orders(caller: &Caller, node: &str) -> Option<u64> {
+    let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
+    Sheet::read(&String::from_utf8_lossy(&status.body)).ok()?.count("decided")
+}
+
 /// The proxy that served a try is not known: every proxy that membership knows is asked.
 async fn ask_all_proxies(caller: &Caller, node: &str, path: &str) -> Option<Reply> {
     let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
@@ -254,7 +299,7 @@
         told.into_iter().for_each(|(path, text)| eprintln!("clerk: {path}: {text}"));
     });
     match code {
-        Some(Code::Fine) => exit::FINE,
+        Some(Code::Fine | Code::Overtaken) => exit::FINE,
         Some(Code::SetupUnknown) => UNKNOWN,
         _ => exit::FAILED,
     }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -11,7 +12,7 @@
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,17 +52,22 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
     },
+    /// Let one node vote, another not any more, or both at once.
+    ChangeVoters {
+        add: Option<String>,
+        remove: Option<String>,
+    },
     ReadSetup,
     Status,
     Upstreams,
@@ -119,6 +125,10 @@
         ticket: u64,
     },
     DiskFailed,
+    /// A write failed, and the disk tries it again until it is done.
+    DiskRetrying,
+    /// The write that failed is done.
+    DiskRecovered,
     /// The settings name other seeds.
     Seeds(Vec<String>),
     Close,
@@ -156,6 +166,8 @@
     Addresses(Vec<(String, String)>),
     /// Worth a line in the log.
     Note(String),
+    /// Worth an operator's look.
+    Alarm(String),
 }
 
 pub(crate) struct InForce {
@@ -173,6 +185,8 @@
 
 pub(crate) struct BeatWait {
     pub token: u64,
+    /// Who was asked.
+    pub asked: String,
     pub until: Duration,
 }
 
@@ -190,6 +204,8 @@
 /// The core of one postmaster.
 pub struct ControlNode {
     pub(crate) me: Member,
+    /// Tells this life of the process from earlier ones of the same name.
+    life: u64,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
@@ -211,6 +227,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
@@ -223,6 +240,10 @@
     pub(crate) roll_told: bool,
     pub(crate) held_epoch: u64,
     pub(crate) counts: Counts,
+    /// A write failed and is tried again: nothing new is promised or accepted here meanwhile.
+    pub(crate) disk_fails: bool,
+    /// The state accepted here names a setup whose bytes are not here.
+    lacks_setup: bool,
     /// True once it was told to end: whoever asks is sent elsewhere.
     pub(crate) closing: bool,
     pub(crate) voter_changes: VoterChanges,
@@ -238,6 +259,7 @@
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
+        let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(quorum_register::Start {
@@ -254,6 +276,7 @@
             told: register.phase().clone(),
             members: vec![me.clone()],
             me,
+            life,
             times,
             reader,
             owners,
@@ -269,6 +292,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             heard_here: BTreeMap::new(),
             batches: 0,
@@ -278,6 +302,8 @@
             roll_told: false,
             held_epoch: 0,
             counts: Counts::default(),
+            disk_fails: false,
+            lacks_setup: false,
             closing: false,
             voter_changes: VoterChanges::default(),
         }
@@ -308,6 +334,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -321,10 +348,13 @@
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
+            Event::DiskRetrying => self.disk_fails = true,
+            Event::DiskRecovered => self.disk_fails = false,
             Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
             Event::Close => self.close(now),
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
@@ -342,7 +372,8 @@
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
+                let life = self.life;
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest { life, ..Default::default() }));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -351,6 +382,21 @@
         self.tick_news(now);
         self.tick_waits(now);
         self.note_standing();
+        self.note_missing_setup();
+    }
+
+    /// Until its bytes are here this node can't answer with the state it holds: it asks the others for them.
+    fn note_missing_setup(&mut self) {
+        let lacks = self.register.lacks_accepted_setup();
+        if lacks != self.lacks_setup {
+            self.lacks_setup = lacks;
+            self.effects.push_back(match lacks {
+                true => Effect::Alarm(
+                    "the setup of the state on this disk is missing or damaged; the others are asked for it".into(),
+                ),
+                false => Effect::Note("repaired: the setup of the state on this disk is here again".into()),
+            });
+        }
     }
 
     fn note_standing(&mut self) {
@@ -386,7 +432,7 @@
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
             Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
             Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
-            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::SharesReply(given) => self.shares_given(&from, given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
             Payload::VoterLeaving(_) => self.voter_leaving(now, from),
@@ -475,6 +521,10 @@
     }
 
     fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
+        // An answer to an earlier life's question may be from before that life's end.
+        if told.life != 0 && told.life != self.life {
+            return;
+        }
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -39,7 +39,7 @@
         // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
         // asks with stream 0.
         if !known && self.readers.len() < MOST_READERS {
-            self.send_snapshot(now, &from);
+            self.send_snapshot(now, &from, ask.nonce);
         }
         if let Some(reader) = self.readers.get_mut(&from) {
             reader.asked_at = now;
@@ -54,10 +54,10 @@
         }
     }
 
-    fn send_snapshot(&mut self, now: Duration, to: &str) {
+    fn send_snapshot(&mut self, now: Duration, to: &str, asked: u64) {
         self.counts.images += 1;
         let stream = self.random.next_u64().max(1);
-        let state = self.register.state().clone();
+        let state = carrier_state(self.register.state());
         let (placement, edition, whole) = (self.bare_placement(now), 0, self.is_settled(now));
         let snapshot = ViewUpdate {
             stream,
@@ -67,6 +67,7 @@
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
             keeps_upstreams: !whole,
+            asked,
         };
         let reader = Reader { stream, number: 0, asked_at: now, state, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
@@ -86,10 +87,10 @@
         let current = &self.register.state().digest;
         let wanted = self.readers.values().any(|reader| reader.state.digest != *current);
         let squeezed = if wanted { self.register.squeezed_setup() } else { None };
-        let state = self.register.state();
+        let state = carrier_state(self.register.state());
         let placement = self.bare_placement(now);
         for (node, reader) in &mut self.readers {
-            let new_word = Some(state).filter(|state| **state != reader.state);
+            let new_word = Some(&state).filter(|state| **state != reader.state);
             let new_setup = new_word.filter(|state| state.digest != reader.state.digest).and(squeezed.as_ref());
             let new_placement = Some(&placement).filter(|placement| **placement != reader.placement);
             let news = ViewUpdate {
@@ -100,6 +101,7 @@
                 upstreams: changed.clone(),
                 placement: new_placement.map(|new| gazetteer::change(&reader.placement, new).unwrap_or(new.clone())),
                 keeps_upstreams: false,
+                asked: 0,
             };
             if news.state.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
@@ -153,6 +155,18 @@
     }
 }
 
+/// What carriers need of the state: what is remembered of orders stays with the voters.
+fn carrier_state(state: &ClusterState) -> ClusterState {
+    let ClusterState { edition, digest, evacuated, number, .. } = state;
+    ClusterState {
+        edition: *edition,
+        digest: digest.clone(),
+        evacuated: evacuated.clone(),
+        number: *number,
+        ..ClusterState::default()
+    }
+}
+
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
     Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), released: Vec::new(), ..upstream }
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -1,5 +1,6 @@
 //! What is broken in a run, when, and how it heals.
 
+use super::connections::Manners;
 use super::world::LOAD_FROM;
 use address::Random;
 use std::time::Duration;
@@ -97,11 +98,30 @@
     },
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
+    /// So many of a thousand answers to operators are lost; the same order is sent again, to another node.
+    LoseOrderAnswers(u64),
+    /// Orders and their answers come late, doubled and in any order.
+    ScrambleOrders,
+    /// So many orders of all kinds, up to eight under way at once.
+    OrderStorm(u32),
+    /// The same, and at the end the oldest are sent again.
+    OldOrders(u32),
+    /// Two operators offer different setups under one number at the same moment, to two nodes, so many times.
+    EqualNumbers(u32),
+    /// A zone is evacuated and taken back; the order to evacuate comes again before and after that, to other nodes.
+    LateEvacuation(usize),
+    /// An order without an id to evacuate a zone lies in a frozen node's sockets, while the zone is evacuated by another
+    /// node and taken back.
+    FrozenEvacuation(usize),
     /// A setup is accepted, and all postmasters end at that moment.
     RestartPostmasters,
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// Proxies keep connections, and upstreams behave like this on them.
+    Connections(Manners),
+    /// Proxies keep connections, and some upstreams vanish while others take their addresses.
+    ReuseKept(Vec<usize>),
 }
 
 /// How long a rolling restart gives each machine.
@@ -117,6 +137,11 @@
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
+/// How long a storm of hundreds of orders may take.
+const STORM_TAKES: Duration = Duration::from_secs(25);
+/// How long after each other addresses change hands.
+pub(super) const REUSE_EVERY: Duration = Duration::from_millis(700);
+
 type Drawer = fn(&mut Random) -> Fault;
 
 /// Every kind of fault, as a seed draws it.
@@ -178,6 +203,18 @@
     ("replace-voters", |d| drawn_replacements(d, false)),
     ("replace-planned", |d| drawn_replacements(d, true)),
     ("long-storm", |_| Fault::LongStorm(200)),
+    ("lost-acks", |d| Fault::LoseOrderAnswers(500 + d.below(400))),
+    ("late-orders", |_| Fault::ScrambleOrders),
+    ("order-storm", |_| Fault::OrderStorm(300)),
+    ("old-orders", |_| Fault::OldOrders(300)),
+    ("equal-numbers", |_| Fault::EqualNumbers(8)),
+    ("late-evacuation", |d| Fault::LateEvacuation(d.below(6) as usize)),
+    ("frozen-evacuation", |d| Fault::FrozenEvacuation(d.below(6) as usize)),
+    ("kept-connections", |_| Fault::Connections(Manners::default())),
+    ("surplus-answers", |_| Fault::Connections(Manners { surplus_per_mille: 300, ..Manners::default() })),
+    ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
+    ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
+    ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
 ];
 
 /// Five of six places, one machine after the other.
@@ -264,6 +301,7 @@
             Fault::ReplaceVoters { ref places, gap, .. } => at + gap * (places.len() as u32 + 1),
             Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
             _ => at + Duration::from_millis(1500 + random.below(9000)),
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -1,5 +1,6 @@
 //! The run itself: a queue of actions in virtual time.
 
+use super::connections::Connections;
 use super::faults::Plan;
 use super::net::{Net, Spoken};
 use super::nodes::{Node, NodeEvent};
@@ -37,12 +38,14 @@
     UnitConnect { trip: u64, send: u32, address: String, cut: bool },
     UnitCall { trip: u64, send: u32, cut: bool },
     UnitDone { trip: u64, send: u32, unit: usize, life: u64 },
+    Surplus { connection: u64, reply: super::path::Reply },
     OriginStart,
     OriginTry { work: u64 },
     OriginTold { work: u64, listing: Option<gazetteer::Listing>, asked_at: Duration },
     OriginAnswer { work: u64, try_number: u32, answer: super::path::Reply },
     Operator,
     OperatorAsk { submission: usize },
+    OperatorRepeat { submission: usize },
     OperatorAnswer { submission: usize, answer: controller::Answer },
     Fault { at: usize },
     Heal { at: usize },
@@ -113,6 +116,14 @@
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
     pub forgets_warm_up: bool,
+    /// Nodes read back what their own disk holds.
+    pub reads_alone: bool,
+    /// An order under a number that is taken is confirmed.
+    pub confirms_taken: bool,
+    /// Every sending of an order is taken for a new one.
+    pub redoes_orders: bool,
+    /// Proxies take whatever comes next on a kept connection for the answer.
+    pub takes_next: bool,
 }
 
 impl Default for Weakness {
@@ -137,6 +148,10 @@
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
+            reads_alone: false,
+            confirms_taken: false,
+            redoes_orders: false,
+            takes_next: false,
         }
     }
 }
@@ -184,6 +199,9 @@
     /// Who votes at the end, as the control nodes know it, and which of them are gone for good.
     pub voters: BTreeSet<String>,
     pub voters_gone: BTreeSet<String>,
+    /// How often a connection to an upstream was used again, and how many answers to other requests were read past.
+    pub reused: u64,
+    pub passed_over: u64,
     /// True where at the end every node had the same edition, and every carrier the same reservations and marks.
     pub agreed: bool,
     /// A digest over everything seen.
@@ -200,6 +218,7 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    pub(super) connections: Connections,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
     pub(super) weak: Weakness,
@@ -241,6 +260,7 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            connections: Connections::default(),
             restart_due: false,
             weak: Weakness::default(),
             nodes: Vec::new(),
@@ -351,6 +371,7 @@
             Action::UnitConnect { trip, send, address, cut } => self.unit_connect(trip, send, &address, cut),
             Action::UnitCall { trip, send, cut } => self.unit_call(trip, send, cut),
             Action::UnitDone { trip, send, unit, life } => self.unit_done(trip, send, unit, life),
+            Action::Surplus { connection, reply } => self.surplus(connection, reply),
             Action::OriginStart => {
                 if self.now < load_until {
                     self.after(Duration::from_micros(1_000_000 / self.shape.per_second), Action::OriginStart);
@@ -362,6 +383,7 @@
             Action::OriginAnswer { work, try_number, answer } => self.origin_answer(work, try_number, answer),
             Action::Operator => self.operate(),
             Action::OperatorAsk { submission } => self.ask_submission(submission),
+            Action::OperatorRepeat { submission } => self.send_order(submission),
             Action::OperatorAnswer { submission, answer } => self.operator_told(submission, answer),
             Action::Fault { at } => self.break_it(at),
             Action::Heal { at } => self.heal(at),
@@ -449,6 +471,8 @@
             lasted: self.now,
             voters,
             voters_gone,
+            reused: self.connections.reused,
+            passed_over: self.connections.passed_over,
             agreed,
             digest,
         }
--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -12,6 +12,6 @@
 mod replicas;
 mod voter;
 
-pub use change::{Change, Decision, apply, apply_to_voters};
+pub use change::{Change, Decision, OrderId, apply, apply_to_voters};
 pub use disaster_recovery::{Unsettled, settle};
 pub use register::{Effect, Event, Register, Start, Tally, Times, VoterPhase};
