--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod anonymous_orders;
 mod dialect;
+pub mod disk;
 mod gossip;
 mod keys;
 mod node;
@@ -9,6 +10,7 @@
 mod requests;
 pub mod shell;
 mod updates;
+mod voters;
 
 pub use dialect::{Dialect, Unread, beat_sheet};
 pub use node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -32,6 +32,7 @@
                     self.change(now, token, Change::Evacuate { id, locality, back, seen: None }, None);
                 }
             }
+            Ask::ChangeVoters { add, remove } => self.change_voters(now, token, add, remove),
             Ask::ReadSetup => {
                 if self.read_waits.len() < MOST_READ_WAITS {
                     self.read_waits.push(ReadWait { token, asked_at: now });
@@ -160,8 +161,8 @@
             return self.answer_beat(token, self.held_epoch, given);
         }
         let nonce = self.random.next_u64();
-        self.beat_waits.insert(nonce, BeatWait { token, until: now + BEAT_PATIENCE });
         let to = self.placed_by.clone();
+        self.beat_waits.insert(nonce, BeatWait { token, asked: to.clone(), until: now + BEAT_PATIENCE });
         self.effects.push_back(Effect::Send { to, body: Payload::SharesRequest(SharesRequest { nonce, upstream }) });
     }
 
@@ -174,7 +175,10 @@
         self.effects.push_back(Effect::Send { to: from, body: Payload::SharesReply(given) });
     }
 
-    pub(crate) fn shares_given(&mut self, given: SharesReply) {
+    pub(crate) fn shares_given(&mut self, from: &str, given: SharesReply) {
+        if self.beat_waits.get(&given.nonce).is_none_or(|wait| wait.asked != from) {
+            return;
+        }
         let wait = self.beat_waits.remove(&given.nonce);
         let shares = Some(given.shares).filter(|_| given.span_ms > 0);
         wait.into_iter().for_each(|wait| self.answer_beat(wait.token, given.holder, shares.clone()));
@@ -189,8 +193,9 @@
         let phase = match self.register.phase() {
             VoterPhase::Blank { .. } => "blank",
             VoterPhase::Bootstrapping { .. } => "founding",
-            VoterPhase::Recovering { .. } => "mending",
-            VoterPhase::Voting => "voting",
+            VoterPhase::Recovering(_) => "mending",
+            VoterPhase::Active if self.register.is_voter() => "voting",
+            VoterPhase::Active => "following",
             VoterPhase::Out => "out",
         };
         let members = self.members.iter().map(|member| {
@@ -210,13 +215,16 @@
         Sheet::fields([
             ("node", self.me.node.as_str().into()),
             ("standing", phase.into()),
+            ("disk", if self.disk_fails { "failing" } else { "works" }.into()),
+            ("setupMissing", self.register.lacks_accepted_setup().into()),
             ("edition", state.edition.into()),
             ("digest", state.digest.as_str().into()),
             ("decided", state.decided.into()),
             ("evacuated", state.evacuated.iter().map(|place| Sheet::from(place.as_str())).collect()),
             ("current", self.is_current(now).into()),
             ("ageMs", self.register.age(now).map(|age| (age.as_millis() as u64).into()).unwrap_or(Sheet::Null)),
-            ("roster", self.register.roster().iter().map(|voter| Sheet::from(voter.as_str())).collect()),
+            ("roster", self.register.voter_set().members().map(|voter| Sheet::from(voter.as_str())).collect()),
+            ("voters", self.show_voters(now)),
             ("placement", self.placed_by.as_str().into()),
             ("placementEpoch", self.held_epoch.into()),
             ("counts", self.show_counts()),
