--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -4,6 +4,7 @@
 mod core;
 mod dialect;
 mod node;
+mod pending_loads;
 mod relay;
 mod serve;
 pub mod shell;
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -82,8 +82,37 @@
     JumpPlacement(Duration),
     /// A part of the answers to beats with numeric keys takes up to 1.5 s longer.
     LateAnswers,
+    /// A setup every 120 ms, so many in all, while a disk is slow; then all postmasters are killed.
+    LongStorm(u32),
+    /// Machines of voters, one after the other in these places, are gone for good; an empty one comes for each 1 s
+    /// later, or 5 s earlier where it is planned. Meanwhile setups come.
+    ReplaceVoters {
+        places: Vec<usize>,
+        gap: Duration,
+        planned: bool,
+    },
+    /// The machine in this place is gone, and another is there or comes.
+    ReplaceOne {
+        place: usize,
+        planned: bool,
+    },
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
+    /// So many of a thousand answers to operators are lost; the same order is sent again, to another node.
+    LoseOrderAnswers(u64),
+    /// Orders and their answers come late, doubled and in any order.
+    ScrambleOrders,
+    /// So many orders of all kinds, up to eight under way at once.
+    OrderStorm(u32),
+    /// The same, and at the end the oldest are sent again.
+    OldOrders(u32),
+    /// Two operators offer different setups under one number at the same moment, to two nodes, so many times.
+    EqualNumbers(u32),
+    /// A zone is evacuated and taken back; the order to evacuate comes again before and after that, to other nodes.
+    LateEvacuation(usize),
+    /// An order without an id to evacuate a zone lies in a frozen node's sockets, while the zone is evacuated by another
+    /// node and taken back.
+    FrozenEvacuation(usize),
     /// A setup is accepted, and all postmasters end at that moment.
     RestartPostmasters,
     KillPostmasters,
@@ -97,12 +126,21 @@
 
 /// How long a rolling restart gives each machine.
 pub(super) const RESTART_EVERY: Duration = Duration::from_millis(4500);
+/// Between two setups of a long storm.
+pub(super) const STORM_GAP: Duration = Duration::from_millis(120);
+/// From a long storm's last setup until all postmasters are killed: everything is decided by then.
+pub(super) const STORM_SETTLES: Duration = Duration::from_secs(4);
+/// How much later than the loss the machine comes that takes its place, and how much earlier where it is planned.
+pub(super) const SUCCESSOR_LATER: Duration = Duration::from_secs(1);
+pub(super) const SUCCESSOR_EARLIER: Duration = Duration::from_millis(2500);
 /// How long each zone is evacuated while names are moved about.
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
 /// How long after each other addresses change hands.
 pub(super) const REUSE_EVERY: Duration = Duration::from_millis(700);
+/// How long a storm of hundreds of orders may take.
+const STORM_TAKES: Duration = Duration::from_secs(25);
 
 type Drawer = fn(&mut Random) -> Fault;
 
@@ -167,8 +205,25 @@
     ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
     ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
     ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
+    ("replace-voters", |d| drawn_replacements(d, false)),
+    ("replace-planned", |d| drawn_replacements(d, true)),
+    ("long-storm", |_| Fault::LongStorm(200)),
+    ("lost-acks", |d| Fault::LoseOrderAnswers(500 + d.below(400))),
+    ("late-orders", |_| Fault::ScrambleOrders),
+    ("order-storm", |_| Fault::OrderStorm(300)),
+    ("old-orders", |_| Fault::OldOrders(300)),
+    ("equal-numbers", |_| Fault::EqualNumbers(8)),
+    ("late-evacuation", |d| Fault::LateEvacuation(d.below(6) as usize)),
+    ("frozen-evacuation", |d| Fault::FrozenEvacuation(d.below(6) as usize)),
 ];
 
+/// Five of six places, one machine after the other.
+fn drawn_replacements(random: &mut Random, planned: bool) -> Fault {
+    let first = random.below(6) as usize;
+    let places = (0..5).map(|at| (first + at) % 6).collect();
+    Fault::ReplaceVoters { places, gap: Duration::from_millis(5000 + random.below(3000)), planned }
+}
+
 /// Every kind by name.
 ///
 /// ```
@@ -243,7 +298,10 @@
         };
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
+            Fault::ReplaceVoters { ref places, gap, .. } => at + gap * (places.len() as u32 + 1),
+            Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
             _ => at + Duration::from_millis(1500 + random.below(9000)),
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -9,6 +9,7 @@
 mod net;
 mod nodes;
 mod operators;
+mod order_faults;
 mod path;
 mod ranged;
 mod units;
