--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -116,14 +116,14 @@
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
     pub forgets_warm_up: bool,
+    /// Proxies take whatever comes next on a kept connection for the answer.
+    pub takes_next: bool,
     /// Nodes read back what their own disk holds.
     pub reads_alone: bool,
     /// An order under a number that is taken is confirmed.
     pub confirms_taken: bool,
     /// Every sending of an order is taken for a new one.
     pub redoes_orders: bool,
-    /// Proxies take whatever comes next on a kept connection for the answer.
-    pub takes_next: bool,
 }
 
 impl Default for Weakness {
