--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,5 +1,6 @@
 //! Proof: rule checkers, stand-in back ends and origins, a simulator and a local fleet of real processes.
 
+pub mod changes;
 pub mod facts;
 pub mod fleet;
 pub mod hollow;
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -22,6 +22,10 @@
 
        drill measure     what the path costs: latency, news, messages
 
+       drill changes [--count N] [--routes R]
+                         what N changes (default 10000) of a setup with R routes (default 400) leave on a disk, and how
+                         a node comes back over a slow link
+
        drill overload    a site asked for more than its upstreams can bear, simulated
 
        drill hollow      hollow nodes by the hundred: what they say and cost; has a --help of its own
@@ -58,6 +62,10 @@
             },
             |()| 0,
         ),
+        Ok(Some(Wish::Changes(trial))) => {
+            drill::changes::measure(trial);
+            0
+        }
         Ok(Some(Wish::Overload)) => {
             overload::all();
             0
@@ -76,6 +84,7 @@
     Sim(seeds::Sim),
     Measure,
     Overload,
+    Changes(drill::changes::Trial),
 }
 
 fn read_flags() -> Result<Option<Wish>, String> {
@@ -88,6 +97,9 @@
         keep: None,
         untimed: false,
     };
+    let folder = Some(std::env::temp_dir().join(format!("drill-changes-{}", std::process::id())));
+    let gap = Duration::from_millis(120);
+    let mut trial = drill::changes::Trial { nodes: 3, routes: 400, changes: 10_000, gap, folder };
     let mut verb = None;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().map_err(|failure| failure.to_string())? {
@@ -117,6 +129,8 @@
                 let ends = value.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
                 (sim.from, sim.until) = ends.ok_or(format!("--seeds '{value}': FROM..UNTIL"))?;
             }
+            "count" => trial.changes = number()?.max(10) as usize,
+            "routes" => trial.routes = number()?.min(4000) as usize,
             "show" => sim.show = Some(value),
             "plan" if verb.as_deref() == Some("sim") => sim.plan = Some(value),
             "shape" => {
@@ -135,6 +149,7 @@
         }
     }
     match verb.as_deref() {
+        Some("changes") => Ok(Some(Wish::Changes(trial))),
         Some("overload") => Ok(Some(Wish::Overload)),
         Some("measure") => Ok(Some(Wish::Measure)),
         Some("fleet") => Ok(Some(Wish::Fleet(run))),
