The simulator's disks refuse writes, or stall, one after the other under a storm

Of six disks two at once at most take nothing for 2.5 s while 100 setups come, then all control nodes are killed and started.

--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -1,7 +1,8 @@
 //! How faults come about, and how they heal.
 
 use super::faults::{
-    Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, STORM_GAP, STORM_SETTLES, SUCCESSOR_EARLIER, SUCCESSOR_LATER, Step,
+    DISK_BROKEN_FOR, DISK_EVERY, Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, STORM_GAP, STORM_SETTLES,
+    SUCCESSOR_EARLIER, SUCCESSOR_LATER, Step,
 };
 use super::net::Cut;
 use super::nodes::{Disk, Node};
@@ -154,6 +155,9 @@
             }),
             Fault::HotKey => self.hot_key = true,
             Fault::LongStorm(count) => self.storm_on(count),
+            Fault::RefuseDisk(machine) => self.set_disk(machine, |disk| disk.refuses = true),
+            Fault::DisksFullInTurn(count) => self.break_disks_in_turn(count, Fault::RefuseDisk),
+            Fault::DisksStallInTurn(count) => self.break_disks_in_turn(count, Fault::HangDisk),
             Fault::ReplaceVoters { places, gap, planned } => places.iter().enumerate().for_each(|(order, place)| {
                 let from = self.now + gap * order as u32;
                 let step = Fault::ReplaceOne { place: *place, planned };
@@ -243,6 +247,7 @@
             }
             Fault::SlowDisk(machine) => self.set_disk(machine, |disk| disk.slowed = Duration::ZERO),
             Fault::HangDisk(machine) => self.set_disk(machine, |disk| disk.hung = false),
+            Fault::RefuseDisk(machine) => self.set_disk(machine, |disk| disk.refuses = false),
             Fault::CutMachine(_) | Fault::Mute(_) | Fault::Deaf(_) | Fault::CutZone(_) | Fault::CutRegion(_) => {
                 self.net.cuts.clear()
             }
@@ -286,6 +291,8 @@
             | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::LongStorm(_)
+            | Fault::DisksFullInTurn(_)
+            | Fault::DisksStallInTurn(_)
             | Fault::ReplaceVoters { .. }
             | Fault::OperatorRace
             | Fault::JumpClock(..)
@@ -396,6 +403,15 @@
         }
     }
 
+    /// One disk after the other breaks and heals, two at once at most, while setups come; then all control nodes restart.
+    fn break_disks_in_turn(&mut self, setups: u32, fault: fn(usize) -> Fault) {
+        (0..self.shape.disks).for_each(|machine| {
+            let from = self.now + DISK_EVERY * machine as u32;
+            self.push_step(from, from + DISK_BROKEN_FOR, fault(machine));
+        });
+        self.storm_on(setups);
+    }
+
     fn set_disk(&mut self, machine: usize, change: impl Fn(&mut super::nodes::Disk)) {
         self.on_machine(machine).into_iter().for_each(|node| change(&mut self.nodes[node].disk));
     }
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -95,6 +95,13 @@
         place: usize,
         planned: bool,
     },
+    /// Takes no more writes, and tries each again until it does.
+    RefuseDisk(usize),
+    /// In a storm of so many setups, one disk after the other takes no more writes for a while; then all postmasters are
+    /// killed.
+    DisksFullInTurn(u32),
+    /// The same with disks that answer nothing for a while.
+    DisksStallInTurn(u32),
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
     /// A setup is accepted, and all postmasters end at that moment.
@@ -115,6 +122,9 @@
 pub(super) const SUCCESSOR_EARLIER: Duration = Duration::from_millis(2500);
 /// How long each zone is evacuated while names are moved about.
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
+/// Where disks break in turn: how long after one the next does, and for how long each.
+pub(super) const DISK_EVERY: Duration = Duration::from_millis(1500);
+pub(super) const DISK_BROKEN_FOR: Duration = Duration::from_millis(2500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
 type Drawer = fn(&mut Random) -> Fault;
@@ -178,6 +188,9 @@
     ("replace-voters", |d| drawn_replacements(d, false)),
     ("replace-planned", |d| drawn_replacements(d, true)),
     ("long-storm", |_| Fault::LongStorm(200)),
+    ("refuse-disk", |d| Fault::RefuseDisk(d.below(6) as usize)),
+    ("disks-full-in-turn", |_| Fault::DisksFullInTurn(100)),
+    ("disks-stall-in-turn", |_| Fault::DisksStallInTurn(100)),
 ];
 
 /// Five of six places, one machine after the other.
@@ -262,7 +275,9 @@
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
             Fault::ReplaceVoters { ref places, gap, .. } => at + gap * (places.len() as u32 + 1),
-            Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
+            Fault::LongStorm(count) | Fault::DisksFullInTurn(count) | Fault::DisksStallInTurn(count) => {
+                at + STORM_GAP * (count + 1) + STORM_SETTLES
+            }
             Fault::MoveNames => at + MOVE_EVERY * 6,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -4,6 +4,7 @@
 use crate::shapes::Shape;
 
 mod breaking;
+mod disks;
 mod faults;
 mod net;
 mod nodes;
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -52,6 +52,10 @@
     /// How much longer a sync takes than it should.
     pub slowed: Duration,
     pub broken: bool,
+    /// It takes no writes; each is tried again until it is done.
+    pub refuses: bool,
+    /// The core was told that a write is tried again.
+    pub retrying: bool,
     /// A sync that was begun does not end.
     pub hung: bool,
     /// The power is lost at the write that many from now: before it is synced, or right after.
@@ -418,7 +422,7 @@
         }
     }
 
-    fn run_control(&mut self, at: usize, effects: Vec<controller::Effect>) {
+    pub(super) fn run_control(&mut self, at: usize, effects: Vec<controller::Effect>) {
         effects.into_iter().for_each(|effect| match effect {
             controller::Effect::Send { to, body } => self.send(at, &to, body),
             controller::Effect::Datagram { address, body } => self.datagram(at, &address, body),
@@ -453,6 +457,11 @@
         if node.disk.hung {
             return self.after(Duration::from_millis(100), Action::Disk { node: at, life });
         }
+        if node.disk.refuses && !node.disk.waiting.is_empty() {
+            return self.refuse_write(at);
+        }
+        self.end_retries(at);
+        let node = &mut self.nodes[at];
         let Some(write) = node.disk.waiting.pop_front() else { return };
         let powerless = node.disk.power_at.take_if(|(left, _)| *left == 0);
         node.disk.power_at = node.disk.power_at.map(|(left, synced)| (left - 1, synced));
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -82,6 +82,8 @@
     pub lifetime: Duration,
     /// Disks tell that they synced, and lose it in a power cut.
     pub disks_lie: bool,
+    /// A disk's first failure ends its voter's part until its process is started again.
+    pub gives_disks_up: bool,
     /// Disks thin out setups by the times of their files, on a clock that jumped back: the newest go first, whatever refers
     /// to them.
     pub drops_newest: bool,
@@ -122,6 +124,7 @@
             stale_after: span,
             lifetime: span,
             disks_lie: false,
+            gives_disks_up: false,
             drops_newest: false,
             keeps_voters: false,
             trusting: false,
