--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -11,7 +12,7 @@
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,17 +52,22 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
     },
+    /// Let one node vote, another not any more, or both at once.
+    ChangeVoters {
+        add: Option<String>,
+        remove: Option<String>,
+    },
     ReadSetup,
     Status,
     Upstreams,
@@ -179,6 +185,8 @@
 
 pub(crate) struct BeatWait {
     pub token: u64,
+    /// Who was asked.
+    pub asked: String,
     pub until: Duration,
 }
 
@@ -196,6 +204,8 @@
 /// The core of one postmaster.
 pub struct ControlNode {
     pub(crate) me: Member,
+    /// Tells this life of the process from earlier ones of the same name.
+    life: u64,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
@@ -217,6 +227,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
@@ -248,6 +259,7 @@
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
+        let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(quorum_register::Start {
@@ -264,6 +276,7 @@
             told: register.phase().clone(),
             members: vec![me.clone()],
             me,
+            life,
             times,
             reader,
             owners,
@@ -279,6 +292,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             heard_here: BTreeMap::new(),
             batches: 0,
@@ -320,6 +334,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -339,6 +354,7 @@
             Event::Close => self.close(now),
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
@@ -356,7 +372,8 @@
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
+                let life = self.life;
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest { life, ..Default::default() }));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -415,7 +432,7 @@
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
             Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
             Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
-            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::SharesReply(given) => self.shares_given(&from, given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
             Payload::VoterLeaving(_) => self.voter_leaving(now, from),
@@ -504,6 +521,10 @@
     }
 
     fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
+        // An answer to an earlier life's question may be from before that life's end.
+        if told.life != 0 && told.life != self.life {
+            return;
+        }
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
--- a/crates/controller/tests/disk.rs
+++ b/crates/controller/tests/disk.rs
@@ -224,7 +224,7 @@
     fn submit(&mut self, number: u64) {
         let (digest, bytes) = setup(number);
         self.token += 1;
-        let change = Change::Setup { id: format!("{number}"), base: None, number: None, digest };
+        let change = Change::Setup { id: format!("{number}").into(), base: None, number: None, digest };
         self.step(Event::Ask { token: self.token, change, bytes: Some(bytes) });
     }
 }
--- a/crates/drill/src/changes.rs
+++ b/crates/drill/src/changes.rs
@@ -263,7 +263,8 @@
             let digest = protocol::digest(&bytes);
             let up: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].up).collect();
             let node = up[1 % up.len()];
-            let change = Change::Setup { id: format!("change-{:012}", self.asked), base: None, number: None, digest };
+            let change =
+                Change::Setup { id: format!("change-{:012}", self.asked).into(), base: None, number: None, digest };
             self.step(node, Event::Ask { token: self.asked as u64, change, bytes: Some(bytes) });
             self.run_until(self.now + self.trial.gap);
         }
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -4,11 +4,13 @@
 use crate::shapes::Shape;
 
 mod breaking;
+mod connections;
 mod disks;
 mod faults;
 mod net;
 mod nodes;
 mod operators;
+mod order_faults;
 mod path;
 mod ranged;
 mod units;
