--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -5,6 +5,7 @@
 
 mod breaking;
 mod connections;
+mod disks;
 mod faults;
 mod net;
 mod nodes;
