--- a/crates/address/src/code.rs
+++ b/crates/address/src/code.rs
@@ -94,6 +94,7 @@
     ResendsSpent = 1206, 503, NotRun, "A first try failed unsent and no resend is allowed now.";
     NotMine = 1207, 421, NotRun, "The name lives elsewhere and the request was forwarded once already.";
     NoHolder = 1208, 503, NotRun, "No upstream holds the key at present.";
+    Elsewhere = 1209, 307, NotRun, "This node is out of contact with a majority; 'location' names one that is in contact.";
     Lost = 1301, 502, Unknown, "The upstream was sent the request and its verdict was lost.";
     Garbage = 1302, 502, Unknown, "The upstream's verdict was partial, unsealed or foreign.";
     TimedOut = 1303, 504, Unknown, "The upstream did not answer in time.";
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -32,7 +32,7 @@
                         });
                     });
                     // A postmaster that is cut off, blank or closing surely did nothing: ask another.
-                    if !matches!(code, Code::Stale | Code::Closing) {
+                    if !matches!(code, Code::Stale | Code::Closing | Code::Elsewhere) {
                         return response;
                     }
                     last = Some(response);
--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -14,6 +14,8 @@
 const UNKNOWN: i32 = 4;
 /// No node could be reached.
 const UNREACHED: i32 = 3;
+/// How often a call is sent on to another node.
+const MOST_REDIRECTS: usize = 2;
 const WITHIN: Duration = Duration::from_secs(10);
 
 /// No page of one node, but of all.
@@ -210,8 +212,7 @@
             }
             continue;
         }
-        let body = call.body.clone().into();
-        match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
+        match follow(&caller, node, &call).await {
             Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
                 return show(&ask_all_proxies(&caller, node, &call.path).await.unwrap_or(reply));
             }
@@ -226,6 +227,21 @@
     UNREACHED
 }
 
+/// Calls a node, and where it sends the caller on, the one that it names.
+async fn follow(caller: &Caller, node: &str, call: &Call) -> Result<Reply, Called> {
+    let (mut node, mut path) = (node.to_owned(), call.path.clone());
+    for _ in 0..MOST_REDIRECTS {
+        let body = call.body.clone().into();
+        let reply = caller.call(&node, call.method, &path, &[], body, WITHIN, false).await?;
+        let location = reply.header("location").strip_prefix("http://").and_then(|at| at.split_once('/'));
+        match location.filter(|_| reply.status == Code::Elsewhere.status()) {
+            Some((address, target)) => (node, path) = (address.to_owned(), format!("/{target}")),
+            None => return Ok(reply),
+        }
+    }
+    caller.call(&node, call.method, &path, &[], call.body.clone().into(), WITHIN, false).await
+}
+
 /// The proxy that served a try is not known: every proxy that membership knows is asked.
 async fn ask_all_proxies(caller: &Caller, node: &str, path: &str) -> Option<Reply> {
     let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
--- /dev/null
+++ b/crates/controller/src/contact.rs
@@ -0,0 +1,117 @@
+//! Whether this node is in contact with a majority of the voters, and where callers are sent while it is not.
+
+use crate::node::{Answer, Ask, ControlNode, Effect};
+use address::{Code, majority};
+use protocol::Payload;
+use quorum_register::VoterPhase;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// A confirmation that was lost on its way and one that is slow are no loss of contact.
+const LOST_CONFIRMATIONS: u32 = 2;
+/// What a confirmation may take beside the pause between two.
+const CONFIRMATION_TAKES: Duration = Duration::from_millis(200);
+
+/// What is known of the contact of others, and which orders wait for a decision here.
+#[derive(Default)]
+pub(crate) struct Contact {
+    /// The node that was last heard to hold the placement lease, which a majority grants, and when.
+    holder: Option<(String, Duration)>,
+    /// When each voter last answered a question of this node.
+    answered: BTreeMap<String, Duration>,
+    /// Tokens of the orders that the register decides.
+    orders: BTreeSet<u64>,
+}
+
+impl ControlNode {
+    /// How long after the last confirmation this node still counts as in contact with a majority. No confirmation of
+    /// what was asked meanwhile: an order, a reading or a leaving is acknowledged by a majority of its own.
+    fn contact_span(&self) -> Duration {
+        self.times.register.confirm_every * LOST_CONFIRMATIONS + CONFIRMATION_TAKES
+    }
+
+    /// True while a majority answered a question of this node that it asked a moment ago.
+    pub(crate) fn is_in_contact(&self, now: Duration) -> bool {
+        self.register.age(now).is_some_and(|age| age < self.contact_span())
+    }
+
+    /// True where the answer would vouch for something, so that it needs contact with a majority.
+    pub(crate) fn needs_contact(ask: &Ask) -> bool {
+        !matches!(ask, Ask::Status)
+    }
+
+    /// The answer of a node that may not vouch for anything: nothing was done, and another node may be asked.
+    pub(crate) fn refuse(&mut self, now: Duration, token: u64, code: Code) {
+        let edition = self.register.state().edition;
+        let answer = match self.address_in_contact(now) {
+            Some(to) => Answer::Redirect { to },
+            None => Answer::Verdict { code, edition },
+        };
+        self.answer(token, answer);
+    }
+
+    /// Notes that a voter answered a question of this node.
+    pub(crate) fn note_answered(&mut self, now: Duration, from: &str) {
+        if self.register.roster().iter().any(|voter| voter == from) {
+            self.contact.answered.insert(from.to_owned(), now);
+        }
+    }
+
+    /// True while this voter may begin a round: enough others answer it. One that speaks but hears nobody would get
+    /// promises that it never learns of, and every one of them ends the round of a voter that could finish its own.
+    pub(crate) fn may_begin_rounds(&self, now: Duration) -> bool {
+        let roster = self.register.roster();
+        let answers = |voter: &&String| {
+            let answered_at = self.contact.answered.get(*voter);
+            **voter == self.me.node || answered_at.is_some_and(|at| now < *at + self.contact_span())
+        };
+        *self.register.phase() != VoterPhase::Voting || roster.iter().filter(answers).count() >= majority(roster.len())
+    }
+
+    /// Notes who is heard to hold the placement lease: renewing it, or telling a placement under it.
+    pub(crate) fn note_holder(&mut self, now: Duration, from: &str, body: &Payload) {
+        let holds = match body {
+            Payload::LeaseRequest(request) => request.renewal,
+            Payload::Holder(holder) => holder.epoch >= self.held_epoch,
+            Payload::Placement(placement) => placement.epoch >= self.held_epoch && from == self.placed_by,
+            _ => false,
+        };
+        if holds {
+            self.contact.holder = Some((from.to_owned(), now));
+        }
+    }
+
+    /// Where another node that was lately in contact answers callers.
+    pub(crate) fn address_in_contact(&self, now: Duration) -> Option<String> {
+        let (node, heard_at) = self.contact.holder.as_ref()?;
+        if *node == self.me.node || now >= *heard_at + self.contact_span() {
+            return None;
+        }
+        let member = self.members.iter().find(|member| member.node == *node);
+        member.map(|member| member.http_address.clone()).filter(|address| !address.is_empty())
+    }
+
+    /// Notes that an order waits for the register's decision.
+    pub(crate) fn open_order(&mut self, token: u64) {
+        self.contact.orders.insert(token);
+    }
+
+    /// True where the caller of an order still waits to hear of it.
+    pub(crate) fn close_order(&mut self, token: u64) -> bool {
+        self.contact.orders.remove(&token)
+    }
+
+    /// Contact was lost while orders were under way: their callers hear that nobody can tell, and ask another node.
+    pub(crate) fn tick_contact(&mut self, now: Duration) {
+        if self.contact.orders.is_empty() || self.is_in_contact(now) {
+            return;
+        }
+        let edition = self.register.state().edition;
+        let waiting = std::mem::take(&mut self.contact.orders);
+        self.waiting_force.retain(|wait| !waiting.contains(&wait.token));
+        waiting.into_iter().for_each(|token| {
+            let answer = Answer::Verdict { code: Code::SetupUnknown, edition };
+            self.effects.push_back(Effect::Answer { token, answer });
+        });
+    }
+}
--- /dev/null
+++ b/crates/controller/src/departures.rs
@@ -0,0 +1,201 @@
+//! Upstreams that leave or are gone: acknowledged once a majority of the voters knows.
+//!
+//! Every node that is confirmed by a majority asks it for the departures that it lacks along with the confirmation. Two
+//! majorities share a voter; so whoever is confirmed by a question asked after the acknowledgement knows of it, and so
+//! do the carriers that follow it.
+
+use crate::node::{BATCH_EVERY, ControlNode, Effect};
+use address::{Code, majority, spread_all};
+use enrolment::{GONE, READY};
+use protocol::{Beats, BeatsAck, Departure, DeparturesRead, DeparturesReadBack, Payload, Read, ReadBack, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long an acknowledgement may take: within the second that callers wait for one.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// How often the nodes that did not answer are told again.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+/// Most departures that wait for their acknowledgement.
+const MOST_WAITING: usize = 4096;
+/// How long it is remembered that a majority knows, and of how many at most.
+const REMEMBERED: Duration = Duration::from_secs(60);
+const MOST_REMEMBERED: usize = 20_000;
+
+/// A departure whose caller waits until a majority knows.
+struct Wait {
+    token: u64,
+    upstream: Upstream,
+    taken_by: BTreeSet<String>,
+    until: Duration,
+    next_tell: Duration,
+}
+
+/// Departures on their way to a majority, and those that it knows.
+#[derive(Default)]
+pub(crate) struct Departures {
+    waiting: BTreeMap<u64, Wait>,
+    /// Condition, and when a majority was found to know, by service and instance.
+    known: BTreeMap<(String, String), (u32, Duration)>,
+    /// The digest that came with the question being answered.
+    asked_with: u64,
+}
+
+/// Stands for a set of departures, in whatever order.
+fn digest(departures: &[Departure]) -> u64 {
+    let one = |departure: &Departure| {
+        let condition = departure.condition.to_string();
+        spread_all([departure.service.as_str(), "/", &departure.instance, "/", &condition])
+    };
+    departures.iter().fold(0, |digest, departure| digest ^ one(departure))
+}
+
+impl ControlNode {
+    /// True where the caller has to wait until a majority knows of it.
+    pub(crate) fn is_unknown_departure(&self, upstream: &Upstream) -> bool {
+        let id = (upstream.service.clone(), upstream.instance.clone());
+        let known = self.departures.known.get(&id).is_some_and(|(condition, _)| *condition >= upstream.condition);
+        upstream.condition != READY && !known
+    }
+
+    /// Tells every control node of a departure, and the caller once a majority of the voters knows.
+    pub(crate) fn tell_departure(&mut self, now: Duration, token: u64, upstream: Upstream) {
+        if self.departures.waiting.len() >= MOST_WAITING {
+            return self.refuse(now, token, Code::Stale);
+        }
+        let nonce = self.random.next_u64().max(1);
+        let taken_by = BTreeSet::from([self.me.node.clone()]);
+        let wait = Wait { token, upstream, taken_by, until: now + PATIENCE, next_tell: now };
+        self.departures.waiting.insert(nonce, wait);
+        self.tell_waiting(now, nonce);
+        self.settle_departure(now, nonce);
+    }
+
+    /// Tells those that did not answer yet.
+    fn tell_waiting(&mut self, now: Duration, nonce: u64) {
+        let Some(wait) = self.departures.waiting.get_mut(&nonce) else { return };
+        wait.next_tell = now + TELL_EVERY;
+        let upstream = Upstream { holds: Vec::new(), released: Vec::new(), ..wait.upstream.clone() };
+        let body = Payload::Beats(Beats { upstreams: vec![upstream], nonce });
+        let voters = self.register.roster().iter();
+        let members = self.members.iter().filter(|member| member.roles == "postmaster").map(|member| &member.node);
+        let all: BTreeSet<&String> = voters.chain(members).collect();
+        let others = all.into_iter().filter(|node| !wait.taken_by.contains(*node));
+        let sends = others.map(|node| Effect::Send { to: node.clone(), body: body.clone() });
+        self.effects.extend(sends.collect::<Vec<_>>());
+    }
+
+    /// Takes in beats that another control node tells of.
+    pub(crate) fn beats_told(&mut self, now: Duration, from: String, beats: Beats) {
+        let kept = beats.upstreams.into_iter().fold(true, |kept, upstream| self.take_told(now, upstream) && kept);
+        if kept && beats.nonce != 0 {
+            let body = Payload::BeatsAck(BeatsAck { nonce: beats.nonce });
+            self.effects.push_back(Effect::Send { to: from, body });
+        }
+    }
+
+    /// True where a departure is known here from now on.
+    pub(crate) fn take_told(&mut self, now: Duration, upstream: Upstream) -> bool {
+        let departure = departure(&upstream);
+        if !upstream.service.is_empty() {
+            self.roll.take(now, upstream);
+        }
+        self.roll.depart(now, &departure)
+    }
+
+    pub(crate) fn beats_taken(&mut self, now: Duration, from: String, ack: BeatsAck) {
+        if let Some(wait) = self.departures.waiting.get_mut(&ack.nonce) {
+            wait.taken_by.insert(from);
+            self.settle_departure(now, ack.nonce);
+        }
+    }
+
+    /// Acknowledges a departure that a majority knows.
+    fn settle_departure(&mut self, now: Duration, nonce: u64) {
+        let roster = self.register.roster();
+        let Some(wait) = self.departures.waiting.get(&nonce) else { return };
+        let taken = roster.iter().filter(|voter| wait.taken_by.contains(*voter)).count();
+        if roster.is_empty() || taken < majority(roster.len()) {
+            return;
+        }
+        let Some(Wait { token, upstream, .. }) = self.departures.waiting.remove(&nonce) else { return };
+        if self.departures.known.len() < MOST_REMEMBERED {
+            let id = (upstream.service.clone(), upstream.instance.clone());
+            self.departures.known.insert(id, (upstream.condition, now));
+        }
+        self.answer_taken_beat(now, token, upstream);
+    }
+
+    pub(crate) fn tick_departures(&mut self, now: Duration) {
+        self.departures.known.retain(|_, (_, known_at)| now < *known_at + REMEMBERED);
+        let late = self.departures.waiting.iter().filter(|(_, wait)| now >= wait.until);
+        let late: Vec<u64> = late.map(|(nonce, _)| *nonce).collect();
+        late.into_iter().for_each(|nonce| {
+            let wait = self.departures.waiting.remove(&nonce);
+            wait.into_iter().for_each(|wait| self.refuse(now, wait.token, Code::Stale));
+        });
+        let due = self.departures.waiting.iter().filter(|(_, wait)| now >= wait.next_tell);
+        let due: Vec<u64> = due.map(|(nonce, _)| *nonce).collect();
+        due.into_iter().for_each(|nonce| self.tell_waiting(now, nonce));
+    }
+
+    /// Departures that a node may lack which held for current until now: whoever lacks an older one has dropped the
+    /// upstream as silent since, or heard of it in a batch.
+    fn recent_departures(&self, now: Duration) -> Vec<Departure> {
+        self.roll.departures(now, self.times.upstream_silent + BATCH_EVERY * 3)
+    }
+
+    /// A message of the register to another voter: with a reading goes a digest of the departures known here, with the
+    /// answer those that the reader may lack.
+    pub(crate) fn send_of_register(&mut self, now: Duration, to: String, body: Payload) {
+        let body = match body {
+            Payload::Read(read) => self.read_with_digest(now, read),
+            Payload::ReadBack(read_back) => self.read_back_with_departures(now, read_back),
+            Payload::Prepare(_) if !self.may_begin_rounds(now) => return,
+            other => other,
+        };
+        self.effects.push_back(Effect::Send { to, body });
+    }
+
+    fn read_with_digest(&self, now: Duration, read: Read) -> Payload {
+        match digest(&self.recent_departures(now)) {
+            0 => Payload::Read(read),
+            digest => Payload::DeparturesRead(DeparturesRead { read, digest }),
+        }
+    }
+
+    fn read_back_with_departures(&self, now: Duration, read_back: ReadBack) -> Payload {
+        let departures = self.recent_departures(now);
+        if departures.is_empty() || digest(&departures) == self.departures.asked_with {
+            return Payload::ReadBack(read_back);
+        }
+        Payload::DeparturesReadBack(DeparturesReadBack { read_back, departures })
+    }
+
+    /// A voter's question what was accepted here.
+    pub(crate) fn read_asked(&mut self, now: Duration, from: String, read: Read, digest: u64) {
+        self.departures.asked_with = digest;
+        self.run_register(now, quorum_register::Event::Received { from, body: Payload::Read(read) });
+    }
+
+    /// What the voter knows of departures counts before its confirmation does.
+    pub(crate) fn read_answered(&mut self, now: Duration, from: String, answer: DeparturesReadBack) {
+        self.note_answered(now, &from);
+        let kept = answer.departures.iter().fold(true, |kept, departure| self.roll.depart(now, departure) && kept);
+        if kept {
+            let body = Payload::ReadBack(answer.read_back);
+            self.run_register(now, quorum_register::Event::Received { from, body });
+        }
+    }
+}
+
+/// What is told of an upstream that departs.
+fn departure(upstream: &Upstream) -> Departure {
+    let Upstream { service, instance, condition, beat, .. } = upstream;
+    Departure { service: service.clone(), instance: instance.clone(), condition: *condition, beat: *beat }
+}
+
+/// The record of an instance that signed off. It is new with every life, so no later beat can be meant.
+pub(crate) fn signed_off(instance: String, known: Option<Upstream>) -> Upstream {
+    let known = known.unwrap_or_else(|| Upstream { instance, ..Upstream::default() });
+    Upstream { condition: GONE, beat: u64::MAX, ..known }
+}
--- a/crates/controller/src/dialect.rs
+++ b/crates/controller/src/dialect.rs
@@ -142,6 +142,7 @@
 
 fn show(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
+        Answer::Redirect { to } => transport::redirect(&to),
         Answer::Sheet(sheet) => transport::json(Code::Fine, &sheet),
         Answer::Beat { holder, shares, span } => transport::json(Code::Fine, &beat_sheet(holder, shares, span)),
         Answer::Setup { edition, bytes } => {
--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -11,13 +11,21 @@
 const MOST_WANTED: usize = 256;
 
 impl ControlNode {
+    /// Takes in a beat that came here; false where a newer one is known.
+    pub(crate) fn record_beat(&mut self, now: Duration, upstream: &Upstream) -> bool {
+        let newer = self.roll.take(now, upstream.clone());
+        if newer {
+            self.heard_here.insert((upstream.service.clone(), upstream.instance.clone()), (upstream.beat, now));
+        }
+        newer
+    }
+
     /// Takes in a beat that came here; what is news about it goes to all at once.
     pub(crate) fn take_beat(&mut self, now: Duration, upstream: &Upstream) {
         let before = self.roll.one(now, upstream).map(|known| enrolment::mark(&known));
-        if !self.roll.take(now, upstream.clone()) {
+        if !self.record_beat(now, upstream) {
             return;
         }
-        self.heard_here.insert((upstream.service.clone(), upstream.instance.clone()), (upstream.beat, now));
         // With its age as it is known here: this beat may have lain in a frozen process.
         let known = self.roll.one(now, upstream);
         let news = known.filter(|known| Some(enrolment::mark(known)) != before);
@@ -26,7 +34,7 @@
         news.into_iter().for_each(|mut known| {
             known.holds.retain(|_| unplaced);
             let upstreams = vec![Upstream { released: Vec::new(), ..known }];
-            self.tell_postmasters(Payload::Beats(Beats { upstreams }));
+            self.tell_postmasters(Payload::Beats(Beats { upstreams, nonce: 0 }));
         });
     }
 
@@ -108,7 +116,7 @@
         if !ask.marks.is_empty() {
             let wanted = ask.marks.iter().take(MOST_WANTED).filter_map(|mark| self.roll.marked(now, *mark));
             let upstreams = wanted.map(|known| Upstream { holds: Vec::new(), released: Vec::new(), ..known }).collect();
-            self.effects.push_back(Effect::Send { to: from, body: Payload::Beats(Beats { upstreams }) });
+            self.effects.push_back(Effect::Send { to: from, body: Payload::Beats(Beats { upstreams, nonce: 0 }) });
         } else if self.is_settled(now) {
             let (placement, placed_by) = (self.placement.clone(), self.placed_by.clone());
             let told = UpstreamsReply { upstreams: self.roll.all(now), placement, placed_by };
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,5 +1,7 @@
 //! The control plane. [`ControlNode`] is the pure core; `shell` turns the world into events and back.
 
+mod contact;
+mod departures;
 mod dialect;
 mod gossip;
 mod keys;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,8 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::contact::Contact;
+use crate::departures::Departures;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -96,6 +98,11 @@
         span: Duration,
     },
     Sheet(Sheet),
+    /// This node is out of contact with a majority: the one at this address was lately in contact. Nothing was done.
+    /// The core names host and port; what is shown is a whole URL.
+    Redirect {
+        to: String,
+    },
 }
 
 /// What happens to a postmaster.
@@ -207,6 +214,8 @@
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
+    pub(crate) contact: Contact,
+    pub(crate) departures: Departures,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
     pub(crate) batches: usize,
@@ -264,6 +273,8 @@
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
             beat_waits: BTreeMap::new(),
+            contact: Contact::default(),
+            departures: Departures::default(),
             heard_here: BTreeMap::new(),
             batches: 0,
             next_sweep: Duration::ZERO,
@@ -308,9 +319,7 @@
                 let effects = self.membership.step(now, membership::Event::Received { address, body });
                 self.run_membership(now, effects);
             }
-            Event::Ask { token, .. } if self.closing => {
-                self.answer(token, Answer::Verdict { code: Code::Closing, edition: 0 });
-            }
+            Event::Ask { token, .. } if self.closing => self.refuse(now, token, Code::Closing),
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
@@ -348,6 +357,8 @@
         self.tick_duty(now);
         self.tick_news(now);
         self.tick_waits(now);
+        self.tick_contact(now);
+        self.tick_departures(now);
         self.note_standing();
     }
 
@@ -367,6 +378,7 @@
     }
 
     fn take(&mut self, now: Duration, from: String, body: Payload) {
+        self.note_holder(now, &from, &body);
         match body {
             Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => {
                 // A voter that has lost its disk has forgotten the epochs it granted.
@@ -374,9 +386,11 @@
                     self.run_lease(now, lease::Event::Received { from, body });
                 }
             }
-            Payload::Beats(beats) => beats.upstreams.into_iter().for_each(|upstream| {
-                self.roll.take(now, upstream);
-            }),
+            Payload::Beats(beats) => self.beats_told(now, from, beats),
+            Payload::BeatsAck(ack) => self.beats_taken(now, from, ack),
+            Payload::Read(read) => self.read_asked(now, from, read, 0),
+            Payload::DeparturesRead(asked) => self.read_asked(now, from, asked.read, asked.digest),
+            Payload::DeparturesReadBack(answer) => self.read_answered(now, from, answer),
             Payload::Alive(alive) => self.alive_told(now, from, alive),
             Payload::UpstreamsRequest(ask) => self.roll_asked(now, from, ask),
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
@@ -389,7 +403,12 @@
             Payload::UpdateRequest(ask) => self.news_asked(now, from, ask),
             Payload::UpdateAck(kept) => self.news_kept(&from, &kept),
             Payload::CarrierAck(kept) => self.carrier_kept(kept),
-            other => self.run_register(now, quorum_register::Event::Received { from, body: other }),
+            other => {
+                if matches!(other, Payload::ReadBack(_)) {
+                    self.note_answered(now, &from);
+                }
+                self.run_register(now, quorum_register::Event::Received { from, body: other });
+            }
         }
     }
 
@@ -415,7 +434,7 @@
     pub(crate) fn run_register(&mut self, now: Duration, event: quorum_register::Event) {
         let effects = self.register.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
-            quorum_register::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
+            quorum_register::Effect::Send { to, body } => self.send_of_register(now, to, body),
             quorum_register::Effect::Keep { ticket, durable } => {
                 self.effects.push_back(Effect::Keep { ticket, durable });
             }
@@ -454,6 +473,7 @@
     }
 
     pub(crate) fn change(&mut self, now: Duration, token: u64, change: Change, bytes: Option<Vec<u8>>) {
+        self.open_order(token);
         self.run_register(now, quorum_register::Event::Ask { token, change, bytes });
     }
 
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -1,19 +1,24 @@
 //! What operators and upstreams ask.
 
+use crate::departures::signed_off;
 use crate::node::{Answer, Ask, BeatWait, ControlNode, Effect, InForce, ReadWait};
 use address::Code;
-use protocol::{Payload, SharesReply, SharesRequest, Upstream};
+use protocol::{Beats, Payload, SharesReply, SharesRequest, Upstream};
 use quorum_register::{Change, Decision, VoterPhase};
 use std::time::Duration;
 use tariff::Sheet;
 
 const MOST_BEAT_WAITS: usize = 4096;
 const MOST_READ_WAITS: usize = 256;
-const READ_PATIENCE: Duration = Duration::from_secs(2);
+/// A caller waits for a second and goes on to another node.
+const READ_PATIENCE: Duration = Duration::from_millis(900);
 const BEAT_PATIENCE: Duration = Duration::from_millis(700);
 
 impl ControlNode {
     pub(crate) fn ask(&mut self, now: Duration, token: u64, ask: Ask) {
+        if Self::needs_contact(&ask) && !self.is_in_contact(now) {
+            return self.ask_out_of_contact(now, token, ask);
+        }
         match ask {
             Ask::Submit { id, base, bytes, in_force } => match (self.reader.0)(&bytes) {
                 Err(complaints) => self.answer(token, Answer::Denied { code: Code::SetupBad, complaints }),
@@ -70,13 +75,32 @@
             }
             Ask::Beat(upstream) => self.beat(now, token, upstream),
             Ask::SignOff { instance } => {
-                let known = self.roll.all(now).into_iter().find(|upstream| upstream.instance == instance);
-                let beat = known.as_ref().map(|known| known.beat + 1).unwrap_or_default();
-                let gone = known.map(|known| Upstream { condition: enrolment::GONE, beat, ..known });
-                gone.into_iter().for_each(|gone| self.take_beat(now, &gone));
-                self.answer_beat(token, 0, None);
+                let gone = self.sign_off(now, instance);
+                self.tell_departure(now, token, gone);
+            }
+        }
+    }
+
+    /// What an upstream says of itself is good to know, and to tell whom this node reaches. It is no acknowledgement.
+    fn ask_out_of_contact(&mut self, now: Duration, token: u64, ask: Ask) {
+        match ask {
+            Ask::Beat(upstream) => self.take_beat(now, &upstream),
+            Ask::SignOff { instance } => {
+                let gone = self.sign_off(now, instance);
+                let (upstreams, nonce) = (vec![gone], 0);
+                self.tell_postmasters(Payload::Beats(Beats { upstreams, nonce }));
             }
+            _ => {}
         }
+        self.refuse(now, token, Code::Stale);
+    }
+
+    /// Records that an instance is gone, known here or not.
+    fn sign_off(&mut self, now: Duration, instance: String) -> Upstream {
+        let known = self.roll.all(now).into_iter().find(|upstream| upstream.instance == instance);
+        let gone = signed_off(instance, known);
+        self.take_told(now, gone.clone());
+        gone
     }
 
     /// Answers the read-backs whose state was confirmed since they were asked, and gives up on old ones.
@@ -90,7 +114,7 @@
             let edition = self.register.state().edition;
             let confirmed = self.register.is_confirmed_since(wait.asked_at);
             let answer = match self.register.setup() {
-                _ if !confirmed => Answer::Verdict { code: Code::Stale, edition },
+                _ if !confirmed => return self.refuse(now, wait.token, Code::Stale),
                 None => Answer::Verdict { code: Code::NoWord, edition },
                 Some(bytes) => Answer::Setup { edition, bytes: bytes.to_vec() },
             };
@@ -112,6 +136,9 @@
     }
 
     pub(crate) fn decided(&mut self, now: Duration, token: u64, decision: Decision) {
+        if !self.close_order(token) {
+            return;
+        }
         let Decision { code, edition } = decision;
         let answer = Answer::Verdict { code, edition };
         let waiting = self.waiting_force.iter_mut().find(|waiting| waiting.token == token && code == Code::Fine);
@@ -137,13 +164,31 @@
             self.beat_waits.iter().filter(|(_, wait)| now >= wait.until).map(|(nonce, _)| *nonce).collect();
         late.into_iter().for_each(|nonce| {
             let wait = self.beat_waits.remove(&nonce);
-            wait.into_iter().for_each(|wait| self.answer_beat(wait.token, 0, None));
+            wait.into_iter().for_each(|wait| self.answer_without_holder(now, wait.token));
         });
     }
 
+    /// The holder of the placement did not answer. Where it is heard, it is this node's way to it that is cut: the
+    /// upstream finds its keys there. Else nobody gives any at present.
+    fn answer_without_holder(&mut self, now: Duration, token: u64) {
+        match self.address_in_contact(now) {
+            Some(to) => self.answer(token, Answer::Redirect { to }),
+            None => self.answer_beat(token, 0, None),
+        }
+    }
+
     fn beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
         self.counts.beats += 1;
+        if self.is_unknown_departure(&upstream) {
+            self.record_beat(now, &upstream);
+            return self.tell_departure(now, token, upstream);
+        }
         self.take_beat(now, &upstream);
+        self.answer_taken_beat(now, token, upstream);
+    }
+
+    /// The answer to a beat that was taken in: with the keys that the upstream holds from now on, where it has any.
+    pub(crate) fn answer_taken_beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
         let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
         if !keyed || self.placed_by.is_empty() || self.beat_waits.len() >= MOST_BEAT_WAITS {
             return self.answer_beat(token, 0, None);
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -308,13 +308,13 @@
             transport::json(Code::Fine, &sheet)
         }
         _ => match (shared.dialect.ask)(&enquiry) {
-            Ok(ask) => put(&shared, ask).await,
+            Ok(ask) => put(&shared, ask, &enquiry.target).await,
             Err((code, complaints)) => (shared.dialect.show)(Answer::Denied { code, complaints }),
         },
     }
 }
 
-async fn put(shared: &Shared, ask: Ask) -> Response<Full<Bytes>> {
+async fn put(shared: &Shared, ask: Ask, target: &str) -> Response<Full<Bytes>> {
     let token = shared.tokens.fetch_add(1, Ordering::Relaxed);
     let (answer, answered) = oneshot::channel();
     let event = (Event::Ask { token, ask }, Some(answer));
@@ -322,5 +322,9 @@
         return (shared.dialect.show)(Answer::Verdict { code: Code::SetupCrowded, edition: 0 });
     }
     let answered = tokio::time::timeout(ASK_WITHIN, answered).await.ok().and_then(Result::ok);
-    (shared.dialect.show)(answered.unwrap_or(Answer::Verdict { code: Code::SetupUnknown, edition: 0 }))
+    let answer = match answered.unwrap_or(Answer::Verdict { code: Code::SetupUnknown, edition: 0 }) {
+        Answer::Redirect { to } => Answer::Redirect { to: format!("http://{to}{target}") },
+        other => other,
+    };
+    (shared.dialect.show)(answer)
 }
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -41,11 +41,12 @@
         if !known && self.readers.len() < MOST_READERS {
             self.send_snapshot(now, &from);
         }
+        let age_ms = self.confirmation_age_ms(now).unwrap_or(u64::MAX);
         if let Some(reader) = self.readers.get_mut(&from) {
             reader.asked_at = now;
             let fresh = Freshness {
                 nonce: ask.nonce,
-                age_ms: self.register.age(now).map(|age| age.as_millis() as u64 + 1).unwrap_or(u64::MAX),
+                age_ms,
                 stream: reader.stream,
                 number: reader.number,
                 edition: self.register.state().edition,
@@ -54,6 +55,11 @@
         }
     }
 
+    /// How long ago a majority confirmed what is known here, rounded up.
+    fn confirmation_age_ms(&self, now: Duration) -> Option<u64> {
+        self.register.age(now).map(|age| age.as_millis() as u64 + 1)
+    }
+
     fn send_snapshot(&mut self, now: Duration, to: &str) {
         self.counts.images += 1;
         let stream = self.random.next_u64().max(1);
@@ -67,6 +73,7 @@
             upstreams: self.roll.all(now).into_iter().map(plain).collect(),
             placement: Some(placement.clone()),
             keeps_upstreams: !whole,
+            age_ms: self.confirmation_age_ms(now),
         };
         let reader = Reader { stream, number: 0, asked_at: now, state, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
@@ -100,6 +107,7 @@
                 upstreams: changed.clone(),
                 placement: new_placement.map(|new| gazetteer::change(&reader.placement, new).unwrap_or(new.clone())),
                 keeps_upstreams: false,
+                age_ms: None,
             };
             if news.state.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
                 continue;
--- /dev/null
+++ b/crates/controller/tests/contact.rs
@@ -0,0 +1,410 @@
+//! What a control node answers while it is cut off from the others: nothing is confirmed, handed out or acknowledged
+//! without contact with a majority since the question came, and the caller hears so at once.
+
+use address::Code;
+use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
+use protocol::{DurableState, Heard, Member, Payload, Probe, Upstream};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const NODES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// How long a message takes, in milliseconds.
+const DELAY: u64 = 10;
+const TICK: u64 = 20;
+/// A caller that hears nothing for so long goes on to another node.
+const SILENCE: u64 = 1000;
+
+/// A site of voters in virtual time, with cuts between them.
+struct Site {
+    now: u64,
+    nodes: Vec<ControlNode>,
+    /// From which node to which nothing gets through.
+    cuts: BTreeSet<(usize, usize)>,
+    /// Messages that get lost, beside the cuts.
+    loses: fn(usize, usize, &Payload) -> bool,
+    queue: VecDeque<(u64, usize, Event)>,
+    answers: BTreeMap<u64, (u64, Answer)>,
+    next_token: u64,
+}
+
+impl Site {
+    /// Five voters in contact, one of them with the placement lease.
+    fn settled() -> Site {
+        let mut site = Site {
+            now: 0,
+            nodes: NODES.iter().map(|node| control(node)).collect(),
+            cuts: BTreeSet::new(),
+            loses: |_, _, _| false,
+            queue: VecDeque::new(),
+            answers: BTreeMap::new(),
+            next_token: 0,
+        };
+        (0..NODES.len()).for_each(|at| site.introduce(at));
+        site.run_for(6000);
+        site
+    }
+
+    fn introduce(&mut self, at: usize) {
+        let members = NODES.iter().filter(|node| **node != NODES[at]).map(|node| member(node)).collect();
+        let probe = Payload::Probe(Probe { members, ..Probe::default() });
+        self.step(at, Event::Datagram { address: NODES[(at + 1) % NODES.len()].into(), body: probe });
+    }
+
+    fn step(&mut self, at: usize, event: Event) {
+        let effects = self.nodes[at].step(MS(self.now), event);
+        effects.into_iter().for_each(|effect| match effect {
+            Effect::Send { to, body } => self.send(at, &to, |from| Event::Received { from, body: body.clone() }, &body),
+            Effect::Datagram { address, body: Payload::Probe(probe) } => {
+                // Everybody is there, whatever is cut: membership is no matter of these tests.
+                let heard = Heard { nonce: probe.nonce, node: address.clone(), ..Heard::default() };
+                self.queue.push_back((self.now + DELAY, at, Event::Datagram { address, body: Payload::Heard(heard) }));
+            }
+            Effect::Keep { ticket, .. } | Effect::KeepSetup { ticket, .. } => {
+                self.queue.push_back((self.now + 1, at, Event::Kept { ticket }));
+            }
+            Effect::Answer { token, answer } => {
+                self.answers.insert(token, (self.now, answer));
+            }
+            _ => {}
+        });
+    }
+
+    fn send(&mut self, from: usize, to: &str, event: impl Fn(String) -> Event, body: &Payload) {
+        let Some(to) = NODES.iter().position(|node| *node == to) else { return };
+        if !self.cuts.contains(&(from, to)) && !(self.loses)(from, to, body) {
+            self.queue.push_back((self.now + DELAY, to, event(NODES[from].to_owned())));
+        }
+    }
+
+    fn run_for(&mut self, span: u64) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 1;
+            let (due, later): (VecDeque<_>, VecDeque<_>) =
+                std::mem::take(&mut self.queue).into_iter().partition(|(at, ..)| *at <= self.now);
+            self.queue = later;
+            due.into_iter().for_each(|(_, to, event)| self.step(to, event));
+            if self.now.is_multiple_of(TICK) {
+                (0..self.nodes.len()).for_each(|at| self.step(at, Event::Tick));
+            }
+        }
+    }
+
+    /// Asks a node; the token of the answer to come.
+    fn ask(&mut self, at: usize, ask: Ask) -> u64 {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.step(at, Event::Ask { token, ask });
+        token
+    }
+
+    /// What a caller hears within its patience.
+    fn answer(&mut self, at: usize, ask: Ask) -> Option<Answer> {
+        let token = self.ask(at, ask);
+        self.run_for(SILENCE);
+        self.answers.remove(&token).map(|(_, answer)| answer)
+    }
+
+    /// What a caller hears at once: before another node could have been asked.
+    fn answer_at_once(&mut self, at: usize, ask: Ask) -> Option<Answer> {
+        let token = self.ask(at, ask);
+        self.run_for(TICK);
+        self.answers.remove(&token).map(|(_, answer)| answer)
+    }
+
+    fn cut_off(&mut self, at: usize, hears: bool, speaks: bool) {
+        (0..NODES.len()).filter(|other| *other != at).for_each(|other| {
+            self.cuts.extend((!speaks).then_some((at, other)));
+            self.cuts.extend((!hears).then_some((other, at)));
+        });
+    }
+
+    fn holder(&self) -> usize {
+        let holds = |control: &ControlNode| control.holds_placement(MS(self.now));
+        self.nodes.iter().position(holds).expect("somebody holds the placement lease")
+    }
+
+    /// A node that does not hold the placement lease.
+    fn bystander(&self) -> usize {
+        (self.holder() + 1) % NODES.len()
+    }
+
+    /// What a node knows of an instance.
+    fn condition(&mut self, at: usize, instance: &str) -> Option<String> {
+        let Some(Answer::Sheet(sheet)) = self.answer_at_once(at, Ask::Upstreams) else { return None };
+        let tariff::Sheet::List(rows) = sheet else { return None };
+        let row = rows.iter().find(|row| row.text("instance") == Some(instance))?;
+        row.text("condition").map(str::to_owned)
+    }
+}
+
+fn member(node: &str) -> Member {
+    Member {
+        node: node.into(),
+        locality: format!("north/{node}"),
+        roles: "postmaster".into(),
+        incarnation: 1,
+        probe_address: node.into(),
+        link_address: node.into(),
+        http_address: format!("{node}:80"),
+        ..Member::default()
+    }
+}
+
+fn control(node: &str) -> ControlNode {
+    let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
+    let roster = NODES.iter().map(|node| (*node).to_owned()).collect();
+    ControlNode::new(Start {
+        reader: Default::default(),
+        owners: Default::default(),
+        me: member(node),
+        seeds: vec![],
+        roster_size: NODES.len(),
+        seed: u64::from(node.as_bytes()[0]),
+        durable: DurableState { disk: 7, roster, ..DurableState::default() },
+        setups: Default::default(),
+        times: controller::shell::times(&settings),
+    })
+}
+
+fn beat(number: u64, condition: u32) -> Upstream {
+    Upstream {
+        service: "s".into(),
+        instance: "u".into(),
+        address: "127.0.0.1:9".into(),
+        locality: "north/a".into(),
+        beat: number,
+        condition,
+        free_slots: 4,
+        ..Upstream::default()
+    }
+}
+
+fn evacuate(id: &str) -> Ask {
+    Ask::Evacuate { id: id.into(), locality: "north/a".into(), back: false, in_force: false }
+}
+
+fn acknowledged(answer: &Option<Answer>) -> bool {
+    let fine = Code::Fine;
+    matches!(answer, Some(Answer::Beat { .. } | Answer::Setup { .. }))
+        || matches!(answer, Some(Answer::Verdict { code, .. }) if *code == fine || *code == Code::NoWord)
+}
+
+/// Every question whose answer confirms, acknowledges or hands out something.
+fn questions(turn: u64) -> Vec<Ask> {
+    vec![
+        Ask::ReadSetup,
+        evacuate(&format!("order-{turn}")),
+        Ask::Beat(beat(turn + 2, enrolment::READY)),
+        Ask::Beat(Upstream { instance: "leaver".into(), ..beat(turn + 2, enrolment::LEAVING) }),
+        Ask::SignOff { instance: "u".into() },
+        Ask::SignOff { instance: "nobody-knows-it".into() },
+        Ask::Upstreams,
+        Ask::Reservations,
+        Ask::Marks,
+    ]
+}
+
+#[test]
+fn in_contact_every_question_is_answered_within_a_callers_patience() {
+    let mut site = Site::settled();
+    let at = site.bystander();
+    questions(1).into_iter().for_each(|ask| {
+        let told = format!("{ask:?}");
+        let answer = site.answer(at, ask);
+        assert!(acknowledged(&answer) || matches!(answer, Some(Answer::Sheet(_))), "{told}: {answer:?}");
+    });
+}
+
+#[test]
+fn a_node_out_of_contact_says_so_at_once_whatever_is_asked() {
+    [(false, false), (false, true)].into_iter().for_each(|(hears, speaks)| {
+        [true, false].into_iter().for_each(|holder| {
+            let mut site = Site::settled();
+            site.answer(0, Ask::Beat(beat(1, enrolment::READY)));
+            let at = if holder { site.holder() } else { site.bystander() };
+            site.cut_off(at, hears, speaks);
+            site.run_for(2000);
+            questions(1).into_iter().for_each(|ask| {
+                let told = format!("{ask:?}, hears {hears}, speaks {speaks}");
+                let answer = site.answer_at_once(at, ask);
+                assert!(matches!(answer, Some(Answer::Verdict { code: Code::Stale, .. })), "{told}: {answer:?}");
+            });
+        });
+    });
+}
+
+/// One that still hears who holds the placement lease, which a majority granted, sends callers there.
+#[test]
+fn a_node_out_of_contact_that_hears_of_one_in_contact_sends_callers_there() {
+    let mut site = Site::settled();
+    let (holder, at) = (site.holder(), site.bystander());
+    site.cut_off(at, true, false);
+    site.run_for(2000);
+    questions(1).into_iter().for_each(|ask| {
+        let told = format!("{ask:?}");
+        let answer = site.answer_at_once(at, ask);
+        let to = format!("{}:80", NODES[holder]);
+        assert!(matches!(&answer, Some(Answer::Redirect { to: told }) if *told == to), "{told}: {answer:?}");
+    });
+}
+
+#[test]
+fn a_node_that_lost_contact_this_instant_confirms_no_order_reading_or_leaving() {
+    [(false, false), (true, false), (false, true)].into_iter().for_each(|(hears, speaks)| {
+        let mut site = Site::settled();
+        site.answer(0, Ask::Beat(beat(1, enrolment::READY)));
+        let at = site.bystander();
+        site.cut_off(at, hears, speaks);
+        let asks = [
+            Ask::ReadSetup,
+            evacuate("order"),
+            Ask::Beat(beat(2, enrolment::LEAVING)),
+            Ask::SignOff { instance: "u".into() },
+            Ask::SignOff { instance: "nobody-knows-it".into() },
+        ];
+        let tokens: Vec<(String, u64)> = asks.into_iter().map(|ask| (format!("{ask:?}"), site.ask(at, ask))).collect();
+        site.run_for(20_000);
+        tokens.into_iter().for_each(|(told, token)| {
+            let answer = site.answers.remove(&token).map(|(_, answer)| answer);
+            assert!(answer.is_some() && !acknowledged(&answer), "{told}: {answer:?}");
+        });
+    });
+}
+
+#[test]
+fn an_order_under_way_when_contact_is_lost_is_answered_as_unknown_before_long() {
+    let mut site = Site::settled();
+    let at = site.bystander();
+    site.cut_off(at, false, false);
+    let asked_at = site.now;
+    let token = site.ask(at, evacuate("order"));
+    site.run_for(1500);
+    let (answered_at, answer) = site.answers.remove(&token).expect("it is answered");
+    assert!(answered_at < asked_at + 1300, "after {} ms", answered_at - asked_at);
+    assert!(matches!(answer, Answer::Verdict { code: Code::SetupUnknown, .. }), "{answer:?}");
+}
+
+/// It speaks but hears nobody: a round that it begins can't end, and would end those of the others.
+#[test]
+fn a_node_that_nobody_answers_begins_no_rounds() {
+    let mut site = Site::settled();
+    let at = site.bystander();
+    site.cut_off(at, false, true);
+    site.run_for(1300);
+    let rounds_begun = |site: &mut Site| {
+        let effects = site.nodes[at].step(MS(site.now), Event::Tick);
+        let begun = |effect: &&Effect| matches!(effect, Effect::Send { body: Payload::Prepare(_), .. });
+        effects.iter().filter(begun).count()
+    };
+    let begun: usize = (0..1000)
+        .map(|_| {
+            site.now += TICK;
+            rounds_begun(&mut site)
+        })
+        .sum();
+    assert_eq!(begun, 0);
+}
+
+/// Whatever the length of the cut, the orders of a caller that goes on to the next node come through.
+#[test]
+fn orders_are_not_lost_while_a_majority_lives() {
+    let lengths = [500, 1000, 1500, 2500, 5000, 10_000, 20_000, 30_000];
+    let ways = [(false, false), (true, false), (false, true)];
+    lengths.into_iter().flat_map(|length| ways.map(|way| (length, way))).for_each(|(length, (hears, speaks))| {
+        let mut site = Site::settled();
+        let cut = site.holder();
+        site.cut_off(cut, hears, speaks);
+        let begun_at = site.now;
+        let mut number = 0;
+        while site.now < begun_at + length {
+            number += 1;
+            let (asked_at, mut at, mut hops) = (site.now, cut, 0);
+            let taken = loop {
+                let token = site.ask(at, evacuate(&format!("order-{number}")));
+                let waited_from = site.now;
+                while !site.answers.contains_key(&token) && site.now < waited_from + SILENCE {
+                    site.run_for(TICK);
+                }
+                match site.answers.remove(&token).map(|(_, answer)| answer) {
+                    Some(Answer::Verdict { code: Code::Fine, .. }) => break site.now - asked_at,
+                    Some(Answer::Redirect { to }) if hops < 2 => {
+                        hops += 1;
+                        at = NODES.iter().position(|node| to.starts_with(node)).expect("a node");
+                    }
+                    _ => (at, hops) = ((at + 1) % NODES.len(), 0),
+                }
+                assert!(site.now < asked_at + 4000, "cut of {length} ms, hears {hears}, speaks {speaks}");
+            };
+            assert!(taken <= 4000);
+            site.run_for(700);
+        }
+    });
+}
+
+/// Whoever becomes current by a question asked after the acknowledgement knows of the leaving, also where what was told
+/// of it never got there.
+#[test]
+fn an_acknowledged_leaving_is_known_to_every_node_that_is_current() {
+    let mut site = Site::settled();
+    site.answer(0, Ask::Beat(beat(1, enrolment::READY)));
+    let other = |at: usize| (at + 1) % NODES.len();
+    // What is said of upstreams between two nodes gets lost, both ways; confirmations don't.
+    site.loses = |from, to, body| {
+        let told = matches!(body, Payload::Beats(_) | Payload::Alive(_) | Payload::UpstreamsRequest(_));
+        told && (from.min(to), from.max(to)) != (1, 2) && (from == 3 || to == 3)
+    };
+    let at = other(0);
+    assert!(acknowledged(&site.answer(at, Ask::Beat(beat(2, enrolment::LEAVING)))));
+    site.run_for(600);
+    assert_eq!(site.condition(3, "u").as_deref(), Some("leaving"));
+    assert!(acknowledged(&site.answer(at, Ask::SignOff { instance: "u".into() })));
+    site.run_for(600);
+    assert_eq!(site.condition(3, "u").as_deref(), Some("gone"));
+}
+
+#[test]
+fn a_leaving_upstream_is_acknowledged_once_a_majority_knows_and_not_before() {
+    let mut site = Site::settled();
+    let at = site.bystander();
+    // One other voter is reached: two of five are no majority.
+    let reached = (at + 1) % NODES.len();
+    site.cut_off(at, false, false);
+    site.cuts.remove(&(at, reached));
+    site.cuts.remove(&(reached, at));
+    let answer = site.answer(at, Ask::Beat(beat(2, enrolment::LEAVING)));
+    assert!(answer.is_some() && !acknowledged(&answer), "{answer:?}");
+    // It told whom it could, and that one gets it acknowledged.
+    let token = site.ask(reached, Ask::Beat(beat(3, enrolment::LEAVING)));
+    let asked_at = site.now;
+    site.run_for(200);
+    let (answered_at, answer) = site.answers.remove(&token).expect("an answer");
+    assert!(acknowledged(&Some(answer)) && answered_at <= asked_at + 3 * DELAY, "quick on a calm day");
+}
+
+/// The sign-off came to a node that did not know the upstream, and another one still had a beat of it in its sockets.
+#[test]
+fn a_signed_off_upstream_stays_gone_where_nobody_knew_it() {
+    let mut site = Site::settled();
+    assert!(acknowledged(&site.answer(0, Ask::SignOff { instance: "u".into() })));
+    site.answer(2, Ask::Beat(beat(9, enrolment::READY)));
+    site.run_for(600);
+    (0..NODES.len()).for_each(|at| {
+        let known = site.condition(at, "u");
+        assert!(known.as_deref().is_none_or(|known| known == "gone"), "{}: {known:?}", NODES[at]);
+    });
+}
+
+/// Told to a node that was cut off the moment before: when it is back, all know.
+#[test]
+fn what_a_cut_off_node_was_told_is_known_once_it_is_back() {
+    let mut site = Site::settled();
+    site.answer(0, Ask::Beat(beat(1, enrolment::READY)));
+    let at = site.bystander();
+    site.cut_off(at, false, false);
+    assert!(!acknowledged(&site.answer(at, Ask::SignOff { instance: "u".into() })));
+    site.cuts.clear();
+    site.run_for(1500);
+    (0..NODES.len()).for_each(|node| assert_eq!(site.condition(node, "u").as_deref(), Some("gone"), "{node}"));
+}
--- a/crates/drill/src/hollow/ways.rs
+++ b/crates/drill/src/hollow/ways.rs
@@ -61,7 +61,7 @@
         ..Upstream::default()
     };
     add("room-change.room-alone.bytes", room(all.iter().cycle().take(100).map(slots).collect()), 100);
-    let beats = |upstreams| Payload::Beats(Beats { upstreams });
+    let beats = |upstreams| Payload::Beats(Beats { upstreams, ..Beats::default() });
     add("told-on.one.bytes", beats(all[..1].to_vec()), 1);
     add("told-on.hundred.bytes", beats(all.iter().cycle().take(100).cloned().collect()), 100);
     add("told-on.digest.bytes", beats(all.iter().cycle().take(100).map(slots).collect()), 100);
--- a/crates/drill/src/sim/net.rs
+++ b/crates/drill/src/sim/net.rs
@@ -28,6 +28,12 @@
         hears: bool,
         speaks: bool,
     },
+    /// One machine from all other machines, while upstreams and origins still reach it.
+    Peers {
+        machine: usize,
+        hears: bool,
+        speaks: bool,
+    },
     Zone(String),
     Region(String),
 }
@@ -35,7 +41,8 @@
 impl Cut {
     fn blocks(&self, from: &Place, to: &Place) -> bool {
         match self {
-            Cut::Machine { machine, hears, speaks } => {
+            Cut::Peers { .. } if from.machine.is_none() || to.machine.is_none() => false,
+            Cut::Machine { machine, hears, speaks } | Cut::Peers { machine, hears, speaks } => {
                 let (out, into) = (from.machine == Some(*machine), to.machine == Some(*machine));
                 out != into && ((out && !speaks) || (into && !hears))
             }
@@ -53,7 +60,9 @@
 pub fn about(body: &Payload) -> &'static str {
     match body {
         Payload::Probe(_) | Payload::ProbeFor(_) | Payload::Heard(_) => "membership",
-        Payload::Read(_) | Payload::ReadBack(_) => "confirmations",
+        Payload::Read(_) | Payload::ReadBack(_) | Payload::DeparturesRead(_) | Payload::DeparturesReadBack(_) => {
+            "confirmations"
+        }
         Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
             "rounds"
         }
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -1,7 +1,7 @@
 //! The roll of upstreams. Soft state: every beat tells it again.
 
 use address::spread_all;
-use protocol::Upstream;
+use protocol::{Departure, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -29,6 +29,15 @@
     born_at_ms: i64,
     /// Gone because another one took its address, not by its own word.
     evicted: bool,
+    /// Since when it is known here that it leaves or is gone, by its own word.
+    departing_since: Option<Duration>,
+}
+
+/// An upstream that departed and has no entry any more, or never had one.
+struct Departed {
+    condition: u32,
+    beat: u64,
+    known_since: Duration,
 }
 
 /// All upstreams known here.
@@ -40,6 +49,8 @@
     changed: BTreeSet<Id>,
     /// Whom the first half of a mark means.
     marked: BTreeMap<u64, Id>,
+    /// Whom no late beat may bring back, though there is no entry; without a service where none is known.
+    departed: BTreeMap<Id, Departed>,
 }
 
 /// 64 bits that stand for an upstream in batches: the first half for who it is, the second for what else is told of it.
@@ -94,7 +105,10 @@
             return false;
         }
         let known = known.filter(|_| !back);
-        let condition = told.condition.max(known.map(|entry| entry.upstream.condition).unwrap_or(READY));
+        let departed = self.departed_condition(&id, told.beat);
+        let condition = told.condition.max(known.map(|entry| entry.upstream.condition).unwrap_or(READY)).max(departed);
+        let departing_since = known.filter(|entry| entry.upstream.condition == condition);
+        let departing_since = departing_since.and_then(|entry| entry.departing_since).unwrap_or(now);
         let born_at_ms = known.map(|entry| entry.born_at_ms.min(born_at_ms)).unwrap_or(born_at_ms);
         let upstream = Upstream { condition, age_ms: 0, born_ms: 0, ..told };
         let same = known.is_some_and(|entry| Self::news(&entry.upstream) == Self::news(&upstream));
@@ -105,7 +119,9 @@
         let condition = if lost { GONE } else { condition };
         let upstream = Upstream { condition, ..upstream };
         self.marked.insert(mark(&upstream) >> 32, id.clone());
-        self.entries.insert(id.clone(), Entry { upstream, heard_at, born_at_ms, evicted: lost });
+        let departing_since = Some(departing_since).filter(|_| condition != READY && !lost);
+        self.departed.remove(&id);
+        self.entries.insert(id.clone(), Entry { upstream, heard_at, born_at_ms, evicted: lost, departing_since });
         if !same || lost {
             self.changed.insert(id);
         }
@@ -200,6 +216,7 @@
         if let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.upstream.condition != GONE) {
             entry.upstream.condition = GONE;
             entry.evicted = true;
+            entry.departing_since = None;
             self.changed.insert(id.clone());
         }
     }
@@ -220,11 +237,17 @@
             let patience = if entry.upstream.condition == GONE { REMEMBERED } else { silent_for };
             now >= entry.heard_at + patience
         };
+        self.departed.retain(|_, departed| now < departed.known_since + REMEMBERED);
         let due: Vec<Id> = self.entries.iter().filter(|(_, entry)| over(entry)).map(|(id, _)| id.clone()).collect();
         due.into_iter().for_each(|id| {
             if let Some(entry) = self.entries.remove(&id) {
                 self.addresses.retain(|_, tenant| *tenant != id);
                 self.marked.retain(|_, marked| *marked != id);
+                let departed = entry.departing_since.filter(|_| entry.upstream.condition != GONE);
+                departed.into_iter().for_each(|known_since| {
+                    let Upstream { condition, beat, .. } = entry.upstream;
+                    self.departed.insert(id.clone(), Departed { condition, beat, known_since });
+                });
                 if entry.upstream.condition != GONE {
                     self.changed.insert(id);
                 }
@@ -281,6 +304,89 @@
         gone.map(|entry| &entry.upstream)
     }
 
+    /// Takes in that an upstream leaves or is gone, as another node knows it; false where there is no room to remember
+    /// one that is not known here. Without a service it is whoever has this instance id, now or later.
+    ///
+    /// ```
+    /// use enrolment::{GONE, READY, Roll};
+    /// use protocol::{Departure, Upstream};
+    /// use std::time::Duration;
+    /// let (mut roll, now) = (Roll::default(), Duration::from_secs(9));
+    /// assert!(roll.depart(now, &Departure { instance: "a".into(), condition: GONE, beat: 7, ..Default::default() }));
+    /// roll.take(now, Upstream { service: "s".into(), instance: "a".into(), beat: 7, ..Default::default() });
+    /// assert_eq!(roll.all(now)[0].condition, GONE, "a late beat brings nobody back");
+    /// ```
+    pub fn depart(&mut self, now: Duration, departure: &Departure) -> bool {
+        let Departure { service, instance, condition, beat } = departure;
+        if *condition == READY || *condition > GONE {
+            return true;
+        }
+        let named = (service.clone(), instance.clone());
+        let known: Vec<Id> = if service.is_empty() {
+            self.entries.keys().filter(|(_, known)| known == instance).cloned().collect()
+        } else {
+            self.entries.keys().filter(|id| **id == named).cloned().collect()
+        };
+        known.iter().for_each(|id| self.depart_known(now, id, *condition, *beat));
+        if known.is_empty() && self.departed_condition(&named, *beat) < *condition {
+            let room = self.departed.len() < MOST_UPSTREAMS || self.departed.contains_key(&named);
+            if room {
+                self.departed.insert(named, Departed { condition: *condition, beat: *beat, known_since: now });
+            }
+            return room;
+        }
+        true
+    }
+
+    fn depart_known(&mut self, now: Duration, id: &Id, condition: u32, beat: u64) {
+        let known = self.entries.get_mut(id);
+        let departs = known.filter(|known| known.upstream.condition < condition && known.upstream.beat <= beat);
+        let Some(entry) = departs else { return };
+        entry.upstream.beat = beat;
+        entry.upstream.condition = condition;
+        entry.departing_since = Some(now);
+        if condition == GONE {
+            entry.heard_at = now;
+        }
+        self.changed.insert(id.clone());
+    }
+
+    /// What a departed upstream without an entry was last. Leaving is for good; one that was gone may have lost its
+    /// address to another by mistake, and goes on beating.
+    fn departed_condition(&self, id: &Id, beat: u64) -> u32 {
+        let nameless = (String::new(), id.1.clone());
+        let known = [id, &nameless].into_iter().filter_map(|id| self.departed.get(id));
+        let known = known.filter(|departed| departed.condition == LEAVING || beat <= departed.beat);
+        known.map(|departed| departed.condition).max().unwrap_or(READY)
+    }
+
+    /// Those that said within this span that they leave or are gone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let (mut roll, at) = (enrolment::Roll::default(), Duration::from_secs(9));
+    /// let leaves = protocol::Upstream { beat: 1, condition: enrolment::LEAVING, ..Default::default() };
+    /// roll.take(at, leaves);
+    /// assert_eq!(roll.departures(at, Duration::from_secs(5)).len(), 1);
+    /// assert!(roll.departures(at + Duration::from_secs(5), Duration::from_secs(5)).is_empty());
+    /// ```
+    pub fn departures(&self, now: Duration, within: Duration) -> Vec<Departure> {
+        let known = self.entries.iter().filter_map(|(id, entry)| {
+            let since = entry.departing_since?;
+            Some((id, entry.upstream.condition, entry.upstream.beat, since))
+        });
+        let departed = self.departed.iter();
+        let departed = departed.map(|(id, departed)| (id, departed.condition, departed.beat, departed.known_since));
+        let recent = known.chain(departed).filter(|(.., since)| now < *since + within);
+        let told = |((service, instance), condition, beat, _): (&Id, u32, u64, Duration)| Departure {
+            service: service.clone(),
+            instance: instance.clone(),
+            condition,
+            beat,
+        };
+        recent.map(told).collect()
+    }
+
     fn aged(entry: &Entry, now: Duration) -> Upstream {
         let age_ms = now.saturating_sub(entry.heard_at).as_millis() as u64;
         let born_ms = (now.as_millis() as i64 - entry.born_at_ms).max(0) as u64;
--- a/crates/protocol/src/kinds.rs
+++ b/crates/protocol/src/kinds.rs
@@ -10,9 +10,11 @@
 pub fn kind(body: &Payload) -> &'static str {
     match body {
         Payload::Probe(_) | Payload::ProbeFor(_) | Payload::Heard(_) => "membership",
-        Payload::Read(_) | Payload::ReadBack(_) => "confirmations",
+        Payload::Read(_) | Payload::ReadBack(_) | Payload::DeparturesRead(_) | Payload::DeparturesReadBack(_) => {
+            "confirmations"
+        }
         Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) | Payload::Holder(_) => "claims",
-        Payload::Beats(_) => "beats",
+        Payload::Beats(_) | Payload::BeatsAck(_) => "beats",
         Payload::Alive(_) => "alive",
         Payload::KeyLoads(_) => "keyLoads",
         Payload::SharesRequest(_) | Payload::SharesReply(_) => "shares",
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -9,7 +9,7 @@
     pub from: String,
     #[prost(
         oneof = "Payload",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41,50,51,52"
     )]
     pub body: Option<Payload>,
 }
@@ -81,6 +81,12 @@
     Alive(Alive),
     #[prost(message, tag = "41")]
     PlacementRequest(PlacementRequest),
+    #[prost(message, tag = "50")]
+    BeatsAck(BeatsAck),
+    #[prost(message, tag = "51")]
+    DeparturesRead(DeparturesRead),
+    #[prost(message, tag = "52")]
+    DeparturesReadBack(DeparturesReadBack),
 }
 
 /// A proposer's turn. Higher rounds win; `incarnation` is drawn anew at each start of a process, so a
@@ -455,6 +461,50 @@
 pub struct Beats {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
+    /// Where not 0, the receiver answers with [`BeatsAck`] once it has taken them in.
+    #[prost(fixed64, tag = "2")]
+    pub nonce: u64,
+}
+
+/// The beats sent with this nonce were taken in.
+#[derive(Clone, PartialEq, Message)]
+pub struct BeatsAck {
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+}
+
+/// An upstream that said that it leaves, or that it is gone.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Departure {
+    /// Empty where nobody there knew the instance.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    #[prost(uint32, tag = "3")]
+    pub condition: u32,
+    /// Its last beat: one that goes on beating was given up wrongly.
+    #[prost(uint64, tag = "4")]
+    pub beat: u64,
+}
+
+/// A majority read by a node that knows of recent departures: their digest goes along, and a voter that knows others
+/// names its own in the answer. So whoever is confirmed by a majority knows what a majority knew before.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeparturesRead {
+    #[prost(message, required, tag = "1")]
+    pub read: Read,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+/// The answer to a read, with the departures that the reader may lack.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeparturesReadBack {
+    #[prost(message, required, tag = "1")]
+    pub read_back: ReadBack,
+    #[prost(message, repeated, tag = "2")]
+    pub departures: Vec<Departure>,
 }
 
 /// Upstreams that beat at the sender of late, in short: one place of each list for each.
@@ -624,6 +674,9 @@
     /// In an image: its sender does not know all upstreams yet, and what is known besides stays.
     #[prost(bool, tag = "7")]
     pub keeps_upstreams: bool,
+    /// In an image: how long ago a majority confirmed what its sender knows.
+    #[prost(uint64, optional, tag = "8")]
+    pub age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/transport/src/desk.rs
+++ b/crates/transport/src/desk.rs
@@ -91,6 +91,22 @@
     response
 }
 
+/// Sends the caller to another node, by the whole URL there.
+///
+/// ```
+/// let response = transport::redirect("http://127.0.0.1:7001/setup");
+/// assert_eq!(response.status(), 307);
+/// assert_eq!(response.headers()["location"], "http://127.0.0.1:7001/setup");
+/// ```
+pub fn redirect(location: &str) -> Response<Full<Bytes>> {
+    let mut response = verdict(Code::Elsewhere, None);
+    let location = hyper::header::HeaderValue::from_str(location);
+    location.into_iter().for_each(|location| {
+        response.headers_mut().insert("location", location);
+    });
+    response
+}
+
 /// Bytes as an answer with a code.
 ///
 /// ```
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,7 +8,7 @@
 mod start;
 
 pub use call::{CONNECT_WITHIN, Called, Caller, Connection, Pool, Reply, headers};
-pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, serve, verdict};
+pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, redirect, serve, verdict};
 pub use doors::{Doors, NoStart, causes, end, listen};
 pub use links::{Links, Sent, send_datagram};
 pub use reload::{Reload, reload_signal};
