A carrier's view is as old as the image it took

Cause: an image replaced what was known, but the view's age stayed the newer of the two. A carrier that moved from a current postmaster to one that had been cut off for up to 2 s served what the second showed, for as long as what the first had told was fresh: an upstream whose leaving was acknowledged could get requests for up to 4 s instead of 2 s.

Now an image tells its own age and the view takes it; an image whose age is doubted (over 1 s) replaces nothing newer. Both tests in crates/carrier/tests/following.rs fail without the change.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -393,6 +393,10 @@
             self.want_image(now);
             return;
         }
+        let as_of = if image { self.image_as_of(&news) } else { self.view.as_of };
+        if as_of.is_none() && image && self.view.as_of.is_some() {
+            return;
+        }
         let before = self.view.edition;
         let squeezed = news.setup.as_deref();
         let setup = squeezed.map(protocol::unsqueeze);
@@ -406,6 +410,8 @@
             self.effects.extend(notes);
             return self.want_image(now);
         }
+        // An image replaces what was known: the view is as old as it, also where what another source told was newer.
+        self.view.as_of = as_of;
         self.view.settle_senders(now);
         (self.stream, self.number) = (stream, number);
         let edition = self.view.edition;
@@ -417,6 +423,16 @@
         self.effects.push(Effect::Publish);
     }
 
+    /// The moment that an image is surely no older than; none where it is not to be taken: it is older than what is known
+    /// here, and its sender may be cut off from the others.
+    fn image_as_of(&self, image: &ViewUpdate) -> Option<Duration> {
+        let Some(age) = image.age_ms.map(Duration::from_millis) else { return self.view.as_of };
+        let Following::Asked { asked_at, .. } = &self.following else { return None };
+        let as_of = asked_at.checked_sub(age)?;
+        let doubted = age > DOUBTED && self.view.as_of.is_some_and(|known| as_of < known);
+        Some(as_of).filter(|_| !doubted)
+    }
+
     fn want_image(&mut self, now: Duration) {
         self.stream = 0;
         self.next_ask = now + self.times.ask_every / 10;
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -56,6 +56,7 @@
 fn answer(carrier: &mut Carrier, at: u64, asked: &(String, UpdateRequest), age_ms: u64) {
     let (from, ask) = asked.clone();
     let image = ViewUpdate {
+        age_ms: Some(age_ms),
         stream: 7,
         state: Some(ClusterState::default()),
         placement: Some(Default::default()),
@@ -122,3 +123,53 @@
     });
     assert_eq!(order, ["zone", "region", "far", "far", "far", "far", "far", "far"]);
 }
+
+/// A carrier that is fresh by what its zone's postmaster told, which answers no more; gives when it asks the next one.
+fn left_by_its_zone() -> (Carrier, u64, (String, UpdateRequest)) {
+    let mut carrier = carrier();
+    let (at, zone) = next(&mut carrier, 3000);
+    answer(&mut carrier, at + 10, &zone, 40);
+    assert_eq!((zone.0.as_str(), carrier.view().as_of), ("zone", Some(MS(at - 40))));
+    let (at, asked) = (at + 50..at + 5000)
+        .step_by(50)
+        .find_map(|at| asked(&mut carrier, at).filter(|(to, _)| to == "region").map(|asked| (at, asked)))
+        .expect("it goes on to another one");
+    (carrier, at, asked)
+}
+
+/// An image that shows an upstream, and the freshness that follows it.
+fn answer_with_upstream(carrier: &mut Carrier, at: u64, asked: &(String, UpdateRequest), age_ms: u64) {
+    let upstream = protocol::Upstream { service: "s".into(), instance: "left".into(), ..Default::default() };
+    let image = ViewUpdate {
+        stream: 9,
+        state: Some(ClusterState::default()),
+        upstreams: vec![upstream],
+        age_ms: Some(age_ms),
+        ..ViewUpdate::default()
+    };
+    let (from, ask) = asked.clone();
+    carrier.step(MS(at), Event::Received { from: from.clone(), body: Payload::ViewUpdate(image) });
+    let fresh = Freshness { nonce: ask.nonce, age_ms, stream: 9, number: 0, edition: 0 };
+    carrier.step(MS(at), Event::Received { from, body: Payload::Freshness(fresh) });
+}
+
+/// Its zone's postmaster told that an upstream left; the next one had been cut off since, and still shows it. The view
+/// counted as fresh by what the first had told.
+#[test]
+fn a_view_is_as_old_as_the_image_that_it_came_with() {
+    let (mut carrier, at, region) = left_by_its_zone();
+    // Its confirmation is from before that of the zone's postmaster.
+    let age_ms = 900;
+    assert!(carrier.view().as_of > Some(MS(at - age_ms)));
+    answer_with_upstream(&mut carrier, at + 10, &region, age_ms);
+    assert_eq!(carrier.view().as_of, Some(MS(at - age_ms)), "what it shows is no newer than that");
+}
+
+/// One whose confirmation is over a second old may be cut off: what it shows is not taken for what is known to be newer.
+#[test]
+fn an_image_of_a_doubted_postmaster_replaces_nothing_newer() {
+    let (mut carrier, at, region) = left_by_its_zone();
+    let as_of = carrier.view().as_of;
+    answer_with_upstream(&mut carrier, at + 10, &region, 1900);
+    assert!(carrier.view().upstreams.is_empty() && carrier.view().as_of == as_of);
+}
