The simulator cuts control machines off for 20 s, under orders and departures

Operators and upstreams reach the machine all along: orders, evacuations and leaving upstreams turn to it first 5 ms, 0.3, 0.9, 1.5, 4, 9 and 16 s after the cut.

--- a/crates/drill/src/breaches.rs
+++ b/crates/drill/src/breaches.rs
@@ -1,6 +1,6 @@
 //! Each checker must catch a deliberate breach, and pass its lawful twin.
 
-use crate::facts::{Fact, Seen};
+use crate::facts::{Fact, Seen, Vouched};
 use crate::rules::{CHECKERS, Terms, judge};
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -45,6 +45,18 @@
     Fact::InForce { node: "c-1".into(), edition }
 }
 
+fn isolated() -> Seen {
+    at(0, Fact::Isolated { node: "pm-1".into() })
+}
+
+fn joined() -> Seen {
+    at(1500, Fact::Joined { node: "pm-1".into() })
+}
+
+fn vouched(what: Vouched, asked_at_ms: u64) -> Fact {
+    Fact::Vouched { node: "pm-1".into(), what, asked_at: Duration::from_millis(asked_at_ms) }
+}
+
 fn evacuated(back: bool) -> Fact {
     Fact::Evacuated { locality: "north/n1".into(), back }
 }
@@ -145,6 +157,16 @@
             vec![holds_all(), at(8, holds_keys("a", 10..21, 200)), at(150, holds_keys("b", 0..11, 300))],
             vec![holds_all(), at(8, holds_keys("a", 10..21, 200)), at(150, holds_keys("b", 0..10, 300))],
         ),
+        (
+            13,
+            vec![isolated(), at(200, vouched(Vouched::Order, 101))],
+            vec![isolated(), at(200, vouched(Vouched::Order, 100))],
+        ),
+        (
+            13,
+            vec![isolated(), at(1600, vouched(Vouched::Heartbeat, 1501))],
+            vec![isolated(), joined(), at(1600, vouched(Vouched::Leaving, 1501))],
+        ),
         (12, vec![at(0, arrived("t", "south/s1", false))], vec![at(0, arrived("t", "north/n1", false))]),
     ]
 }
--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -4,6 +4,19 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+/// What an answer of a control node vouches for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vouched {
+    /// An order was taken.
+    Order,
+    /// This is what holds.
+    Reading,
+    /// Nothing more will be sent to an upstream that leaves.
+    Leaving,
+    /// An upstream that stays was heard.
+    Heartbeat,
+}
+
 /// One thing seen, by a stand-in or an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fact {
@@ -97,6 +110,20 @@
         keys: Range<u32>,
         instance: String,
     },
+    /// A control node is cut off from all others from now on, in one direction at least.
+    Isolated {
+        node: String,
+    },
+    /// It is no longer.
+    Joined {
+        node: String,
+    },
+    /// A control node that was cut off vouched for something that it was asked at that moment.
+    Vouched {
+        node: String,
+        what: Vouched,
+        asked_at: Duration,
+    },
     /// A fault was brought about, or healed.
     Fault {
         what: String,
--- a/crates/drill/src/rules.rs
+++ b/crates/drill/src/rules.rs
@@ -1,6 +1,6 @@
 //! One checker per 'must never happen'. They judge recorded facts and know nothing of the system.
 
-use crate::facts::{Fact, Seen};
+use crate::facts::{Fact, Seen, Vouched};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::time::Duration;
@@ -41,6 +41,7 @@
     (10, "a cold upstream stays within its warm-up rate", warm_up_is_kept),
     (11, "no two upstreams hold a key", keys_have_one_holder),
     (12, "region-bound work stays inside", homes_are_kept),
+    (13, "nothing is vouched for out of contact with the others", vouches_in_contact),
 ];
 
 /// Rules that hold within a span: on a machine that others share, real time may break them by itself, and the
@@ -71,6 +72,31 @@
     seen.iter().filter_map(again).collect()
 }
 
+/// How long after the last contact a node may still say that it heard an upstream's heartbeat, which vouches for nothing
+/// that others have to know; and how long what was sent before a cut may be on its way.
+const HEARD_FOR: Duration = Duration::from_millis(1500);
+const ON_ITS_WAY: Duration = Duration::from_millis(100);
+
+fn vouches_in_contact(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let mut isolated: BTreeMap<&str, Duration> = BTreeMap::new();
+    let mut found = Vec::new();
+    seen.iter().for_each(|(at, fact)| match fact {
+        Fact::Isolated { node } => {
+            isolated.insert(node, *at);
+        }
+        Fact::Joined { node } => {
+            isolated.remove(node.as_str());
+        }
+        Fact::Vouched { node, what, asked_at } => {
+            let allowed = if *what == Vouched::Heartbeat { HEARD_FOR } else { ON_ITS_WAY };
+            let late = isolated.get(node.as_str()).filter(|since| *asked_at > **since + allowed);
+            found.extend(late.map(|_| violation(13, *at, format!("{node} vouched for {what:?} out of contact"))));
+        }
+        _ => {}
+    });
+    found
+}
+
 fn busy_did_not_run(seen: &[Seen], _: &Terms) -> Vec<Violation> {
     let ran: BTreeSet<&str> = seen
         .iter()
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 impl World {
-    fn on_machine(&self, machine: usize) -> Vec<usize> {
+    pub(super) fn on_machine(&self, machine: usize) -> Vec<usize> {
         let machine = machine % self.shape.machines;
         (0..self.nodes.len()).filter(|at| self.nodes[*at].machine == machine).collect()
     }
@@ -181,6 +181,9 @@
                 self.on_machine(machine).into_iter().for_each(|node| self.nodes[node].jumped += ahead);
             }
             Fault::JumpPlacement(ahead) => fixed.into_iter().for_each(|node| self.nodes[node].jumped += ahead),
+            Fault::LongCut { machine, how } => self.plan_long_cut(machine, how, self.plan.steps[at].until),
+            Fault::CutPeers { machine, hears, speaks } => self.cut_peers(machine, hears, speaks),
+            Fault::AskThere(machine) => self.ask_there(machine),
             Fault::StopMachine(machine) => self.on_machine(machine).into_iter().for_each(|node| self.stop(node)),
             Fault::KillPlacement => fixed.into_iter().for_each(|node| self.kill(node)),
             Fault::FreezePlacement => fixed.into_iter().for_each(|node| self.freeze(node)),
@@ -258,7 +261,10 @@
                     self.hold_on(self.unit(unit), span);
                 }
             }
+            Fault::CutPeers { machine, .. } => self.join_peers(machine),
+            Fault::AskThere(_) => self.replace_leavers(),
             Fault::RollingRestart
+            | Fault::LongCut { .. }
             | Fault::MoveNames
             | Fault::NumberRace(_)
             | Fault::RestartPostmasters
@@ -314,7 +320,7 @@
     }
 
     /// A further step, found out while a fault comes about.
-    fn push_step(&mut self, at: Duration, until: Duration, fault: Fault) {
+    pub(super) fn push_step(&mut self, at: Duration, until: Duration, fault: Fault) {
         self.plan.steps.push(Step { at, until, fault });
         let step = self.plan.steps.len() - 1;
         self.at(at, super::world::Action::Fault { at: step });
@@ -354,7 +360,7 @@
         self.on_machine(machine).into_iter().for_each(|node| change(&mut self.nodes[node].disk));
     }
 
-    fn cut(&mut self, cut: Cut) {
+    pub(super) fn cut(&mut self, cut: Cut) {
         self.net.cuts.push(cut);
     }
 
--- /dev/null
+++ b/crates/drill/src/sim/cuts.rs
@@ -0,0 +1,161 @@
+//! Control machines that are cut off from the others while operators and upstreams still reach them, and what they
+//! answer meanwhile.
+
+use super::faults::{Fault, LongCut};
+use super::net::Cut;
+use super::nodes::Core;
+use super::operators::What;
+use super::world::World;
+use crate::facts::{Fact, Vouched};
+use address::Code;
+use controller::{Answer, Ask, Event};
+use std::time::Duration;
+
+/// When operators and upstreams turn to the machine, counted from the cut: at once, while it can't have noticed, and
+/// later.
+const ASKED_AFTER_MS: [u64; 7] = [5, 300, 900, 1500, 4000, 9000, 16_000];
+/// How long what was asked there may take.
+const LEAVING_LASTS: Duration = Duration::from_millis(4500);
+/// A cut that comes and goes.
+const FLAP_EVERY: Duration = Duration::from_millis(1700);
+const FLAP_LASTS: Duration = Duration::from_millis(900);
+const RESTART_AFTER: Duration = Duration::from_secs(3);
+const RESTART_LASTS: Duration = Duration::from_millis(300);
+/// How many upstreams leave each time.
+const LEAVERS: usize = 2;
+
+impl World {
+    /// The steps of a long cut.
+    pub(super) fn plan_long_cut(&mut self, machine: usize, how: LongCut, until: Duration) {
+        let machine = machine % self.shape.disks;
+        let (hears, speaks) = (how == LongCut::Mute, how == LongCut::Deaf);
+        let now = self.now;
+        if how == LongCut::Flapping {
+            let mut from = now;
+            while from + FLAP_LASTS < until {
+                self.push_step(from, from + FLAP_LASTS, Fault::CutPeers { machine, hears, speaks });
+                from += FLAP_EVERY;
+            }
+        } else {
+            self.push_step(now, until, Fault::CutPeers { machine, hears, speaks });
+        }
+        ASKED_AFTER_MS.into_iter().for_each(|after| {
+            let at = now + Duration::from_millis(after);
+            self.push_step(at, at + LEAVING_LASTS, Fault::AskThere(machine));
+        });
+        let restarted = match how {
+            LongCut::Restarted => Some(machine),
+            LongCut::Seeds => Some((machine + 1) % self.shape.disks),
+            _ => None,
+        };
+        if how == LongCut::Seeds {
+            self.name_as_seed(machine);
+        }
+        restarted.into_iter().for_each(|machine| {
+            let at = now + RESTART_AFTER;
+            self.push_step(at, at + RESTART_LASTS, Fault::KillMachine(machine));
+        });
+    }
+
+    /// From now on the settings of all name this machine first.
+    fn name_as_seed(&mut self, machine: usize) {
+        let there = self.on_machine(machine).into_iter().filter(|node| self.nodes[*node].is_office());
+        let first: Vec<String> = there.map(|node| self.nodes[node].name.clone()).collect();
+        let others = self.control_nodes().into_iter().map(|node| self.nodes[node].name.clone());
+        let others: Vec<String> = others.filter(|name| !first.contains(name)).take(1).collect();
+        let seeds: Vec<String> = first.into_iter().chain(others).collect();
+        self.seeds = Some(seeds.clone());
+        (0..self.nodes.len()).for_each(|at| {
+            let local = self.nodes[at].local(self.now);
+            match &mut self.nodes[at].core {
+                Core::ControlNode(control) => drop(control.step(local, Event::Seeds(seeds.clone()))),
+                Core::Carrier(carrier, _) => drop(carrier.step(local, carrier::Event::Seeds(seeds.clone()))),
+                Core::Down => {}
+            }
+        });
+    }
+
+    fn control_node_on(&self, machine: usize) -> Option<usize> {
+        self.on_machine(machine).into_iter().find(|node| self.nodes[*node].is_office())
+    }
+
+    pub(super) fn cut_peers(&mut self, machine: usize, hears: bool, speaks: bool) {
+        self.cut(Cut::Peers { machine, hears, speaks });
+        if let Some(node) = self.control_node_on(machine) {
+            self.isolated.insert(node);
+            let node = self.nodes[node].name.clone();
+            self.note(Fact::Isolated { node });
+        }
+    }
+
+    pub(super) fn join_peers(&mut self, machine: usize) {
+        self.net.cuts.retain(|cut| !matches!(cut, Cut::Peers { machine: other, .. } if *other == machine));
+        if let Some(node) = self.control_node_on(machine) {
+            self.isolated.remove(&node);
+            let node = self.nodes[node].name.clone();
+            self.note(Fact::Joined { node });
+        }
+    }
+
+    /// An operator's orders and upstreams that leave, there first.
+    pub(super) fn ask_there(&mut self, machine: usize) {
+        let Some(node) = self.control_node_on(machine) else { return };
+        self.submit_first_at(node);
+        let zone = self.shape.locality(machine + 1);
+        self.submit_there(node, What::Evacuate { locality: zone.clone(), back: false });
+        self.take_back(zone);
+        let ready = |unit: &usize| self.units[*unit].up && self.units[*unit].condition == enrolment::READY;
+        let ready: Vec<usize> = (0..self.units.len()).filter(ready).collect();
+        (0..LEAVERS.min(ready.len())).for_each(|_| {
+            let unit = ready[self.random.below(ready.len() as u64) as usize];
+            self.units[unit].condition = enrolment::LEAVING;
+            self.units[unit].leaves_by = Some(node);
+            self.beat_once(unit);
+        });
+    }
+
+    /// Those that left at a cut-off machine are gone by now, and others come in their place.
+    pub(super) fn replace_leavers(&mut self) {
+        let left = |unit: &usize| self.units[*unit].leaves_by.is_some() && self.units[*unit].taken_at.is_some();
+        let over = |unit: &usize| self.units[*unit].taken_at.is_some_and(|at| self.now >= at + LEAVING_LASTS);
+        let left: Vec<usize> = (0..self.units.len()).filter(left).filter(over).collect();
+        left.into_iter().for_each(|unit| {
+            self.crash_unit(unit);
+            let work = self.units[unit].work;
+            self.replace_unit(unit, work, true);
+        });
+    }
+
+    fn is_taken(&self, instance: &str) -> bool {
+        self.units.iter().any(|unit| unit.instance == instance && unit.taken_at.is_some())
+    }
+
+    /// Notes what a node vouches for while it is cut off from all others.
+    pub(super) fn note_vouched(&mut self, at: usize, token: u64, answer: &Answer) {
+        let Some((asked_at, what)) = self.asked.remove(&token) else { return };
+        let vouches = match answer {
+            Answer::Verdict { code, .. } => matches!(code, Code::Fine | Code::NoWord),
+            Answer::Setup { .. } | Answer::Beat { .. } => true,
+            Answer::Denied { .. } | Answer::Sheet(_) | Answer::Redirect { .. } => false,
+        };
+        if vouches && self.isolated.contains(&at) {
+            let node = self.nodes[at].name.clone();
+            self.note(Fact::Vouched { node, what, asked_at });
+        }
+    }
+
+    /// Notes when a question came to a node that is cut off from all others.
+    pub(super) fn note_asked(&mut self, at: usize, token: u64, ask: &Ask) {
+        let what = match ask {
+            Ask::Submit { .. } | Ask::Evacuate { .. } => Vouched::Order,
+            Ask::Beat(upstream) if upstream.condition == enrolment::READY => Vouched::Heartbeat,
+            // One that was told already that all know goes on beating.
+            Ask::Beat(upstream) if self.is_taken(&upstream.instance) => Vouched::Heartbeat,
+            Ask::Beat(_) | Ask::SignOff { .. } => Vouched::Leaving,
+            _ => Vouched::Reading,
+        };
+        if self.isolated.contains(&at) {
+            self.asked.insert(token, (self.now, what));
+        }
+    }
+}
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -88,8 +88,40 @@
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// A control machine is cut off from the others for some twenty seconds, while operators and upstreams reach it.
+    LongCut {
+        machine: usize,
+        how: LongCut,
+    },
+    /// One control machine is cut off from all other machines.
+    CutPeers {
+        machine: usize,
+        hears: bool,
+        speaks: bool,
+    },
+    /// Operators send orders, and upstreams say that they leave, to this machine first.
+    AskThere(usize),
 }
 
+/// How a control machine is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LongCut {
+    BothWays,
+    /// It hears, but nobody hears it.
+    Mute,
+    /// It speaks, but hears nobody.
+    Deaf,
+    /// On and off, with less than a second between.
+    Flapping,
+    /// Its processes are restarted meanwhile.
+    Restarted,
+    /// The settings name it first, and other machines are restarted with them.
+    Seeds,
+}
+
+/// How long such a cut lasts.
+pub(super) const LONG_CUT: Duration = Duration::from_secs(20);
+
 /// How long a rolling restart gives each machine.
 pub(super) const RESTART_EVERY: Duration = Duration::from_millis(4500);
 /// How long each zone is evacuated while names are moved about.
@@ -154,6 +186,12 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("long-cut", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::BothWays }),
+    ("long-cut-mute", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Mute }),
+    ("long-cut-deaf", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Deaf }),
+    ("long-cut-flapping", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Flapping }),
+    ("long-cut-restarted", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Restarted }),
+    ("long-cut-seeds", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Seeds }),
 ];
 
 /// Every kind by name.
@@ -231,6 +269,7 @@
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::LongCut { .. } => at + LONG_CUT,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
             _ => at + Duration::from_millis(1500 + random.below(9000)),
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -4,6 +4,7 @@
 use crate::shapes::Shape;
 
 mod breaking;
+mod cuts;
 mod faults;
 mod net;
 mod nodes;
@@ -13,7 +14,7 @@
 mod units;
 mod world;
 
-pub use faults::{FAULTS, FURTHER, Fault, Plan, Step, fault_names};
+pub use faults::{FAULTS, FURTHER, Fault, LongCut, Plan, Step, fault_names};
 pub use world::{Load, Outcome, Weakness, World};
 
 /// Runs one seed under a plan; without one, the seed draws its own.
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -7,7 +7,7 @@
 use carrier::Carrier;
 use controller::{Answer, Ask, ControlNode};
 use gazetteer::SetupReader;
-use protocol::{DurableState, Envelope, Member, Message, Payload};
+use protocol::{BeatsAck, DurableState, Envelope, Member, Message, Payload, ReadBack};
 use sorting::{Board, Outcome, Site};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -161,6 +161,7 @@
         let seed = self.random.next_u64();
         let seeds: Vec<String> =
             self.nodes.iter().filter(|node| node.is_office).take(3).map(|node| node.name.clone()).collect();
+        let seeds = self.seeds.clone().unwrap_or(seeds);
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
         let roster_size = self.shape.disks;
         let reader = if self.weak.unnumbered { SetupReader(read_unnumbered) } else { SetupReader::default() };
@@ -287,6 +288,9 @@
 
     /// Steps a core with an event, or with a tick, and carries out its effects.
     fn step_node(&mut self, at: usize, event: Option<NodeEvent>) {
+        if let Some(NodeEvent::Ask { token, ask }) = &event {
+            self.note_asked(at, *token, ask);
+        }
         let now = self.now;
         let node = &mut self.nodes[at];
         let local = node.local(now);
@@ -417,7 +421,7 @@
         self.run_control(at, effects);
     }
 
-    fn named(&self, name: &str) -> Option<usize> {
+    pub(super) fn named(&self, name: &str) -> Option<usize> {
         self.nodes.iter().position(|node| node.name == name)
     }
 
@@ -425,6 +429,7 @@
         if self.weak.tells_late && matches!(&body, Payload::ViewUpdate(news) if news.keeps_upstreams) {
             return;
         }
+        self.forge_agreement(from, to, &body);
         self.parcels += 1;
         let parcel = Envelope { from: self.nodes[from].name.clone(), body: Some(body.clone()) };
         self.parcel_bytes += parcel.encoded_len() as u64;
@@ -438,6 +443,24 @@
         });
     }
 
+    /// In a broken system: an answer that nobody gave.
+    fn forge_agreement(&mut self, at: usize, other: &str, body: &Payload) {
+        let answer = match body {
+            Payload::Read(read) if self.weak.agrees_alone => {
+                Payload::ReadBack(ReadBack { nonce: read.nonce, ..ReadBack::default() })
+            }
+            Payload::DeparturesRead(asked) if self.weak.agrees_alone => {
+                Payload::ReadBack(ReadBack { nonce: asked.read.nonce, ..ReadBack::default() })
+            }
+            Payload::Beats(beats) if self.weak.tells_departures_blindly && beats.nonce != 0 => {
+                Payload::BeatsAck(BeatsAck { nonce: beats.nonce })
+            }
+            _ => return,
+        };
+        let event = NodeEvent::Envelope { from: other.to_owned(), body: answer };
+        self.after(Duration::from_micros(1), Action::Deliver { node: at, event });
+    }
+
     fn datagram(&mut self, from: usize, to: &str, body: Payload) {
         let Some(to) = self.named(to) else { return };
         let parcel = Envelope { from: String::new(), body: Some(body.clone()) };
@@ -484,7 +507,8 @@
         }
     }
 
-    fn control_answered(&mut self, _at: usize, token: u64, answer: Answer) {
+    fn control_answered(&mut self, at: usize, token: u64, answer: Answer) {
+        self.note_vouched(at, token, &answer);
         if matches!(answer, Answer::Verdict { code: address::Code::Fine, .. }) {
             self.spring_restart();
         }
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -1,5 +1,6 @@
 //! Operators in the simulator: they submit, evacuate, race, ask again when the outcome is unknown, read back.
 
+use super::faults::{Fault, Step};
 use super::nodes::NodeEvent;
 use super::world::{Action, World};
 use crate::facts::Fact;
@@ -11,6 +12,8 @@
 
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 const MOST_ASKS: u32 = 80;
+/// A caller that hears nothing for so long goes on to another node.
+const SILENCE: Duration = Duration::from_secs(1);
 
 /// What an operator wants, until it is decided.
 pub struct Submission {
@@ -20,6 +23,8 @@
     decided: bool,
     asked: u32,
     asks_again: bool,
+    /// The node that is asked next, where that is no matter of chance.
+    ask_at: Option<usize>,
     /// Submitted once this one is decided.
     then: Option<What>,
 }
@@ -103,7 +108,24 @@
         });
     }
 
+    /// Submits a new setup at this node first.
+    pub(super) fn submit_first_at(&mut self, node: usize) {
+        self.operators.setups += 1;
+        let extra = self.operators.setups;
+        let bytes = self.shape.setup(extra);
+        self.submit_there(node, What::Setup { bytes, base: None, mark: extra % MARKS.len() });
+    }
+
     pub(super) fn submit(&mut self, what: What) {
+        self.submit_at(None, what);
+    }
+
+    /// Submits at this node first.
+    pub(super) fn submit_there(&mut self, node: usize, what: What) {
+        self.submit_at(Some(node), what);
+    }
+
+    fn submit_at(&mut self, ask_at: Option<usize>, what: What) {
         // Work may go there from the moment it is asked for: the yes comes later.
         if let What::Evacuate { locality, back: true } = &what {
             self.note(Fact::Evacuated { locality: locality.clone(), back: true });
@@ -118,6 +140,7 @@
             decided: false,
             asked: 0,
             asks_again: false,
+            ask_at,
             then: None,
         });
         self.ask_submission(at);
@@ -136,12 +159,16 @@
             What::Numbered { bytes, .. } => Ask::Submit { id, base: None, bytes: bytes.into_bytes(), in_force: false },
             What::Evacuate { locality, back } => Ask::Evacuate { id, locality, back, in_force: false },
         };
+        let ask_at = submission.ask_at.take();
         let (node, token) = (self.some_control_node(), self.id());
+        let node = ask_at.unwrap_or(node);
         self.operators.tokens.insert(token, (at, node));
         self.after(Duration::from_millis(8), Action::Deliver { node, event: NodeEvent::Ask { token, ask } });
         // No answer at all: ask again with the same id, elsewhere.
         let unknown = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
-        self.after(Duration::from_secs(4), Action::OperatorAnswer { submission: at, answer: unknown });
+        let impatient = |step: &Step| matches!(step.fault, Fault::LongCut { .. });
+        let patience = if self.plan.steps.iter().any(impatient) { SILENCE } else { Duration::from_secs(4) };
+        self.after(patience, Action::OperatorAnswer { submission: at, answer: unknown });
     }
 
     fn some_control_node(&mut self) -> usize {
@@ -178,6 +205,10 @@
         if self.operators.submissions[at].decided {
             return;
         }
+        if let Answer::Redirect { to } = &answer {
+            self.operators.submissions[at].ask_at = self.named(to);
+            return self.ask_submission(at);
+        }
         let Answer::Verdict { code, edition } = answer else { return };
         match code {
             Code::Fine | Code::SetupBehind => self.decide_submission(at, code, edition),
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -29,6 +29,9 @@
     pub condition: u32,
     pub warm: bool,
     pub beat: u64,
+    /// The control node that it says its leaving to first, and when one acknowledged it.
+    pub leaves_by: Option<usize>,
+    pub taken_at: Option<Duration>,
     pub holder: u64,
     /// Slot, epoch and end of what it holds.
     pub holds: BTreeMap<u32, (u64, Duration)>,
@@ -71,6 +74,8 @@
             condition: enrolment::READY,
             warm,
             beat: 0,
+            leaves_by: None,
+            taken_at: None,
             holder: 0,
             holds: BTreeMap::new(),
             ranged: Ranged::default(),
@@ -102,6 +107,7 @@
         unit.condition = enrolment::READY;
         unit.warm = warm;
         unit.beat = 0;
+        (unit.leaves_by, unit.taken_at) = (None, None);
         unit.holder = 0;
         unit.holds.clear();
         unit.ranged = Ranged::default();
@@ -152,6 +158,7 @@
         let control_nodes = self.control_nodes();
         let node = control_nodes[self.random.below(control_nodes.len() as u64) as usize];
         let unit = &mut self.units[at];
+        let node = unit.leaves_by.unwrap_or(node);
         unit.beat += 1;
         let holds = unit.holds.iter().filter(|(_, (_, until))| now < *until);
         let holds =
@@ -183,10 +190,15 @@
     /// A postmaster answered a beat.
     pub(super) fn beat_answered(&mut self, from: (usize, u64, u64, Duration, usize), answer: Answer) {
         let (unit, life, beat, sent_at, node) = from;
+        if let Answer::Redirect { to } = &answer {
+            self.units[unit].leaves_by = self.units[unit].leaves_by.and(self.named(to));
+        }
         let Answer::Beat { holder, shares, span } = answer else {
+            self.next_to_hear_of_leaving(unit, node);
             // Nobody there, or on its way out: another one, soon.
             return self.after(BEAT_AGAIN, Action::BeatAgain { unit, life, beat });
         };
+        self.leaving_taken(unit, life);
         if self.units[unit].work.numbered {
             return self.ranges_answered(from, shares, span);
         }
@@ -198,6 +210,26 @@
         });
     }
 
+    /// One that leaves goes on to the next node after a refusal.
+    fn next_to_hear_of_leaving(&mut self, unit: usize, refused_by: usize) {
+        let control_nodes = self.control_nodes();
+        let unit = &mut self.units[unit];
+        if unit.leaves_by == Some(refused_by) {
+            let at = control_nodes.iter().position(|node| *node == refused_by).unwrap_or(0);
+            unit.leaves_by = Some(control_nodes[(at + 1) % control_nodes.len()]);
+        }
+    }
+
+    /// Its leaving was acknowledged, and from now on it beats there.
+    fn leaving_taken(&mut self, unit: usize, life: u64) {
+        let unit = &mut self.units[unit];
+        if unit.life == life && unit.condition == enrolment::LEAVING && unit.taken_at.is_none() {
+            unit.taken_at = Some(self.now);
+            let instance = Some(unit.instance.clone()).filter(|_| unit.leaves_by.is_some());
+            instance.into_iter().for_each(|instance| self.note(Fact::Leaving { instance }));
+        }
+    }
+
     /// Only the answer to the latest beat counts, and only what has not run out.
     pub(super) fn beat_answer(&mut self, at: usize, life: u64, beat: u64, sent_at: Duration, sheet: &Sheet) {
         let now = self.now;
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -6,14 +6,14 @@
 use super::operators::Operators;
 use super::path::{Origins, Trip};
 use super::units::Unit;
-use crate::facts::{Fact, Seen};
+use crate::facts::{Fact, Seen, Vouched};
 use crate::origins::Ended;
 use crate::rules::{Violation, judge};
 use crate::shapes::{ROADWISE, Shape};
 use address::Random;
 use protocol::Share;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tariff::Sheet;
@@ -108,6 +108,10 @@
     pub spendthrift: bool,
     /// Proxies take every upstream for warm.
     pub forgets_warm_up: bool,
+    /// A control node takes every other for in agreement with it: whatever it asks them counts as answered.
+    pub agrees_alone: bool,
+    /// A control node takes a departure for known by the others as soon as it has told them.
+    pub tells_departures_blindly: bool,
 }
 
 impl Default for Weakness {
@@ -130,6 +134,8 @@
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
+            agrees_alone: false,
+            tells_departures_blindly: false,
         }
     }
 }
@@ -190,6 +196,11 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    /// Control nodes that are cut off from all others, and what was asked there.
+    pub(super) isolated: BTreeSet<usize>,
+    pub(super) asked: BTreeMap<u64, (Duration, Vouched)>,
+    /// What the settings name, where that changed.
+    pub(super) seeds: Option<Vec<String>>,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
     pub(super) weak: Weakness,
@@ -231,6 +242,9 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            isolated: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            seeds: None,
             restart_due: false,
             weak: Weakness::default(),
             nodes: Vec::new(),
