--- a/crates/controller/src/departures.rs
+++ b/crates/controller/src/departures.rs
@@ -86,8 +86,8 @@
 
     /// Takes in beats that another control node tells of.
     pub(crate) fn beats_told(&mut self, now: Duration, from: String, beats: Beats) {
-        let kept = beats.upstreams.into_iter().fold(true, |kept, upstream| self.take_told(now, upstream) && kept);
-        if kept && beats.nonce != 0 {
+        let dropped = beats.upstreams.into_iter().filter(|upstream| !self.take_told(now, upstream.clone())).count();
+        if dropped == 0 && beats.nonce != 0 {
             let body = Payload::BeatsAck(BeatsAck { nonce: beats.nonce });
             self.effects.push_back(Effect::Send { to: from, body });
         }
@@ -180,8 +180,8 @@
     /// What the voter knows of departures counts before its confirmation does.
     pub(crate) fn read_answered(&mut self, now: Duration, from: String, answer: DeparturesReadBack) {
         self.note_answered(now, &from);
-        let kept = answer.departures.iter().fold(true, |kept, departure| self.roll.depart(now, departure) && kept);
-        if kept {
+        let dropped = answer.departures.iter().filter(|departure| !self.roll.depart(now, departure)).count();
+        if dropped == 0 {
             let body = Payload::ReadBack(answer.read_back);
             self.run_register(now, quorum_register::Event::Received { from, body });
         }
