--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -1,7 +1,7 @@
 //! Whether this node is in contact with a majority of the voters, and where callers are sent while it is not.
 
 use crate::node::{Answer, Ask, ControlNode, Effect};
-use address::{Code, majority};
+use address::Code;
 use protocol::Payload;
 use quorum_register::VoterPhase;
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,7 +52,7 @@
 
     /// Notes that a voter answered a question of this node.
     pub(crate) fn note_answered(&mut self, now: Duration, from: &str) {
-        if self.register.roster().iter().any(|voter| voter == from) {
+        if self.register.voter_set().contains(from) {
             self.contact.answered.insert(from.to_owned(), now);
         }
     }
@@ -60,12 +60,11 @@
     /// True while this voter may begin a round: enough others answer it. One that speaks but hears nobody would get
     /// promises that it never learns of, and every one of them ends the round of a voter that could finish its own.
     pub(crate) fn may_begin_rounds(&self, now: Duration) -> bool {
-        let roster = self.register.roster();
-        let answers = |voter: &&String| {
-            let answered_at = self.contact.answered.get(*voter);
-            **voter == self.me.node || answered_at.is_some_and(|at| now < *at + self.contact_span())
+        let answers = |voter: &str| {
+            let answered_at = self.contact.answered.get(voter);
+            voter == self.me.node || answered_at.is_some_and(|at| now < *at + self.contact_span())
         };
-        *self.register.phase() != VoterPhase::Voting || roster.iter().filter(answers).count() >= majority(roster.len())
+        *self.register.phase() != VoterPhase::Active || self.register.voter_set().is_quorum(answers)
     }
 
     /// Notes who is heard to hold the placement lease: renewing it, or telling a placement under it.
@@ -97,6 +96,11 @@
     }
 
     /// True where the caller of an order still waits to hear of it.
+    pub(crate) fn is_open_order(&self, token: u64) -> bool {
+        self.contact.orders.contains(&token)
+    }
+
+    /// The order is answered now; false where it was before.
     pub(crate) fn close_order(&mut self, token: u64) -> bool {
         self.contact.orders.remove(&token)
     }
--- a/crates/controller/src/departures.rs
+++ b/crates/controller/src/departures.rs
@@ -5,7 +5,7 @@
 //! do the carriers that follow it.
 
 use crate::node::{BATCH_EVERY, ControlNode, Effect};
-use address::{Code, majority, spread_all};
+use address::{Code, spread_all};
 use enrolment::{GONE, READY};
 use protocol::{Beats, BeatsAck, Departure, DeparturesRead, DeparturesReadBack, Payload, Read, ReadBack, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -76,7 +76,8 @@
         wait.next_tell = now + TELL_EVERY;
         let upstream = Upstream { holds: Vec::new(), released: Vec::new(), ..wait.upstream.clone() };
         let body = Payload::Beats(Beats { upstreams: vec![upstream], nonce });
-        let voters = self.register.roster().iter();
+        let voter_set = self.register.voter_set().clone();
+        let voters = voter_set.members();
         let members = self.members.iter().filter(|member| member.roles == "postmaster").map(|member| &member.node);
         let all: BTreeSet<&String> = voters.chain(members).collect();
         let others = all.into_iter().filter(|node| !wait.taken_by.contains(*node));
@@ -111,10 +112,8 @@
 
     /// Acknowledges a departure that a majority knows.
     fn settle_departure(&mut self, now: Duration, nonce: u64) {
-        let roster = self.register.roster();
         let Some(wait) = self.departures.waiting.get(&nonce) else { return };
-        let taken = roster.iter().filter(|voter| wait.taken_by.contains(*voter)).count();
-        if roster.is_empty() || taken < majority(roster.len()) {
+        if !self.register.voter_set().is_quorum(|voter| wait.taken_by.contains(voter)) {
             return;
         }
         let Some(Wait { token, upstream, .. }) = self.departures.waiting.remove(&nonce) else { return };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,18 +1,20 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::contact::Contact;
 use crate::departures::Departures;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
+use crate::voters::VoterChanges;
 use address::{Code, Random};
 use enrolment::Roll;
 use gazetteer::{Owners, SetupReader};
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,17 +54,22 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
     },
+    /// Let one node vote, another not any more, or both at once.
+    ChangeVoters {
+        add: Option<String>,
+        remove: Option<String>,
+    },
     ReadSetup,
     Status,
     Upstreams,
@@ -125,6 +132,10 @@
         ticket: u64,
     },
     DiskFailed,
+    /// A write failed, and the disk tries it again until it is done.
+    DiskRetrying,
+    /// The write that failed is done.
+    DiskRecovered,
     /// The settings name other seeds.
     Seeds(Vec<String>),
     Close,
@@ -150,6 +161,10 @@
         digest: String,
         bytes: Vec<u8>,
     },
+    /// The file of this setup may go, after all writes before.
+    DropSetup {
+        digest: String,
+    },
     Answer {
         token: u64,
         answer: Answer,
@@ -158,6 +173,8 @@
     Addresses(Vec<(String, String)>),
     /// Worth a line in the log.
     Note(String),
+    /// Worth an operator's look.
+    Alarm(String),
 }
 
 pub(crate) struct InForce {
@@ -175,6 +192,8 @@
 
 pub(crate) struct BeatWait {
     pub token: u64,
+    /// Who was asked.
+    pub asked: String,
     pub until: Duration,
 }
 
@@ -192,6 +211,8 @@
 /// The core of one postmaster.
 pub struct ControlNode {
     pub(crate) me: Member,
+    /// Tells this life of the process from earlier ones of the same name.
+    life: u64,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
@@ -213,6 +234,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     pub(crate) contact: Contact,
     pub(crate) departures: Departures,
@@ -227,8 +249,13 @@
     pub(crate) roll_told: bool,
     pub(crate) held_epoch: u64,
     pub(crate) counts: Counts,
+    /// A write failed and is tried again: nothing new is promised or accepted here meanwhile.
+    pub(crate) disk_fails: bool,
+    /// The state accepted here names a setup whose bytes are not here.
+    lacks_setup: bool,
     /// True once it was told to end: whoever asks is sent elsewhere.
-    closing: bool,
+    pub(crate) closing: bool,
+    pub(crate) voter_changes: VoterChanges,
 }
 
 impl ControlNode {
@@ -241,6 +268,7 @@
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
+        let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(quorum_register::Start {
@@ -257,6 +285,7 @@
             told: register.phase().clone(),
             members: vec![me.clone()],
             me,
+            life,
             times,
             reader,
             owners,
@@ -272,6 +301,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             contact: Contact::default(),
             departures: Departures::default(),
@@ -283,7 +313,10 @@
             roll_told: false,
             held_epoch: 0,
             counts: Counts::default(),
+            disk_fails: false,
+            lacks_setup: false,
             closing: false,
+            voter_changes: VoterChanges::default(),
         }
     }
 
@@ -312,6 +345,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -323,15 +357,13 @@
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
+            Event::DiskRetrying => self.disk_fails = true,
+            Event::DiskRecovered => self.disk_fails = false,
             Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
-            Event::Close => {
-                self.closing = true;
-                let effects = self.membership.step(now, membership::Event::Leave);
-                self.run_membership(now, effects);
-                self.run_lease(now, lease::Event::Close);
-            }
+            Event::Close => self.close(now),
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
@@ -339,17 +371,18 @@
         let effects = self.membership.step(now, membership::Event::Tick);
         self.run_membership(now, effects);
         self.run_register(now, quorum_register::Event::Tick);
-        let (roster, epoch) = (self.register.roster().to_vec(), self.register.lease_epoch());
-        if *self.register.phase() == VoterPhase::Voting {
-            self.run_lease(now, lease::Event::Roster { roster, epoch });
+        if *self.register.phase() == VoterPhase::Active {
+            self.tell_lease_voters(now);
             self.run_lease(now, lease::Event::Tick);
         }
+        self.tick_voters(now);
         if now >= self.next_sweep {
             self.next_sweep = now + BATCH_EVERY;
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
+                let life = self.life;
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest { life, ..Default::default() }));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -360,6 +393,21 @@
         self.tick_contact(now);
         self.tick_departures(now);
         self.note_standing();
+        self.note_missing_setup();
+    }
+
+    /// Until its bytes are here this node can't answer with the state it holds: it asks the others for them.
+    fn note_missing_setup(&mut self) {
+        let lacks = self.register.lacks_accepted_setup();
+        if lacks != self.lacks_setup {
+            self.lacks_setup = lacks;
+            self.effects.push_back(match lacks {
+                true => Effect::Alarm(
+                    "the setup of the state on this disk is missing or damaged; the others are asked for it".into(),
+                ),
+                false => Effect::Note("repaired: the setup of the state on this disk is here again".into()),
+            });
+        }
     }
 
     fn note_standing(&mut self) {
@@ -369,8 +417,9 @@
             let text = match now {
                 VoterPhase::Blank { .. } => "the disk is blank",
                 VoterPhase::Bootstrapping { .. } => "endorsed a roster",
-                VoterPhase::Recovering { .. } => "mending from the other voters",
-                VoterPhase::Voting => "voting",
+                VoterPhase::Recovering(_) => "recovering from the voters",
+                VoterPhase::Active if self.register.is_voter() => "voting",
+                VoterPhase::Active => "following, without a vote",
                 VoterPhase::Out => "the disk failed: out of rounds",
             };
             self.effects.push_back(Effect::Note(text.into()));
@@ -382,7 +431,8 @@
         match body {
             Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => {
                 // A voter that has lost its disk has forgotten the epochs it granted.
-                if *self.register.phase() == VoterPhase::Voting {
+                if *self.register.phase() == VoterPhase::Active {
+                    self.tell_lease_voters(now);
                     self.run_lease(now, lease::Event::Received { from, body });
                 }
             }
@@ -396,9 +446,10 @@
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
             Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
             Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
-            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::SharesReply(given) => self.shares_given(&from, given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
+            Payload::VoterLeaving(_) => self.voter_leaving(now, from),
             Payload::KeyLoads(told) => self.count_keys(told.loads),
             Payload::UpdateRequest(ask) => self.news_asked(now, from, ask),
             Payload::UpdateAck(kept) => self.news_kept(&from, &kept),
@@ -412,7 +463,7 @@
         }
     }
 
-    fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
+    pub(crate) fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
         let changed = effects.contains(&membership::Effect::Changed);
         effects.into_iter().for_each(|effect| {
             if let membership::Effect::Send { address, body } = effect {
@@ -441,13 +492,20 @@
             quorum_register::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.effects.push_back(Effect::KeepSetup { ticket, digest, bytes });
             }
+            quorum_register::Effect::DropSetup { digest } => self.effects.push_back(Effect::DropSetup { digest }),
             quorum_register::Effect::Decided { token, decision } => self.decided(now, token, decision),
             quorum_register::Effect::Adopted => self.adopted(),
             quorum_register::Effect::EpochKept { token } => self.run_lease(now, lease::Event::EpochKept { token }),
         });
     }
 
-    fn run_lease(&mut self, now: Duration, event: lease::Event) {
+    /// Whom the lease asks, and what it may grant, follows every newer state at once.
+    fn tell_lease_voters(&mut self, now: Duration) {
+        let (voter_set, epoch) = (self.register.voter_set().clone(), self.register.lease_epoch());
+        self.run_lease(now, lease::Event::Voters { voter_set, epoch });
+    }
+
+    pub(crate) fn run_lease(&mut self, now: Duration, event: lease::Event) {
         let effects = self.lease.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
             lease::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
@@ -483,6 +541,10 @@
     }
 
     fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
+        // An answer to an earlier life's question may be from before that life's end.
+        if told.life != 0 && told.life != self.life {
+            return;
+        }
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -59,7 +59,7 @@
         // Acknowledgements run behind by what is on the way; a real gap shows at the carrier, which then
         // asks with stream 0.
         if !known && self.readers.len() < MOST_READERS {
-            self.send_snapshot(now, &from);
+            self.send_snapshot(now, &from, ask.nonce);
         }
         let age_ms = self.confirmation_age_ms(now).unwrap_or(u64::MAX);
         if let Some(reader) = self.readers.get_mut(&from) {
@@ -80,10 +80,10 @@
         self.register.age(now).map(|age| age.as_millis() as u64 + 1)
     }
 
-    fn send_snapshot(&mut self, now: Duration, to: &str) {
+    fn send_snapshot(&mut self, now: Duration, to: &str, asked: u64) {
         self.counts.images += 1;
         let stream = self.random.next_u64().max(1);
-        let state = self.register.state().clone();
+        let state = carrier_state(self.register.state());
         let (placement, edition, whole) = (Arc::new(self.bare_placement(now)), 0, self.is_settled(now));
         let snapshot = ViewUpdate {
             stream,
@@ -94,6 +94,7 @@
             placement: Some(Placement::clone(&placement)),
             keeps_upstreams: !whole,
             age_ms: self.confirmation_age_ms(now),
+            asked,
         };
         let reader = Reader { stream, number: 0, asked_at: now, state, placement, whole, edition };
         self.readers.insert(to.to_owned(), reader);
@@ -113,11 +114,11 @@
         let current = &self.register.state().digest;
         let wanted = self.readers.values().any(|reader| reader.state.digest != *current);
         let squeezed = if wanted { self.register.squeezed_setup() } else { None };
-        let state = self.register.state();
+        let state = carrier_state(self.register.state());
         let placement = Arc::new(self.bare_placement(now));
         let mut changes = PlacementChanges { new: &placement, known: Vec::new() };
         for (node, reader) in &mut self.readers {
-            let new_word = Some(state).filter(|state| **state != reader.state);
+            let new_word = Some(&state).filter(|state| **state != reader.state);
             let new_setup = new_word.filter(|state| state.digest != reader.state.digest).and(squeezed.as_ref());
             let news = ViewUpdate {
                 stream: reader.stream,
@@ -128,6 +129,7 @@
                 placement: changes.since(&reader.placement),
                 keeps_upstreams: false,
                 age_ms: None,
+                asked: 0,
             };
             reader.placement = placement.clone();
             if news.state.is_none() && news.upstreams.is_empty() && news.placement.is_none() {
@@ -181,6 +183,18 @@
     }
 }
 
+/// What carriers need of the state: what is remembered of orders stays with the voters.
+fn carrier_state(state: &ClusterState) -> ClusterState {
+    let ClusterState { edition, digest, evacuated, number, .. } = state;
+    ClusterState {
+        edition: *edition,
+        digest: digest.clone(),
+        evacuated: evacuated.clone(),
+        number: *number,
+        ..ClusterState::default()
+    }
+}
+
 /// Ages and key lists stay here; carriers want what requests need.
 fn plain(upstream: Upstream) -> Upstream {
     Upstream { age_ms: 0, born_ms: 0, holder: 0, holds: Vec::new(), released: Vec::new(), ..upstream }
--- a/crates/controller/tests/contact.rs
+++ b/crates/controller/tests/contact.rs
@@ -3,7 +3,8 @@
 
 use address::Code;
 use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
-use protocol::{DurableState, Heard, Member, Payload, Probe, Upstream};
+use protocol::{ClusterState, DurableState, Heard, Member, Payload, Probe, Upstream, VoterSet};
+use quorum_register::OrderId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -154,7 +155,8 @@
 
 fn control(node: &str) -> ControlNode {
     let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
-    let roster = NODES.iter().map(|node| (*node).to_owned()).collect();
+    let roster: Vec<String> = NODES.iter().map(|node| (*node).to_owned()).collect();
+    let accepted = ClusterState { voter_set: VoterSet::new(roster.clone()), ..ClusterState::default() };
     ControlNode::new(Start {
         reader: Default::default(),
         owners: Default::default(),
@@ -162,7 +164,7 @@
         seeds: vec![],
         roster_size: NODES.len(),
         seed: u64::from(node.as_bytes()[0]),
-        durable: DurableState { disk: 7, roster, ..DurableState::default() },
+        durable: DurableState { disk: 7, roster, accepted, ..DurableState::default() },
         setups: Default::default(),
         times: controller::shell::times(&settings),
     })
@@ -182,7 +184,7 @@
 }
 
 fn evacuate(id: &str) -> Ask {
-    Ask::Evacuate { id: id.into(), locality: "north/a".into(), back: false, in_force: false }
+    Ask::Evacuate { id: OrderId::from(id), locality: "north/a".into(), back: false, in_force: false }
 }
 
 fn acknowledged(answer: &Option<Answer>) -> bool {
--- a/crates/drill/src/rules.rs
+++ b/crates/drill/src/rules.rs
@@ -1,6 +1,7 @@
 //! One checker per 'must never happen'. They judge recorded facts and know nothing of the system.
 
 use crate::facts::{Fact, Seen, Vouched};
+use crate::history::{self, Flaw};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::time::Duration;
@@ -41,7 +42,9 @@
     (10, "a cold upstream stays within its warm-up rate", warm_up_is_kept),
     (11, "no two upstreams hold a key", keys_have_one_holder),
     (12, "region-bound work stays inside", homes_are_kept),
-    (13, "nothing is vouched for out of contact with the others", vouches_in_contact),
+    (13, "operators' calls happen one at a time", calls_are_linearizable),
+    (13, "an order sent again gets its first answer", answers_stay),
+    (14, "nothing is vouched for out of contact with the others", vouches_in_contact),
 ];
 
 /// Rules that hold within a span: on a machine that others share, real time may break them by itself, and the
@@ -90,7 +93,7 @@
         Fact::Vouched { node, what, asked_at } => {
             let allowed = if *what == Vouched::Heartbeat { HEARD_FOR } else { ON_ITS_WAY };
             let late = isolated.get(node.as_str()).filter(|since| *asked_at > **since + allowed);
-            found.extend(late.map(|_| violation(13, *at, format!("{node} vouched for {what:?} out of contact"))));
+            found.extend(late.map(|_| violation(14, *at, format!("{node} vouched for {what:?} out of contact"))));
         }
         _ => {}
     });
@@ -388,3 +391,15 @@
     };
     seen.iter().filter_map(outside).collect()
 }
+
+fn calls_are_linearizable(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    let found = history::check(&history::calls(seen)).err().map(|flaw| match flaw {
+        Flaw::NoOrder { call, at } => violation(13, at, format!("no order of the calls explains {call}")),
+        Flaw::TooLong => violation(13, Duration::ZERO, "too many orders of the calls to judge them".into()),
+    });
+    found.into_iter().collect()
+}
+
+fn answers_stay(seen: &[Seen], _: &Terms) -> Vec<Violation> {
+    history::changed_answers(seen).into_iter().map(|(at, text)| violation(13, at, text)).collect()
+}
--- a/crates/drill/src/sim/cuts.rs
+++ b/crates/drill/src/sim/cuts.rs
@@ -102,7 +102,7 @@
         let Some(node) = self.control_node_on(machine) else { return };
         self.submit_first_at(node);
         let zone = self.shape.locality(machine + 1);
-        self.submit_there(node, What::Evacuate { locality: zone.clone(), back: false });
+        self.submit_through(Some(node), What::Evacuate { locality: zone.clone(), back: false }, false);
         self.take_back(zone);
         let ready = |unit: &usize| self.units[*unit].up && self.units[*unit].condition == enrolment::READY;
         let ready: Vec<usize> = (0..self.units.len()).filter(ready).collect();
@@ -134,7 +134,7 @@
     pub(super) fn note_vouched(&mut self, at: usize, token: u64, answer: &Answer) {
         let Some((asked_at, what)) = self.asked.remove(&token) else { return };
         let vouches = match answer {
-            Answer::Verdict { code, .. } => matches!(code, Code::Fine | Code::NoWord),
+            Answer::Verdict { code, .. } => matches!(code, Code::Fine | Code::Overtaken | Code::NoWord),
             Answer::Setup { .. } | Answer::Beat { .. } => true,
             Answer::Denied { .. } | Answer::Sheet(_) | Answer::Redirect { .. } => false,
         };
--- a/crates/drill/tests/cuts.rs
+++ b/crates/drill/tests/cuts.rs
@@ -67,13 +67,13 @@
 
 #[test]
 fn a_node_that_takes_the_others_for_agreed_is_caught() {
-    assert!(breaches(Weakness { agrees_alone: true, ..Weakness::default() }, 13) > 0);
+    assert!(breaches(Weakness { agrees_alone: true, ..Weakness::default() }, 14) > 0);
 }
 
 #[test]
 fn an_acknowledged_leaving_that_nobody_heard_is_caught() {
     let weak = Weakness { tells_departures_blindly: true, ..Weakness::default() };
-    assert!(breaches(weak, 13) > 0, "a node vouched for it alone");
+    assert!(breaches(weak, 14) > 0, "a node vouched for it alone");
     // Where it does not notice the cut either, the upstream goes on beating there, and nobody else hears.
     let weak = Weakness { agrees_alone: true, ..weak };
     assert!(breaches(weak, 5) > 0, "an upstream that left was sent requests");
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -1,5 +1,6 @@
 //! The messages. Spans and ages travel in milliseconds; no message carries an instant.
 
+use crate::VoterSet;
 use prost::{Message, Oneof};
 
 /// One message with its sender.
@@ -9,7 +10,7 @@
     pub from: String,
     #[prost(
         oneof = "Payload",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,40,41,50,51,52"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41,50,51,52"
     )]
     pub body: Option<Payload>,
 }
@@ -81,6 +82,8 @@
     Alive(Alive),
     #[prost(message, tag = "41")]
     PlacementRequest(PlacementRequest),
+    #[prost(message, tag = "32")]
+    VoterLeaving(VoterLeaving),
     #[prost(message, tag = "50")]
     BeatsAck(BeatsAck),
     #[prost(message, tag = "51")]
@@ -125,6 +128,37 @@
     /// The operator's own number of the setup; 0 where there is none.
     #[prost(uint64, tag = "5")]
     pub number: u64,
+    /// How many submissions with an id were decided so far, those included that are no longer remembered.
+    #[prost(uint64, tag = "6")]
+    pub decided: u64,
+    /// The latest setups with an operator's own number that came into force, oldest first.
+    #[prost(message, repeated, tag = "7")]
+    pub numbers: Vec<NumberedSetup>,
+    /// When each locality was last evacuated or taken back, the latest last.
+    #[prost(message, repeated, tag = "8")]
+    pub locality_changes: Vec<LocalityChange>,
+    /// Who votes on the next state.
+    #[prost(message, required, tag = "9")]
+    pub voter_set: VoterSet,
+}
+
+/// The edition that evacuated a locality, or took it back.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LocalityChange {
+    #[prost(string, tag = "1")]
+    pub locality: String,
+    #[prost(uint64, tag = "2")]
+    pub edition: u64,
+}
+
+/// A setup that came into force under an operator's own number.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NumberedSetup {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// A short digest of the setup's own.
+    #[prost(string, tag = "2")]
+    pub digest: String,
 }
 
 /// A submission that was decided.
@@ -132,7 +166,7 @@
 pub struct Submission {
     #[prost(string, tag = "1")]
     pub id: String,
-    /// What was asked for, by digest, so that an id cannot be used for two things.
+    /// What was asked for, by a short digest, so that an id cannot be used for two things.
     #[prost(string, tag = "2")]
     pub asked: String,
     /// The edition it made, or the present one where it was denied.
@@ -148,7 +182,7 @@
     /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
     #[prost(uint64, tag = "1")]
     pub disk: u64,
-    /// The voters, once founded.
+    /// The voters when this disk was founded or recovered; empty before. Who votes now stands in the accepted state.
     #[prost(string, repeated, tag = "2")]
     pub roster: Vec<String>,
     /// The one roster this voter endorsed while founding.
@@ -198,6 +232,9 @@
     /// The disk whose promise was counted: another disk must deny.
     #[prost(uint64, tag = "3")]
     pub disk: u64,
+    /// The highest lease epoch among the promises: a new voter must know what the others granted.
+    #[prost(uint64, tag = "4")]
+    pub lease_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -287,10 +324,15 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Bootstrapped {
-    #[prost(string, repeated, tag = "1")]
-    pub roster: Vec<String>,
+    /// Who votes, as far as the sender knows.
+    #[prost(message, required, tag = "2")]
+    pub voter_set: VoterSet,
 }
 
+/// A voter is about to end, and hands its place to a replica that can take it.
+#[derive(Clone, PartialEq, Message)]
+pub struct VoterLeaving {}
+
 /// What is known of one node, as membership tells it on.
 #[derive(Clone, PartialEq, Message)]
 pub struct Member {
@@ -371,6 +413,9 @@
     /// The sender holds this epoch at the moment.
     #[prost(bool, tag = "3")]
     pub renewal: bool,
+    /// The epoch of the voters whose quorum the sender asks: a voter that knows newer voters denies.
+    #[prost(uint64, tag = "4")]
+    pub voter_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -526,6 +571,9 @@
 pub struct UpstreamsRequest {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
+    /// Drawn anew at each start of the asker, where it asks for all.
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
 }
 
 /// All of it, with the last placement.
@@ -537,6 +585,9 @@
     pub placement: Placement,
     #[prost(string, tag = "3")]
     pub placed_by: String,
+    /// The life of the asker, as it said; 0 where the sender is of an older version.
+    #[prost(uint64, tag = "4")]
+    pub life: u64,
 }
 
 /// Who holds the placement duty from now on.
@@ -674,8 +725,11 @@
     /// In an image: its sender does not know all upstreams yet, and what is known besides stays.
     #[prost(bool, tag = "7")]
     pub keeps_upstreams: bool,
+    /// In an image: the nonce of the question that it answers; 0 where the sender is of an older version.
+    #[prost(uint64, tag = "8")]
+    pub asked: u64,
     /// In an image: how long ago a majority confirmed what its sender knows.
-    #[prost(uint64, optional, tag = "8")]
+    #[prost(uint64, optional, tag = "9")]
     pub age_ms: Option<u64>,
 }
 
