--- a/crates/clerk/src/main.rs
+++ b/crates/clerk/src/main.rs
@@ -14,6 +14,8 @@
 const UNKNOWN: i32 = 4;
 /// No node could be reached.
 const UNREACHED: i32 = 3;
+/// How often a call is sent on to another node.
+const MOST_REDIRECTS: usize = 2;
 const WITHIN: Duration = Duration::from_secs(10);
 
 /// No page of one node, but of all.
@@ -249,8 +251,7 @@
             call.path.push_str(&format!("&since={since}"));
             call.is_new_order = false;
         }
-        let body = call.body.clone().into();
-        match caller.call(node, call.method, &call.path, &[], body, WITHIN, false).await {
+        match follow(&caller, node, &call).await {
             Ok(reply) if call.path.starts_with("/trace?try=") && reply.status == 404 => {
                 return show(&ask_all_proxies(&caller, node, &call.path).await.unwrap_or(reply));
             }
@@ -265,6 +266,21 @@
     UNREACHED
 }
 
+/// Calls a node, and where it sends the caller on, the one that it names.
+async fn follow(caller: &Caller, node: &str, call: &Call) -> Result<Reply, Called> {
+    let (mut node, mut path) = (node.to_owned(), call.path.clone());
+    for _ in 0..MOST_REDIRECTS {
+        let body = call.body.clone().into();
+        let reply = caller.call(&node, call.method, &path, &[], body, WITHIN, false).await?;
+        let location = reply.header("location").strip_prefix("http://").and_then(|at| at.split_once('/'));
+        match location.filter(|_| reply.status == Code::Elsewhere.status()) {
+            Some((address, target)) => (node, path) = (address.to_owned(), format!("/{target}")),
+            None => return Ok(reply),
+        }
+    }
+    caller.call(&node, call.method, &path, &[], call.body.clone().into(), WITHIN, false).await
+}
+
 /// How many orders were decided so far, as a node knows it.
 async fn decided_orders(caller: &Caller, node: &str) -> Option<u64> {
     let status = caller.call(node, "GET", "/status", &[], Vec::new().into(), WITHIN, false).await.ok()?;
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -7,7 +7,7 @@
 use super::operators::Operators;
 use super::path::{Origins, Trip};
 use super::units::Unit;
-use crate::facts::{Fact, Seen};
+use crate::facts::{Fact, Seen, Vouched};
 use crate::origins::Ended;
 use crate::rules::{Violation, judge};
 use crate::shapes::{ROADWISE, Shape};
@@ -120,6 +120,10 @@
     pub forgets_warm_up: bool,
     /// Proxies take whatever comes next on a kept connection for the answer.
     pub takes_next: bool,
+    /// A control node takes every other for in agreement with it: whatever it asks them counts as answered.
+    pub agrees_alone: bool,
+    /// A control node takes a departure for known by the others as soon as it has told them.
+    pub tells_departures_blindly: bool,
     /// Nodes read back what their own disk holds.
     pub reads_alone: bool,
     /// An order under a number that is taken is confirmed.
@@ -151,6 +155,8 @@
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
+            agrees_alone: false,
+            tells_departures_blindly: false,
             reads_alone: false,
             confirms_taken: false,
             redoes_orders: false,
@@ -221,6 +227,11 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    /// Control nodes that are cut off from all others, and what was asked there.
+    pub(super) isolated: BTreeSet<usize>,
+    pub(super) asked: BTreeMap<u64, (Duration, Vouched)>,
+    /// What the settings name, where that changed.
+    pub(super) seeds: Option<Vec<String>>,
     pub(super) connections: Connections,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
@@ -263,6 +274,9 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            isolated: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            seeds: None,
             connections: Connections::default(),
             restart_due: false,
             weak: Weakness::default(),
