--- a/crates/address/src/lib.rs
+++ b/crates/address/src/lib.rs
@@ -144,6 +144,7 @@
 /// assert_eq!(a.next_u64(), b.next_u64());
 /// assert!(a.below(10) < 10);
 /// ```
+#[derive(Clone, Debug, Hash)]
 pub struct Random(u64);
 
 impl Random {
--- /dev/null
+++ b/crates/explorer/src/lib.rs
@@ -0,0 +1,22 @@
+//! A bounded model checker for the pure steps of the quorum register and the lease.
+//!
+//! A [`Model`] is a closed world: nodes that run the real `step` functions, their disks, the messages in flight and
+//! operators. [`search`] visits every state that some order of actions reaches within the model's budgets, breadth
+//! first, so the first violation found has a shortest trace. [`walk`] takes one order, drawn by its caller, for worlds
+//! that are too large to be searched. Each model has defects that can be switched on: broken twins whose violations
+//! must be found.
+
+mod lease_model;
+mod model;
+mod network;
+mod register_history;
+mod register_model;
+mod search;
+mod walk;
+
+pub use lease_model::{LeaseBudget, LeaseDefect, LeaseModel};
+pub use model::{Invariant, Model, Trace, Violation, replay};
+pub use network::Schedule;
+pub use register_model::{Order, RegisterBudget, RegisterDefect, RegisterModel, Scenario};
+pub use search::{Limits, Report, search};
+pub use walk::{Walked, walk};
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// The lease's time values.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Times {
     pub span: Duration,
     /// How long before the end the holder stops.
@@ -39,7 +39,7 @@
 }
 
 /// What a lease wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     Send {
         to: String,
@@ -52,6 +52,7 @@
     },
 }
 
+#[derive(Clone, Hash)]
 struct Granted {
     epoch: u64,
     holder: String,
@@ -61,7 +62,7 @@
 }
 
 /// Where the candidate stands.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 enum CandidatePhase {
     Resting,
     Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: usize },
@@ -70,7 +71,9 @@
     Closed,
 }
 
-/// One voter's and candidate's state for one duty.
+/// One voter's and candidate's state for one duty. Two that hash alike act alike from then on: the explorer tells
+/// visited states by it.
+#[derive(Clone, Hash)]
 pub struct Lease {
     me: String,
     roster: Vec<String>,
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -3,7 +3,7 @@
 use prost::{Message, Oneof};
 
 /// One message with its sender.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Envelope {
     #[prost(string, tag = "1")]
     pub from: String,
@@ -15,7 +15,7 @@
 }
 
 /// What a envelope may hold.
-#[derive(Clone, PartialEq, Oneof)]
+#[derive(Clone, PartialEq, Hash, Oneof)]
 pub enum Payload {
     #[prost(message, tag = "2")]
     Prepare(Prepare),
@@ -103,7 +103,7 @@
 }
 
 /// The replicated state: all that the register keeps.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ClusterState {
     #[prost(uint64, tag = "1")]
     pub edition: u64,
@@ -122,7 +122,7 @@
 }
 
 /// A submission that was decided.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Submission {
     #[prost(string, tag = "1")]
     pub id: String,
@@ -137,7 +137,7 @@
 }
 
 /// What a voter keeps on disk and answers from.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct DurableState {
     /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
     #[prost(uint64, tag = "1")]
@@ -159,13 +159,13 @@
     pub lease_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Prepare {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Promise {
     /// The ballot asked about.
     #[prost(message, required, tag = "1")]
@@ -183,7 +183,7 @@
     pub lease_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Accept {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -194,7 +194,7 @@
     pub disk: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Accepted {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -207,7 +207,7 @@
     pub wants_bytes: bool,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Read {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -216,7 +216,7 @@
     pub known: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ReadBack {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -228,7 +228,7 @@
 }
 
 /// A state known to be accepted by a majority.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Chosen {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -236,7 +236,7 @@
     pub state: ClusterState,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SetupBytes {
     #[prost(string, tag = "1")]
     pub digest: String,
@@ -245,13 +245,13 @@
     pub squeezed: Vec<u8>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SetupAsk {
     #[prost(string, tag = "1")]
     pub digest: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct BootstrapVote {
     /// The roster that the sender endorsed; empty while it endorsed none.
     #[prost(string, repeated, tag = "1")]
@@ -268,7 +268,7 @@
 }
 
 /// What one surviving voter's disk says, for a founding after too many others were lost.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SurvivorState {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -279,14 +279,14 @@
     pub setup: Vec<u8>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Bootstrapped {
     #[prost(string, repeated, tag = "1")]
     pub roster: Vec<String>,
 }
 
 /// What is known of one node, as membership tells it on.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Member {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -311,7 +311,7 @@
     pub http_address: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Probe {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -327,7 +327,7 @@
 }
 
 /// Asks a third party for its opinion of `target`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ProbeFor {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -337,7 +337,7 @@
     pub members: Vec<Member>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Heard {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -356,7 +356,7 @@
     pub parts: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -367,7 +367,7 @@
     pub renewal: bool,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseReply {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -386,7 +386,7 @@
 }
 
 /// Gives a lease, or a candidate's votes, back before the end.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseRelease {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -451,14 +451,14 @@
     pub handover: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Beats {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
 }
 
 /// Upstreams that beat at the sender of late, in short: one place of each list for each.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Alive {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
@@ -472,14 +472,14 @@
 }
 
 /// A postmaster that just started asks for all that the others know of upstreams; with marks, one asks for just these.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpstreamsRequest {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
 }
 
 /// All of it, with the last placement.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpstreamsReply {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
@@ -490,13 +490,13 @@
 }
 
 /// Who holds the placement duty from now on.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Holder {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SharesRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -504,7 +504,7 @@
     pub upstream: Upstream,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SharesReply {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -517,7 +517,7 @@
 }
 
 /// Which locality owns a name.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Reservation {
     #[prost(string, tag = "1")]
     pub name: String,
@@ -531,7 +531,7 @@
 }
 
 /// Left where a name used to live: it lives at `to` now.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Mark {
     #[prost(string, tag = "1")]
     pub name: String,
@@ -547,7 +547,7 @@
 }
 
 /// All that the placement duty decided, under its lease.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Placement {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -567,7 +567,7 @@
     pub after: u64,
 }
 
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ServiceShares {
     #[prost(string, tag = "1")]
     pub service: String,
@@ -576,7 +576,7 @@
 }
 
 /// A carrier asks how current it is, naming the last news it kept.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpdateRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -589,7 +589,7 @@
     pub loads: Vec<KeyLoad>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Freshness {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -606,7 +606,7 @@
 }
 
 /// ViewUpdate to a carrier: an image (number 0 of a new stream), or the change after the last.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ViewUpdate {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
@@ -626,7 +626,7 @@
     pub keeps_upstreams: bool,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpdateAck {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
@@ -638,7 +638,7 @@
 }
 
 /// A postmaster tells the others which edition a carrier acknowledged to it.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct CarrierAck {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -647,7 +647,7 @@
 }
 
 /// Requests of one service that came in lately, over equal parts of its keys.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct KeyLoad {
     #[prost(string, tag = "1")]
     pub service: String,
@@ -660,12 +660,12 @@
 }
 
 /// The same, told on to the holder of the placement duty.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct KeyLoads {
     #[prost(message, repeated, tag = "1")]
     pub loads: Vec<KeyLoad>,
 }
 
 /// Wants the placement whole: a change did not follow what is known.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct PlacementRequest {}
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -7,7 +7,7 @@
 const MAX_SUBMISSIONS: usize = 256;
 
 /// A change that an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
     /// Put this setup in force; `base` is the edition it was made from, where that matters.
     /// With the operator's own number, one that is not above the number in force changes nothing.
@@ -19,7 +19,7 @@
 }
 
 /// What became of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Decision {
     pub code: Code,
     pub edition: u64,
--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -13,6 +13,7 @@
 const MAX_AT_ONCE: usize = 16;
 
 /// A change that waits for its decision.
+#[derive(Clone, Hash)]
 pub(crate) struct PendingChange {
     token: Option<u64>,
     change: Change,
@@ -35,6 +36,7 @@
 }
 
 /// Where this proposer's round stands.
+#[derive(Clone, Hash)]
 pub(crate) enum Round {
     Idle,
     /// Lost a race: waits a random while.
--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -12,6 +12,7 @@
 const FIRST_EVERY: Duration = Duration::from_millis(150);
 
 /// A read under way.
+#[derive(Clone, Hash)]
 pub(crate) struct Reading {
     nonce: u64,
     asked_at: Duration,
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -14,7 +14,7 @@
 const SPARE_SETUPS: usize = 16;
 
 /// The register's time values.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Times {
     /// How often a majority confirms the state.
     pub confirm_every: Duration,
@@ -79,7 +79,7 @@
 }
 
 /// What a register wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     Send {
         to: String,
@@ -108,7 +108,7 @@
 }
 
 /// Where a voter stands.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum VoterPhase {
     /// Nothing on disk: asks whether a roster was founded.
     Blank { unfounded: BTreeSet<String> },
@@ -122,6 +122,7 @@
     Out,
 }
 
+#[derive(Clone, Hash)]
 pub(crate) struct Write {
     ticket: u64,
     durable: Option<DurableState>,
@@ -130,6 +131,7 @@
 }
 
 /// A state known to be chosen.
+#[derive(Clone, Hash)]
 pub(crate) struct Current {
     pub ballot: Ballot,
     pub state: ClusterState,
@@ -138,7 +140,7 @@
 }
 
 /// What a voter did since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Tally {
     /// Rounds begun here.
     pub rounds: u64,
@@ -147,7 +149,9 @@
     pub writes: u64,
 }
 
-/// One voter of the majority register.
+/// One voter of the majority register. Two that hash alike act alike from then on: the explorer tells visited
+/// states by it.
+#[derive(Clone, Hash)]
 pub struct Register {
     pub(crate) me: String,
     pub(crate) roster_size: usize,
