--- a/crates/explorer/src/lease_model.rs
+++ b/crates/explorer/src/lease_model.rs
@@ -8,7 +8,7 @@
 use crate::network::{InFlight, Message, Network, Schedule};
 use address::majority;
 use lease::{Effect, Event, Lease, Times};
-use protocol::{LeaseReply, Payload};
+use protocol::{LeaseReply, Payload, VoterSet};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -290,17 +290,15 @@
     }
 
     fn tick(&self, world: &mut LeaseWorld, at: usize) {
-        let roster = (0..world.nodes.len()).map(node_name).collect();
         let epoch = world.nodes[at].epoch;
-        self.step(world, at, Event::Roster { roster, epoch });
+        self.step(world, at, Event::Voters { voter_set: world.voter_set(), epoch });
         self.step(world, at, Event::Tick);
     }
 
     fn restart(&self, world: &mut LeaseWorld, at: usize, epoch: u64) {
         let node = self.start_node(at, epoch, world.now, world.nodes[at].lives + 1);
         world.nodes[at] = Arc::new(node);
-        let roster = (0..world.nodes.len()).map(node_name).collect();
-        self.step(world, at, Event::Roster { roster, epoch });
+        self.step(world, at, Event::Voters { voter_set: world.voter_set(), epoch });
     }
 
     fn crash(&self, world: &mut LeaseWorld, at: usize, kept: usize) {
@@ -349,6 +347,10 @@
 }
 
 impl LeaseWorld {
+    fn voter_set(&self) -> VoterSet {
+        VoterSet::new((0..self.nodes.len()).map(node_name).collect())
+    }
+
     fn is_awake(&self, at: usize) -> bool {
         !self.nodes[at].is_frozen
     }
--- a/crates/explorer/src/model.rs
+++ b/crates/explorer/src/model.rs
@@ -19,6 +19,8 @@
     NumbersAreUnique,
     /// A state is chosen only where a majority of its voters hold its configuration's bytes.
     BytesAreHeld,
+    /// The voters change by one step at a time: begun, chosen, completed, chosen.
+    VotersChangeByStep,
     /// At most one node holds the lease.
     OneHolder,
     /// No lease epoch is held twice, and each is above all before it.
--- a/crates/explorer/src/register_history.rs
+++ b/crates/explorer/src/register_history.rs
@@ -1,9 +1,9 @@
 //! What an observer outside the system knows: what disks accepted, what operators were told. The invariants of the
 //! register are judged here.
 
-use crate::model::{Invariant, Violation};
-use address::{Code, majority};
-use protocol::{Ballot, ClusterState, DurableState};
+use crate::model::{Invariant, Violation, node_index};
+use address::Code;
+use protocol::{Ballot, ClusterState, DurableState, VoterSet};
 use quorum_register::Decision;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -16,6 +16,10 @@
 }
 
 impl Disk {
+    fn has_decided(&self, id: &str) -> bool {
+        self.durable.accepted.submissions.iter().any(|done| done.id == id)
+    }
+
     fn holds_bytes_of(&self, state: &ClusterState) -> bool {
         state.digest.is_empty() || self.setups.contains_key(&state.digest)
     }
@@ -65,11 +69,17 @@
     }
 }
 
-/// How many disks must hold what was accepted: a majority, but for those that were just lost and are mended from the
-/// others before they vote.
-fn wanted_holders(disks: &[&Disk]) -> usize {
-    let blank = disks.iter().filter(|disk| disk.durable.disk == 0).count();
-    majority(disks.len()).saturating_sub(blank)
+/// True where a quorum of disks has something, but for those that were just lost and recover from the others before
+/// they vote.
+fn is_on_quorum(voter_set: &VoterSet, disks: &[&Disk], has: impl Fn(&Disk) -> bool) -> bool {
+    let counts = |disk: &&Disk| disk.durable.disk == 0 || has(disk);
+    voter_set.is_quorum(|voter| disks.get(node_index(voter)).is_some_and(counts))
+}
+
+/// True where the voters stayed, or one step of a change was taken.
+fn is_one_step(earlier: &VoterSet, later: &VoterSet) -> bool {
+    let begun = earlier.begin_change(later.next.clone());
+    earlier == later || begun.as_ref() == Some(later) || earlier.complete_change().as_ref() == Some(later)
 }
 
 impl History {
@@ -98,7 +108,8 @@
                 return broken(Invariant::OneHistory, format!("two states were accepted at ballot {ballot:?}"));
             }
             holders.insert(node);
-            if holders.len() >= majority(disks.len()) && !self.chosen.contains_key(ballot) {
+            let accepted = |voter: &str| holders.contains(&node_index(voter));
+            if state.voter_set.is_quorum(accepted) && !self.chosen.contains_key(ballot) {
                 let state = state.clone();
                 self.chosen.insert(ballot.clone(), state);
                 self.check_chosen(&durable.accepted_at, disks, orders)?;
@@ -112,6 +123,11 @@
         let before = self.chosen.range(..ballot).next_back();
         let after = self.chosen.range(ballot..).nth(1);
         let chain = before.into_iter().chain([(ballot, state)]).chain(after).collect::<Vec<_>>();
+        let leap = chain.windows(2).find(|pair| !is_one_step(&pair[0].1.voter_set, &pair[1].1.voter_set));
+        if let Some(pair) = leap {
+            let detail = format!("{:?} does not follow {:?}", pair[1].1.voter_set, pair[0].1.voter_set);
+            return broken(Invariant::VotersChangeByStep, detail);
+        }
         if let Some(pair) = chain.windows(2).find(|pair| !derives(pair[0].1, pair[1].1)) {
             return broken(Invariant::OneHistory, format!("{:?} does not derive from {:?}", pair[1], pair[0]));
         }
@@ -132,9 +148,8 @@
     }
 
     fn check_bytes(&self, state: &ClusterState, disks: &[&Disk]) -> Result<(), Violation> {
-        let holders = disks.iter().filter(|disk| disk.holds_bytes_of(state)).count();
-        if holders < wanted_holders(disks) {
-            let detail = format!("edition {} was chosen, {holders} disks hold its bytes", state.edition);
+        if !is_on_quorum(&state.voter_set, disks, |disk| disk.holds_bytes_of(state)) {
+            let detail = format!("edition {} was chosen, and too few disks hold its bytes", state.edition);
             return broken(Invariant::BytesAreHeld, detail);
         }
         Ok(())
@@ -164,13 +179,10 @@
             let detail = format!("orders {rival} and {order} have number {:?} and different content", facts.number);
             return broken(Invariant::NumbersAreUnique, detail);
         }
-        let kept = disks.iter().filter(|disk| {
-            let state = &disk.durable.accepted;
-            state.submissions.iter().any(|done| done.id == facts.id) && disk.holds_bytes_of(state)
-        });
-        let kept = kept.count();
-        if kept < wanted_holders(disks) {
-            let detail = format!("order {order} was told {decision:?} while {kept} disks hold it with its bytes");
+        let has = |disk: &Disk| disk.has_decided(&facts.id) && disk.holds_bytes_of(&disk.durable.accepted);
+        let voter_set = self.newest_chosen().map(|state| state.voter_set.clone()).unwrap_or_default();
+        if !is_on_quorum(&voter_set, disks, has) {
+            let detail = format!("order {order} was told {decision:?} while too few disks hold it with its bytes");
             return broken(Invariant::AcceptedIsKept, detail);
         }
         Ok(())
@@ -222,14 +234,13 @@
 
     /// What operators were told is on a majority of disks, but for those that were just lost, in every state.
     pub fn check_kept(&self, disks: &[&Disk], orders: &[OrderFacts]) -> Result<(), Violation> {
-        let wanted = wanted_holders(disks);
+        let voter_set = self.newest_chosen().map(|state| state.voter_set.clone()).unwrap_or_default();
         let lost = self.told.keys().find(|order| {
-            let has =
-                |disk: &&&Disk| disk.durable.accepted.submissions.iter().any(|done| done.id == orders[**order].id);
-            disks.iter().filter(has).count() < wanted
+            let id = &orders[**order].id;
+            !is_on_quorum(&voter_set, disks, |disk| disk.has_decided(id))
         });
         lost.map_or(Ok(()), |order| {
-            broken(Invariant::AcceptedIsKept, format!("order {order} was accepted and is on less than {wanted} disks"))
+            broken(Invariant::AcceptedIsKept, format!("order {order} was accepted and is on too few disks"))
         })?;
         let bare = disks.iter().position(|disk| !disk.holds_bytes_of(&disk.durable.accepted));
         bare.map_or(Ok(()), |node| {
--- a/crates/explorer/src/register_model.rs
+++ b/crates/explorer/src/register_model.rs
@@ -19,8 +19,8 @@
 const MOMENT: Duration = Duration::from_micros(1);
 /// A span that no exploration reaches.
 const NEVER: Duration = Duration::from_secs(100_000);
-/// How many rounds the undisturbed start may take.
-const MAX_START_ROUNDS: usize = 200;
+/// How many times all nodes tick in each part of the undisturbed start.
+const START_ROUNDS: usize = 60;
 /// The order that the undisturbed start puts in force.
 const FIRST_ORDER: &str = "first";
 
@@ -91,6 +91,8 @@
     pub crashes: u8,
     /// Disks replaced by blank ones while all others are whole.
     pub wipes: u8,
+    /// Proposals to replace a voter, or to complete that.
+    pub proposals: u8,
     /// Where everything comes in order and nothing is left to come: how often all nodes tick.
     pub rounds: u8,
 }
@@ -114,6 +116,10 @@
     ResendsAsNew,
     /// The disk drops configurations that it was told to keep.
     DropsBytes,
+    /// A voter that was replaced still counts, in the place of its successor.
+    CountsReplacedVoter,
+    /// A change of the voters that was begun is taken as done.
+    SkipsJointVoters,
 }
 
 /// Where an exploration begins, and how far it may go.
@@ -121,6 +127,10 @@
 pub struct Scenario {
     pub name: &'static str,
     pub voters: usize,
+    /// Nodes beside the voters, which may take the place of one.
+    pub replicas: usize,
+    /// True to begin after the last voter was replaced by the first replica.
+    pub replaced: bool,
     /// True to begin with blank disks; otherwise with a first configuration in force everywhere.
     pub blank: bool,
     pub orders: Vec<Order>,
@@ -141,7 +151,18 @@
     pub fn new(name: &'static str, voters: usize) -> Self {
         let (orders, budget) = (Vec::new(), RegisterBudget::default());
         let schedule = Schedule::AnyOrder;
-        Scenario { name, voters, blank: false, orders, schedule, budget, reads_by_itself: false, impatient: false }
+        Scenario {
+            name,
+            voters,
+            replicas: 0,
+            replaced: false,
+            blank: false,
+            orders,
+            schedule,
+            budget,
+            reads_by_itself: false,
+            impatient: false,
+        }
     }
 
     fn times(&self) -> Times {
@@ -163,7 +184,14 @@
 #[derive(Clone, Hash)]
 enum Content {
     State(DurableState),
-    Setup { digest: String, bytes: Vec<u8> },
+    Setup {
+        digest: String,
+        bytes: Vec<u8>,
+    },
+    /// A configuration that nothing refers to any more; nobody waits for this.
+    DroppedSetup {
+        digest: String,
+    },
 }
 
 impl Disk {
@@ -174,6 +202,9 @@
             Content::Setup { digest, bytes } => {
                 self.setups.insert(digest.clone(), bytes.clone());
             }
+            Content::DroppedSetup { digest } => {
+                self.setups.remove(digest);
+            }
         }
     }
 }
@@ -245,6 +276,16 @@
     Read {
         node: usize,
     },
+    /// A node proposes that a replica takes a voter's place.
+    BeginVoters {
+        node: usize,
+        gone: usize,
+        successor: usize,
+    },
+    /// A node proposes to complete the change that it knows to be under way.
+    CompleteVoters {
+        node: usize,
+    },
 }
 
 /// The model of one scenario.
@@ -295,8 +336,9 @@
             scenario,
             defect: RegisterDefect::None,
         };
-        let born = |at| Arc::new(model.start_node(at, Disk::default(), Duration::ZERO, 0));
-        let nodes = (0..model.scenario.voters).map(born).collect();
+        let voters = model.scenario.voters;
+        let born = |at| Arc::new(model.start_node(at, voters, Disk::default(), Duration::ZERO, 0));
+        let nodes = (0..voters).map(born).collect();
         model.initial.nodes = nodes;
         if !model.scenario.blank {
             model.initial = model.undisturbed_start();
@@ -315,7 +357,7 @@
         self.scenario.name
     }
 
-    fn start_node(&self, at: usize, disk: Disk, now: Duration, lives: u64) -> Node {
+    fn start_node(&self, at: usize, peers: usize, disk: Disk, now: Duration, lives: u64) -> Node {
         let mut register = Register::new(Start {
             me: node_name(at),
             roster_size: self.scenario.voters,
@@ -324,7 +366,7 @@
             setups: disk.setups.clone(),
             times: self.scenario.times(),
         });
-        register.step(now, Event::Peers((0..self.scenario.voters).map(node_name).collect()));
+        register.step(now, Event::Peers((0..peers).map(node_name).collect()));
         let writes = VecDeque::new();
         let (disk_before, disk_is_stray) = (None, false);
         let mut node = Node { register, disk, disk_before, writes, disk_is_stray, now, lives, fingerprint: 0 };
@@ -335,18 +377,18 @@
     /// Founds the roster and puts a first configuration in force everywhere, with no fault on the way.
     fn undisturbed_start(&self) -> RegisterWorld {
         let mut world = self.initial.clone();
-        (0..MAX_START_ROUNDS).for_each(|round| {
-            let settled = world.nodes.iter().all(|node| node.is_idle());
-            if round == MAX_START_ROUNDS / 2 && settled {
-                let Order { change, bytes, .. } = Order::setup(FIRST_ORDER, None, &[]);
-                self.step(&mut world, 0, Event::Ask { token: u64::MAX, change, bytes });
-            }
-            (0..world.nodes.len()).for_each(|node| self.tick(&mut world, node));
-            while let Some(in_flight) = world.network.take_first() {
-                self.deliver(&mut world, &in_flight);
-                (0..world.nodes.len()).for_each(|node| while self.sync(&mut world, node) {});
-            }
-        });
+        self.run_undisturbed(&mut world);
+        let Order { change, bytes, .. } = Order::setup(FIRST_ORDER, None, &[]);
+        self.step(&mut world, 0, Event::Ask { token: u64::MAX, change, bytes });
+        self.run_undisturbed(&mut world);
+        self.add_replicas(&mut world);
+        if self.scenario.replaced {
+            let (gone, successor) = (self.scenario.voters - 1, self.scenario.voters);
+            self.begin_voters(&mut world, 0, gone, successor);
+            self.run_undisturbed(&mut world);
+            self.complete_voters(&mut world, 0);
+            self.run_undisturbed(&mut world);
+        }
         world.record(|history, _| {
             history.begin();
             Ok(())
@@ -354,6 +396,65 @@
         world
     }
 
+    fn run_undisturbed(&self, world: &mut RegisterWorld) {
+        (0..START_ROUNDS).for_each(|_| {
+            (0..world.nodes.len()).for_each(|node| self.tick(world, node));
+            self.sync_all(world);
+            while let Some(in_flight) = world.network.take_first() {
+                self.deliver(world, &in_flight);
+                self.sync_all(world);
+            }
+        });
+    }
+
+    fn sync_all(&self, world: &mut RegisterWorld) {
+        (0..world.nodes.len()).for_each(|node| while self.sync(world, node) {});
+    }
+
+    /// Blank nodes beside the voters follow until they hold everything.
+    fn add_replicas(&self, world: &mut RegisterWorld) {
+        let (voters, replicas) = (self.scenario.voters, self.scenario.replicas);
+        let now = world.nodes[0].now;
+        let born = |at| Arc::new(self.start_node(at, voters + replicas, Disk::default(), now, 0));
+        world.nodes.extend((voters..voters + replicas).map(born));
+        let peers: Vec<String> = (0..world.nodes.len()).map(node_name).collect();
+        (0..voters).for_each(|at| self.step(world, at, Event::Peers(peers.clone())));
+        self.run_undisturbed(world);
+    }
+
+    fn begin_voters(&self, world: &mut RegisterWorld, at: usize, gone: usize, successor: usize) {
+        let voter_set = &world.nodes[at].register.state().voter_set;
+        let stays = |voter: &&String| node_index(voter) != gone;
+        let voters = voter_set.voters.iter().filter(stays).cloned().chain([node_name(successor)]).collect();
+        let change = Change::BeginVoters { epoch: voter_set.epoch, voters };
+        self.step(world, at, Event::Propose(change));
+    }
+
+    fn complete_voters(&self, world: &mut RegisterWorld, at: usize) {
+        let epoch = world.nodes[at].register.state().voter_set.epoch;
+        self.step(world, at, Event::Propose(Change::CompleteVoters { epoch }));
+    }
+
+    /// Every replacement that some node may propose by what it knows.
+    fn proposals(&self, world: &RegisterWorld) -> Vec<RegisterAction> {
+        let active = |at: &usize| *world.nodes[*at].register.phase() == VoterPhase::Active;
+        let nodes = (0..world.nodes.len()).filter(active);
+        nodes.flat_map(|node| self.proposals_of(world, node)).collect()
+    }
+
+    fn proposals_of(&self, world: &RegisterWorld, node: usize) -> Vec<RegisterAction> {
+        let voter_set = &world.nodes[node].register.state().voter_set;
+        if voter_set.is_joint() {
+            return vec![RegisterAction::CompleteVoters { node }];
+        }
+        let successors = (0..world.nodes.len()).filter(|at| !voter_set.contains(&node_name(*at)));
+        let begun = |successor| {
+            let gone = voter_set.voters.iter().map(|voter| node_index(voter));
+            gone.map(move |gone| RegisterAction::BeginVoters { node, gone, successor })
+        };
+        successors.flat_map(begun).collect()
+    }
+
     fn step(&self, world: &mut RegisterWorld, at: usize, event: Event) {
         let node = Arc::make_mut(&mut world.nodes[at]);
         let effects = node.register.step(node.now, event);
@@ -369,6 +470,10 @@
             Effect::KeepSetup { ticket, digest, bytes } => {
                 self.write(world, at, ticket, Content::Setup { digest, bytes });
             }
+            Effect::DropSetup { digest } => {
+                let content = Content::DroppedSetup { digest };
+                Arc::make_mut(&mut world.nodes[at]).writes.push_back(Write { ticket: 0, content });
+            }
             Effect::Decided { token, decision } if token != u64::MAX => {
                 let order = token as usize;
                 world.record(|history, disks| history.decided(order, decision, &self.facts, disks));
@@ -402,7 +507,28 @@
 
     fn deliver(&self, world: &mut RegisterWorld, in_flight: &InFlight) {
         let Message { from, to, body } = &*in_flight.message;
-        self.step(world, *to, Event::Received { from: node_name(*from), body: body.clone() });
+        let (from, body) = self.twist(*from, body.clone());
+        self.step(world, *to, Event::Received { from: node_name(from), body });
+    }
+
+    /// What a defect makes of a message.
+    fn twist(&self, from: usize, body: Payload) -> (usize, Payload) {
+        let replaced = self.scenario.voters - 1;
+        match (self.defect, body) {
+            (RegisterDefect::CountsReplacedVoter, body @ (Payload::Promise(_) | Payload::Accepted(_)))
+                if from == replaced =>
+            {
+                (replaced + 1, body)
+            }
+            (RegisterDefect::SkipsJointVoters, Payload::Promise(mut promise)) => {
+                let voter_set = &mut promise.accepted.voter_set;
+                if voter_set.is_joint() {
+                    voter_set.voters = std::mem::take(&mut voter_set.next);
+                }
+                (from, Payload::Promise(promise))
+            }
+            (_, body) => (from, body),
+        }
     }
 
     /// Syncs a node's oldest write; false where there is none.
@@ -412,7 +538,8 @@
         node.disk_is_stray &= !node.writes.is_empty();
         node.keep(&write.content, self.defect);
         self.disk_changed(world, at);
-        if self.defect == RegisterDefect::AnswersBeforeSync {
+        let nobody_waits = matches!(write.content, Content::DroppedSetup { .. });
+        if nobody_waits || self.defect == RegisterDefect::AnswersBeforeSync {
             Arc::make_mut(&mut world.nodes[at]).renew_fingerprint();
         } else {
             self.step(world, at, Event::Kept { ticket: write.ticket });
@@ -458,7 +585,8 @@
 
     fn restart(&self, world: &mut RegisterWorld, at: usize) {
         let node = &world.nodes[at];
-        let node = self.start_node(at, node.disk.clone(), node.now, node.lives + 1);
+        let peers = world.nodes.len();
+        let node = self.start_node(at, peers, node.disk.clone(), node.now, node.lives + 1);
         world.nodes[at] = Arc::new(node);
         world.record(|history, _| {
             history.node_ended(at);
@@ -503,7 +631,7 @@
     }
 
     fn may_wipe(&self, world: &RegisterWorld, at: usize) -> bool {
-        let whole = |node: &Arc<Node>| node.disk.durable.disk != 0 && *node.register.phase() == VoterPhase::Voting;
+        let whole = |node: &Arc<Node>| node.disk.durable.disk != 0 && *node.register.phase() == VoterPhase::Active;
         world.nodes.iter().enumerate().all(|(other, node)| whole(node) || other == at)
             && world.nodes[at].disk.durable.disk != 0
     }
@@ -518,7 +646,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.writes.is_empty() && *self.register.phase() == VoterPhase::Voting
+        self.writes.is_empty() && *self.register.phase() == VoterPhase::Active
     }
 
     fn renew_fingerprint(&mut self) {
@@ -638,6 +766,9 @@
         if left.wipes > 0 {
             actions.extend(nodes().filter(|at| self.may_wipe(world, *at)).map(|node| RegisterAction::Wipe { node }));
         }
+        if left.proposals > 0 {
+            actions.extend(self.proposals(world));
+        }
         if left.duplicates > 0 {
             actions.extend((0..world.network.len()).map(|message| RegisterAction::Duplicate { message }));
         }
@@ -689,6 +820,14 @@
                 next.left.asks -= 1;
                 self.ask(&mut next, order, node);
             }
+            RegisterAction::BeginVoters { node, gone, successor } => {
+                next.left.proposals -= 1;
+                self.begin_voters(&mut next, node, gone, successor);
+            }
+            RegisterAction::CompleteVoters { node } => {
+                next.left.proposals -= 1;
+                self.complete_voters(&mut next, node);
+            }
             RegisterAction::Read { node } => {
                 next.left.reads -= 1;
                 self.read(&mut next, node);
@@ -736,7 +875,8 @@
                     Some(Content::State(durable)) => {
                         format!("promised {:?} accepted {:?}", durable.promised, durable.accepted_at)
                     }
-                    Some(Content::Setup { digest, .. }) => format!("setup {}", shortened(digest)),
+                    Some(Content::Setup { digest, .. }) => format!("setup {digest}"),
+                    Some(Content::DroppedSetup { digest }) => format!("drop setup {digest}"),
                     None => "nothing".into(),
                 };
                 format!("sync v{node}: {what}")
