--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -11,6 +11,7 @@
 mod network;
 mod register_history;
 mod register_model;
+mod scenarios;
 mod search;
 mod walk;
 
@@ -18,5 +19,6 @@
 pub use model::{Invariant, Model, Trace, Violation, replay};
 pub use network::Schedule;
 pub use register_model::{Order, RegisterBudget, RegisterDefect, RegisterModel, Scenario};
+pub use scenarios::{lease_scenarios, register_scenario, register_scenarios};
 pub use search::{Limits, Report, search};
 pub use walk::{Walked, walk};
--- a/crates/explorer/src/register_history.rs
+++ b/crates/explorer/src/register_history.rs
@@ -16,8 +16,8 @@
 }
 
 impl Disk {
-    fn has_decided(&self, id: &str) -> bool {
-        self.durable.accepted.submissions.iter().any(|done| done.id == id)
+    fn has_decided(&self, order: &OrderFacts) -> bool {
+        order.is_in(&self.durable.accepted)
     }
 
     fn holds_bytes_of(&self, state: &ClusterState) -> bool {
@@ -28,11 +28,18 @@
 /// What an order is about, as far as the observer judges it.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct OrderFacts {
-    pub id: String,
+    /// How the text begins that the state keeps of what was asked.
+    pub asked: String,
     pub digest: String,
     pub number: Option<u64>,
 }
 
+impl OrderFacts {
+    fn is_in(&self, state: &ClusterState) -> bool {
+        state.submissions.iter().any(|done| done.asked.starts_with(&self.asked))
+    }
+}
+
 /// A read that an operator waits for.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct PendingRead {
@@ -131,9 +138,10 @@
         if let Some(pair) = chain.windows(2).find(|pair| !derives(pair[0].1, pair[1].1)) {
             return broken(Invariant::OneHistory, format!("{:?} does not derive from {:?}", pair[1], pair[0]));
         }
-        let lost = self.told.iter().find(|(order, decision)| {
-            decision.edition <= state.edition && !state.submissions.iter().any(|done| done.id == orders[**order].id)
-        });
+        let lost = self
+            .told
+            .iter()
+            .find(|(order, decision)| decision.edition <= state.edition && !orders[**order].is_in(state));
         if let Some((order, decision)) = lost {
             let detail = format!("order {} was told {decision:?} and is not in edition {}", order, state.edition);
             return broken(Invariant::AcceptedIsKept, detail);
@@ -179,7 +187,7 @@
             let detail = format!("orders {rival} and {order} have number {:?} and different content", facts.number);
             return broken(Invariant::NumbersAreUnique, detail);
         }
-        let has = |disk: &Disk| disk.has_decided(&facts.id) && disk.holds_bytes_of(&disk.durable.accepted);
+        let has = |disk: &Disk| disk.has_decided(facts) && disk.holds_bytes_of(&disk.durable.accepted);
         let voter_set = self.newest_chosen().map(|state| state.voter_set.clone()).unwrap_or_default();
         if !is_on_quorum(&voter_set, disks, has) {
             let detail = format!("order {order} was told {decision:?} while too few disks hold it with its bytes");
@@ -236,8 +244,8 @@
     pub fn check_kept(&self, disks: &[&Disk], orders: &[OrderFacts]) -> Result<(), Violation> {
         let voter_set = self.newest_chosen().map(|state| state.voter_set.clone()).unwrap_or_default();
         let lost = self.told.keys().find(|order| {
-            let id = &orders[**order].id;
-            !is_on_quorum(&voter_set, disks, |disk| disk.has_decided(id))
+            let facts = &orders[**order];
+            !is_on_quorum(&voter_set, disks, |disk| disk.has_decided(facts))
         });
         lost.map_or(Ok(()), |order| {
             broken(Invariant::AcceptedIsKept, format!("order {order} was accepted and is on too few disks"))
