--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -4,10 +4,12 @@
 use crate::shapes::Shape;
 
 mod breaking;
+mod connections;
 mod faults;
 mod net;
 mod nodes;
 mod operators;
+mod order_faults;
 mod path;
 mod ranged;
 mod units;
