--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,5 +1,6 @@
 //! Brings a site up on this machine, loads it, breaks it, and judges what was seen.
 
+mod explore;
 mod measure;
 mod overload;
 mod plans;
@@ -26,6 +27,13 @@
 
        drill hollow      hollow nodes by the hundred: what they say and cost; has a --help of its own
 
+       drill explore [--scenario NAME] [--voters N] [--depth N] [--states N] [--seconds N] [--strays N]
+                     [--crashes N] [--wipes N] [--replay CHOICES]
+
+  plays every order of deliveries, syncs, crashes and replacements over the register's and the lease's own steps,
+  in every scenario or in the one named, and prints what was visited and the first trace that breaks an invariant;
+  a number changes the scenario's own budget, --replay takes a trace's choices (of one scenario) again
+
        drill sim [--shape roadwise|kalam|ledger] [--seeds FROM..UNTIL] [--plan PLAN] [--show WHAT]
 
   --seeds    which seeds to run (default 1..50)
@@ -62,6 +70,7 @@
             overload::all();
             0
         }
+        Ok(Some(Wish::Explore(exploration))) => i32::from(!explore::run(&exploration)),
         Ok(Some(Wish::Sim(sim))) => i32::from(!seeds::run(&sim)),
         Err(text) => {
             eprintln!("drill: {text}; see --help");
@@ -74,12 +83,14 @@
 enum Wish {
     Fleet(runs::Run),
     Sim(seeds::Sim),
+    Explore(explore::Exploration),
     Measure,
     Overload,
 }
 
 fn read_flags() -> Result<Option<Wish>, String> {
     let mut sim = seeds::Sim { from: 1, until: 50, plan: None, show: None, shape: drill::shapes::ROADWISE };
+    let mut exploration = explore::Exploration::default();
     let mut run = runs::Run {
         shape: drill::shapes::ROADWISE,
         load: Duration::from_secs(20),
@@ -113,6 +124,7 @@
         let number =
             || value.parse::<u64>().ok().filter(|n| (1..=100_000).contains(n)).ok_or(format!("--{name} '{value}'"));
         match name.as_str() {
+            name if verb.as_deref() == Some("explore") => exploration.read_flag(name, &value)?,
             "seeds" => {
                 let ends = value.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
                 (sim.from, sim.until) = ends.ok_or(format!("--seeds '{value}': FROM..UNTIL"))?;
@@ -138,6 +150,7 @@
         Some("overload") => Ok(Some(Wish::Overload)),
         Some("measure") => Ok(Some(Wish::Measure)),
         Some("fleet") => Ok(Some(Wish::Fleet(run))),
+        Some("explore") => explore::check(&exploration).map(|()| Some(Wish::Explore(exploration))),
         Some("sim") => seeds::check(&sim).map(|()| Some(Wish::Sim(sim))),
         Some(other) => Err(format!("'{other}' is no verb of mine")),
         None => Ok(None),
--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -15,10 +15,10 @@
 mod search;
 mod walk;
 
-pub use lease_model::{LeaseBudget, LeaseDefect, LeaseModel};
+pub use lease_model::{LeaseBudget, LeaseDefect, LeaseModel, LeaseWorld};
 pub use model::{Invariant, Model, Trace, Violation, replay};
 pub use network::Schedule;
-pub use register_model::{Order, RegisterBudget, RegisterDefect, RegisterModel, Scenario};
+pub use register_model::{Order, RegisterBudget, RegisterDefect, RegisterModel, RegisterWorld, Scenario};
 pub use scenarios::{lease_scenarios, register_scenario, register_scenarios};
 pub use search::{Limits, Report, search};
-pub use walk::{Walked, walk};
+pub use walk::{Choice, Walked, walk};
--- a/crates/explorer/src/model.rs
+++ b/crates/explorer/src/model.rs
@@ -50,6 +50,9 @@
     /// Every action that may come next, in an order that depends on the state alone.
     fn actions(&self, state: &Self::State) -> Vec<Self::Action>;
 
+    /// How many of them, from the first on, are the usual course of things, for walks that draw them more often.
+    fn usual_actions(&self, state: &Self::State) -> usize;
+
     fn next(&self, state: &Self::State, action: Self::Action) -> Self::State;
 
     /// True where whatever can follow on `after` can follow on `before` too, so that a search need not go there.
--- a/crates/explorer/src/register_history.rs
+++ b/crates/explorer/src/register_history.rs
@@ -28,7 +28,7 @@
 /// What an order is about, as far as the observer judges it.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct OrderFacts {
-    /// How the text begins that the state keeps of what was asked.
+    /// What the state keeps of what was asked.
     pub asked: String,
     pub digest: String,
     pub number: Option<u64>,
@@ -36,7 +36,7 @@
 
 impl OrderFacts {
     fn is_in(&self, state: &ClusterState) -> bool {
-        state.submissions.iter().any(|done| done.asked.starts_with(&self.asked))
+        state.submissions.iter().any(|done| done.asked == self.asked)
     }
 }
 
@@ -205,6 +205,11 @@
         Ok(())
     }
 
+    /// How many orders some operator was told are accepted.
+    pub fn accepted_orders(&self) -> usize {
+        self.told.len()
+    }
+
     /// True while an operator waits for a read at this node.
     pub fn is_read_pending(&self, node: usize) -> bool {
         self.reads.iter().any(|read| read.node == node)
--- a/crates/explorer/src/register_model.rs
+++ b/crates/explorer/src/register_model.rs
@@ -63,17 +63,18 @@
     /// assert!(explorer::Order::evacuation("a", "north/n1", false, &[0]).bytes.is_none());
     /// ```
     pub fn evacuation(id: &str, locality: &str, back: bool, at: &[usize]) -> Self {
-        let change = Change::Evacuate { id: id.into(), locality: locality.into(), back };
+        let change = Change::Evacuate { id: id.into(), locality: locality.into(), back, seen: None };
         Order { change, bytes: None, at: at.to_vec() }
     }
 
     fn facts(&self) -> OrderFacts {
         match &self.change {
-            Change::Setup { digest, number, .. } => {
-                OrderFacts { asked: digest.clone(), digest: digest.clone(), number: *number }
+            Change::Setup { digest, number, base, .. } => {
+                let asked = kept_of(&format!("{digest} {base:?}"));
+                OrderFacts { asked, digest: digest.clone(), number: *number }
             }
             Change::Evacuate { locality, back, .. } => {
-                OrderFacts { asked: format!("{locality} {back}"), digest: String::new(), number: None }
+                OrderFacts { asked: kept_of(&format!("{locality} {back}")), digest: String::new(), number: None }
             }
             _ => OrderFacts { asked: String::new(), digest: String::new(), number: None },
         }
@@ -365,6 +366,28 @@
         self.scenario.name
     }
 
+    /// How many orders some operator was told are accepted, on the way to a state.
+    ///
+    /// ```
+    /// use explorer::{Model, RegisterModel, Scenario};
+    /// let model = RegisterModel::new(Scenario::new("quiet", 3));
+    /// assert_eq!(model.accepted_orders(&model.initial()), 0);
+    /// ```
+    pub fn accepted_orders(&self, world: &RegisterWorld) -> usize {
+        world.history.accepted_orders()
+    }
+
+    /// The epoch of the newest voters in force anywhere in a state.
+    ///
+    /// ```
+    /// use explorer::{Model, RegisterModel, Scenario};
+    /// let model = RegisterModel::new(Scenario::new("quiet", 3));
+    /// assert_eq!(model.voter_epoch(&model.initial()), 0);
+    /// ```
+    pub fn voter_epoch(&self, world: &RegisterWorld) -> u64 {
+        world.nodes.iter().map(|node| node.register.state().voter_set.epoch).max().unwrap_or(0)
+    }
+
     fn start_node(&self, at: usize, peers: usize, disk: Disk, now: Duration, lives: u64) -> Node {
         let mut register = Register::new(Start {
             me: node_name(at),
@@ -611,7 +634,7 @@
             && world.asked[order] > 0
             && let Change::Setup { id, .. } | Change::Evacuate { id, .. } = &mut change
         {
-            id.push_str("-again");
+            id.id.push_str("-again");
         }
         world.asked[order] += 1;
         self.step(world, at, Event::Ask { token: order as u64, change, bytes });
@@ -843,6 +866,13 @@
         next
     }
 
+    fn usual_actions(&self, world: &RegisterWorld) -> usize {
+        match self.scenario.schedule {
+            Schedule::AnyOrder => world.any_order().len(),
+            Schedule::InOrder { .. } => 1,
+        }
+    }
+
     /// A delivery without any effect: as if the message were never delivered.
     fn is_redundant(&self, before: &RegisterWorld, after: &RegisterWorld) -> bool {
         let same = |(one, other): (&Arc<Node>, &Arc<Node>)| one.fingerprint == other.fingerprint;
@@ -896,6 +926,11 @@
     }
 }
 
+/// What the state keeps of what an order asked for.
+fn kept_of(asked: &str) -> String {
+    protocol::digest(asked.as_bytes()).chars().take(16).collect()
+}
+
 /// Long enough to be told apart in a trace.
 fn shortened(text: &str) -> String {
     text.chars().take(160).collect()
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -137,7 +137,7 @@
 }
 
 /// The edition that evacuated a locality, or took it back.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LocalityChange {
     #[prost(string, tag = "1")]
     pub locality: String,
@@ -146,7 +146,7 @@
 }
 
 /// A setup that came into force under an operator's own number.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct NumberedSetup {
     #[prost(uint64, tag = "1")]
     pub number: u64,
--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -20,7 +20,7 @@
 /// # use quorum_register::OrderId;
 /// assert_eq!(OrderId::from("a"), OrderId { id: "a".into(), since: None });
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OrderId {
     /// Drawn by the operator; empty where the order bears none.
     pub id: String,
