One way to join neighbouring runs of keys, in place of four

`Ranges::grants` and `Ranges::all` folded alike, as did the runs of one owner and the reservations in `fair`. No change of behaviour; the tests of the package are as they were.

--- a/crates/enrolment/src/fair.rs
+++ b/crates/enrolment/src/fair.rs
@@ -1,6 +1,7 @@
 //! How keys are divided: by load and capacity, with few moves.
 
 use crate::load::Load;
+use crate::runs::{Run, join_runs};
 use crate::table::{State, Table};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -53,11 +54,7 @@
 }
 
 /// Free keys, and who is to take them with its next heartbeat.
-pub(crate) struct Reservation {
-    pub(crate) from: u32,
-    pub(crate) to: u32,
-    pub(crate) taker: String,
-}
+pub(crate) type Reservation<'a> = Run<&'a str>;
 
 /// A part of the free keys between two of the load's edges.
 #[derive(Clone, Copy)]
@@ -104,7 +101,7 @@
 
 /// The taker of all free keys that have none: each active instance gets up to its fair part, and what fits nobody goes
 /// to whoever has most room. Decided for all at once, so that nothing is left over when all were heard.
-pub(crate) fn reserve(table: &Table, active: &BTreeMap<&str, u32>, load: &Load) -> Vec<Reservation> {
+pub(crate) fn reserve<'a>(table: &Table, active: &BTreeMap<&'a str, u32>, load: &Load) -> Vec<Reservation<'a>> {
     let mut runs = free_runs(table, load);
     let free = runs.iter().flat_map(|run| &run.pieces).map(|piece| piece.weight).sum();
     let mut loads = carried(table, active, load);
@@ -114,7 +111,7 @@
     });
     let level = level(&loads, active, free);
     let mut rooms: Loads = loads.iter().map(|(name, load)| (*name, level * capacity(active, name) - load)).collect();
-    let mut takers: Vec<&str> = rooms.keys().copied().collect();
+    let mut takers: Vec<&'a str> = rooms.keys().copied().collect();
     let emptiness = |name: &str| rooms[name] / capacity(active, name);
     takers.sort_by(|one, other| emptiness(other).total_cmp(&emptiness(one)));
     let mut reserved = Vec::new();
@@ -124,14 +121,15 @@
             let roomiest = rooms.iter_mut().max_by(|one, other| one.1.total_cmp(other.1));
             let Some((taker, room)) = roomiest else { return };
             *room -= piece.weight;
-            reserved.push(Reservation { from: piece.from, to: piece.to, taker: (*taker).to_owned() });
+            reserved.push((piece.from, piece.to, *taker));
         }
     });
-    joined(reserved)
+    reserved.sort_unstable();
+    join_runs(reserved.into_iter())
 }
 
 /// What one takes of the runs that are left, as far as it has room.
-fn reserve_for(taker: &str, runs: &mut [FreeRun], rooms: &mut Loads, reserved: &mut Vec<Reservation>) {
+fn reserve_for<'a>(taker: &'a str, runs: &mut [FreeRun], rooms: &mut Loads, reserved: &mut Vec<Reservation<'a>>) {
     let others = rooms.iter().filter(|(name, _)| **name != taker).map(|(_, room)| *room);
     let most = others.fold(f64::NEG_INFINITY, f64::max);
     let Some(room) = rooms.get_mut(taker) else { return };
@@ -145,7 +143,7 @@
         while run.peek(from_right).is_some_and(|piece| fits(piece, *room)) {
             let Some(piece) = run.pop(from_right, taker) else { return };
             *room -= piece.weight;
-            reserved.push(Reservation { from: piece.from, to: piece.to, taker: taker.to_owned() });
+            reserved.push((piece.from, piece.to, taker));
         }
     });
 }
@@ -174,18 +172,6 @@
     pieces(load, from, to).into_iter().map(weighed).collect()
 }
 
-/// Neighbouring reservations of one taker as one.
-fn joined(mut reserved: Vec<Reservation>) -> Vec<Reservation> {
-    reserved.sort_by_key(|reservation| reservation.from);
-    reserved.into_iter().fold(Vec::new(), |mut runs: Vec<Reservation>, next| {
-        match runs.last_mut() {
-            Some(run) if run.to + 1 == next.from && run.taker == next.taker => run.to = next.to,
-            _ => runs.push(next),
-        }
-        runs
-    })
-}
-
 /// A range cut at the load's edges.
 fn pieces(load: &Load, from: u32, to: u32) -> Spans {
     let edges = load.edges(from, to);
@@ -255,13 +241,8 @@
 /// Its keys that aren't asked back, neighbours under different fences as one.
 fn owned_runs(table: &Table, giver: &str, asked: &[(u32, u32)]) -> Spans {
     let own = table.iter().filter(|(_, _, state)| state.held_by(giver).is_some_and(|held| !held.asked_back));
-    let runs = own.fold(Vec::new(), |mut runs: Spans, (from, to, _)| {
-        match runs.last_mut() {
-            Some(run) if run.1 + 1 == from => run.1 = to,
-            _ => runs.push((from, to)),
-        }
-        runs
-    });
+    let runs = join_runs(own.map(|(from, to, _)| (from, to, ())));
+    let runs: Spans = runs.into_iter().map(|(from, to, ())| (from, to)).collect();
     // What this step already took lies at the edges.
     asked.iter().fold(runs, |runs, (from, to)| {
         let cut = runs.into_iter().flat_map(|(left, right)| {
--- a/crates/enrolment/src/lib.rs
+++ b/crates/enrolment/src/lib.rs
@@ -4,6 +4,7 @@
 mod load;
 mod ranges;
 mod roll;
+mod runs;
 mod shares;
 mod table;
 
--- a/crates/enrolment/src/ranges.rs
+++ b/crates/enrolment/src/ranges.rs
@@ -6,6 +6,7 @@
 
 use crate::fair;
 use crate::load::Load;
+use crate::runs::{Run, join_runs};
 use crate::table::{Held, State, Table};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -348,10 +349,10 @@
         if !self.table.iter().any(|(_, _, state)| matches!(state, State::Free { taker: None, .. })) {
             return;
         }
-        fair::reserve(&self.table, active, load).into_iter().for_each(|reservation| {
-            self.table.within(reservation.from, reservation.to).into_iter().for_each(|(from, to, state)| {
+        fair::reserve(&self.table, active, load).into_iter().for_each(|(from, to, taker)| {
+            self.table.within(from, to).into_iter().for_each(|(from, to, state)| {
                 if let State::Free { last, handover, passed, .. } = state {
-                    let taker = Some(reservation.taker.clone());
+                    let taker = Some(taker.to_owned());
                     self.table.set(from, to, State::Free { last, handover, taker, passed });
                 }
             });
@@ -403,17 +404,13 @@
     fn grants(&self, me: &str) -> Vec<Grant> {
         let mine = self.table.iter().filter_map(|(from, to, state)| {
             let held = state.held_by(me).filter(|held| !held.asked_back)?;
-            Some(Grant { from, to, fence: held.fence, handover: held.handover.clone() })
+            Some((from, to, (held.fence, held.handover.as_str())))
         });
-        mine.fold(Vec::new(), |mut runs: Vec<Grant>, next| {
-            match runs.last_mut() {
-                Some(run) if run.to + 1 == next.from && run.fence == next.fence && run.handover == next.handover => {
-                    run.to = next.to;
-                }
-                _ => runs.push(next),
-            }
-            runs
-        })
+        let grant = |(from, to, (fence, handover)): Run<(u64, &str)>| {
+            let handover = handover.to_owned();
+            Grant { from, to, fence, handover }
+        };
+        join_runs(mine).into_iter().map(grant).collect()
     }
 
     /// The instance has surely ended: its process is gone, and what it held is free.
@@ -465,17 +462,13 @@
     pub fn all(&self, now: Duration) -> Vec<Holding> {
         let held = self.table.iter().filter_map(|(from, to, state)| {
             let held = state.held().filter(|held| now < held.until && !held.dropped)?;
-            Some(Holding { from, to, fence: held.fence, instance: held.owner.clone() })
+            Some((from, to, (held.fence, held.owner.as_str())))
         });
-        held.fold(Vec::new(), |mut runs: Vec<Holding>, next| {
-            match runs.last_mut() {
-                Some(run) if run.to + 1 == next.from && run.fence == next.fence && run.instance == next.instance => {
-                    run.to = next.to;
-                }
-                _ => runs.push(next),
-            }
-            runs
-        })
+        let holding = |(from, to, (fence, owner)): Run<(u64, &str)>| {
+            let instance = owner.to_owned();
+            Holding { from, to, fence, instance }
+        };
+        join_runs(held).into_iter().map(holding).collect()
     }
 }
 
