The lease holder waits out holds by a clock on which jumps don't add up

Cause: a jump of the holder's clock below the lease's margin (0.5 s) goes unnoticed, and the margin of a hold (0.55 s) covers one. Two within one hold add up, and a silent upstream's keys are freed while it still has them. A jump of 0.55 s or more was seen by the lease's next tick alone, so a heartbeat that came before it was answered on the jumped clock.

Now holds of slots and ranges are counted by `HoldClock`: a step counts for 0.1 s at most. A clock that jumps and a process that stands still both make it fall behind, which errs on the safe side: keys of a dead upstream are free later.

Broken twin: `Weakness::counts_jumps`, caught by the test.

--- a/crates/controller/src/keys.rs
+++ b/crates/controller/src/keys.rs
@@ -131,6 +131,7 @@
             settle: SETTLE,
             late_answers: false,
         };
+        let held_at = self.hold_clock.now();
         let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
         let Duty { since, founding, counts, ranges, .. } = duty;
         let service = upstream.service.clone();
@@ -148,7 +149,7 @@
             holdings: upstream.holds.iter().filter(|share| share.from < share.until).map(row).collect(),
             released: upstream.released.iter().filter(|share| share.from < share.until).map(released).collect(),
         };
-        let grants = ranges.beat(now, &beat, &ready, &load)?;
+        let grants = ranges.beat(held_at, &beat, &ready, &load)?;
         let share = |grant: enrolment::Grant| Share {
             from: grant.from,
             until: grant.to + 1,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod dialect;
 mod gossip;
+mod hold_clock;
 mod keys;
 mod node;
 mod placement;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::hold_clock::HoldClock;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -29,6 +30,8 @@
     pub share_span: Duration,
     pub upstream_silent: Duration,
     pub stale_after: Duration,
+    /// Where holds are waited out, a step counts for no more than this.
+    pub longest_step: Duration,
 }
 
 /// What a postmaster starts from.
@@ -217,6 +220,8 @@
     /// True once another postmaster told all it knows of upstreams, or all of them had time to beat.
     pub(crate) roll_told: bool,
     pub(crate) held_epoch: u64,
+    /// By which the holds that this node gave are waited out.
+    pub(crate) hold_clock: HoldClock,
     pub(crate) counts: Counts,
     /// True once it was told to end: whoever asks is sent elsewhere.
     closing: bool,
@@ -243,6 +248,7 @@
             times: times.register,
         });
         ControlNode {
+            hold_clock: HoldClock::new(times.longest_step),
             membership: Membership::new(me.clone(), seeds, times.membership, random.next_u64()),
             lease: Lease::new(me.node.clone(), times.lease, random.next_u64()),
             told: register.phase().clone(),
@@ -301,6 +307,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.hold_clock.advance(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -17,7 +17,7 @@
 /// The holder's working state, thrown away when the lease ends.
 pub(crate) struct Duty {
     pub(crate) epoch: u64,
-    /// When the lease began: nobody else gives anything from then on.
+    /// When the lease began, by the hold clock: nobody else gives anything from then on.
     pub(crate) since: Duration,
     /// True where nothing was ever given before: nobody held the lease before.
     pub(crate) founding: bool,
@@ -63,7 +63,7 @@
         let founding = self.lease.is_founder(epoch);
         let mut duty = self.duty.take().filter(|duty| duty.epoch == epoch).unwrap_or_else(|| Duty {
             epoch,
-            since: now,
+            since: self.hold_clock.now(),
             founding,
             counts: KeyCounts::default(),
             ranges: BTreeMap::new(),
@@ -132,11 +132,12 @@
     fn told_shares(&self, now: Duration, duty: &Duty) -> Vec<ServiceShares> {
         let keyed = self.setup.services.values().filter(|service| service.keyed);
         let heard = if self.placement.epoch == 0 { self.heard_shares(now) } else { Vec::new() };
+        let held_at = self.hold_clock.now();
         let told = keyed.map(|service| {
             let name = &service.name;
             let known = match (duty.ranges.get(name), duty.shares.get(name)) {
-                (Some(ranges), _) => Some((crate::keys::held(ranges, now), ranges.is_quiet(now))),
-                (None, shares) => shares.map(|shares| (shares.all(now), shares.is_quiet(now))),
+                (Some(ranges), _) => Some((crate::keys::held(ranges, held_at), ranges.is_quiet(held_at))),
+                (None, shares) => shares.map(|shares| (shares.all(held_at), shares.is_quiet(held_at))),
             };
             let (known, quiet) = known.unwrap_or((Vec::new(), true));
             let told = self.placement.shares.iter().chain(&heard);
@@ -182,7 +183,7 @@
         if self.setup.services.get(&upstream.service).is_some_and(|service| service.numbered) {
             return self.give_ranges(now, upstream, epoch);
         }
-        let span = self.times.share_span;
+        let (span, held_at) = (self.times.share_span, self.hold_clock.now());
         let ready = self.roll.all(now).into_iter();
         let ready = ready.filter(|other| {
             let evacuated = self.register.state().evacuated.contains(&other.locality);
@@ -190,7 +191,7 @@
         });
         let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
         let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
-        let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(now, span, epoch));
-        shares.beat(now, upstream, &ready)
+        let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(held_at, span, epoch));
+        shares.beat(held_at, upstream, &ready)
     }
 }
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -185,6 +185,8 @@
             let (durable, setups) = (node.disk.durable.clone(), node.disk.setups.clone());
             node.disk.waiting.clear();
             let times = controller::shell::times(&settings);
+            let longest_step = if self.weak.counts_jumps { Duration::MAX } else { times.longest_step };
+            let times = controller::Times { longest_step, ..times };
             let start = controller::Start {
                 me,
                 seeds,
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -102,6 +102,8 @@
     pub hasty: bool,
     /// Clocks stand still while a machine is suspended.
     pub stands_still: bool,
+    /// The lease holder counts whatever its clock jumps ahead as time in which holds run out.
+    pub counts_jumps: bool,
     /// Nobody asks the nodes which edition they have: only traffic shows it.
     pub unwatched: bool,
     /// Proxies have no budget for resends.
@@ -127,6 +129,7 @@
             leaves_quietly: false,
             hasty: false,
             stands_still: false,
+            counts_jumps: false,
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
@@ -284,7 +287,7 @@
         let mut world = World::new(seed, Some(plan), shape);
         world.nodes.iter_mut().for_each(|node| node.site.stale_after = weak.stale_after);
         world.weak = weak;
-        if weak.unnumbered {
+        if weak.unnumbered || weak.counts_jumps {
             (0..world.nodes.len()).for_each(|node| world.kill(node));
             (0..world.nodes.len()).for_each(|node| world.start(node));
         }
--- a/crates/drill/tests/numbered.rs
+++ b/crates/drill/tests/numbered.rs
@@ -1,5 +1,6 @@
 //! Numeric keys in ranges, in the simulator: a site whose accounts are numbers, under every fault.
 
+use address::Random;
 use drill::facts::Fact;
 use drill::shapes::LEDGER;
 use drill::sim::{FAULTS, FURTHER, Fault, Outcome, Plan, Step, Weakness, World, run};
@@ -119,6 +120,26 @@
     assert_eq!(broken.collect::<Vec<_>>(), vec![]);
 }
 
+/// Two jumps of the lease holder's clock within one hold of a silent upstream, each too small to cost the lease.
+fn two_jumps(seed: u64) -> Plan {
+    let ms = Duration::from_millis;
+    let mut random = Random::new(seed);
+    let account = LEDGER.per_service + random.below(LEDGER.per_service as u64) as usize;
+    let (from, until) = (ms(18_000 + random.below(500)), ms(26_000));
+    let first = from + ms(100 + random.below(500));
+    let second = first + ms(200 + random.below(1500));
+    let jump = Fault::JumpPlacement(ms(450));
+    let silent = Step { at: from, until, fault: Fault::PauseUnit(account) };
+    let jumps = [first, second].map(|at| Step { at, until, fault: jump.clone() });
+    Plan { steps: [silent].into_iter().chain(jumps).collect() }
+}
+
+#[test]
+fn small_jumps_of_the_lease_holders_clock_do_not_add_up() {
+    assert!(!gives_twice(two_jumps, Weakness::default()));
+    assert!(gives_twice(two_jumps, Weakness { counts_jumps: true, ..Weakness::default() }));
+}
+
 /// True where a world that lacks one thing they rest on gives a key to two.
 fn gives_twice(plan: impl Fn(u64) -> Plan, weak: Weakness) -> bool {
     let mut runs = (1..13).map(|seed| World::weakened_site(seed, plan(seed), LEDGER, weak).run());
