Tests of a control node that gives numeric keys, over jumps, restarts and other lives

The real control node alone, without a simulator: jumps of its clock free no key early (with a broken twin that counts them as time), a restarted holder gives nothing that may be held and believes what is listed only after an answer's time, fences rise with the lease, a forged one is not believed, and an answer to a question of an earlier life is not passed on.

--- /dev/null
+++ b/crates/controller/tests/keys.rs
@@ -0,0 +1,220 @@
+//! Numeric keys at a control node that holds the placement lease: who is given what after jumps, restarts and changes
+//! of the lease. One node founds the whole control plane, so nothing but its own state and disk decides.
+
+use address::KEYS;
+use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
+use protocol::{DurableState, Holder, Member, Payload, Share, SharesReply, SharesRequest, Upstream};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const SETUP: &str = r#"{
+  "services": [{"name": "account", "work": "once", "keyed": true, "numbered": true, "homeRegions": []}],
+  "routes": [{"id": "r", "name": "account", "path": "/account", "service": "account"}],
+  "aliases": []
+}"#;
+
+/// A control node, its disk and its clock.
+struct Site {
+    control: ControlNode,
+    now: Duration,
+    durable: DurableState,
+    setups: BTreeMap<String, Vec<u8>>,
+    answers: Vec<(u64, Answer)>,
+    asked: Vec<SharesRequest>,
+    token: u64,
+    /// True for the broken twin: holds run out by whatever its clock jumps.
+    trusts_jumps: bool,
+}
+
+fn control(durable: DurableState, setups: BTreeMap<String, Vec<u8>>, seed: u64, trusts_jumps: bool) -> ControlNode {
+    let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
+    let me = Member { node: "a".into(), locality: "n/n1".into(), roles: "postmaster".into(), ..Member::default() };
+    let times = controller::shell::times(&settings);
+    let longest_step = if trusts_jumps { Duration::MAX } else { times.longest_step };
+    let times = controller::Times { longest_step, ..times };
+    let (reader, owners) = Default::default();
+    ControlNode::new(Start { me, seeds: vec![], roster_size: 1, seed, reader, owners, durable, setups, times })
+}
+
+impl Site {
+    /// Founded, with its setup in force, and holding the placement lease.
+    fn new(trusts_jumps: bool) -> Self {
+        let control = control(DurableState::default(), BTreeMap::new(), 1, trusts_jumps);
+        let (durable, setups) = Default::default();
+        let now = Duration::ZERO;
+        let (answers, asked) = (vec![], vec![]);
+        let mut site = Site { control, now, durable, setups, answers, asked, token: 0, trusts_jumps };
+        site.until_held();
+        let ask = Ask::Submit { id: "x".into(), base: None, bytes: SETUP.into(), in_force: false };
+        site.step(Event::Ask { token: 0, ask });
+        site.wait(2000);
+        assert_eq!(site.control.edition(), 1);
+        site
+    }
+
+    fn until_held(&mut self) {
+        (0..1000).for_each(|_| {
+            if !self.control.holds_placement(self.now) {
+                self.wait(10);
+            }
+        });
+        assert!(self.control.holds_placement(self.now));
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            self.control.step(self.now, event).into_iter().for_each(|effect| match effect {
+                Effect::Keep { ticket, durable } => {
+                    self.durable = durable;
+                    events.push(Event::Kept { ticket });
+                }
+                Effect::KeepSetup { ticket, digest, bytes } => {
+                    self.setups.insert(digest, bytes);
+                    events.push(Event::Kept { ticket });
+                }
+                Effect::Answer { token, answer } => self.answers.push((token, answer)),
+                Effect::Send { body: Payload::SharesRequest(ask), .. } => self.asked.push(ask),
+                _ => {}
+            });
+        }
+    }
+
+    /// Ticks for so long.
+    fn wait(&mut self, ms: u64) {
+        (0..ms / 10).for_each(|_| {
+            self.now += MS(10);
+            self.step(Event::Tick);
+        });
+    }
+
+    /// The process ends, and another one starts from its disk.
+    fn restart(&mut self) {
+        self.control = control(self.durable.clone(), self.setups.clone(), 2, self.trusts_jumps);
+        self.now = Duration::ZERO;
+    }
+
+    /// What it answers to a heartbeat.
+    fn beat(&mut self, instance: &str, beat: u64, holds: &[Share]) -> Option<Vec<Share>> {
+        self.token += 1;
+        let unit = unit(instance, beat, holds);
+        self.step(Event::Ask { token: self.token, ask: Ask::Beat(unit) });
+        match self.answers.pop() {
+            Some((token, Answer::Beat { shares, .. })) if token == self.token => shares,
+            other => panic!("no answer: {other:?}"),
+        }
+    }
+}
+
+fn unit(instance: &str, beat: u64, holds: &[Share]) -> Upstream {
+    Upstream {
+        service: "account".into(),
+        instance: instance.into(),
+        address: format!("{instance}:80"),
+        locality: "n/n1".into(),
+        beat,
+        slots: 4,
+        holds: holds.to_vec(),
+        ..Upstream::default()
+    }
+}
+
+fn keys(shares: &Option<Vec<Share>>) -> u32 {
+    shares.iter().flatten().map(|share| share.until - share.from).sum()
+}
+
+/// Holds of 3 s: how many keys another one is given when the holder of all fell silent so long ago, and the lease
+/// holder's clock jumped so often by so much meanwhile.
+fn given_after(silent_ms: u64, jumps: &[u64], trusts_jumps: bool) -> u32 {
+    let mut site = Site::new(trusts_jumps);
+    assert_eq!(keys(&site.beat("u", 1, &[])), KEYS, "the founder gives at once");
+    let mut beat = 0;
+    let mut other = |site: &mut Site| {
+        beat += 1;
+        keys(&site.beat("v", beat, &[]))
+    };
+    other(&mut site);
+    jumps.iter().for_each(|jump| {
+        site.wait(silent_ms / (jumps.len() as u64 + 1) / 10 * 10);
+        site.now += MS(*jump);
+        // A heartbeat comes before the tick that would notice.
+        other(&mut site);
+    });
+    site.wait(silent_ms / (jumps.len() as u64 + 1) / 10 * 10);
+    other(&mut site)
+}
+
+/// The silent one has its keys for 3 s from its last heartbeat.
+#[test]
+fn no_jumps_of_the_lease_holders_clock_free_a_key_early() {
+    assert_eq!(given_after(2900, &[], false), 0);
+    assert_ne!(given_after(3900, &[], false), 0, "it has surely run out");
+    [&[450][..], &[450, 450], &[300, 300, 300], &[200, 200, 200, 200, 200]].into_iter().for_each(|jumps| {
+        assert_eq!(given_after(2900, jumps, false), 0, "{jumps:?}");
+    });
+    assert_ne!(given_after(2900, &[450, 450], true), 0, "the check sees one that counts jumps as time");
+}
+
+/// A node that starts again under a new epoch remembers nothing of what it gave.
+#[test]
+fn a_restarted_lease_holder_gives_nothing_that_may_be_held() {
+    let mut site = Site::new(false);
+    let held = site.beat("u", 1, &[]).expect("the founder gives at once");
+    site.restart();
+    site.until_held();
+    // It waits out an answer's time before it believes a heartbeat, and a hold's before it gives a key to another.
+    assert_eq!(site.beat("u", 2, &held), None);
+    assert_eq!(keys(&site.beat("v", 1, &[])), 0);
+    site.wait(1700);
+    assert_eq!(site.beat("u", 3, &held), Some(held.clone()), "what it lists it keeps, under its old fence");
+    site.wait(1000);
+    assert_eq!(keys(&site.beat("v", 2, &[])), 0);
+    site.wait(1200);
+    assert_eq!(keys(&site.beat("v", 3, &[])), 0, "all are held by the one that listed them");
+    let (known, next) = (held[0].epoch, site.beat("u", 4, &held).expect("an answer")[0].epoch);
+    assert_eq!(known, next);
+}
+
+/// Keys that nobody listed to the new holder are given under a higher fence than any before.
+#[test]
+fn fences_rise_with_the_lease() {
+    let mut site = Site::new(false);
+    let first = site.beat("u", 1, &[]).expect("the founder gives at once")[0].epoch;
+    site.restart();
+    site.until_held();
+    site.wait(3800);
+    let second = site.beat("v", 1, &[]).expect("all have run out")[0].epoch;
+    assert!(second >> 24 > first >> 24, "{first} {second}");
+    // A fence that this lease never gave is not believed.
+    let forged = Share { from: 0, until: KEYS, epoch: second + 5, ..Share::default() };
+    assert_eq!(keys(&site.beat("w", 1, &[forged])), 0);
+}
+
+/// An answer of the lease holder to a question of an earlier life of this node, or of nobody.
+#[test]
+fn an_answer_to_a_question_of_another_life_is_not_passed_on() {
+    let follower = |site: &mut Site| {
+        site.step(Event::Received { from: "b".into(), body: Payload::Holder(Holder { epoch: 1000 }) });
+        site.step(Event::Ask { token: 70, ask: Ask::Beat(unit("u", 1, &[])) });
+        site.asked.pop().expect("it asks the holder").nonce
+    };
+    let reply = |nonce| {
+        let shares = vec![Share { until: KEYS, epoch: 1000 << 24, instance: "u".into(), ..Share::default() }];
+        let reply = SharesReply { nonce, shares, span_ms: 3000, holder: 1000 };
+        Event::Received { from: "b".into(), body: Payload::SharesReply(reply) }
+    };
+    let mut site = Site::new(false);
+    let earlier = follower(&mut site);
+    site.restart();
+    site.wait(500);
+    let later = follower(&mut site);
+    site.answers.clear();
+    site.step(reply(earlier));
+    assert!(site.answers.is_empty(), "{:?}", site.answers);
+    site.step(reply(later));
+    assert!(matches!(&site.answers[..], [(70, Answer::Beat { shares: Some(_), .. })]), "{:?}", site.answers);
+    site.answers.clear();
+    site.step(reply(later));
+    assert!(site.answers.is_empty(), "a second answer finds no question");
+}
