What numeric keys are divided by is read five times a second, not for each heartbeat

`give_ranges` copied all upstreams and summed the load's 1024 parts anew for each heartbeat. Both are kept per service for as long as a decision (0.2 s) now; of the one that beats the newest counts: where it is, or is no longer, to be given keys, they are read anew at once. `Roll::of_service` reads one service's upstreams without a copy; slots use it too.

--- a/crates/controller/src/keys.rs
+++ b/crates/controller/src/keys.rs
@@ -1,11 +1,12 @@
 //! Numeric keys: what carriers count of them, and the division that follows it.
 
 use crate::node::{ControlNode, Effect};
-use crate::placement::Duty;
+use crate::placement::{DECIDE_EVERY, Duty};
 use address::{KEY_PARTS, KEYS};
 use enrolment::{Heartbeat, Load, READY, Ranges, Released, Row, Terms};
 use protocol::{KeyLoad, KeyLoads, Payload, ServiceShares, Share, Upstream};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// An upstream that heard no answer for so long asks elsewhere, and takes a later one for nothing.
@@ -118,12 +119,7 @@
 
     /// All keys that an upstream holds from now on, in answer to its beat.
     pub(crate) fn give_ranges(&mut self, now: Duration, upstream: &Upstream, epoch: u64) -> Option<Vec<Share>> {
-        let evacuated = &self.register.state().evacuated;
-        let all = self.roll.all(now).into_iter().filter(|other| {
-            other.service == upstream.service && other.condition == READY && !evacuated.contains(&other.locality)
-        });
-        let ready: BTreeMap<String, u32> =
-            all.map(|other| (other.instance, other.slots.max(other.free_slots).max(1))).collect();
+        let held_at = self.hold_clock.now();
         let terms = Terms {
             hold: self.times.share_span,
             answer_within: ANSWER_WITHIN,
@@ -131,25 +127,19 @@
             settle: SETTLE,
             late_answers: false,
         };
-        let held_at = self.hold_clock.now();
-        let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
-        let Duty { since, founding, counts, ranges, .. } = duty;
-        let service = upstream.service.clone();
-        let load = counts.load(&service);
-        let ranges = ranges.entry(service).or_insert_with(|| Ranges::new(*since, terms, KEYS, epoch, *founding));
-        let row = |share: &Share| Row { from: share.from, to: share.until.saturating_sub(1), fence: share.epoch };
-        let released = |share: &Share| Released {
-            from: share.from,
-            to: share.until.saturating_sub(1),
-            handover: share.handover.clone(),
-        };
-        let beat = Heartbeat {
-            instance: upstream.instance.clone(),
-            sequence: upstream.beat,
-            holdings: upstream.holds.iter().filter(|share| share.from < share.until).map(row).collect(),
-            released: upstream.released.iter().filter(|share| share.from < share.until).map(released).collect(),
+        // Whoever else may be given keys is known well enough for a while; of this one the newest counts.
+        let me = self.roll.one(now, upstream).filter(|me| self.may_hold(me));
+        let duty = self.duty.as_ref().filter(|duty| duty.epoch == epoch)?;
+        let known = duty.inputs.get(&upstream.service);
+        let inputs = match known.filter(|known| known.is_good(now, upstream, me.is_some())) {
+            Some(known) => known.clone(),
+            None => Arc::new(self.division_inputs(now, &upstream.service, &duty.counts)),
         };
-        let grants = ranges.beat(held_at, &beat, &ready, &load)?;
+        let Duty { since, founding, ranges, inputs: all_inputs, .. } = self.duty.as_mut()?;
+        all_inputs.insert(upstream.service.clone(), inputs.clone());
+        let new = || Ranges::new(*since, terms, KEYS, epoch, *founding);
+        let ranges = ranges.entry(upstream.service.clone()).or_insert_with(new);
+        let grants = ranges.beat(held_at, &heartbeat(upstream), &inputs.ready, &inputs.load)?;
         let share = |grant: enrolment::Grant| Share {
             from: grant.from,
             until: grant.to + 1,
@@ -159,6 +149,49 @@
         };
         Some(grants.into_iter().map(share).collect())
     }
+
+    /// True where an upstream may be given keys.
+    pub(crate) fn may_hold(&self, upstream: &Upstream) -> bool {
+        upstream.condition == READY && !self.register.state().evacuated.contains(&upstream.locality)
+    }
+
+    fn division_inputs(&self, now: Duration, service: &str, counts: &KeyCounts) -> DivisionInputs {
+        let capacity = |upstream: &Upstream| upstream.slots.max(upstream.free_slots).max(1);
+        let all = self.roll.of_service(service).filter(|upstream| self.may_hold(upstream));
+        let ready = all.map(|upstream| (upstream.instance.clone(), capacity(upstream))).collect();
+        DivisionInputs { read_at: now, ready, load: counts.load(service) }
+    }
+}
+
+/// What a service's keys are divided by: made anew as often as decisions are, not for each beat.
+pub(crate) struct DivisionInputs {
+    read_at: Duration,
+    /// Who may be given keys, and their capacity.
+    ready: BTreeMap<String, u32>,
+    load: Load,
+}
+
+impl DivisionInputs {
+    /// True while it is young, and right about this upstream.
+    fn is_good(&self, now: Duration, upstream: &Upstream, ready: bool) -> bool {
+        now < self.read_at + DECIDE_EVERY && self.ready.contains_key(&upstream.instance) == ready
+    }
+}
+
+/// What a beat says of numeric keys.
+fn heartbeat(upstream: &Upstream) -> Heartbeat {
+    let row = |share: &Share| Row { from: share.from, to: share.until.saturating_sub(1), fence: share.epoch };
+    let released = |share: &Share| Released {
+        from: share.from,
+        to: share.until.saturating_sub(1),
+        handover: share.handover.clone(),
+    };
+    Heartbeat {
+        instance: upstream.instance.clone(),
+        sequence: upstream.beat,
+        holdings: upstream.holds.iter().filter(|share| share.from < share.until).map(row).collect(),
+        released: upstream.released.iter().filter(|share| share.from < share.until).map(released).collect(),
+    }
 }
 
 /// Who holds which keys of a service, as shares to be told on.
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -1,17 +1,18 @@
 //! The placement duty, done by whichever postmaster holds its lease.
 
-use crate::keys::KeyCounts;
+use crate::keys::{DivisionInputs, KeyCounts};
 use crate::node::{ControlNode, Effect};
-use enrolment::{READY, Ranges, Shares};
+use enrolment::{Ranges, Shares};
 use gazetteer::{Needs, Owners, Placer};
 use protocol::{Holder, Payload, Placement, PlacementRequest, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 use tariff::Setup;
 
 /// How long a new holder listens before it decides, so that beats and the last placement can reach it.
 const LISTEN: Duration = Duration::from_millis(1200);
-const DECIDE_EVERY: Duration = Duration::from_millis(200);
+pub(crate) const DECIDE_EVERY: Duration = Duration::from_millis(200);
 const TELL_EVERY: Duration = Duration::from_secs(1);
 
 /// The holder's working state, thrown away when the lease ends.
@@ -25,6 +26,8 @@
     pub(crate) counts: KeyCounts,
     /// By service, where keys are numbers.
     pub(crate) ranges: BTreeMap<String, Ranges>,
+    /// By the same services.
+    pub(crate) inputs: BTreeMap<String, Arc<DivisionInputs>>,
     listen_until: Duration,
     placer: Option<Placer>,
     shares: BTreeMap<String, Shares>,
@@ -67,6 +70,7 @@
             founding,
             counts: KeyCounts::default(),
             ranges: BTreeMap::new(),
+            inputs: BTreeMap::new(),
             listen_until: now + LISTEN,
             placer: None,
             shares: BTreeMap::new(),
@@ -97,6 +101,7 @@
         let keyed = |name: &String| self.setup.services.get(name).filter(|service| service.keyed);
         duty.shares.retain(|name, _| keyed(name).is_some_and(|service| !service.numbered));
         duty.ranges.retain(|name, _| keyed(name).is_some_and(|service| service.numbered));
+        duty.inputs.retain(|name, _| duty.ranges.contains_key(name));
         duty.counts.fade(DECIDE_EVERY);
         self.roll.signed_off().for_each(|gone| {
             duty.ranges.get_mut(&gone.service).into_iter().for_each(|ranges| ranges.ended(&gone.instance));
@@ -184,12 +189,8 @@
             return self.give_ranges(now, upstream, epoch);
         }
         let (span, held_at) = (self.times.share_span, self.hold_clock.now());
-        let ready = self.roll.all(now).into_iter();
-        let ready = ready.filter(|other| {
-            let evacuated = self.register.state().evacuated.contains(&other.locality);
-            other.service == upstream.service && other.condition == READY && !evacuated
-        });
-        let ready: BTreeSet<String> = ready.map(|other| other.instance).collect();
+        let ready = self.roll.of_service(&upstream.service).filter(|other| self.may_hold(other));
+        let ready: BTreeSet<String> = ready.map(|other| other.instance.clone()).collect();
         let duty = self.duty.as_mut().filter(|duty| duty.epoch == epoch)?;
         let shares = duty.shares.entry(upstream.service.clone()).or_insert_with(|| Shares::new(held_at, span, epoch));
         shares.beat(held_at, upstream, &ready)
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -261,6 +261,23 @@
         self.entries.values().map(|entry| Self::aged(entry, now)).collect()
     }
 
+    /// All of one service as last told, without their ages and without a copy.
+    ///
+    /// ```
+    /// use protocol::Upstream;
+    /// let mut roll = enrolment::Roll::default();
+    /// [("a", "1"), ("b", "2"), ("c", "3")].into_iter().for_each(|(service, instance)| {
+    ///     let (service, instance, address) = (service.into(), instance.into(), instance.into());
+    ///     roll.take(Default::default(), Upstream { service, instance, address, beat: 1, ..Upstream::default() });
+    /// });
+    /// assert_eq!(roll.of_service("b").map(|upstream| upstream.instance.as_str()).collect::<Vec<_>>(), ["2"]);
+    /// ```
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
+        let first = (service.to_owned(), String::new());
+        let mine = self.entries.range(first..).take_while(move |((other, _), _)| other == service);
+        mine.map(|(_, entry)| &entry.upstream)
+    }
+
     /// Those that will not come back, heard of lately: told again, since they tell themselves no more.
     ///
     /// ```
