--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,6 +1,8 @@
 //! The control plane. [`ControlNode`] is the pure core; `shell` turns the world into events and back.
 
+mod anonymous_orders;
 mod dialect;
+pub mod disk;
 mod gossip;
 mod hold_clock;
 mod keys;
@@ -9,6 +11,7 @@
 mod requests;
 pub mod shell;
 mod updates;
+mod voters;
 
 pub use dialect::{Dialect, Unread, beat_sheet};
 pub use node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,17 +1,19 @@
 //! One postmaster's decisions: the register, membership, the roll of upstreams, the placement duty and the
 //! news to carriers, as one reducer.
 
+use crate::anonymous_orders::AnonymousOrders;
 use crate::hold_clock::HoldClock;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
+use crate::voters::VoterChanges;
 use address::{Code, Random};
 use enrolment::Roll;
 use gazetteer::{Owners, SetupReader};
 use lease::Lease;
 use membership::Membership;
 use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
-use quorum_register::{Change, Register, VoterPhase};
+use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,17 +55,22 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit {
-        id: String,
+        id: OrderId,
         base: Option<u64>,
         bytes: Vec<u8>,
         in_force: bool,
     },
     Evacuate {
-        id: String,
+        id: OrderId,
         locality: String,
         back: bool,
         in_force: bool,
     },
+    /// Let one node vote, another not any more, or both at once.
+    ChangeVoters {
+        add: Option<String>,
+        remove: Option<String>,
+    },
     ReadSetup,
     Status,
     Upstreams,
@@ -121,6 +128,10 @@
         ticket: u64,
     },
     DiskFailed,
+    /// A write failed, and the disk tries it again until it is done.
+    DiskRetrying,
+    /// The write that failed is done.
+    DiskRecovered,
     /// The settings name other seeds.
     Seeds(Vec<String>),
     Close,
@@ -146,6 +157,10 @@
         digest: String,
         bytes: Vec<u8>,
     },
+    /// The file of this setup may go, after all writes before.
+    DropSetup {
+        digest: String,
+    },
     Answer {
         token: u64,
         answer: Answer,
@@ -154,6 +169,8 @@
     Addresses(Vec<(String, String)>),
     /// Worth a line in the log.
     Note(String),
+    /// Worth an operator's look.
+    Alarm(String),
 }
 
 pub(crate) struct InForce {
@@ -171,6 +188,8 @@
 
 pub(crate) struct BeatWait {
     pub token: u64,
+    /// Who was asked.
+    pub asked: String,
     pub until: Duration,
 }
 
@@ -188,6 +207,8 @@
 /// The core of one postmaster.
 pub struct ControlNode {
     pub(crate) me: Member,
+    /// Tells this life of the process from earlier ones of the same name.
+    life: u64,
     pub(crate) times: Times,
     pub(crate) reader: SetupReader,
     pub(crate) owners: Owners,
@@ -209,6 +230,7 @@
     pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
+    pub(crate) anonymous: AnonymousOrders,
     pub(crate) beat_waits: BTreeMap<u64, BeatWait>,
     /// Upstreams whose beats came here of late: which beat, and when.
     pub(crate) heard_here: BTreeMap<(String, String), (u64, Duration)>,
@@ -223,8 +245,13 @@
     /// By which the holds that this node gave are waited out.
     pub(crate) hold_clock: HoldClock,
     pub(crate) counts: Counts,
+    /// A write failed and is tried again: nothing new is promised or accepted here meanwhile.
+    pub(crate) disk_fails: bool,
+    /// The state accepted here names a setup whose bytes are not here.
+    lacks_setup: bool,
     /// True once it was told to end: whoever asks is sent elsewhere.
-    closing: bool,
+    pub(crate) closing: bool,
+    pub(crate) voter_changes: VoterChanges,
 }
 
 impl ControlNode {
@@ -237,6 +264,7 @@
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
+        let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
         let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
         let register = Register::new(quorum_register::Start {
@@ -254,6 +282,7 @@
             told: register.phase().clone(),
             members: vec![me.clone()],
             me,
+            life,
             times,
             reader,
             owners,
@@ -269,6 +298,7 @@
             kept: BTreeMap::new(),
             waiting_force: Vec::new(),
             read_waits: Vec::new(),
+            anonymous: AnonymousOrders::default(),
             beat_waits: BTreeMap::new(),
             heard_here: BTreeMap::new(),
             batches: 0,
@@ -278,7 +308,10 @@
             roll_told: false,
             held_epoch: 0,
             counts: Counts::default(),
+            disk_fails: false,
+            lacks_setup: false,
             closing: false,
+            voter_changes: VoterChanges::default(),
         }
     }
 
@@ -308,6 +341,7 @@
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         self.hold_clock.advance(now);
+        self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, body } => self.take(now, from, body),
@@ -321,15 +355,13 @@
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
+            Event::DiskRetrying => self.disk_fails = true,
+            Event::DiskRecovered => self.disk_fails = false,
             Event::Seeds(seeds) => self.membership.learn_seeds(seeds),
-            Event::Close => {
-                self.closing = true;
-                let effects = self.membership.step(now, membership::Event::Leave);
-                self.run_membership(now, effects);
-                self.run_lease(now, lease::Event::Close);
-            }
+            Event::Close => self.close(now),
         }
         self.answer_reads(now);
+        self.go_on_with_anonymous(now);
         std::mem::take(&mut self.effects).into()
     }
 
@@ -337,17 +369,18 @@
         let effects = self.membership.step(now, membership::Event::Tick);
         self.run_membership(now, effects);
         self.run_register(now, quorum_register::Event::Tick);
-        let (roster, epoch) = (self.register.roster().to_vec(), self.register.lease_epoch());
-        if *self.register.phase() == VoterPhase::Voting {
-            self.run_lease(now, lease::Event::Roster { roster, epoch });
+        if *self.register.phase() == VoterPhase::Active {
+            self.tell_lease_voters(now);
             self.run_lease(now, lease::Event::Tick);
         }
+        self.tick_voters(now);
         if now >= self.next_sweep {
             self.next_sweep = now + BATCH_EVERY;
             // What others hear of comes with their next batch.
             self.roll.sweep(now, self.times.upstream_silent + BATCH_EVERY);
             if !self.is_settled(now) {
-                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest::default()));
+                let life = self.life;
+                self.tell_postmasters(Payload::UpstreamsRequest(UpstreamsRequest { life, ..Default::default() }));
             }
             self.tell_loads();
             self.tell_alive(now);
@@ -356,6 +389,21 @@
         self.tick_news(now);
         self.tick_waits(now);
         self.note_standing();
+        self.note_missing_setup();
+    }
+
+    /// Until its bytes are here this node can't answer with the state it holds: it asks the others for them.
+    fn note_missing_setup(&mut self) {
+        let lacks = self.register.lacks_accepted_setup();
+        if lacks != self.lacks_setup {
+            self.lacks_setup = lacks;
+            self.effects.push_back(match lacks {
+                true => Effect::Alarm(
+                    "the setup of the state on this disk is missing or damaged; the others are asked for it".into(),
+                ),
+                false => Effect::Note("repaired: the setup of the state on this disk is here again".into()),
+            });
+        }
     }
 
     fn note_standing(&mut self) {
@@ -365,8 +413,9 @@
             let text = match now {
                 VoterPhase::Blank { .. } => "the disk is blank",
                 VoterPhase::Bootstrapping { .. } => "endorsed a roster",
-                VoterPhase::Recovering { .. } => "mending from the other voters",
-                VoterPhase::Voting => "voting",
+                VoterPhase::Recovering(_) => "recovering from the voters",
+                VoterPhase::Active if self.register.is_voter() => "voting",
+                VoterPhase::Active => "following, without a vote",
                 VoterPhase::Out => "the disk failed: out of rounds",
             };
             self.effects.push_back(Effect::Note(text.into()));
@@ -377,7 +426,8 @@
         match body {
             Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => {
                 // A voter that has lost its disk has forgotten the epochs it granted.
-                if *self.register.phase() == VoterPhase::Voting {
+                if *self.register.phase() == VoterPhase::Active {
+                    self.tell_lease_voters(now);
                     self.run_lease(now, lease::Event::Received { from, body });
                 }
             }
@@ -389,9 +439,10 @@
             Payload::UpstreamsReply(told) => self.roll_told(now, told),
             Payload::Holder(holder) => self.hear_holder(from, holder.epoch),
             Payload::SharesRequest(ask) => self.shares_asked(now, from, ask),
-            Payload::SharesReply(given) => self.shares_given(given),
+            Payload::SharesReply(given) => self.shares_given(&from, given),
             Payload::PlacementRequest(_) => self.placement_asked(from),
             Payload::Placement(placement) => self.take_placement(from, placement),
+            Payload::VoterLeaving(_) => self.voter_leaving(now, from),
             Payload::KeyLoads(told) => self.count_keys(told.loads),
             Payload::UpdateRequest(ask) => self.news_asked(now, from, ask),
             Payload::UpdateAck(kept) => self.news_kept(&from, &kept),
@@ -400,7 +451,7 @@
         }
     }
 
-    fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
+    pub(crate) fn run_membership(&mut self, now: Duration, effects: Vec<membership::Effect>) {
         let changed = effects.contains(&membership::Effect::Changed);
         effects.into_iter().for_each(|effect| {
             if let membership::Effect::Send { address, body } = effect {
@@ -429,13 +480,20 @@
             quorum_register::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.effects.push_back(Effect::KeepSetup { ticket, digest, bytes });
             }
+            quorum_register::Effect::DropSetup { digest } => self.effects.push_back(Effect::DropSetup { digest }),
             quorum_register::Effect::Decided { token, decision } => self.decided(now, token, decision),
             quorum_register::Effect::Adopted => self.adopted(),
             quorum_register::Effect::EpochKept { token } => self.run_lease(now, lease::Event::EpochKept { token }),
         });
     }
 
-    fn run_lease(&mut self, now: Duration, event: lease::Event) {
+    /// Whom the lease asks, and what it may grant, follows every newer state at once.
+    fn tell_lease_voters(&mut self, now: Duration) {
+        let (voter_set, epoch) = (self.register.voter_set().clone(), self.register.lease_epoch());
+        self.run_lease(now, lease::Event::Voters { voter_set, epoch });
+    }
+
+    pub(crate) fn run_lease(&mut self, now: Duration, event: lease::Event) {
         let effects = self.lease.step(now, event);
         effects.into_iter().for_each(|effect| match effect {
             lease::Effect::Send { to, body } => self.effects.push_back(Effect::Send { to, body }),
@@ -470,6 +528,10 @@
     }
 
     fn roll_told(&mut self, now: Duration, told: UpstreamsReply) {
+        // An answer to an earlier life's question may be from before that life's end.
+        if told.life != 0 && told.life != self.life {
+            return;
+        }
         told.upstreams.into_iter().for_each(|upstream| {
             self.roll.take(now, upstream);
         });
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod facts;
 pub mod fleet;
+pub mod history;
 pub mod hollow;
 pub mod origins;
 pub mod report;
 pub mod rules;
+pub mod scripted;
 pub mod shapes;
 pub mod sim;
 pub mod upstreams;
