--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -4,6 +4,7 @@
 use crate::anonymous_orders::AnonymousOrders;
 use crate::contact::Contact;
 use crate::departures::Departures;
+use crate::hold_clock::HoldClock;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
 use crate::updates::Reader;
@@ -33,6 +34,8 @@
     pub share_span: Duration,
     pub upstream_silent: Duration,
     pub stale_after: Duration,
+    /// Where holds are waited out, a step counts for no more than this.
+    pub longest_step: Duration,
 }
 
 /// What a postmaster starts from.
@@ -248,6 +251,8 @@
     /// True once another postmaster told all it knows of upstreams, or all of them had time to beat.
     pub(crate) roll_told: bool,
     pub(crate) held_epoch: u64,
+    /// By which the holds that this node gave are waited out.
+    pub(crate) hold_clock: HoldClock,
     pub(crate) counts: Counts,
     /// A write failed and is tried again: nothing new is promised or accepted here meanwhile.
     pub(crate) disk_fails: bool,
@@ -280,6 +285,7 @@
             times: times.register,
         });
         ControlNode {
+            hold_clock: HoldClock::new(times.longest_step),
             membership: Membership::new(me.clone(), seeds, times.membership, random.next_u64()),
             lease: Lease::new(me.node.clone(), times.lease, random.next_u64()),
             told: register.phase().clone(),
@@ -345,6 +351,7 @@
     /// assert!(matches!(&effects[0], Effect::Answer { token: 7, answer: Answer::Denied { .. } }));
     /// ```
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.hold_clock.advance(now);
         self.anonymous.note_step(now);
         match event {
             Event::Tick => self.tick(now),
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -112,6 +112,8 @@
     pub hasty: bool,
     /// Clocks stand still while a machine is suspended.
     pub stands_still: bool,
+    /// The lease holder counts whatever its clock jumps ahead as time in which holds run out.
+    pub counts_jumps: bool,
     /// Nobody asks the nodes which edition they have: only traffic shows it.
     pub unwatched: bool,
     /// Proxies have no budget for resends.
@@ -152,6 +154,7 @@
             leaves_quietly: false,
             hasty: false,
             stands_still: false,
+            counts_jumps: false,
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
@@ -334,7 +337,7 @@
             node.disk.drops_newest = weak.drops_newest;
         });
         world.weak = weak;
-        if weak.unnumbered {
+        if weak.unnumbered || weak.counts_jumps {
             (0..world.nodes.len()).for_each(|node| world.kill(node));
             (0..world.nodes.len()).for_each(|node| world.start(node));
         }
