--- a/crates/drill/src/explore.rs
+++ b/crates/drill/src/explore.rs
@@ -135,5 +135,7 @@
         let voters = exploration.voters.unwrap_or(3);
         exploration.explore(name, &LeaseModel::new(voters, exploration.lease_budget(budget)))
     });
-    registers.chain(leases).fold(true, |fine, explored| fine && explored)
+    // Each is explored, also after one that found something.
+    let explored: Vec<bool> = registers.chain(leases).collect();
+    explored.into_iter().all(|fine| fine)
 }
