--- a/crates/controller/src/anonymous_orders.rs
+++ b/crates/controller/src/anonymous_orders.rs
@@ -52,6 +52,7 @@
 
 impl ControlNode {
     pub(crate) fn evacuate_anonymously(&mut self, now: Duration, token: u64, locality: String, back: bool) {
+        self.open_order(token);
         if self.anonymous.may_be_old(now) || self.anonymous.waiting.len() >= MAX_WAITING {
             return self.deny_anonymous(now, token);
         }
@@ -75,6 +76,10 @@
 
     fn evacuate_confirmed(&mut self, now: Duration, wait: Waiting) {
         let Waiting { token, locality, back, .. } = wait;
+        if !self.is_open_order(token) {
+            // Contact was lost meanwhile, and its caller was told to ask elsewhere.
+            return;
+        }
         let edition = self.register.state().edition;
         if self.register.state().evacuated.contains(&locality) != back {
             return self.decided(now, token, Decision { code: Code::Fine, edition });
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -2,8 +2,8 @@
 
 use super::connections::Manners;
 use super::faults::{
-    Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, REUSE_EVERY, STORM_GAP, STORM_SETTLES, SUCCESSOR_EARLIER,
-    SUCCESSOR_LATER, Step,
+    DISK_BROKEN_FOR, DISK_EVERY, Fault, MOVE_EVERY, RESTART_EVERY, RESTART_TAKES, REUSE_EVERY, STORM_GAP,
+    STORM_SETTLES, SUCCESSOR_EARLIER, SUCCESSOR_LATER, Step,
 };
 use super::net::Cut;
 use super::nodes::{Disk, Node};
@@ -17,7 +17,7 @@
 const THAWS_AFTER: Duration = Duration::from_secs(2);
 
 impl World {
-    fn on_machine(&self, machine: usize) -> Vec<usize> {
+    pub(super) fn on_machine(&self, machine: usize) -> Vec<usize> {
         let machine = machine % self.shape.machines;
         (0..self.nodes.len()).filter(|at| self.nodes[*at].machine == machine).collect()
     }
@@ -170,6 +170,9 @@
             }),
             Fault::HotKey => self.hot_key = true,
             Fault::LongStorm(count) => self.storm_on(count),
+            Fault::RefuseDisk(machine) => self.set_disk(machine, |disk| disk.refuses = true),
+            Fault::DisksFullInTurn(count) => self.break_disks_in_turn(count, Fault::RefuseDisk),
+            Fault::DisksStallInTurn(count) => self.break_disks_in_turn(count, Fault::HangDisk),
             Fault::ReplaceVoters { places, gap, planned } => places.iter().enumerate().for_each(|(order, place)| {
                 let from = self.now + gap * order as u32;
                 let step = Fault::ReplaceOne { place: *place, planned };
@@ -231,6 +234,9 @@
                 self.on_machine(machine).into_iter().for_each(|node| self.nodes[node].jumped += ahead);
             }
             Fault::JumpPlacement(ahead) => fixed.into_iter().for_each(|node| self.nodes[node].jumped += ahead),
+            Fault::LongCut { machine, how } => self.plan_long_cut(machine, how, self.plan.steps[at].until),
+            Fault::CutPeers { machine, hears, speaks } => self.cut_peers(machine, hears, speaks),
+            Fault::AskThere(machine) => self.ask_there(machine),
             Fault::StopMachine(machine) => self.on_machine(machine).into_iter().for_each(|node| self.stop(node)),
             Fault::KillPlacement => fixed.into_iter().for_each(|node| self.kill(node)),
             Fault::FreezePlacement => fixed.into_iter().for_each(|node| self.freeze(node)),
@@ -276,6 +282,7 @@
             }
             Fault::SlowDisk(machine) => self.set_disk(machine, |disk| disk.slowed = Duration::ZERO),
             Fault::HangDisk(machine) => self.set_disk(machine, |disk| disk.hung = false),
+            Fault::RefuseDisk(machine) => self.set_disk(machine, |disk| disk.refuses = false),
             Fault::CutMachine(_) | Fault::Mute(_) | Fault::Deaf(_) | Fault::CutZone(_) | Fault::CutRegion(_) => {
                 self.net.cuts.clear()
             }
@@ -321,18 +328,23 @@
                     self.hold_on(self.unit(unit), span);
                 }
             }
+            Fault::CutPeers { machine, .. } => self.join_peers(machine),
+            Fault::AskThere(_) => self.replace_leavers(),
             Fault::Connections(manners) => {
                 self.connections.keeping -= 1;
                 self.turn_manners(manners, |now, wanted| if wanted > 0 { 0 } else { now });
             }
             Fault::ReuseKept(_) => self.connections.keeping -= 1,
             Fault::RollingRestart
+            | Fault::LongCut { .. }
             | Fault::MoveNames
             | Fault::NumberRace(_)
             | Fault::EqualNumbers(_)
             | Fault::RestartPostmasters
             | Fault::SetupStorm
             | Fault::LongStorm(_)
+            | Fault::DisksFullInTurn(_)
+            | Fault::DisksStallInTurn(_)
             | Fault::ReplaceVoters { .. }
             | Fault::OperatorRace
             | Fault::JumpClock(..)
@@ -393,7 +405,7 @@
     }
 
     /// A further step, found out while a fault comes about.
-    fn push_step(&mut self, at: Duration, until: Duration, fault: Fault) {
+    pub(super) fn push_step(&mut self, at: Duration, until: Duration, fault: Fault) {
         self.plan.steps.push(Step { at, until, fault });
         let step = self.plan.steps.len() - 1;
         self.at(at, super::world::Action::Fault { at: step });
@@ -451,11 +463,20 @@
         }
     }
 
+    /// One disk after the other breaks and heals, two at once at most, while setups come; then all control nodes restart.
+    fn break_disks_in_turn(&mut self, setups: u32, fault: fn(usize) -> Fault) {
+        (0..self.shape.disks).for_each(|machine| {
+            let from = self.now + DISK_EVERY * machine as u32;
+            self.push_step(from, from + DISK_BROKEN_FOR, fault(machine));
+        });
+        self.storm_on(setups);
+    }
+
     fn set_disk(&mut self, machine: usize, change: impl Fn(&mut super::nodes::Disk)) {
         self.on_machine(machine).into_iter().for_each(|node| change(&mut self.nodes[node].disk));
     }
 
-    fn cut(&mut self, cut: Cut) {
+    pub(super) fn cut(&mut self, cut: Cut) {
         self.net.cuts.push(cut);
     }
 
--- a/crates/drill/src/sim/operators.rs
+++ b/crates/drill/src/sim/operators.rs
@@ -1,5 +1,6 @@
 //! Operators in the simulator: they submit, evacuate, race, ask again when the outcome is unknown, read back.
 
+use super::faults::{Fault, Step};
 use super::nodes::NodeEvent;
 use super::order_faults::{OrderDelivery, Storm};
 use super::world::{Action, World};
@@ -14,6 +15,8 @@
 
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 const MOST_ASKS: u32 = 80;
+/// A caller that hears nothing for so long goes on to another node.
+const CUT_SILENCE: Duration = Duration::from_secs(1);
 
 /// What an operator wants, until it is decided.
 pub struct Submission {
@@ -143,6 +146,14 @@
         });
     }
 
+    /// Submits a new setup at this node first.
+    pub(super) fn submit_first_at(&mut self, node: usize) {
+        self.operators.setups += 1;
+        let extra = self.operators.setups;
+        let bytes = self.shape.setup(extra);
+        self.submit_through(Some(node), What::Setup { bytes, base: None, mark: extra % MARKS.len() }, false);
+    }
+
     pub(super) fn submit(&mut self, what: What) {
         self.submit_as(what, false);
     }
@@ -194,7 +205,9 @@
         self.send_stray_copy(at);
         // No answer at all: ask again with the same id, elsewhere.
         let unknown = Answer::Verdict { code: Code::SetupUnknown, edition: 0 };
-        let silence = self.operators.silence();
+        let impatient = |step: &Step| matches!(step.fault, Fault::LongCut { .. });
+        let impatient = self.plan.steps.iter().any(impatient);
+        let silence = if impatient { CUT_SILENCE } else { self.operators.silence() };
         self.after(silence, Action::OperatorAnswer { submission: at, answer: unknown });
     }
 
@@ -251,6 +264,10 @@
     }
 
     pub(super) fn operator_told(&mut self, at: usize, answer: Answer) {
+        if let Answer::Redirect { to } = &answer {
+            let node = self.named(to).filter(|_| !self.operators.submissions[at].decided);
+            return node.into_iter().for_each(|node| self.ask_submission_at(at, node));
+        }
         let Answer::Verdict { code, edition } = answer else { return };
         let is_final = matches!(
             code,
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -7,7 +7,7 @@
 use super::operators::Operators;
 use super::path::{Origins, Trip};
 use super::units::Unit;
-use crate::facts::{Fact, Seen};
+use crate::facts::{Fact, Seen, Vouched};
 use crate::origins::Ended;
 use crate::rules::{Violation, judge};
 use crate::shapes::{ROADWISE, Shape};
@@ -85,6 +85,8 @@
     pub lifetime: Duration,
     /// Disks tell that they synced, and lose it in a power cut.
     pub disks_lie: bool,
+    /// A disk's first failure ends its voter's part until its process is started again.
+    pub gives_disks_up: bool,
     /// Disks thin out setups by the times of their files, on a clock that jumped back: the newest go first, whatever refers
     /// to them.
     pub drops_newest: bool,
@@ -110,6 +112,8 @@
     pub hasty: bool,
     /// Clocks stand still while a machine is suspended.
     pub stands_still: bool,
+    /// The lease holder counts whatever its clock jumps ahead as time in which holds run out.
+    pub counts_jumps: bool,
     /// Nobody asks the nodes which edition they have: only traffic shows it.
     pub unwatched: bool,
     /// Proxies have no budget for resends.
@@ -118,6 +122,10 @@
     pub forgets_warm_up: bool,
     /// Proxies take whatever comes next on a kept connection for the answer.
     pub takes_next: bool,
+    /// A control node takes every other for in agreement with it: whatever it asks them counts as answered.
+    pub agrees_alone: bool,
+    /// A control node takes a departure for known by the others as soon as it has told them.
+    pub tells_departures_blindly: bool,
     /// Nodes read back what their own disk holds.
     pub reads_alone: bool,
     /// An order under a number that is taken is confirmed.
@@ -133,6 +141,7 @@
             stale_after: span,
             lifetime: span,
             disks_lie: false,
+            gives_disks_up: false,
             drops_newest: false,
             keeps_voters: false,
             trusting: false,
@@ -145,13 +154,16 @@
             leaves_quietly: false,
             hasty: false,
             stands_still: false,
+            counts_jumps: false,
             unwatched: false,
             spendthrift: false,
             forgets_warm_up: false,
-            takes_next: false,
+            agrees_alone: false,
+            tells_departures_blindly: false,
             reads_alone: false,
             confirms_taken: false,
             redoes_orders: false,
+            takes_next: false,
         }
     }
 }
@@ -196,12 +208,12 @@
     /// The same bytes and those of datagrams, by what they were about and how far they went.
     pub spoken: Spoken,
     pub lasted: Duration,
-    /// How often a connection to an upstream was used again, and how many answers to other requests were read past.
-    pub reused: u64,
-    pub passed_over: u64,
     /// Who votes at the end, as the control nodes know it, and which of them are gone for good.
     pub voters: BTreeSet<String>,
     pub voters_gone: BTreeSet<String>,
+    /// How often a connection to an upstream was used again, and how many answers to other requests were read past.
+    pub reused: u64,
+    pub passed_over: u64,
     /// True where at the end every node had the same edition, and every carrier the same reservations and marks.
     pub agreed: bool,
     /// A digest over everything seen.
@@ -218,6 +230,11 @@
     pub(super) net: Net,
     pub(super) hot_key: bool,
     pub(super) late_answers: bool,
+    /// Control nodes that are cut off from all others, and what was asked there.
+    pub(super) isolated: BTreeSet<usize>,
+    pub(super) asked: BTreeMap<u64, (Duration, Vouched)>,
+    /// What the settings name, where that changed.
+    pub(super) seeds: Option<Vec<String>>,
     pub(super) connections: Connections,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
@@ -260,6 +277,9 @@
             net: Net::default(),
             hot_key: false,
             late_answers: false,
+            isolated: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            seeds: None,
             connections: Connections::default(),
             restart_due: false,
             weak: Weakness::default(),
@@ -317,7 +337,7 @@
             node.disk.drops_newest = weak.drops_newest;
         });
         world.weak = weak;
-        if weak.unnumbered {
+        if weak.unnumbered || weak.counts_jumps {
             (0..world.nodes.len()).for_each(|node| world.kill(node));
             (0..world.nodes.len()).for_each(|node| world.start(node));
         }
@@ -469,10 +489,10 @@
             parcel_bytes: self.parcel_bytes,
             spoken: self.net.spoken,
             lasted: self.now,
-            reused: self.connections.reused,
-            passed_over: self.connections.passed_over,
             voters,
             voters_gone,
+            reused: self.connections.reused,
+            passed_over: self.connections.passed_over,
             agreed,
             digest,
         }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,19 +4,19 @@
 use prost::{Message, Oneof};
 
 /// One message with its sender.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Envelope {
     #[prost(string, tag = "1")]
     pub from: String,
     #[prost(
         oneof = "Payload",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41,50,51,52"
     )]
     pub body: Option<Payload>,
 }
 
 /// What a envelope may hold.
-#[derive(Clone, PartialEq, Oneof)]
+#[derive(Clone, PartialEq, Hash, Oneof)]
 pub enum Payload {
     #[prost(message, tag = "2")]
     Prepare(Prepare),
@@ -84,6 +84,12 @@
     PlacementRequest(PlacementRequest),
     #[prost(message, tag = "32")]
     VoterLeaving(VoterLeaving),
+    #[prost(message, tag = "50")]
+    BeatsAck(BeatsAck),
+    #[prost(message, tag = "51")]
+    DeparturesRead(DeparturesRead),
+    #[prost(message, tag = "52")]
+    DeparturesReadBack(DeparturesReadBack),
 }
 
 /// A proposer's turn. Higher rounds win; `incarnation` is drawn anew at each start of a process, so a
@@ -106,7 +112,7 @@
 }
 
 /// The replicated state: all that the register keeps.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ClusterState {
     #[prost(uint64, tag = "1")]
     pub edition: u64,
@@ -137,7 +143,7 @@
 }
 
 /// The edition that evacuated a locality, or took it back.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LocalityChange {
     #[prost(string, tag = "1")]
     pub locality: String,
@@ -146,7 +152,7 @@
 }
 
 /// A setup that came into force under an operator's own number.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct NumberedSetup {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -156,7 +162,7 @@
 }
 
 /// A submission that was decided.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Submission {
     #[prost(string, tag = "1")]
     pub id: String,
@@ -171,7 +177,7 @@
 }
 
 /// What a voter keeps on disk and answers from.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct DurableState {
     /// The identity mark of this disk, drawn when it was founded or mended; 0 on a blank disk.
     #[prost(uint64, tag = "1")]
@@ -193,13 +199,13 @@
     pub lease_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Prepare {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Promise {
     /// The ballot asked about.
     #[prost(message, required, tag = "1")]
@@ -217,7 +223,7 @@
     pub lease_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Accept {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -231,7 +237,7 @@
     pub lease_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Accepted {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -244,7 +250,7 @@
     pub wants_bytes: bool,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Read {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -253,7 +259,7 @@
     pub known: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ReadBack {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -265,7 +271,7 @@
 }
 
 /// A state known to be accepted by a majority.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Chosen {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -273,7 +279,7 @@
     pub state: ClusterState,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SetupBytes {
     #[prost(string, tag = "1")]
     pub digest: String,
@@ -282,13 +288,13 @@
     pub squeezed: Vec<u8>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SetupAsk {
     #[prost(string, tag = "1")]
     pub digest: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct BootstrapVote {
     /// The roster that the sender endorsed; empty while it endorsed none.
     #[prost(string, repeated, tag = "1")]
@@ -305,7 +311,7 @@
 }
 
 /// What one surviving voter's disk says, for a founding after too many others were lost.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SurvivorState {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -316,7 +322,7 @@
     pub setup: Vec<u8>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Bootstrapped {
     /// Who votes, as far as the sender knows.
     #[prost(message, required, tag = "2")]
@@ -324,11 +330,11 @@
 }
 
 /// A voter is about to end, and hands its place to a replica that can take it.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct VoterLeaving {}
 
 /// What is known of one node, as membership tells it on.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Member {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -353,7 +359,7 @@
     pub http_address: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Probe {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -369,7 +375,7 @@
 }
 
 /// Asks a third party for its opinion of `target`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ProbeFor {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -379,7 +385,7 @@
     pub members: Vec<Member>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Heard {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -398,7 +404,7 @@
     pub parts: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -412,7 +418,7 @@
     pub voter_epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseReply {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -431,7 +437,7 @@
 }
 
 /// Gives a lease, or a candidate's votes, back before the end.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct LeaseRelease {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -496,14 +502,58 @@
     pub handover: String,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Beats {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
+    /// Where not 0, the receiver answers with [`BeatsAck`] once it has taken them in.
+    #[prost(fixed64, tag = "2")]
+    pub nonce: u64,
+}
+
+/// The beats sent with this nonce were taken in.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct BeatsAck {
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+}
+
+/// An upstream that said that it leaves, or that it is gone.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Departure {
+    /// Empty where nobody there knew the instance.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    #[prost(uint32, tag = "3")]
+    pub condition: u32,
+    /// Its last beat: one that goes on beating was given up wrongly.
+    #[prost(uint64, tag = "4")]
+    pub beat: u64,
+}
+
+/// A majority read by a node that knows of recent departures: their digest goes along, and a voter that knows others
+/// names its own in the answer. So whoever is confirmed by a majority knows what a majority knew before.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct DeparturesRead {
+    #[prost(message, required, tag = "1")]
+    pub read: Read,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+/// The answer to a read, with the departures that the reader may lack.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct DeparturesReadBack {
+    #[prost(message, required, tag = "1")]
+    pub read_back: ReadBack,
+    #[prost(message, repeated, tag = "2")]
+    pub departures: Vec<Departure>,
 }
 
 /// Upstreams that beat at the sender of late, in short: one place of each list for each.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Alive {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
@@ -517,7 +567,7 @@
 }
 
 /// A postmaster that just started asks for all that the others know of upstreams; with marks, one asks for just these.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpstreamsRequest {
     #[prost(fixed64, repeated, tag = "1")]
     pub marks: Vec<u64>,
@@ -527,7 +577,7 @@
 }
 
 /// All of it, with the last placement.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpstreamsReply {
     #[prost(message, repeated, tag = "1")]
     pub upstreams: Vec<Upstream>,
@@ -541,13 +591,13 @@
 }
 
 /// Who holds the placement duty from now on.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Holder {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SharesRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -555,7 +605,7 @@
     pub upstream: Upstream,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct SharesReply {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -568,7 +618,7 @@
 }
 
 /// Which locality owns a name.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Reservation {
     #[prost(string, tag = "1")]
     pub name: String,
@@ -582,7 +632,7 @@
 }
 
 /// Left where a name used to live: it lives at `to` now.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Mark {
     #[prost(string, tag = "1")]
     pub name: String,
@@ -598,7 +648,7 @@
 }
 
 /// All that the placement duty decided, under its lease.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Placement {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -618,7 +668,7 @@
     pub after: u64,
 }
 
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ServiceShares {
     #[prost(string, tag = "1")]
     pub service: String,
@@ -627,7 +677,7 @@
 }
 
 /// A carrier asks how current it is, naming the last news it kept.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpdateRequest {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -640,7 +690,7 @@
     pub loads: Vec<KeyLoad>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct Freshness {
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
@@ -657,7 +707,7 @@
 }
 
 /// ViewUpdate to a carrier: an image (number 0 of a new stream), or the change after the last.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct ViewUpdate {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
@@ -678,9 +728,12 @@
     /// In an image: the nonce of the question that it answers; 0 where the sender is of an older version.
     #[prost(uint64, tag = "8")]
     pub asked: u64,
+    /// In an image: how long ago a majority confirmed what its sender knows.
+    #[prost(uint64, optional, tag = "9")]
+    pub age_ms: Option<u64>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct UpdateAck {
     #[prost(uint64, tag = "1")]
     pub stream: u64,
@@ -692,7 +745,7 @@
 }
 
 /// A postmaster tells the others which edition a carrier acknowledged to it.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct CarrierAck {
     #[prost(string, tag = "1")]
     pub node: String,
@@ -701,7 +754,7 @@
 }
 
 /// Requests of one service that came in lately, over equal parts of its keys.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct KeyLoad {
     #[prost(string, tag = "1")]
     pub service: String,
@@ -714,12 +767,12 @@
 }
 
 /// The same, told on to the holder of the placement duty.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct KeyLoads {
     #[prost(message, repeated, tag = "1")]
     pub loads: Vec<KeyLoad>,
 }
 
 /// Wants the placement whole: a change did not follow what is known.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Hash, Message)]
 pub struct PlacementRequest {}
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -20,7 +20,7 @@
 const MAX_SPARE_BYTES: usize = 8 * 1024 * 1024;
 
 /// The register's time values.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Times {
     /// How often a majority confirms the state.
     pub confirm_every: Duration,
@@ -87,7 +87,7 @@
 }
 
 /// What a register wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     Send {
         to: String,
@@ -120,7 +120,7 @@
 }
 
 /// Where a voter stands.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum VoterPhase {
     /// Nothing on disk: asks whether a roster was founded.
     Blank { unfounded: BTreeSet<String> },
@@ -135,7 +135,7 @@
 }
 
 /// What a blank disk gathers before it takes part.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Recovery {
     /// The voters asked, as far as they are known.
     pub(crate) voter_set: VoterSet,
@@ -145,6 +145,7 @@
     pub(crate) until: Duration,
 }
 
+#[derive(Clone, Hash)]
 pub(crate) struct Write {
     ticket: u64,
     durable: Option<DurableState>,
@@ -153,6 +154,7 @@
 }
 
 /// A state known to be chosen.
+#[derive(Clone, Hash)]
 pub(crate) struct Current {
     pub ballot: Ballot,
     pub state: ClusterState,
@@ -161,7 +163,7 @@
 }
 
 /// What a voter did since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Tally {
     /// Rounds begun here.
     pub rounds: u64,
@@ -177,7 +179,9 @@
     }
 }
 
-/// One voter of the majority register.
+/// One voter of the majority register. Two that hash alike act alike from then on: the explorer tells visited
+/// states by it.
+#[derive(Clone, Hash)]
 pub struct Register {
     pub(crate) me: String,
     pub(crate) roster_size: usize,
--- a/crates/quorum-register/src/replicas.rs
+++ b/crates/quorum-register/src/replicas.rs
@@ -7,14 +7,14 @@
 /// Most nodes that are remembered; beyond, the one heard longest ago is forgotten.
 const MAX_REMEMBERED: usize = 256;
 
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Hash)]
 struct Replica {
     heard_at: Duration,
     synced: Option<Ballot>,
 }
 
 /// The other control nodes, by name.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Hash)]
 pub(crate) struct Replicas(BTreeMap<String, Replica>);
 
 impl Replicas {
