--- a/crates/quorum-register/src/change.rs
+++ b/crates/quorum-register/src/change.rs
@@ -20,7 +20,7 @@
 /// # use quorum_register::OrderId;
 /// assert_eq!(OrderId::from("a"), OrderId { id: "a".into(), since: None });
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OrderId {
     /// Drawn by the operator; empty where the order bears none.
     pub id: String,
@@ -42,7 +42,7 @@
 }
 
 /// A change that an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
     /// Put this setup in force; `base` is the edition it was made from, where that matters.
     /// With the operator's own number, one that is not above the number in force changes nothing.
@@ -59,7 +59,7 @@
 }
 
 /// What became of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Decision {
     pub code: Code,
     pub edition: u64,
