--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -252,7 +252,7 @@
             Write::DropSetup { digest } => {
                 // It takes room and nothing else: the next start finds it and drops it again.
                 let dropped = self.storage.drop_setup(&digest);
-                dropped.unwrap_or_else(|failure| warn!("disk: {failure:?}"));
+                dropped.unwrap_or_else(|failure| warn!("disk: {failure:#}"));
                 Ok(())
             }
         }
@@ -276,7 +276,7 @@
             self.shared.counts.failures.fetch_add(1, Ordering::Relaxed);
             if failures == 1 {
                 error!(
-                    "disk: a write failed; nothing is confirmed here until it is done, and it is tried again: {failure:?}"
+                    "disk: a write failed; nothing is confirmed here until it is done, and it is tried again: {failure:#}"
                 );
                 self.shared.counts.retrying.store(true, Ordering::Relaxed);
                 self.tell(DiskReport::Retrying)?;
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -282,7 +282,7 @@
             Err(failure) => failure,
         };
         if failures == 1 {
-            log::error!("disk: {folder} can't be opened; it is tried again, and nothing is served before: {failure:?}");
+            log::error!("disk: {folder} can't be opened; it is tried again, and nothing is served before: {failure:#}");
         }
         tokio::select! {
             _ = tokio::time::sleep(pauses.after(failures)) => {}
