--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -125,12 +125,44 @@
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// A control machine is cut off from the others for some twenty seconds, while operators and upstreams reach it.
+    LongCut {
+        machine: usize,
+        how: LongCut,
+    },
+    /// One control machine is cut off from all other machines.
+    CutPeers {
+        machine: usize,
+        hears: bool,
+        speaks: bool,
+    },
+    /// Operators send orders, and upstreams say that they leave, to this machine first.
+    AskThere(usize),
     /// Proxies keep connections, and upstreams behave like this on them.
     Connections(Manners),
     /// Proxies keep connections, and some upstreams vanish while others take their addresses.
     ReuseKept(Vec<usize>),
 }
 
+/// How a control machine is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LongCut {
+    BothWays,
+    /// It hears, but nobody hears it.
+    Mute,
+    /// It speaks, but hears nobody.
+    Deaf,
+    /// On and off, with less than a second between.
+    Flapping,
+    /// Its processes are restarted meanwhile.
+    Restarted,
+    /// The settings name it first, and other machines are restarted with them.
+    Seeds,
+}
+
+/// How long such a cut lasts.
+pub(super) const LONG_CUT: Duration = Duration::from_secs(20);
+
 /// How long a rolling restart gives each machine.
 pub(super) const RESTART_EVERY: Duration = Duration::from_millis(4500);
 /// Between two setups of a long storm.
@@ -210,6 +242,17 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("kept-connections", |_| Fault::Connections(Manners::default())),
+    ("surplus-answers", |_| Fault::Connections(Manners { surplus_per_mille: 300, ..Manners::default() })),
+    ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
+    ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
+    ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
+    ("long-cut", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::BothWays }),
+    ("long-cut-mute", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Mute }),
+    ("long-cut-deaf", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Deaf }),
+    ("long-cut-flapping", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Flapping }),
+    ("long-cut-restarted", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Restarted }),
+    ("long-cut-seeds", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Seeds }),
     ("replace-voters", |d| drawn_replacements(d, false)),
     ("replace-planned", |d| drawn_replacements(d, true)),
     ("long-storm", |_| Fault::LongStorm(200)),
@@ -316,6 +359,7 @@
                 at + STORM_GAP * (count + 1) + STORM_SETTLES
             }
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::LongCut { .. } => at + LONG_CUT,
             Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use call::{Called, Caller, Reply, headers};
 pub use connection::{CONNECT_WITHIN, Connection, MOST_PASSED, Outbound};
-pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, serve, verdict};
+pub use desk::{Enquiry, MOST_BODY_BYTES, answer, json, redirect, serve, verdict};
 pub use doors::{Doors, NoStart, causes, end, listen};
 pub use identity::{AnswerId, Belongs, Came, belongs};
 pub use links::{Links, Sent, send_datagram};
