--- a/crates/drill/src/explore.rs
+++ b/crates/drill/src/explore.rs
@@ -135,5 +135,5 @@
         let voters = exploration.voters.unwrap_or(3);
         exploration.explore(name, &LeaseModel::new(voters, exploration.lease_budget(budget)))
     });
-    registers.chain(leases).fold(true, |fine, explored| fine && explored)
+    registers.chain(leases).filter(|fine| !fine).count() == 0
 }
