--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,6 +1,8 @@
 //! The control plane. [`ControlNode`] is the pure core; `shell` turns the world into events and back.
 
 mod anonymous_orders;
+mod contact;
+mod departures;
 mod dialect;
 pub mod disk;
 mod gossip;
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -96,6 +96,13 @@
         place: usize,
         planned: bool,
     },
+    /// Takes no more writes, and tries each again until it does.
+    RefuseDisk(usize),
+    /// In a storm of so many setups, one disk after the other takes no more writes for a while; then all postmasters are
+    /// killed.
+    DisksFullInTurn(u32),
+    /// The same with disks that answer nothing for a while.
+    DisksStallInTurn(u32),
     /// Operators race with numbers of their own, again and again; the step tells how often.
     NumberRace(u32),
     /// So many of a thousand answers to operators are lost; the same order is sent again, to another node.
@@ -118,12 +125,44 @@
     KillPostmasters,
     /// Ends politely: what it has to do, it does, and nothing is lost.
     StopMachine(usize),
+    /// A control machine is cut off from the others for some twenty seconds, while operators and upstreams reach it.
+    LongCut {
+        machine: usize,
+        how: LongCut,
+    },
+    /// One control machine is cut off from all other machines.
+    CutPeers {
+        machine: usize,
+        hears: bool,
+        speaks: bool,
+    },
+    /// Operators send orders, and upstreams say that they leave, to this machine first.
+    AskThere(usize),
     /// Proxies keep connections, and upstreams behave like this on them.
     Connections(Manners),
     /// Proxies keep connections, and some upstreams vanish while others take their addresses.
     ReuseKept(Vec<usize>),
 }
 
+/// How a control machine is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LongCut {
+    BothWays,
+    /// It hears, but nobody hears it.
+    Mute,
+    /// It speaks, but hears nobody.
+    Deaf,
+    /// On and off, with less than a second between.
+    Flapping,
+    /// Its processes are restarted meanwhile.
+    Restarted,
+    /// The settings name it first, and other machines are restarted with them.
+    Seeds,
+}
+
+/// How long such a cut lasts.
+pub(super) const LONG_CUT: Duration = Duration::from_secs(20);
+
 /// How long a rolling restart gives each machine.
 pub(super) const RESTART_EVERY: Duration = Duration::from_millis(4500);
 /// Between two setups of a long storm.
@@ -135,6 +174,9 @@
 pub(super) const SUCCESSOR_EARLIER: Duration = Duration::from_millis(2500);
 /// How long each zone is evacuated while names are moved about.
 pub(super) const MOVE_EVERY: Duration = Duration::from_millis(1500);
+/// Where disks break in turn: how long after one the next does, and for how long each.
+pub(super) const DISK_EVERY: Duration = Duration::from_millis(1500);
+pub(super) const DISK_BROKEN_FOR: Duration = Duration::from_millis(2500);
 pub(super) const RESTART_TAKES: Duration = Duration::from_millis(3500);
 
 /// How long a storm of hundreds of orders may take.
@@ -200,9 +242,23 @@
     ("late-answers", |_| Fault::LateAnswers),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
+    ("kept-connections", |_| Fault::Connections(Manners::default())),
+    ("surplus-answers", |_| Fault::Connections(Manners { surplus_per_mille: 300, ..Manners::default() })),
+    ("upstream-resets", |_| Fault::Connections(Manners { resets_per_mille: 60, ..Manners::default() })),
+    ("upstream-hangs", |_| Fault::Connections(Manners { hangs_per_mille: 20, ..Manners::default() })),
+    ("kept-reuse", |d| Fault::ReuseKept((0..5).map(|_| d.below(99) as usize).collect())),
+    ("long-cut", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::BothWays }),
+    ("long-cut-mute", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Mute }),
+    ("long-cut-deaf", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Deaf }),
+    ("long-cut-flapping", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Flapping }),
+    ("long-cut-restarted", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Restarted }),
+    ("long-cut-seeds", |d| Fault::LongCut { machine: d.below(6) as usize, how: LongCut::Seeds }),
     ("replace-voters", |d| drawn_replacements(d, false)),
     ("replace-planned", |d| drawn_replacements(d, true)),
     ("long-storm", |_| Fault::LongStorm(200)),
+    ("refuse-disk", |d| Fault::RefuseDisk(d.below(6) as usize)),
+    ("disks-full-in-turn", |_| Fault::DisksFullInTurn(100)),
+    ("disks-stall-in-turn", |_| Fault::DisksStallInTurn(100)),
     ("lost-acks", |d| Fault::LoseOrderAnswers(500 + d.below(400))),
     ("late-orders", |_| Fault::ScrambleOrders),
     ("order-storm", |_| Fault::OrderStorm(300)),
@@ -299,8 +355,11 @@
         let until = match fault {
             Fault::RollingRestart => at + RESTART_EVERY * 15,
             Fault::ReplaceVoters { ref places, gap, .. } => at + gap * (places.len() as u32 + 1),
-            Fault::LongStorm(count) => at + STORM_GAP * (count + 1) + STORM_SETTLES,
+            Fault::LongStorm(count) | Fault::DisksFullInTurn(count) | Fault::DisksStallInTurn(count) => {
+                at + STORM_GAP * (count + 1) + STORM_SETTLES
+            }
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            Fault::LongCut { .. } => at + LONG_CUT,
             Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
             Fault::Ambush { .. } => at + Duration::from_millis(6000 + random.below(3000)),
