--- a/crates/explorer/src/register_model.rs
+++ b/crates/explorer/src/register_model.rs
@@ -117,6 +117,8 @@
     ReadsLocally,
     /// Operators send an order again as a new one.
     ResendsAsNew,
+    /// The number of an order gets lost on its way to the register.
+    LosesNumbers,
     /// The disk drops configurations that it was told to keep.
     DropsBytes,
     /// A voter that was replaced still counts, in the place of its successor.
@@ -636,6 +638,9 @@
         {
             id.id.push_str("-again");
         }
+        if let (RegisterDefect::LosesNumbers, Change::Setup { number, .. }) = (self.defect, &mut change) {
+            *number = None;
+        }
         world.asked[order] += 1;
         self.step(world, at, Event::Ask { token: order as u64, change, bytes });
     }
--- a/crates/explorer/tests/register.rs
+++ b/crates/explorer/tests/register.rs
@@ -84,6 +84,11 @@
     );
 }
 
+#[test]
+fn orders_that_lose_their_number_are_found_out() {
+    assert_eq!(broken_by(RegisterDefect::LosesNumbers, named(NUMBERS)), Invariant::NumbersAreUnique);
+}
+
 #[test]
 fn a_disk_that_drops_configurations_is_found_out() {
     assert_eq!(broken_by(RegisterDefect::DropsBytes, named("bytes")), Invariant::BytesAreHeld);
