kept-reuse counts as healed only once its last address has changed hands

The drawn span could end before the fifth address changed hands, 3.5 s in, so the time was counted from too early: the plan was wrong, not the limit, which stays. The span now covers all five, as those of rolling-restart and move-names cover theirs.

--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -359,6 +359,8 @@
                 at + STORM_GAP * (count + 1) + STORM_SETTLES
             }
             Fault::MoveNames => at + MOVE_EVERY * 6,
+            // The last address changes hands before it is over.
+            Fault::ReuseKept(ref units) => at + REUSE_EVERY * (units.len() as u32 + 2),
             Fault::LongCut { .. } => at + LONG_CUT,
             Fault::OrderStorm(_) | Fault::OldOrders(_) => at + STORM_TAKES,
             Fault::InterruptFounding(_) => at + Duration::from_millis(200 + random.below(1000)),
