A state is confirmed over links slower than the pause between two reads

Cause: each read was dropped when the next one was sent. Where a round trip between voters took over 500 ms (600 on the platform), no read was ever answered in time: nobody was confirmed, and the whole site was out of touch. Change: up to four reads are under way at a time; the first that a quorum answers alike ends it and those before. Found by reading the code.

--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -10,6 +10,9 @@
 /// How often the state is asked for until it is confirmed for the first time.
 const FIRST_EVERY: Duration = Duration::from_millis(150);
 
+/// How many reads may be under way at a time: over a slow link the answers to one come after the next was sent.
+const MAX_READINGS: usize = 4;
+
 /// A read under way.
 #[derive(Clone, Hash)]
 pub(crate) struct Reading {
@@ -34,7 +37,7 @@
         if self.phase != VoterPhase::Active {
             return;
         }
-        match &self.reading {
+        match self.readings.back() {
             Some(reading) if reading.asked_at < now => self.read_again = true,
             Some(_) => {}
             None => self.start_reading(now),
@@ -49,7 +52,9 @@
         let nonce = self.random.next_u64();
         let known = (self.current.ballot.clone(), self.current.state.clone());
         let body = Payload::Read(Read { nonce, known: known.0.clone() });
-        self.reading = Some(Reading { nonce, asked_at: now, known, backs: BTreeMap::new() });
+        let excess = (self.readings.len() + 1).saturating_sub(MAX_READINGS);
+        self.readings.drain(..excess);
+        self.readings.push_back(Reading { nonce, asked_at: now, known, backs: BTreeMap::new() });
         self.send_all(body);
     }
 
@@ -57,7 +62,7 @@
     fn finish_if_split(&mut self, now: Duration) {
         let voter_set = self.voter_set().clone();
         let answered = |reading: &Reading| voter_set.is_quorum(|voter| reading.backs.contains_key(voter));
-        let split = self.reading.take().filter(answered);
+        let split = self.readings.back().filter(|reading| answered(reading));
         let mine_to_do = split.is_some_and(|reading| reading.backs.keys().next() == Some(&self.me));
         if mine_to_do || (self.pending.is_empty() && self.reading_is_old(now) && self.random.below(4) == 0) {
             self.push_change(PendingChange::new(now, None, Change::Finish));
@@ -72,7 +77,8 @@
         if self.phase != VoterPhase::Active {
             return;
         }
-        let Some(reading) = self.reading.as_mut().filter(|reading| reading.nonce == back.nonce) else { return };
+        let Some(at) = self.readings.iter().position(|reading| reading.nonce == back.nonce) else { return };
+        let reading = &mut self.readings[at];
         let (ballot, state) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
         let asked_at = reading.asked_at;
         reading.backs.insert(from.to_owned(), (ballot.clone(), state.clone()));
@@ -81,7 +87,7 @@
         let chosen = state.voter_set.is_quorum(alike);
         self.replicas.told_synced(from, ballot.clone());
         if chosen {
-            self.reading = None;
+            self.readings.drain(..=at);
             self.adopt(ballot, state, Some(asked_at));
             if self.read_again {
                 self.start_reading(now);
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -209,7 +209,8 @@
     pub(crate) seen_round: u64,
     pub(crate) round: Round,
     pub(crate) pending: VecDeque<PendingChange>,
-    pub(crate) reading: Option<Reading>,
+    /// Reads under way, the earliest first.
+    pub(crate) readings: VecDeque<Reading>,
     pub(crate) next_read: Duration,
     /// Somebody asked for a confirmation after the read under way was begun.
     pub(crate) read_again: bool,
@@ -262,7 +263,7 @@
             current: Current { ballot: Ballot::default(), state: ClusterState::default(), confirmed_at: None },
             round: Round::Idle,
             pending: VecDeque::new(),
-            reading: None,
+            readings: VecDeque::new(),
             next_read: Duration::ZERO,
             read_again: false,
             next_tell: Duration::ZERO,
--- a/crates/quorum-register/tests/arbitrary.rs
+++ b/crates/quorum-register/tests/arbitrary.rs
@@ -7,7 +7,8 @@
 use arbtest::arbtest;
 use cluster::{Cluster, VOTERS, name};
 use quorum_register::{Change, Event};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 const NODES: usize = 8;
 
@@ -101,3 +102,29 @@
     assert!(accepted > 200, "hardly anything was accepted: {accepted}");
     assert!(sets.last().is_some_and(|epoch| *epoch > 6), "the voters hardly changed: {sets:?}");
 }
+
+/// Answers take longer than the pause between two reads: each read was dropped when the next was sent, and nobody was
+/// ever confirmed.
+#[test]
+fn a_state_is_confirmed_over_slow_links() {
+    const ONE_WAY: Duration = Duration::from_millis(350);
+    let mut cluster = Cluster::blank(VOTERS, 1);
+    cluster.settle();
+    let mut on_the_way = VecDeque::new();
+    let until = cluster.now + Duration::from_secs(6);
+    while cluster.now < until {
+        cluster.now += Duration::from_millis(20);
+        cluster.tick_all();
+        (0..VOTERS).for_each(|at| cluster.sync(at));
+        let sent = std::mem::take(&mut cluster.wire);
+        let arrives_at = cluster.now + ONE_WAY;
+        on_the_way.extend(sent.into_iter().map(|envelope| (arrives_at, envelope)));
+        while on_the_way.front().is_some_and(|(at, _)| *at <= cluster.now) {
+            let (_, (from, to, body)) = on_the_way.pop_front().expect("one that arrives");
+            cluster.step(to, Event::Received { from: name(from), body });
+        }
+    }
+    let ages: Vec<_> = cluster.nodes.iter().map(|node| node.register.age(cluster.now)).collect();
+    let fresh = |age: &Option<Duration>| age.is_some_and(|age| age < Duration::from_millis(1500));
+    assert!(ages.iter().all(fresh), "{ages:?}");
+}
