The explorer's lease voters count their ticks in full; a twin that a voter's own clock ruled out

Change: the longest step is one of the lease's times; the explorer counts its ticks in full. The twin that grants right after a restart started with its clock a span ahead; a voter waits a span of its own clock whatever time it starts at, so that twin is none any more. It now keeps no span at all: the checker catches it as before. Tests: explorer's lease and register searches and walks pass, all twins found.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -77,7 +77,7 @@
             probe_every: settings.span("probe-every-ms"),
             suspect_for: settings.span("suspect-for-ms"),
         },
-        lease: lease::Times { span: settings.span("claim-span-ms"), margin: settings.span("claim-margin-ms") },
+        lease: lease::Times::new(settings.span("claim-span-ms"), settings.span("claim-margin-ms")),
         placement: gazetteer::Times {
             least_stay: settings.span("least-stay-ms"),
             mark_lifetime: settings.span("mark-lifetime-ms"),
--- a/crates/explorer/src/lease_model.rs
+++ b/crates/explorer/src/lease_model.rs
@@ -64,7 +64,7 @@
 pub enum LeaseDefect {
     #[default]
     None,
-    /// A restarted voter grants at once, though it has forgotten whom it granted.
+    /// A restarted voter grants at once, though it has forgotten whom it granted, and goes on to forget.
     GrantsAfterRestart,
     /// Half of the voters, rounded down, count as a majority.
     CountsMinority,
@@ -92,17 +92,15 @@
     disk_is_stray: bool,
     is_frozen: bool,
     born_at: Duration,
-    /// What its clock says at its birth.
-    head_start: Duration,
     lives: u64,
     fingerprint: u64,
 }
 
 impl Node {
     fn renew_fingerprint(&mut self) {
-        let Node { lease, epoch, writes, born_at, head_start, lives, .. } = self;
+        let Node { lease, epoch, writes, born_at, lives, .. } = self;
         let flags = (self.disk_is_stray, self.is_frozen);
-        self.fingerprint = fingerprint_of(&(lease, epoch, writes, flags, born_at, head_start, lives));
+        self.fingerprint = fingerprint_of(&(lease, epoch, writes, flags, born_at, lives));
     }
 }
 
@@ -226,13 +224,15 @@
     }
 
     fn start_node(&self, at: usize, epoch: u64, born_at: Duration, lives: u64) -> Node {
-        let times = Times { span: SPAN, margin: MARGIN };
-        let lease = Lease::new(node_name(at), times, fingerprint_of(&(at, lives)));
+        // Its ticks are far apart, and its clocks drift but never jump.
+        let times = Times { longest_step: Duration::MAX, ..Times::new(SPAN, MARGIN) };
         let forgets = self.defect == LeaseDefect::GrantsAfterRestart && lives > 0;
-        let head_start = if forgets { SPAN } else { Duration::ZERO };
+        // A voter waits one span of its own clock, whatever time it starts at: so the broken one has none.
+        let times = if forgets { Times::new(Duration::ZERO, Duration::ZERO) } else { times };
+        let lease = Lease::new(node_name(at), times, fingerprint_of(&(at, lives)));
         let writes = VecDeque::new();
         let (disk_is_stray, is_frozen, fingerprint) = (false, false, 0);
-        Node { lease, epoch, writes, disk_is_stray, is_frozen, born_at, head_start, lives, fingerprint }
+        Node { lease, epoch, writes, disk_is_stray, is_frozen, born_at, lives, fingerprint }
     }
 
     /// All start together and wait until they may grant.
@@ -254,7 +254,7 @@
         let is_broken = self.defect == LeaseDefect::ClocksOffBound && at == 0;
         let drift = if is_broken { BROKEN_DRIFT } else { self.drifts[at] };
         let shown = (before * (1000 + self.drifts[at]) + (lived - before) * (1000 + drift)) / 1000;
-        node.head_start + Duration::from_micros(shown as u64)
+        Duration::from_micros(shown as u64)
     }
 
     fn step(&self, world: &mut LeaseWorld, at: usize, event: Event) {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -19,6 +19,21 @@
     pub span: Duration,
     /// How long before the end the holder stops.
     pub margin: Duration,
+    /// A voter that waits out what it granted counts no step for more than this.
+    pub longest_step: Duration,
+}
+
+impl Times {
+    /// A span and its margin, with the longest step that is counted in full by default.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let times = lease::Times::new(Duration::from_secs(3), Duration::from_millis(500));
+    /// assert_eq!(times.longest_step, lease::LONGEST_STEP);
+    /// ```
+    pub fn new(span: Duration, margin: Duration) -> Times {
+        Times { span, margin, longest_step: LONGEST_STEP }
+    }
 }
 
 /// What happens to a lease.
@@ -111,7 +126,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// let times = lease::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// let times = lease::Times::new(Duration::from_secs(3), Duration::from_millis(500));
     /// assert_eq!(lease::Lease::new("a".into(), times, 1).holds(Duration::ZERO), None);
     /// ```
     pub fn new(me: String, times: Times, seed: u64) -> Self {
@@ -129,7 +144,7 @@
             granted_epoch: 0,
             phase: CandidatePhase::Resting,
             next_ask: Duration::ZERO,
-            grant_clock: HoldClock::new(LONGEST_STEP),
+            grant_clock: HoldClock::new(times.longest_step),
             quiet_until: times.span,
             last_step: None,
             effects: Vec::new(),
@@ -141,7 +156,7 @@
     /// ```
     /// use lease::{Lease, Effect, Event, Times};
     /// use std::time::Duration;
-    /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// let times = Times::new(Duration::from_secs(3), Duration::from_millis(500));
     /// let mut alone = Lease::new("a".into(), times, 1);
     /// alone.step(Duration::ZERO, Event::Voters { voter_set: protocol::VoterSet::new(vec!["a".into()]), epoch: 4 });
     /// let (mut now, mut effects) = (Duration::ZERO, vec![]);
@@ -173,7 +188,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # let times = lease::Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// # let times = lease::Times::new(Duration::from_secs(3), Duration::from_millis(500));
     /// assert!(!lease::Lease::new("a".into(), times, 1).is_founder(7));
     /// ```
     pub fn is_founder(&self, epoch: u64) -> bool {
@@ -185,7 +200,7 @@
     /// ```
     /// use lease::{Lease, Event, Times};
     /// use std::time::Duration;
-    /// let times = Times { span: Duration::from_secs(3), margin: Duration::from_millis(500) };
+    /// let times = Times::new(Duration::from_secs(3), Duration::from_millis(500));
     /// let mut lease = Lease::new("a".into(), times, 1);
     /// assert!(lease.step(Duration::ZERO, Event::Tick).is_empty());
     /// ```
--- a/crates/lease/tests/arbitrary.rs
+++ b/crates/lease/tests/arbitrary.rs
@@ -43,7 +43,7 @@
 }
 
 fn times() -> Times {
-    Times { span: MS(1500), margin: MS(500) }
+    Times::new(MS(1500), MS(500))
 }
 
 fn born(at: usize, seed: u64, epoch: u64, now: Duration, drift: i64) -> Node {
