--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -92,6 +92,26 @@
             if self.read_again {
                 self.start_reading(now);
             }
+        } else {
+            self.confirm_by_known(now);
+        }
+    }
+
+    /// Confirms the state in force where a quorum of its voters answered that they accepted nothing newer. Had anything
+    /// newer been chosen before the question, one of them would have accepted it. In a storm of changes, and while some
+    /// disks lag, no quorum answers alike; but what is known to be chosen catches up with what each of them told.
+    pub(crate) fn confirm_by_known(&mut self, now: Duration) {
+        let current = &self.current;
+        let confirms = |reading: &Reading| {
+            let is_older = |voter: &str| reading.backs.get(voter).is_some_and(|(ballot, _)| *ballot <= current.ballot);
+            current.state.voter_set.is_quorum(is_older)
+        };
+        let Some(at) = self.readings.iter().rposition(confirms) else { return };
+        let asked_at = self.readings[at].asked_at;
+        self.readings.drain(..=at);
+        self.current.confirmed_at = self.current.confirmed_at.max(Some(asked_at));
+        if self.read_again {
+            self.start_reading(now);
         }
     }
 }
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -704,6 +704,7 @@
         if changed {
             self.effects.push(Effect::Adopted);
         }
+        self.confirm_by_known(self.now);
     }
 
     pub(crate) fn tell_chosen(&mut self, ballot: Ballot, state: ClusterState) {
