--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -9,6 +9,11 @@
 
 /// How many changes may wait here; more are denied with a time to come back.
 const MAX_PENDING_CHANGES: usize = 64;
+/// A proposer that lost a round waits for a random while, at least and at most so long; the most doubles with each loss
+/// in a row, so that rivals come to different turns.
+const LEAST_BACK_OFF_MS: u64 = 20;
+const BACK_OFF_MS: u64 = 180;
+const MAX_DOUBLINGS: u32 = 1;
 /// How many changes one round takes along.
 const MAX_AT_ONCE: usize = 16;
 
@@ -164,7 +169,9 @@
 
     fn back_off(&mut self, now: Duration) {
         self.tally.lost += 1;
-        let wait_ms = 20 + self.random.below(180);
+        let most_ms = BACK_OFF_MS << self.lost_in_a_row.min(MAX_DOUBLINGS);
+        self.lost_in_a_row += 1;
+        let wait_ms = LEAST_BACK_OFF_MS + self.random.below(most_ms);
         self.turn(Round::BackingOff { until: now + Duration::from_millis(wait_ms) });
     }
 
@@ -272,6 +279,7 @@
     }
 
     fn finish_round(&mut self) {
+        self.lost_in_a_row = 0;
         let round = std::mem::replace(&mut self.round, Round::Idle);
         let Round::Accepting { ballot, asked_at, state, decisions, .. } = round else { return };
         self.pending.drain(..decisions.len());
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -215,6 +215,8 @@
     /// Somebody asked for a confirmation after the read under way was begun.
     pub(crate) read_again: bool,
     pub(crate) next_tell: Duration,
+    /// Rounds lost since the last that was won.
+    pub(crate) lost_in_a_row: u32,
     writes: VecDeque<Write>,
     ticket: u64,
     inbox: VecDeque<Payload>,
@@ -267,6 +269,7 @@
             next_read: Duration::ZERO,
             read_again: false,
             next_tell: Duration::ZERO,
+            lost_in_a_row: 0,
             writes: VecDeque::new(),
             ticket: 0,
             inbox: VecDeque::new(),
