A sign-off takes one byte in a batch, not ten

Cause: since departures are acknowledged by a majority, an upstream that signed off has the last beat there can be (2^64-1), which batches repeated for eight seconds as a varint of ten bytes.

Its mark says already that it is gone; the beat goes as none and is read as the last one. The number only decides whether the record is asked for, so an older node that reads 0 asks for nothing it knows, and still asks for what it doesn't know. Ruled out: a smaller last beat (upstreams number their beats as they like); telling it fewer times (a lost one must still be made good).

Test first: a_sign_off_takes_no_more_room_in_a_batch_than_a_beat failed before.

--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -71,7 +71,7 @@
         let told: Vec<Upstream> = heard.chain(self.roll.farewells(now)).collect();
         Alive {
             marks: told.iter().map(enrolment::mark).collect(),
-            beats: told.iter().map(|upstream| upstream.beat).collect(),
+            beats: told.iter().map(told_beat).collect(),
             ages_ms: told.iter().map(|upstream| upstream.age_ms).collect(),
             tell_on: false,
         }
@@ -82,13 +82,14 @@
     pub(crate) fn alive_told(&mut self, now: Duration, from: String, alive: Alive) {
         let (mut wanted, mut new) = (Vec::new(), Alive::default());
         let told = alive.marks.iter().zip(&alive.beats).zip(&alive.ages_ms);
-        told.for_each(|((mark, beat), age_ms)| {
-            if self.roll.marked(now, *mark).is_none_or(|known| known.beat < *beat) {
+        told.for_each(|((mark, told_beat), age_ms)| {
+            let beat = meant_beat(*mark, *told_beat);
+            if self.roll.marked(now, *mark).is_none_or(|known| known.beat < beat) {
                 new.marks.push(*mark);
-                new.beats.push(*beat);
+                new.beats.push(*told_beat);
                 new.ages_ms.push(*age_ms);
             }
-            if !self.roll.keeps_beating(now, *mark, *beat, Duration::from_millis(*age_ms)) {
+            if !self.roll.keeps_beating(now, *mark, beat, Duration::from_millis(*age_ms)) {
                 wanted.push(*mark);
             }
         });
@@ -125,6 +126,18 @@
     }
 }
 
+/// An upstream's last beat as a batch tells it. One that signed off has the last beat there can be, a long number on the
+/// wire; its mark says that it is gone, so it goes as none.
+fn told_beat(upstream: &Upstream) -> u64 {
+    let signed_off = upstream.condition == enrolment::GONE && upstream.beat == u64::MAX;
+    if signed_off { 0 } else { upstream.beat }
+}
+
+/// The beat that a batch means. Of an upstream that is gone it decides only whether its record is asked for.
+fn meant_beat(mark: u64, told: u64) -> u64 {
+    if told == 0 && enrolment::is_gone_mark(mark) { u64::MAX } else { told }
+}
+
 fn region(locality: &str) -> &str {
     locality.split('/').next().unwrap_or_default()
 }
--- a/crates/controller/tests/gossip.rs
+++ b/crates/controller/tests/gossip.rs
@@ -1,7 +1,7 @@
 //! What postmasters tell one another of upstreams, and how lost news is made good.
 
 use controller::{Ask, ControlNode, Effect, Event, Start};
-use protocol::{Alive, Heard, Member, Payload, Probe, Upstream, UpstreamsReply, UpstreamsRequest};
+use protocol::{Alive, Heard, Member, Message, Payload, Probe, Upstream, UpstreamsReply, UpstreamsRequest};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -139,6 +139,37 @@
     );
 }
 
+/// A sign-off counts as the last beat there can be. Told as such a number it took ten bytes for each batch and upstream,
+/// for eight seconds: half of what batches were while upstreams left.
+#[test]
+fn a_sign_off_takes_no_more_room_in_a_batch_than_a_beat() {
+    let (mut a, mut c, mut d) = (control("a"), control("c"), control("d"));
+    let batch_to_the_south = |told: &[(String, Payload)]| {
+        let far = batches(told).into_iter().find(|(_, alive)| alive.tell_on).expect("a batch to the south");
+        (far.0.to_owned(), far.1.clone())
+    };
+    beat(&mut a, 1000, unit(1, enrolment::READY));
+    let (_, ready) = batch_to_the_south(&ticked(&mut a, 1000, 1600));
+    // What is told at once gets lost.
+    said(&mut a, 2000, Event::Ask { token: 2000, ask: Ask::SignOff { instance: "u".into() } });
+    let (to, gone) = batch_to_the_south(&ticked(&mut a, 2000, 2600));
+    assert_eq!(gone.beats.len(), 1);
+    let age = |alive: &Alive| Alive { ages_ms: vec![0], ..alive.clone() };
+    assert!(age(&gone).encoded_len() <= age(&ready).encoded_len(), "{gone:?} {ready:?}");
+    let (near, near_name) = if to == "c" { (&mut c, "c") } else { (&mut d, "d") };
+    // Whoever heard of beats that are not known elsewhere yet asks too, tells it on, and learns that it is over.
+    said(near, 2500, Event::Ask { token: 2500, ask: Ask::Beat(unit(9, enrolment::READY)) });
+    let answers = said(near, 2600, Event::Received { from: "a".into(), body: Payload::Alive(gone.clone()) });
+    assert!(answers.iter().any(|(_, body)| matches!(body, Payload::Alive(on) if on.beats == gone.beats)));
+    let ask = answers.into_iter().find(|(to, _)| to == "a").expect("it asks").1;
+    let record = said(&mut a, 2601, Event::Received { from: near_name.into(), body: ask }).remove(0).1;
+    let Payload::Beats(beats) = &record else { panic!("{record:?}") };
+    assert_eq!((beats.upstreams[0].beat, beats.upstreams[0].condition), (u64::MAX, enrolment::GONE));
+    said(near, 2602, Event::Received { from: "a".into(), body: record });
+    let again = said(near, 2603, Event::Received { from: "a".into(), body: Payload::Alive(gone) });
+    assert_eq!(again, vec![], "known now");
+}
+
 /// Everything that it sends on an event.
 fn sent(control: &mut ControlNode, at: u64, event: Event) -> Vec<Payload> {
     let effects = control.step(MS(at), event).into_iter();
--- a/crates/enrolment/src/lib.rs
+++ b/crates/enrolment/src/lib.rs
@@ -12,6 +12,6 @@
 pub use ranges::{
     Grant, Heartbeat, Holding, LONGEST_HANDOVER, MOST_INSTANCES, MOST_ROWS, Ranges, Released, Row, Terms,
 };
-pub use roll::{GONE, LEAVING, READY, Roll, mark};
+pub use roll::{GONE, LEAVING, READY, Roll, is_gone_mark, mark};
 pub use shares::Shares;
 pub use table::MOST_RANGES;
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -73,6 +73,17 @@
     who << 32 | what
 }
 
+/// True for the mark of an upstream that is gone.
+///
+/// ```
+/// let gone = protocol::Upstream { condition: enrolment::GONE, ..Default::default() };
+/// assert!(enrolment::is_gone_mark(enrolment::mark(&gone)));
+/// assert!(!enrolment::is_gone_mark(enrolment::mark(&protocol::Upstream::default())));
+/// ```
+pub fn is_gone_mark(mark: u64) -> bool {
+    mark & u64::from(u32::MAX) == 0
+}
+
 impl Roll {
     /// Takes in a beat, direct or told on; true where it was news.
     ///
