drill hollow: orders, departures and replicas without a vote; drill sim: how long replacing a voter takes

drill sim prints how long voters that were lost for good went on counting, looked at every 100 ms of virtual time.

--- /dev/null
+++ b/crates/drill/src/hollow/calls.rs
@@ -0,0 +1,90 @@
+//! Orders and departures that come one after the other, and how long each waits for its answer.
+
+use super::fleet::Fleet;
+use controller::{Answer, Ask};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Calls to control nodes, and what came of them.
+#[derive(Default)]
+pub struct Calls {
+    asked_at: HashMap<u64, Duration>,
+    asked: usize,
+    refused: usize,
+    /// From the question to the answer, of those that were taken.
+    taken_after: Vec<Duration>,
+    /// Editions that were accepted and are not in force everywhere yet, and when they were asked for.
+    awaited: Vec<(u64, Duration)>,
+    in_force_after: Vec<Duration>,
+}
+
+impl Calls {
+    /// How many were made, and how many of them the control nodes refused.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        (self.asked, self.refused)
+    }
+
+    /// How long the answers of those that were taken took.
+    pub(crate) fn taken_after(&self) -> &[Duration] {
+        &self.taken_after
+    }
+
+    /// How long it took from each order until what it brought was in force at every carrier.
+    pub(crate) fn in_force_after(&self) -> &[Duration] {
+        &self.in_force_after
+    }
+}
+
+impl Fleet {
+    /// An operator hands a setup of the usual size to this control node, or to some other each time.
+    pub(crate) fn order_setup(&mut self, at: Option<usize>) {
+        let number = self.calls.asked;
+        // Each is another one, of the same size.
+        let text = self.size.setup(0).replace("\"r0\"", &format!("\"r0-{number:06}\""));
+        let (id, bytes) = (format!("order-{number}").into(), text.into_bytes());
+        self.call(at, "submit", Ask::Submit { id, base: None, bytes, in_force: false });
+    }
+
+    /// An upstream says that it ends now, and does.
+    pub(crate) fn sign_off_unit(&mut self, at: usize) {
+        let instance = format!("unit-{at}");
+        self.crash_unit(at);
+        self.call(None, "sign off", Ask::SignOff { instance });
+    }
+
+    fn call(&mut self, at: Option<usize>, kind: &'static str, ask: Ask) {
+        let Some(at) = at.or_else(|| self.some_control_node()) else { return };
+        let token = self.token();
+        self.calls.asked += 1;
+        self.calls.asked_at.insert(token, self.now);
+        self.step_control(at, kind, controller::Event::Ask { token, ask });
+    }
+
+    /// True where the answer was one to such a call.
+    pub(super) fn answer_call(&mut self, token: u64, answer: &Answer) -> bool {
+        let Some(asked_at) = self.calls.asked_at.remove(&token) else { return false };
+        match answer {
+            Answer::Verdict { code: address::Code::Fine, edition } => {
+                self.calls.taken_after.push(self.now - asked_at);
+                self.calls.awaited.push((*edition, asked_at));
+            }
+            Answer::Beat { .. } => self.calls.taken_after.push(self.now - asked_at),
+            _ => self.calls.refused += 1,
+        }
+        true
+    }
+
+    /// Lets time pass, and notes which orders came into force everywhere meanwhile.
+    pub(crate) fn run_watching_orders(&mut self, span: Duration, step: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.run_for(step.min(until - self.now));
+            let everywhere = self.views().map(|(_, _, view)| view.edition).min().unwrap_or(0);
+            let now = self.now;
+            let (done, awaited): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.calls.awaited).into_iter().partition(|(edition, _)| *edition <= everywhere);
+            self.calls.awaited = awaited;
+            self.calls.in_force_after.extend(done.into_iter().map(|(_, asked_at)| now - asked_at));
+        }
+    }
+}
--- a/crates/drill/src/hollow/count.rs
+++ b/crates/drill/src/hollow/count.rs
@@ -14,10 +14,12 @@
     Voter,
     /// The postmaster that holds it.
     Holder,
+    /// A postmaster that has no vote.
+    Replica,
     Upstream,
 }
 
-pub const ROLES: [Role; 4] = [Role::Carrier, Role::Voter, Role::Holder, Role::Upstream];
+pub const ROLES: [Role; 5] = [Role::Carrier, Role::Voter, Role::Holder, Role::Replica, Role::Upstream];
 
 impl fmt::Display for Role {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
@@ -25,6 +27,7 @@
             Role::Carrier => "carrier",
             Role::Voter => "voter",
             Role::Holder => "holder",
+            Role::Replica => "replica",
             Role::Upstream => "upstream",
         };
         f.pad(name)
@@ -267,8 +270,11 @@
         Payload::Heard(_) => "heard",
         Payload::Read(_) => "read",
         Payload::ReadBack(_) => "read back",
+        Payload::DeparturesRead(_) => "read, left",
+        Payload::DeparturesReadBack(_) => "back, left",
         Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) => "claim",
         Payload::Beats(_) => "beats told on",
+        Payload::BeatsAck(_) => "beats taken",
         Payload::SharesRequest(_) => "shares ask",
         Payload::SharesReply(_) => "shares given",
         Payload::Placement(_) => "placement",
--- a/crates/drill/src/hollow/figures.rs
+++ b/crates/drill/src/hollow/figures.rs
@@ -44,18 +44,13 @@
     /// Rates of a window: by role and process, a second.
     pub(crate) fn of(ledger: &Ledger, size: &Size, window: Duration) -> Figures {
         let mut figures = Figures::default();
-        ROLES.into_iter().for_each(|role| figures.add_role(ledger, size, window, role));
+        let there = ROLES.into_iter().filter(|role| *role != Role::Replica || processes(ledger, size, *role) > 0);
+        there.for_each(|role| figures.add_role(ledger, size, window, role));
         figures
     }
 
     fn add_role(&mut self, ledger: &Ledger, size: &Size, window: Duration, role: Role) {
-        let count = match role {
-            Role::Carrier => size.nodes,
-            Role::Voter => size.postmasters.saturating_sub(1),
-            Role::Holder => 1,
-            Role::Upstream => size.upstreams,
-        };
-        let each = count.max(1) as f64 * window.as_secs_f64();
+        let each = processes(ledger, size, role).max(1) as f64 * window.as_secs_f64();
         let (out, into) = (ledger.out(role, None), ledger.into_role(role, None));
         self.add(format!("{role}.out.msgs"), out.messages as f64 / each);
         self.add(format!("{role}.in.msgs"), into.messages as f64 / each);
@@ -89,15 +84,22 @@
     }
 }
 
+/// How many processes have a role.
+fn processes(ledger: &Ledger, size: &Size, role: Role) -> usize {
+    match role {
+        Role::Carrier => size.nodes,
+        Role::Voter => size.postmasters.saturating_sub(1),
+        Role::Holder => 1,
+        Role::Replica => ledger.busy(role).len(),
+        Role::Upstream => size.upstreams,
+    }
+}
+
 /// Tables of one window by kind of message and cause of step.
 pub(crate) fn print_kinds(ledger: &Ledger, size: &Size, window: Duration) {
-    ROLES.into_iter().filter(|role| *role != Role::Upstream).for_each(|role| {
-        let count = match role {
-            Role::Carrier => size.nodes,
-            Role::Voter => size.postmasters.saturating_sub(1),
-            _ => 1,
-        };
-        let each = count.max(1) as f64 * window.as_secs_f64();
+    let shown = ROLES.into_iter().filter(|role| *role != Role::Upstream && processes(ledger, size, *role) > 0);
+    shown.for_each(|role| {
+        let each = processes(ledger, size, role) as f64 * window.as_secs_f64();
         println!("{role}, one process, a second:");
         ledger.kinds(role).into_iter().for_each(|(kind, (out, into))| {
             println!(
--- a/crates/drill/src/hollow/flags.rs
+++ b/crates/drill/src/hollow/flags.rs
@@ -14,12 +14,13 @@
 const HELP: &str = "drill hollow runs many hollow nodes, the daemons' own cores, in one process and in virtual time.
 
 usage: drill hollow [--nodes N] [--postmasters P] [--upstreams U] [--services S] [--routes R] [--regions G]
-                    [--zones Z] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--settle T] [--cold]
+                    [--zones Z] [--replicas N] [--seconds T] [--seed X] [--what WHAT] [--changing N] [--settle T] [--cold]
                     [--kinds]
                     [--grid nodes|postmasters|upstreams|routes|services|all --sizes A,B,C,D] [--jobs N]
                     [--recorded FILE]
 
   --nodes ...  the site's size (default: Roadwise as it is)
+  --replicas   control nodes without a vote, beside the postmasters, which all have one (default 0)
   --seconds    how much virtual time is counted, once the site is up (default 10)
   --what       one of those below, 'request' for the path of requests, or 'ways' for
                what other ways of telling come to on the wire
@@ -189,6 +190,7 @@
         what: "idle".into(),
         load: Load::default(),
         settle: SETTLE,
+        replicas: 0,
         kinds: false,
     };
     let mut wish = Wish { run, grid: None, sizes: Vec::new(), jobs: 1, recorded: None, passed: Vec::new() };
@@ -243,6 +245,7 @@
                 "seconds" => wish.run.window = Duration::from_secs(some(&value)? as u64),
                 "settle" => wish.run.settle = Duration::from_secs(some(&value)? as u64),
                 "seed" => wish.run.seed = number(&value)? as u64,
+                "replicas" => wish.run.replicas = number(&value)?,
                 "changing" => wish.run.load.changing_per_mille = number(&value)? as u64,
                 "what" => wish.run.what = value,
                 _ => return Err(format!("--{name} is unknown")),
--- a/crates/drill/src/hollow/fleet.rs
+++ b/crates/drill/src/hollow/fleet.rs
@@ -1,5 +1,6 @@
 //! Many hollow nodes in one process: the daemons' own cores over a simple network, in virtual time.
 
+use super::calls::Calls;
 use super::count::{Ledger, Role, kind};
 use super::queue::{Happening, Queue};
 use super::size::Size;
@@ -65,6 +66,8 @@
     /// The edition that the last setup was accepted as, and when.
     pub(super) accepted: Option<(u64, Duration)>,
     pub(super) awaited: u32,
+    /// Calls of the trials that make many.
+    pub(crate) calls: Calls,
     pub(super) watched: BTreeSet<String>,
     pub(super) cut: Option<usize>,
     /// Where the postmasters stand among the nodes.
@@ -97,6 +100,7 @@
             submitted: HashMap::new(),
             accepted: None,
             awaited: 0,
+            calls: Calls::default(),
             watched: BTreeSet::new(),
             cut: None,
             control_nodes: size.nodes..size.nodes + size.postmasters,
@@ -149,6 +153,7 @@
         let seeds = self.control_nodes.clone().take(3).map(|at| self.member(at).probe_address).collect();
         let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap_or_default();
         let seed = self.random.next_u64();
+        let without_vote = self.nodes[at].role == Role::Replica;
         let roster_size = self.size.postmasters;
         let node = &mut self.nodes[at];
         node.life += 1;
@@ -162,7 +167,7 @@
                 Box::default(),
             )
         } else {
-            node.role = Role::Voter;
+            node.role = if without_vote { Role::Replica } else { Role::Voter };
             let (durable, setups) = (node.durable.clone(), node.setups.clone());
             let times = controller::shell::times(&settings);
             Core::ControlNode(Box::new(ControlNode::new(controller::Start {
@@ -206,6 +211,15 @@
         });
     }
 
+    /// Further control nodes start, which have no vote.
+    pub(crate) fn grow_replicas(&mut self, count: usize) {
+        (0..count).for_each(|number| {
+            let at = self.nodes.len();
+            self.push(format!("replica-{number}"), self.size.zone(number), Role::Replica);
+            self.start(at);
+        });
+    }
+
     /// Everything within a region talks to nothing outside, or all is whole again.
     pub(crate) fn cut(&mut self, region: Option<usize>) {
         self.cut = region;
--- a/crates/drill/src/hollow/mod.rs
+++ b/crates/drill/src/hollow/mod.rs
@@ -1,6 +1,7 @@
 //! Hollow nodes: the daemons' own cores by the hundred in one process, in virtual time, to count what they say and
 //! what they cost at sizes that no machine here could run.
 
+mod calls;
 mod count;
 mod figures;
 mod fit;
--- a/crates/drill/src/hollow/sights.rs
+++ b/crates/drill/src/hollow/sights.rs
@@ -39,7 +39,7 @@
     }
 
     pub(super) fn answered(&mut self, at: usize, token: u64, answer: Answer) {
-        if !self.answer_beat(at, token, &answer) {
+        if !self.answer_beat(at, token, &answer) && !self.answer_call(token, &answer) {
             let asked = self.submitted.remove(&token);
             asked.into_iter().for_each(|(asked, _)| {
                 self.queue.push(self.now, Happening::Verdict { asked, answer: answer.clone() });
--- a/crates/drill/src/hollow/steps.rs
+++ b/crates/drill/src/hollow/steps.rs
@@ -53,7 +53,11 @@
         let watch = Stopwatch::start();
         let effects = control.step(local, event);
         let took = watch.took();
-        node.role = if control.holds_placement(local) { Role::Holder } else { Role::Voter };
+        node.role = match node.role {
+            Role::Replica => Role::Replica,
+            _ if control.holds_placement(local) => Role::Holder,
+            _ => Role::Voter,
+        };
         self.ledger.stepped(node.role, at, kind, took);
         effects.into_iter().for_each(|effect| match effect {
             controller::Effect::Send { to, body } => self.send(at, &to, body, true),
--- a/crates/drill/src/hollow/trials.rs
+++ b/crates/drill/src/hollow/trials.rs
@@ -6,9 +6,12 @@
 use std::time::{Duration, Instant};
 
 /// What is tried.
-pub const TRIALS: [(&str, &str); 8] = [
+pub const TRIALS: [(&str, &str); 11] = [
     ("idle", "nothing happens; upstreams beat"),
     ("config", "a setup with one further route"),
+    ("orders", "a setup every 100 ms, all to one control node"),
+    ("order-race", "a setup every 100 ms, each to another control node"),
+    ("departures", "an upstream says every 100 ms that it ends now"),
     ("node-loss", "one carrier dies without a word"),
     ("rack-loss", "twelve carriers of one zone, or as many as it has, die at once"),
     ("zone-loss", "all processes and upstreams of a zone die"),
@@ -32,6 +35,8 @@
     pub load: Load,
     /// How long the site has been up before anything is done or counted.
     pub settle: Duration,
+    /// Control nodes without a vote, beside the voters.
+    pub replicas: usize,
     pub kinds: bool,
 }
 
@@ -43,7 +48,7 @@
 /// let size = Size { nodes: 3, postmasters: 3, upstreams: 6, routes: 3, ..TODAY };
 /// let window = Duration::from_secs(2);
 /// let (what, load, settle, kinds) = ("idle".into(), Load::default(), SETTLE, false);
-/// let figures = run(&Run { size, window, seed: 1, what, load, settle, kinds }).unwrap();
+/// let figures = run(&Run { size, window, seed: 1, what, load, settle, replicas: 0, kinds }).unwrap();
 /// assert!(figures.get("carrier.out.msgs").unwrap() > 1.0);
 /// ```
 pub fn run(run: &Run) -> Result<Figures, String> {
@@ -56,6 +61,9 @@
     match run.what.as_str() {
         "idle" => fleet.run_for(run.window),
         "config" => config(&mut fleet, run, &mut figures),
+        "orders" => orders(&mut fleet, run, true, &mut figures),
+        "order-race" => orders(&mut fleet, run, false, &mut figures),
+        "departures" => departures(&mut fleet, run, &mut figures),
         "node-loss" => node_loss(&mut fleet, run, &mut figures),
         "rack-loss" => rack_loss(&mut fleet, run, &mut figures),
         "zone-loss" => zone_loss(&mut fleet, run, &mut figures),
@@ -91,6 +99,7 @@
     let all = run.size.nodes;
     let ready = fleet.run_until(READY_WITHIN, |fleet| fleet.serving() == all);
     let ready = ready.ok_or_else(|| format!("{} of {all} carriers serve after {READY_WITHIN:?}", fleet.serving()))?;
+    fleet.grow_replicas(run.replicas);
     fleet.run_for(run.settle);
     Ok((fleet, ready + Duration::from_secs(3)))
 }
@@ -112,6 +121,55 @@
     fleet.run_for(rest);
 }
 
+/// How often a call is made by the trials that make many, and how closely their outcome is watched.
+const CALL_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// How long the last calls may take beyond the window.
+const LAST_CALLS: Duration = Duration::from_secs(2);
+
+fn orders(fleet: &mut Fleet, run: &Run, to_one: bool, figures: &mut Figures) {
+    let until = fleet.now() + run.window;
+    let at = Some(run.size.nodes + 1).filter(|_| to_one);
+    while fleet.now() < until {
+        fleet.order_setup(at);
+        fleet.run_watching_orders(CALL_EVERY, LOOK_EVERY);
+    }
+    fleet.run_watching_orders(LAST_CALLS, LOOK_EVERY);
+    figures.add("window.s", (run.window + LAST_CALLS).as_secs_f64());
+    add_calls(fleet, figures);
+    add_spread(figures, "in-force", fleet.calls.in_force_after());
+}
+
+fn departures(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
+    let until = fleet.now() + run.window;
+    let mut leaving = 0..run.size.upstreams;
+    while fleet.now() < until {
+        leaving.next().into_iter().for_each(|unit| fleet.sign_off_unit(unit));
+        fleet.run_for(CALL_EVERY);
+    }
+    fleet.run_for(LAST_CALLS);
+    figures.add("window.s", (run.window + LAST_CALLS).as_secs_f64());
+    add_calls(fleet, figures);
+}
+
+fn add_calls(fleet: &Fleet, figures: &mut Figures) {
+    let (asked, refused) = fleet.calls.counts();
+    figures.add("calls", asked as f64);
+    figures.add("calls.taken", fleet.calls.taken_after().len() as f64);
+    figures.add("calls.refused", refused as f64);
+    add_spread(figures, "answer", fleet.calls.taken_after());
+}
+
+/// The median, the time that 99 of 100 keep, and the longest.
+fn add_spread(figures: &mut Figures, name: &str, times: &[Duration]) {
+    let mut times = times.to_vec();
+    times.sort();
+    let at = |part: usize| times.get((times.len() * part / 100).min(times.len().saturating_sub(1))).copied();
+    figures.add(format!("{name}.p50.s"), seconds(at(50)));
+    figures.add(format!("{name}.p99.s"), seconds(at(99)));
+    figures.add(format!("{name}.most.s"), seconds(at(100)));
+}
+
 fn node_loss(fleet: &mut Fleet, run: &Run, figures: &mut Figures) {
     let lost = [run.size.nodes / 2];
     let lost_at = fleet.now();
--- a/crates/drill/src/seeds.rs
+++ b/crates/drill/src/seeds.rs
@@ -74,6 +74,9 @@
     served_per_mille: [u64; 3],
     works: usize,
     parcels: u64,
+    /// Of the voters that went for good, how many, and after how many ms each was replaced.
+    losses: usize,
+    replaced_ms: Vec<u64>,
     digest: String,
 }
 
@@ -105,11 +108,18 @@
             served_per_mille: outcome.served_per_mille,
             works: outcome.ended.len(),
             parcels: outcome.parcels,
+            losses: outcome.losses.len(),
+            replaced_ms: replaced_ms(&outcome),
             digest: outcome.digest,
         }
     }
 }
 
+fn replaced_ms(outcome: &Outcome) -> Vec<u64> {
+    let took = |loss: &drill::sim::VoterLoss| Some((loss.replaced_at? - loss.lost_at).as_millis() as u64);
+    outcome.losses.iter().filter_map(took).collect()
+}
+
 fn show_facts(outcome: &Outcome, show: &str) {
     outcome.seen.iter().for_each(|(at, fact)| {
         let text = format!("{fact:?}");
@@ -119,6 +129,16 @@
     });
 }
 
+/// How long voters that went for good went on counting.
+fn tell_replacements(done: &[Told]) {
+    let losses: usize = done.iter().map(|told| told.losses).sum();
+    let mut took: Vec<u64> = done.iter().flat_map(|told| told.replaced_ms.iter().copied()).collect();
+    took.sort_unstable();
+    if let (Some(median), Some(most)) = (took.get(took.len() / 2), took.last()) {
+        println!("{losses} voters lost for good, {} replaced, ms p50/most {median} / {most}", took.len());
+    }
+}
+
 fn tell(done: &[Told]) -> bool {
     done.iter().filter(|told| !told.fine).take(40).for_each(|told| println!("FAILED {}", told.text));
     let mut groups: BTreeMap<&str, Vec<&Told>> = BTreeMap::new();
@@ -147,6 +167,7 @@
             least(2),
         );
     });
+    tell_replacements(done);
     let digests: String = done.iter().map(|told| told.digest.as_str()).collect();
     let (works, parcels): (usize, u64) = (done.iter().map(|t| t.works).sum(), done.iter().map(|t| t.parcels).sum());
     let failed = done.iter().filter(|told| !told.fine).count();
--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -416,6 +416,7 @@
     fn end_for_good(&mut self, machine: usize) {
         let nodes: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].machine == machine).collect();
         nodes.into_iter().for_each(|at| {
+            self.note_loss(at);
             self.nodes[at].removed = true;
             self.stop(at);
         });
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -18,7 +18,7 @@
 mod world;
 
 pub use faults::{FAULTS, FURTHER, Fault, LongCut, Plan, Step, fault_names};
-pub use world::{Load, Outcome, Weakness, World};
+pub use world::{Load, Outcome, VoterLoss, Weakness, World};
 
 /// Runs one seed under a plan; without one, the seed draws its own.
 ///
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -209,6 +209,7 @@
     pub(super) fn remove_machine(&mut self, machine: usize) {
         let nodes: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].machine == machine).collect();
         nodes.into_iter().for_each(|at| {
+            self.note_loss(at);
             self.nodes[at].removed = true;
             self.kill(at);
         });
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -211,6 +211,8 @@
     /// Who votes at the end, as the control nodes know it, and which of them are gone for good.
     pub voters: BTreeSet<String>,
     pub voters_gone: BTreeSet<String>,
+    /// Voters that were lost for good or told to end for good, in this order.
+    pub losses: Vec<VoterLoss>,
     /// How often a connection to an upstream was used again, and how many answers to other requests were read past.
     pub reused: u64,
     pub passed_over: u64,
@@ -220,6 +222,15 @@
     pub digest: String,
 }
 
+/// A voter that goes for good, and how long it takes until no control node counts it any more.
+#[derive(Clone, Debug)]
+pub struct VoterLoss {
+    pub node: String,
+    pub lost_at: Duration,
+    /// Looked at every 100 ms.
+    pub replaced_at: Option<Duration>,
+}
+
 /// All state of a run.
 pub struct World {
     pub(super) seed: u64,
@@ -238,6 +249,7 @@
     pub(super) connections: Connections,
     /// All postmasters end as soon as one of them says yes.
     pub(super) restart_due: bool,
+    pub(super) losses: Vec<VoterLoss>,
     pub(super) weak: Weakness,
     pub(super) nodes: Vec<Node>,
     pub(super) units: Vec<Unit>,
@@ -282,6 +294,7 @@
             seeds: None,
             connections: Connections::default(),
             restart_due: false,
+            losses: Vec::new(),
             weak: Weakness::default(),
             nodes: Vec::new(),
             units: Vec::new(),
@@ -431,6 +444,25 @@
             })
             .collect();
         serving.into_iter().for_each(|(node, edition)| self.note(Fact::InForce { node, edition }));
+        self.watch_losses();
+    }
+
+    fn watch_losses(&mut self) {
+        if self.losses.iter().all(|loss| loss.replaced_at.is_some()) {
+            return;
+        }
+        let (voters, now) = (self.voters(), self.now);
+        let over = self.losses.iter_mut().filter(|loss| loss.replaced_at.is_none() && !voters.contains(&loss.node));
+        over.for_each(|loss| loss.replaced_at = Some(now));
+    }
+
+    /// A voter goes for good.
+    pub(super) fn note_loss(&mut self, at: usize) {
+        let node = self.nodes[at].name.clone();
+        if self.nodes[at].is_office() && self.voters().contains(&node) {
+            let lost_at = self.now;
+            self.losses.push(VoterLoss { node, lost_at, replaced_at: None });
+        }
     }
 
     fn voters(&self) -> BTreeSet<String> {
@@ -491,6 +523,7 @@
             lasted: self.now,
             voters,
             voters_gone,
+            losses: self.losses,
             reused: self.connections.reused,
             passed_over: self.connections.passed_over,
             agreed,
--- a/crates/drill/tests/hollow.rs
+++ b/crates/drill/tests/hollow.rs
@@ -79,7 +79,16 @@
 }
 
 fn tried(what: &str, load: Load) -> Figures {
-    let wish = Run { size: FORTY, window: WINDOW, seed: 3, what: what.into(), load, settle: SETTLE, kinds: false };
+    let wish = Run {
+        size: FORTY,
+        window: WINDOW,
+        seed: 3,
+        what: what.into(),
+        load,
+        settle: SETTLE,
+        replicas: 0,
+        kinds: false,
+    };
     run(&wish).expect("a known trial on a site that comes up")
 }
 
@@ -117,3 +126,36 @@
     assert_eq!(figures.get("cut.serving"), Some((FORTY.nodes - FORTY.nodes / 3) as f64));
     assert!(figures.get("healed.s").unwrap() <= 5.0);
 }
+
+#[test]
+fn every_order_of_many_is_taken_and_in_force_in_time() {
+    let figures = tried("orders", Load::default());
+    let orders = figures.get("calls").expect("orders are counted");
+    assert_eq!(orders, 100.0, "one every 100 ms");
+    assert_eq!(figures.get("calls.taken"), Some(orders));
+    let (half, all) = (figures.get("in-force.p50.s").unwrap(), figures.get("in-force.most.s").unwrap());
+    assert!(half > 0.0 && half <= all && all <= 3.0, "half within {half} s, all within {all} s");
+}
+
+#[test]
+fn every_departure_of_many_is_taken_within_the_second_that_callers_wait() {
+    let figures = tried("departures", Load::default());
+    let asked = FORTY.upstreams as f64;
+    assert_eq!((figures.get("calls"), figures.get("calls.taken")), (Some(asked), Some(asked)));
+    assert!(figures.get("all.beats-taken.msgs").unwrap() > 0.0, "a majority takes them");
+    let most = figures.get("answer.most.s").expect("they are answered");
+    assert!(most < 1.0, "{most} s");
+}
+
+#[test]
+fn control_nodes_without_a_vote_are_counted_apart() {
+    let idle = |replicas| {
+        let (what, load, kinds) = ("idle".into(), Load::default(), false);
+        run(&Run { size: FORTY, window: WINDOW, seed: 3, what, load, settle: SETTLE, replicas, kinds }).unwrap()
+    };
+    let (without, with) = (idle(0), idle(2));
+    assert_eq!(without.get("replica.out.msgs"), None);
+    assert!(with.get("replica.out.msgs").unwrap() > 0.0);
+    // They read as voters do, so each voter has more to answer.
+    assert!(with.get("voter.out.msgs") > without.get("voter.out.msgs"));
+}
