--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -85,7 +85,7 @@
         share_span: settings.span("share-span-ms"),
         upstream_silent: settings.span("upstream-silent-ms"),
         stale_after: settings.span("stale-after-ms"),
-        longest_step: crate::hold_clock::LONGEST_STEP,
+        longest_step: lease::LONGEST_STEP,
     }
 }
 
@@ -283,7 +283,7 @@
             Err(failure) => failure,
         };
         if failures == 1 {
-            log::error!("disk: {folder} can't be opened; it is tried again, and nothing is served before: {failure:?}");
+            log::error!("disk: {folder} can't be opened; it is tried again, and nothing is served before: {failure:#}");
         }
         tokio::select! {
             _ = tokio::time::sleep(pauses.after(failures)) => {}
