--- a/crates/drill/src/hollow/calls.rs
+++ b/crates/drill/src/hollow/calls.rs
@@ -11,6 +11,8 @@
     asked_at: HashMap<u64, Duration>,
     asked: usize,
     refused: usize,
+    /// Sent on to a node that is in contact with a majority.
+    redirected: usize,
     /// From the question to the answer, of those that were taken.
     taken_after: Vec<Duration>,
     /// Editions that were accepted and are not in force everywhere yet, and when they were asked for.
@@ -19,9 +21,10 @@
 }
 
 impl Calls {
-    /// How many were made, and how many of them the control nodes refused.
-    pub(crate) fn counts(&self) -> (usize, usize) {
-        (self.asked, self.refused)
+    /// How many were made, how many of them the control nodes refused or didn't know the outcome of, and how many they
+    /// sent on.
+    pub(crate) fn counts(&self) -> (usize, usize, usize) {
+        (self.asked, self.refused, self.redirected)
     }
 
     /// How long the answers of those that were taken took.
@@ -69,6 +72,7 @@
                 self.calls.awaited.push((*edition, asked_at));
             }
             Answer::Beat { .. } => self.calls.taken_after.push(self.now - asked_at),
+            Answer::Redirect { .. } => self.calls.redirected += 1,
             _ => self.calls.refused += 1,
         }
         true
--- a/crates/drill/src/hollow/trials.rs
+++ b/crates/drill/src/hollow/trials.rs
@@ -153,10 +153,11 @@
 }
 
 fn add_calls(fleet: &Fleet, figures: &mut Figures) {
-    let (asked, refused) = fleet.calls.counts();
+    let (asked, refused, redirected) = fleet.calls.counts();
     figures.add("calls", asked as f64);
     figures.add("calls.taken", fleet.calls.taken_after().len() as f64);
     figures.add("calls.refused", refused as f64);
+    figures.add("calls.redirected", redirected as f64);
     add_spread(figures, "answer", fleet.calls.taken_after());
 }
 
