The register in smaller modules: what it tells of itself, and the configurations' bytes

What a register tells (inspect.rs) and how configurations' bytes come and go (setups.rs) stand alone now; nothing else changes. Tests of the package pass before and after.

--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -6,10 +6,12 @@
 mod bootstrap;
 mod change;
 mod disaster_recovery;
+mod inspect;
 mod proposer;
 mod reading;
 mod register;
 mod replicas;
+mod setups;
 mod voter;
 
 pub use change::{Change, Decision, OrderId, apply, apply_to_voters};
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -5,19 +5,14 @@
 use crate::reading::Reading;
 use crate::replicas::Replicas;
 use address::Random;
-use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, SetupBytes, VoterSet};
+use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, VoterSet};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// How many disk writes may wait before the voter stays out of rounds.
 const MAX_WRITES: usize = 64;
-/// A node that is so many rounds behind the state in force, or fewer, has caught up.
-const MAX_ROUNDS_BEHIND: u64 = 16;
 /// How many control nodes beside the voters are sent what is decided.
 const MAX_NONVOTERS: usize = 8;
-/// How many setups are kept beside those that something refers to, and how many bytes of them at most.
-const MAX_SPARE_SETUPS: usize = 16;
-const MAX_SPARE_BYTES: usize = 8 * 1024 * 1024;
 
 /// The register's time values.
 #[derive(Clone, Copy, Debug, Hash)]
@@ -147,10 +142,10 @@
 
 #[derive(Clone, Hash)]
 pub(crate) struct Write {
-    ticket: u64,
-    durable: Option<DurableState>,
-    digest: Option<String>,
-    then: Vec<Effect>,
+    pub(crate) ticket: u64,
+    pub(crate) durable: Option<DurableState>,
+    pub(crate) digest: Option<String>,
+    pub(crate) then: Vec<Effect>,
 }
 
 /// A state known to be chosen.
@@ -193,7 +188,7 @@
     /// Time of the step under way.
     pub(crate) now: Duration,
     /// When the voter set in force was seen first.
-    voters_since: Duration,
+    pub(crate) voters_since: Duration,
     pub(crate) replicas: Replicas,
     /// What was decided, perhaps not synced yet.
     pub(crate) durable: DurableState,
@@ -201,9 +196,9 @@
     pub(crate) synced: DurableState,
     pub(crate) setups: BTreeMap<String, Vec<u8>>,
     /// Digests of the setups, the earliest first.
-    arrivals: VecDeque<String>,
+    pub(crate) arrivals: VecDeque<String>,
     /// The setup that was last sent, by its digest.
-    squeezed: Option<(String, Vec<u8>)>,
+    pub(crate) squeezed: Option<(String, Vec<u8>)>,
     pub(crate) held: BTreeSet<String>,
     pub(crate) current: Current,
     pub(crate) seen_round: u64,
@@ -217,8 +212,8 @@
     pub(crate) next_tell: Duration,
     /// Rounds lost since the last that was won.
     pub(crate) lost_in_a_row: u32,
-    writes: VecDeque<Write>,
-    ticket: u64,
+    pub(crate) writes: VecDeque<Write>,
+    pub(crate) ticket: u64,
     inbox: VecDeque<Payload>,
     pub(crate) tally: Tally,
     pub(crate) effects: Vec<Effect>,
@@ -359,169 +354,6 @@
         self.phase = phase;
     }
 
-    /// Where this voter stands.
-    ///
-    /// ```
-    /// # use quorum_register::{Event, Register, VoterPhase, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// let mut register = Register::new(start);
-    /// register.step(Default::default(), Event::DiskFailed);
-    /// assert_eq!(*register.phase(), VoterPhase::Out);
-    /// ```
-    pub fn phase(&self) -> &VoterPhase {
-        &self.phase
-    }
-
-    /// The state in force here, once one is known to be chosen.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).state().edition, 0);
-    /// ```
-    pub fn state(&self) -> &ClusterState {
-        &self.current.state
-    }
-
-    /// The bytes of the setup in force.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).setup(), None);
-    /// ```
-    pub fn setup(&self) -> Option<&[u8]> {
-        self.setups.get(&self.current.state.digest).map(Vec::as_slice)
-    }
-
-    /// How long ago a majority confirmed the state; none before the first time.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).age(Default::default()), None);
-    /// ```
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.current.confirmed_at.map(|at| now.saturating_sub(at))
-    }
-
-    /// True where a majority confirmed the state by answers to a question sent at this moment or later.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert!(!Register::new(start).is_confirmed_since(Default::default()));
-    /// ```
-    pub fn is_confirmed_since(&self, asked_at: Duration) -> bool {
-        self.current.confirmed_at.is_some_and(|at| at >= asked_at)
-    }
-
-    /// What it did since its start.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).tally().rounds, 0);
-    /// ```
-    pub fn tally(&self) -> Tally {
-        self.tally
-    }
-
-    /// Who votes, by the newest state known here; empty before the founding.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).voter_set().members().count(), 0);
-    /// ```
-    pub fn voter_set(&self) -> &VoterSet {
-        let known = self.current.ballot >= self.durable.accepted_at && !self.current.state.voter_set.voters.is_empty();
-        if known { &self.current.state.voter_set } else { &self.durable.accepted.voter_set }
-    }
-
-    /// True while this node votes.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert!(!Register::new(start).is_voter());
-    /// ```
-    pub fn is_voter(&self) -> bool {
-        self.phase == VoterPhase::Active && self.voter_set().contains(&self.me)
-    }
-
-    /// How long nothing came from a control node; the whole time since the start where nothing ever did.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # use std::time::Duration;
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).silent_for(Duration::from_secs(4), "b"), Duration::from_secs(4));
-    /// ```
-    pub fn silent_for(&self, now: Duration, node: &str) -> Duration {
-        now.saturating_sub(self.replicas.heard_at(node))
-    }
-
-    /// True where a node's disk surely holds a state that was in force a few rounds ago, or a newer one. In a storm of
-    /// changes nobody tells of the newest in time; and a voter accepts no state that it doesn't hold.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert!(!Register::new(start).is_caught_up("b"));
-    /// ```
-    pub fn is_caught_up(&self, node: &str) -> bool {
-        let current = self.current.ballot.round;
-        self.replicas.synced_ballot(node).is_some_and(|ballot| ballot.round + MAX_ROUNDS_BEHIND >= current)
-    }
-
-    /// The last ballot that a node's disk surely holds, as far as it told.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).synced_round("b"), None);
-    /// ```
-    pub fn synced_round(&self, node: &str) -> Option<u64> {
-        self.replicas.synced_ballot(node).map(|ballot| ballot.round)
-    }
-
-    /// For how long the voter set in force is known here; none while a change of it is under way, or none is in force.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).voters_settled_for(Default::default()), None);
-    /// ```
-    pub fn voters_settled_for(&self, now: Duration) -> Option<Duration> {
-        let settled = self.current.confirmed_at.is_some() && !self.voter_set().is_joint();
-        settled.then(|| now.saturating_sub(self.voters_since))
-    }
-
-    /// The highest lease epoch that is safe on this disk.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).lease_epoch(), 0);
-    /// ```
-    pub fn lease_epoch(&self) -> u64 {
-        self.synced.lease_epoch
-    }
-
     pub(crate) fn send(&mut self, to: &str, body: Payload) {
         if to == self.me {
             self.inbox.push_back(body);
@@ -586,108 +418,6 @@
         }
     }
 
-    fn take_setup(&mut self, setup: SetupBytes) {
-        let wanted = !self.setups.contains_key(&setup.digest) && self.disk_is_free();
-        let bytes = Some(&setup.squeezed).filter(|_| wanted).and_then(|squeezed| protocol::unsqueeze(squeezed));
-        let right = bytes.filter(|bytes| protocol::digest(bytes) == setup.digest);
-        right.into_iter().for_each(|bytes| self.keep_setup(setup.digest.clone(), bytes));
-    }
-
-    /// Takes in a setup's bytes; they count as held once synced.
-    pub(crate) fn keep_setup(&mut self, digest: String, bytes: Vec<u8>) {
-        if !self.setups.contains_key(&digest) && self.disk_is_free() {
-            self.ticket += 1;
-            let ticket = self.ticket;
-            self.writes.push_back(Write { ticket, durable: None, digest: Some(digest.clone()), then: Vec::new() });
-            self.setups.insert(digest.clone(), bytes.clone());
-            self.arrivals.push_back(digest.clone());
-            self.effects.push(Effect::KeepSetup { ticket, digest, bytes });
-        }
-    }
-
-    /// A setup as it travels; the last one is kept so.
-    pub(crate) fn squeezed(&mut self, digest: &str) -> Option<Vec<u8>> {
-        if self.squeezed.as_ref().is_none_or(|(last, _)| last != digest) {
-            let bytes = self.setups.get(digest)?;
-            self.squeezed = Some((digest.to_owned(), protocol::squeeze(bytes)));
-        }
-        self.squeezed.as_ref().map(|(_, squeezed)| squeezed.clone())
-    }
-
-    /// The bytes of the setup in force, as they travel.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert_eq!(Register::new(start).squeezed_setup(), None);
-    /// ```
-    pub fn squeezed_setup(&mut self) -> Option<Vec<u8>> {
-        let digest = self.current.state.digest.clone();
-        self.squeezed(&digest)
-    }
-
-    /// Drops the earliest setups that nothing refers to, beyond a bound. What a state on this disk names, decided or
-    /// synced, and what a round or a waiting change needs stays, whatever its age: a voter accepts a state only while it
-    /// holds the bytes, so a chosen state's bytes stay on a majority.
-    fn drop_spare_setups(&mut self) {
-        let referenced = self.referenced_setups();
-        let spare = |digest: &&String| !referenced.contains(*digest) && self.held.contains(*digest);
-        let mut count = self.arrivals.iter().filter(spare).count();
-        let size = |digest: &String| self.setups.get(digest).map_or(0, Vec::len);
-        let mut bytes: usize = self.arrivals.iter().filter(spare).map(size).sum();
-        let mut dropped = Vec::new();
-        for digest in self.arrivals.iter().filter(spare) {
-            if count <= MAX_SPARE_SETUPS && bytes <= MAX_SPARE_BYTES {
-                break;
-            }
-            count -= 1;
-            bytes -= size(digest);
-            dropped.push(digest.clone());
-        }
-        self.arrivals.retain(|digest| !dropped.contains(digest));
-        for digest in dropped {
-            self.setups.remove(&digest);
-            self.held.remove(&digest);
-            self.effects.push(Effect::DropSetup { digest });
-        }
-    }
-
-    /// Digests of the setups that must be kept.
-    fn referenced_setups(&self) -> BTreeSet<String> {
-        let states = [&self.durable.accepted, &self.synced.accepted, &self.current.state];
-        let states = states.into_iter().chain(self.round.proposed_state());
-        let pending = self.pending.iter().filter_map(|change| change.digest());
-        states.map(|state| state.digest.clone()).chain(pending).collect()
-    }
-
-    /// True where the state accepted here names a setup whose bytes this node lacks.
-    ///
-    /// ```
-    /// # use quorum_register::{Register, Start, Times};
-    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
-    /// #     setups: Default::default(), times: Times::default() };
-    /// assert!(!Register::new(start).lacks_accepted_setup());
-    /// ```
-    pub fn lacks_accepted_setup(&self) -> bool {
-        let digest = &self.durable.accepted.digest;
-        !digest.is_empty() && !self.setups.contains_key(digest)
-    }
-
-    fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
-        if let Some(squeezed) = self.squeezed(&ask.digest) {
-            self.send(from, Payload::SetupBytes(SetupBytes { digest: ask.digest.clone(), squeezed }));
-        }
-    }
-
-    /// A damaged or missing file is mended from the others.
-    fn ask_missing_setup(&mut self) {
-        if self.lacks_accepted_setup() {
-            let digest = self.durable.accepted.digest.clone();
-            self.send_all(Payload::SetupAsk(SetupAsk { digest }));
-        }
-    }
-
     /// Takes a chosen state into force, unless a newer one is or its setup is not here yet.
     pub(crate) fn adopt(&mut self, ballot: Ballot, state: ClusterState, confirmed_at: Option<Duration>) {
         let complete = state.digest.is_empty() || self.setups.contains_key(&state.digest);
--- /dev/null
+++ b/crates/quorum-register/src/setups.rs
@@ -0,0 +1,113 @@
+//! Configurations' bytes: taken in, handed out as they travel, and dropped once nothing refers to them.
+
+use crate::register::{Effect, Register, Write};
+use protocol::{Payload, SetupAsk, SetupBytes};
+use std::collections::BTreeSet;
+
+/// How many setups are kept beside those that something refers to, and how many bytes of them at most.
+const MAX_SPARE_SETUPS: usize = 16;
+const MAX_SPARE_BYTES: usize = 8 * 1024 * 1024;
+
+impl Register {
+    pub(crate) fn take_setup(&mut self, setup: SetupBytes) {
+        let wanted = !self.setups.contains_key(&setup.digest) && self.disk_is_free();
+        let bytes = Some(&setup.squeezed).filter(|_| wanted).and_then(|squeezed| protocol::unsqueeze(squeezed));
+        let right = bytes.filter(|bytes| protocol::digest(bytes) == setup.digest);
+        right.into_iter().for_each(|bytes| self.keep_setup(setup.digest.clone(), bytes));
+    }
+
+    /// Takes in a setup's bytes; they count as held once synced.
+    pub(crate) fn keep_setup(&mut self, digest: String, bytes: Vec<u8>) {
+        if !self.setups.contains_key(&digest) && self.disk_is_free() {
+            self.ticket += 1;
+            let ticket = self.ticket;
+            self.writes.push_back(Write { ticket, durable: None, digest: Some(digest.clone()), then: Vec::new() });
+            self.setups.insert(digest.clone(), bytes.clone());
+            self.arrivals.push_back(digest.clone());
+            self.effects.push(Effect::KeepSetup { ticket, digest, bytes });
+        }
+    }
+
+    /// A setup as it travels; the last one is kept so.
+    pub(crate) fn squeezed(&mut self, digest: &str) -> Option<Vec<u8>> {
+        if self.squeezed.as_ref().is_none_or(|(last, _)| last != digest) {
+            let bytes = self.setups.get(digest)?;
+            self.squeezed = Some((digest.to_owned(), protocol::squeeze(bytes)));
+        }
+        self.squeezed.as_ref().map(|(_, squeezed)| squeezed.clone())
+    }
+
+    /// The bytes of the setup in force, as they travel.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert_eq!(Register::new(start).squeezed_setup(), None);
+    /// ```
+    pub fn squeezed_setup(&mut self) -> Option<Vec<u8>> {
+        let digest = self.current.state.digest.clone();
+        self.squeezed(&digest)
+    }
+
+    /// Drops the earliest setups that nothing refers to, beyond a bound. What a state on this disk names, decided or
+    /// synced, and what a round or a waiting change needs stays, whatever its age: a voter accepts a state only while it
+    /// holds the bytes, so a chosen state's bytes stay on a majority.
+    pub(crate) fn drop_spare_setups(&mut self) {
+        let referenced = self.referenced_setups();
+        let spare = |digest: &&String| !referenced.contains(*digest) && self.held.contains(*digest);
+        let mut count = self.arrivals.iter().filter(spare).count();
+        let size = |digest: &String| self.setups.get(digest).map_or(0, Vec::len);
+        let mut bytes: usize = self.arrivals.iter().filter(spare).map(size).sum();
+        let mut dropped = Vec::new();
+        for digest in self.arrivals.iter().filter(spare) {
+            if count <= MAX_SPARE_SETUPS && bytes <= MAX_SPARE_BYTES {
+                break;
+            }
+            count -= 1;
+            bytes -= size(digest);
+            dropped.push(digest.clone());
+        }
+        self.arrivals.retain(|digest| !dropped.contains(digest));
+        for digest in dropped {
+            self.setups.remove(&digest);
+            self.held.remove(&digest);
+            self.effects.push(Effect::DropSetup { digest });
+        }
+    }
+
+    /// Digests of the setups that must be kept.
+    fn referenced_setups(&self) -> BTreeSet<String> {
+        let states = [&self.durable.accepted, &self.synced.accepted, &self.current.state];
+        let states = states.into_iter().chain(self.round.proposed_state());
+        let pending = self.pending.iter().filter_map(|change| change.digest());
+        states.map(|state| state.digest.clone()).chain(pending).collect()
+    }
+
+    /// True where the state accepted here names a setup whose bytes this node lacks.
+    ///
+    /// ```
+    /// # use quorum_register::{Register, Start, Times};
+    /// # let start = Start { me: "a".into(), roster_size: 3, seed: 1, durable: Default::default(),
+    /// #     setups: Default::default(), times: Times::default() };
+    /// assert!(!Register::new(start).lacks_accepted_setup());
+    /// ```
+    pub fn lacks_accepted_setup(&self) -> bool {
+        let digest = &self.durable.accepted.digest;
+        !digest.is_empty() && !self.setups.contains_key(digest)
+    }
+
+    pub(crate) fn give_setup(&mut self, from: &str, ask: &SetupAsk) {
+        if let Some(squeezed) = self.squeezed(&ask.digest) {
+            self.send(from, Payload::SetupBytes(SetupBytes { digest: ask.digest.clone(), squeezed }));
+        }
+    }
+
+    /// A damaged or missing file is mended from the others.
+    pub(crate) fn ask_missing_setup(&mut self) {
+        if self.lacks_accepted_setup() {
+            let digest = self.durable.accepted.digest.clone();
+            self.send_all(Payload::SetupAsk(SetupAsk { digest }));
+        }
+    }
+}
