An image that comes late is taken where it is newer than what is known

Cause: after a loss of power everywhere, control nodes on a quarter of a core take longer for an image than a carrier waits (0.6 s). Change: each question keeps its moment, its source and its following. An image counts as old as its question, however late it comes; one from a source that was left is taken where that is no older than what is known, and its source is followed again. One without an age, or older, from a source that was left is refused, as before. Ruled out: durable state (every control node had the newer edition 0.3 s after its start); waiting longer (a frozen node would be waited for). Test that failed first: an_image_that_came_late_is_taken_where_it_is_newer.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -120,8 +120,10 @@
     /// The stream and number of the last news kept; stream 0 wants an image.
     stream: u64,
     number: u64,
-    /// Questions to the present source whose images may still come, oldest first.
-    asks: Vec<u64>,
+    /// Questions whose images may still come, oldest first.
+    asks: Vec<Question>,
+    /// Counts the sources followed: a question asked under an earlier count went to one that was left.
+    followings: u64,
     next_ask: Duration,
     /// How many sources in a row were of no use.
     misses: usize,
@@ -139,6 +141,21 @@
     effects: Vec<Effect>,
 }
 
+/// A question to a postmaster, as long as its image may come.
+struct Question {
+    nonce: u64,
+    asked_at: Duration,
+    source: String,
+    following: u64,
+}
+
+/// What an image's age says of it.
+enum ImageAge {
+    /// It is taken, and surely no older than this, as far as its sender says.
+    AsOf(Option<Duration>),
+    Refused,
+}
+
 impl Carrier {
     /// A carrier that knows nothing yet.
     ///
@@ -161,6 +178,7 @@
             stream: 0,
             number: 0,
             asks: Vec::new(),
+            followings: 0,
             next_ask: Duration::ZERO,
             misses: 0,
             left: None,
@@ -381,10 +399,10 @@
         };
         if fresh {
             self.stream = 0;
-            self.asks.clear();
+            self.followings += 1;
         }
         let nonce = self.random.next_u64();
-        self.asks.push(nonce);
+        self.asks.push(Question { nonce, asked_at: now, source: source.clone(), following: self.followings });
         let excess = self.asks.len().saturating_sub(MOST_ASKS);
         self.asks.drain(..excess);
         let every = self.times.ask_every;
@@ -395,20 +413,27 @@
     }
 
     fn news(&mut self, now: Duration, from: String, news: ViewUpdate) {
-        if self.source() != Some(from.as_str()) {
-            return;
-        }
         let (stream, number, image) = (news.stream, news.number, news.number == 0);
-        if image && !self.answers_an_ask(news.asked) {
+        let followed = self.source() == Some(from.as_str());
+        if !followed && !image {
             return;
         }
         if !image && (stream != self.stream || number != self.number + 1) {
             self.want_image(now);
             return;
         }
-        let as_of = if image { self.image_as_of(&news) } else { self.view.as_of };
-        if as_of.is_none() && image && self.view.as_of.is_some() {
-            return;
+        let as_of = match image {
+            true => match self.image_age(&news, &from) {
+                ImageAge::AsOf(as_of) => as_of,
+                ImageAge::Refused => return,
+            },
+            false => self.view.as_of,
+        };
+        if !followed {
+            // It took longer than this carrier waited, and is news all the same: where all are slow, leaving each of them
+            // for the next would never bring an image.
+            (self.left, self.misses) = (None, 0);
+            self.follow(Following::Content { source: from.clone() });
         }
         let before = self.view.edition;
         let squeezed = news.setup.as_deref();
@@ -436,23 +461,27 @@
         self.effects.push(Effect::Publish);
     }
 
-    /// The moment that an image is surely no older than; none where it is not to be taken: it is older than what is known
-    /// here, and its sender may be cut off from the others.
-    fn image_as_of(&self, image: &ViewUpdate) -> Option<Duration> {
-        let Some(age) = image.age_ms.map(Duration::from_millis) else { return self.view.as_of };
-        let Following::Asked { asked_at, .. } = &self.following else { return None };
-        let as_of = asked_at.checked_sub(age)?;
-        let doubted = age > DOUBTED && self.view.as_of.is_some_and(|known| as_of < known);
-        Some(as_of).filter(|_| !doubted)
+    /// Whether an image is taken, and the moment that it is surely no older than. It answers a question later than that of
+    /// the last image: one from before, which lay in a slow or frozen link, would set the view back. However long the answer
+    /// takes, it is as old as its question says. Where it is older than what is known here, it is not taken from a source
+    /// that was left, nor from one that may be cut off from the others.
+    fn image_age(&mut self, image: &ViewUpdate, from: &str) -> ImageAge {
+        let Some(question) = self.question_of(image.asked, from) else { return ImageAge::Refused };
+        let left = question.following != self.followings || self.source() != Some(from);
+        let Some(age) = image.age_ms.map(Duration::from_millis) else {
+            return if left { ImageAge::Refused } else { ImageAge::AsOf(self.view.as_of) };
+        };
+        let Some(as_of) = question.asked_at.checked_sub(age) else { return ImageAge::Refused };
+        let is_older = self.view.as_of.is_some_and(|known| as_of < known);
+        if is_older && (left || age > DOUBTED) { ImageAge::Refused } else { ImageAge::AsOf(Some(as_of)) }
     }
 
-    /// True where an image answers a question of the present following, later than that of the last image: one from
-    /// before, which lay in a slow or frozen link, would set the view back.
-    fn answers_an_ask(&mut self, asked: u64) -> bool {
-        let at = self.asks.iter().position(|nonce| *nonce == asked);
-        at.into_iter().for_each(|at| drop(self.asks.drain(..=at)));
+    /// The question that an image answers; those before it are forgotten.
+    fn question_of(&mut self, asked: u64, from: &str) -> Option<Question> {
         // Nodes of an older version do not say what they answer.
-        at.is_some() || asked == 0
+        let nonce = if asked == 0 { self.asks.last()?.nonce } else { asked };
+        let at = self.asks.iter().position(|question| question.nonce == nonce && question.source == from)?;
+        self.asks.drain(..=at).next_back()
     }
 
     fn want_image(&mut self, now: Duration) {
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -254,3 +254,17 @@
     let (_, asked) = next(&mut carrier, 50);
     assert_eq!(asked.1.loads, [counted("s", &[94, 95, 96, 97, 98, 99], &[1; 6])]);
 }
+
+/// Every postmaster takes longer than a carrier waits, as after a restart of all: each image came from one that had been
+/// left, and was dropped, and no carrier ever had the newer configuration.
+#[test]
+fn an_image_that_came_late_is_taken_where_it_is_newer() {
+    let (mut carrier, at, region) = left_by_its_zone();
+    let (left_at, _) = (at + 50..at + 5000)
+        .step_by(50)
+        .find_map(|at| asked(&mut carrier, at).filter(|(to, _)| to != "region").map(|asked| (at, asked)))
+        .expect("it leaves that one too");
+    let late = ViewUpdate { age_ms: Some(40), ..image(&region.1, 9, "new") };
+    assert_eq!(told(&mut carrier, left_at + 100, "region", late), ["new"]);
+    assert_eq!(carrier.view().as_of, Some(MS(at - 40)), "as old as its question");
+}
