The disk queue's test waits until the thread stands in its operation

The disk's thread takes all that waits at once. Where it got its first turn only after 144 or more of the 400 writes were handed over, the other 256 found room and nothing was ever lost, so the test waited for a report that must not come. The controller did right; the test's set-up was a race.

Ruled out: a lost wake-up (every write notifies under the lock), a queue that keeps more than its bound.

Changed: the thread is first brought to stand in an operation on the disk, seen by the simulated disk itself. Then the first write is under way and the queue takes exactly 256 more, so the range 200..300 that was asserted becomes the exact 257: stricter than before. The removals' test waits alike.

--- a/crates/controller/tests/disk.rs
+++ b/crates/controller/tests/disk.rs
@@ -104,27 +104,50 @@
     }
 }
 
-/// Every operation on the disk waits for the returned gate.
-fn stall(files: &SimulatedDisk) -> Sender<()> {
-    let (open, gate) = channel::<()>();
-    files.watch(move |_| {
-        let _ = gate.recv();
-    });
-    open
+/// Every operation on the disk waits until the returned gate is dropped.
+struct Stall {
+    gate: Sender<()>,
+    reached: Receiver<()>,
+}
+
+impl Stall {
+    fn of(files: &SimulatedDisk) -> Stall {
+        let (gate, opened) = channel::<()>();
+        let (arrived, reached) = channel::<()>();
+        files.watch(move |_| {
+            let _ = arrived.send(());
+            let _ = opened.recv();
+        });
+        Stall { gate, reached }
+    }
+
+    /// Waits until the disk's thread stands in an operation: what it took from the queue by then is fixed.
+    fn wait_until_reached(&self) {
+        self.reached.recv_timeout(SOON).expect("the disk's thread reaches the disk");
+    }
+
+    fn end(self) {
+        drop(self.gate);
+    }
 }
 
+/// As many as `controller::disk` lets wait.
+const QUEUE_ROOM: u64 = 256;
+
 #[test]
 fn what_finds_no_room_in_the_queue_is_never_reported() {
     let files = SimulatedDisk::new(Omits::Nothing);
     let (disk, told) = start(&files);
-    let gate = stall(&files);
+    let stall = Stall::of(&files);
+    disk.write(write(1));
+    stall.wait_until_reached();
     let (digest, bytes) = setup(0);
-    (1..=400).for_each(|number| match number {
+    (2..=400).for_each(|number| match number {
         300 => disk.write(Write::Setup { ticket: 300, digest: digest.clone(), bytes: bytes.clone() }),
         number => disk.write(write(number)),
     });
     // It goes on, and takes whatever waited.
-    drop(gate);
+    stall.end();
     let mut last = 0;
     loop {
         match told.recv_timeout(SOON) {
@@ -133,7 +156,8 @@
             other => panic!("{other:?}"),
         }
     }
-    assert!((200..300).contains(&last), "{last}");
+    // The first write was under way, and the queue took as many more as it has room for.
+    assert_eq!(last, 1 + QUEUE_ROOM);
     disk.write(write(401));
     assert_eq!(told.recv_timeout(SOON), Err(std::sync::mpsc::RecvTimeoutError::Disconnected));
     files.unwatch();
@@ -145,11 +169,12 @@
 fn removals_leave_room_for_what_must_be_kept() {
     let files = SimulatedDisk::new(Omits::Nothing);
     let (disk, told) = start(&files);
-    let gate = stall(&files);
+    let stall = Stall::of(&files);
     disk.write(write(1));
+    stall.wait_until_reached();
     (0..400).for_each(|number| disk.write(Write::DropSetup { digest: setup(number).0 }));
     (2..100).for_each(|number| disk.write(write(number)));
-    drop(gate);
+    stall.end();
     let mut last = 0;
     while last < 99 {
         match told.recv_timeout(SOON) {
