A sign-off frees no key: its sender may serve on until its holds have run out

Cause: some upstreams never say that they leave. They sign off first, serve on for seconds, and end. The lease holder took a sign-off for the end: it freed the keys at its next decision, and the record of the sign-off, which lists no keys, was even answered as a heartbeat that proves them let go. Another upstream was given all 65,536 keys 1 s after the sign-off of one whose hold of 3 s had just begun.

Ruled out: departures as such (requests stop within the drain time, as before); slots in the product's own dialect went the same way through give_shares and are mended in the same place.

Changed: a record that is gone is given and proves nothing; Ranges::ended is removed, so keys move only by a newer heartbeat or when the hold has run out. Cost: keys of an upstream that signs off without having left before wait for the rest of its hold.

Tests: controller keys::an_upstream_that_signed_off_may_hold_its_keys_until_they_run_out failed first (65536 given instead of 0). The property test of ranges called Ranges::ended for some of its crashes; in its place units now sign off and go on holding, which the checker judges (stricter: before, nobody lived on).

--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::keys::{DivisionInputs, KeyCounts};
 use crate::node::{ControlNode, Effect};
-use enrolment::{Ranges, Shares};
+use enrolment::{GONE, Ranges, Shares};
 use gazetteer::{Needs, Owners, Placer};
 use protocol::{Holder, Payload, Placement, PlacementRequest, ServiceShares, Share, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -103,9 +103,6 @@
         duty.ranges.retain(|name, _| keyed(name).is_some_and(|service| service.numbered));
         duty.inputs.retain(|name, _| duty.ranges.contains_key(name));
         duty.counts.fade(DECIDE_EVERY);
-        self.roll.signed_off().for_each(|gone| {
-            duty.ranges.get_mut(&gone.service).into_iter().for_each(|ranges| ranges.ended(&gone.instance));
-        });
         let shares = self.told_shares(now, duty);
         self.counts.names_moved += u64::from(moved);
         let changed = moved || shares != duty.told;
@@ -185,6 +182,10 @@
     /// Shares for a beat; none where this node does not hold the duty, so that nobody takes it for an answer.
     pub(crate) fn give_shares(&mut self, now: Duration, upstream: &Upstream) -> Option<Vec<Share>> {
         let epoch = self.lease.holds(now)?;
+        if upstream.condition == GONE {
+            // A sign-off lists nothing and proves nothing: its sender may serve on, so its holds run out by themselves.
+            return None;
+        }
         if self.setup.services.get(&upstream.service).is_some_and(|service| service.numbered) {
             return self.give_ranges(now, upstream, epoch);
         }
--- a/crates/controller/src/requests.rs
+++ b/crates/controller/src/requests.rs
@@ -203,7 +203,8 @@
 
     /// The answer to a beat that was taken in: with the keys that the upstream holds from now on, where it has any.
     pub(crate) fn answer_taken_beat(&mut self, now: Duration, token: u64, upstream: Upstream) {
-        let keyed = self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
+        let may_hold = upstream.condition != enrolment::GONE;
+        let keyed = may_hold && self.setup.services.get(&upstream.service).is_some_and(|service| service.keyed);
         if !keyed || self.placed_by.is_empty() || self.beat_waits.len() >= MOST_BEAT_WAITS {
             return self.answer_beat(token, 0, None);
         }
--- a/crates/controller/tests/keys.rs
+++ b/crates/controller/tests/keys.rs
@@ -218,3 +218,21 @@
     site.step(reply(later));
     assert!(site.answers.is_empty(), "a second answer finds no question");
 }
+
+/// Holds of 3 s: how many keys another one is given so long after the holder of all signed off.
+fn given_after_signing_off(waited_ms: u64) -> u32 {
+    let mut site = Site::new(false);
+    assert_eq!(keys(&site.beat("u", 1, &[])), KEYS, "the founder gives at once");
+    site.step(Event::Ask { token: 99, ask: Ask::SignOff { instance: "u".into() } });
+    let (token, answer) = site.answers.pop().expect("the sign-off is answered");
+    assert!(token == 99 && matches!(answer, Answer::Beat { .. }), "{answer:?}");
+    site.wait(waited_ms);
+    keys(&site.beat("v", 1, &[]))
+}
+
+#[test]
+fn an_upstream_that_signed_off_may_hold_its_keys_until_they_run_out() {
+    assert_eq!(given_after_signing_off(1000), 0, "it may serve on after its sign-off");
+    assert_eq!(given_after_signing_off(2900), 0);
+    assert_eq!(given_after_signing_off(4500), KEYS);
+}
--- a/crates/enrolment/src/ranges.rs
+++ b/crates/enrolment/src/ranges.rs
@@ -1,8 +1,8 @@
 //! Ranges of numeric keys of one service, as the holder of the placement lease gives them out.
 //!
 //! A key has one owner. It moves only once the owner's newer heartbeat no longer lists it, or its hold, counted
-//! here from the answer plus a margin, has run out, or the owner has surely ended. What a new holder of the lease
-//! may take for granted, and why, stands in `docs/design/keys.md`.
+//! here from the answer plus a margin, has run out. A sign-off frees nothing: its sender may serve on. What a new
+//! holder of the lease may take for granted, and why, stands in `docs/design/keys.md`.
 
 use crate::fair;
 use crate::load::Load;
@@ -413,28 +413,6 @@
         join_runs(mine).into_iter().map(grant).collect()
     }
 
-    /// The instance has surely ended: its process is gone, and what it held is free.
-    ///
-    /// ```
-    /// # use enrolment::{Heartbeat, Load, Ranges, Terms};
-    /// # use std::time::Duration;
-    /// # let (second, margin) = (Duration::from_secs(1), Duration::from_millis(50));
-    /// # let terms = Terms { hold: 3 * second, answer_within: second, margin, settle: 2 * second, late_answers: false };
-    /// let mut ranges = Ranges::new(second, terms, 100, 1, true);
-    /// let beat = Heartbeat { instance: "a".into(), sequence: 1, ..Heartbeat::default() };
-    /// ranges.beat(second, &beat, &[("a".to_owned(), 1)].into(), &Load::even(100));
-    /// assert_eq!(ranges.all(second).len(), 1);
-    /// ranges.ended("a");
-    /// assert!(ranges.all(second).is_empty());
-    /// ```
-    pub fn ended(&mut self, instance: &str) {
-        self.table.each(|state| {
-            let free = state.held_by(instance).map(|held| freed(held, held.dropped));
-            free.into_iter().for_each(|free| *state = free);
-        });
-        self.table.join();
-    }
-
     /// True while what an earlier lease holder gave may not have run out.
     ///
     /// ```
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -322,16 +322,6 @@
         self.entries.values().filter(fresh).map(|entry| Self::aged(entry, now)).collect()
     }
 
-    /// Those that said themselves that they end: what they held is free.
-    ///
-    /// ```
-    /// assert_eq!(enrolment::Roll::default().signed_off().count(), 0);
-    /// ```
-    pub fn signed_off(&self) -> impl Iterator<Item = &Upstream> {
-        let gone = self.entries.values().filter(|entry| entry.upstream.condition == GONE && !entry.evicted);
-        gone.map(|entry| &entry.upstream)
-    }
-
     /// Takes in that an upstream leaves or is gone, as another node knows it; false where there is no room to remember
     /// one that is not known here. Without a service it is whoever has this instance id, now or later.
     ///
--- a/crates/enrolment/tests/ranges.rs
+++ b/crates/enrolment/tests/ranges.rs
@@ -28,6 +28,8 @@
     LateUnannounced,
     /// Upstreams count their holds by clocks a tenth slow.
     SlowClocks,
+    /// What an upstream holds counts as let go once it signed off.
+    FreesAtSignOff,
 }
 
 #[derive(Clone, Copy)]
@@ -45,6 +47,8 @@
     alive: bool,
     gone_at: Duration,
     draining: bool,
+    /// It says no more, and serves on until its holds have run out.
+    signed_off: bool,
     sequence: u64,
     next_beat: Duration,
     holds: BTreeMap<u32, Hold>,
@@ -85,6 +89,7 @@
         alive: true,
         gone_at: Duration::ZERO,
         draining: false,
+        signed_off: false,
         sequence: 0,
         next_beat: now,
         holds: BTreeMap::new(),
@@ -112,7 +117,8 @@
 
     /// What the control nodes believe; a crash shows only after a while.
     fn ready(&self) -> BTreeMap<String, u32> {
-        let believed = |unit: &&Unit| !unit.draining && (unit.alive || self.now < unit.gone_at + MS(1500));
+        let believed =
+            |unit: &&Unit| !unit.draining && !unit.signed_off && (unit.alive || self.now < unit.gone_at + MS(1500));
         let each = self.units.iter().enumerate().filter(|(_, unit)| believed(unit));
         each.map(|(at, unit)| (unit.name.clone(), 1 + at as u32)).collect()
     }
@@ -134,13 +140,10 @@
                 self.ranges = None;
                 self.next_lease = self.now + MS(noise.int_in_range(0..=60u64)? * TICK);
             }
+            2 if noise.ratio(1, 2u8)? => self.sign_off(at),
             2 => {
                 let unit = &mut self.units[at];
                 (unit.alive, unit.gone_at) = (false, self.now);
-                let name = unit.name.clone();
-                if noise.ratio(1, 2u8)? {
-                    self.ranges.iter_mut().for_each(|ranges| ranges.ended(&name));
-                }
             }
             3 | 4 => self.units[at].draining ^= true,
             5 if !self.units[at].alive || self.units[at].holds.is_empty() => {
@@ -157,6 +160,18 @@
         Ok(())
     }
 
+    fn sign_off(&mut self, at: usize) {
+        self.units[at].signed_off = true;
+        if self.fault == Fault::FreesAtSignOff {
+            let (now, ready) = (self.lease_now(), self.ready());
+            let lets_all_go =
+                Heartbeat { instance: self.units[at].name.clone(), sequence: u64::MAX, ..Heartbeat::default() };
+            self.ranges.iter_mut().for_each(|ranges| {
+                ranges.beat(now, &lets_all_go, &ready, &self.load);
+            });
+        }
+    }
+
     /// Most mail is quick; some is late, and some gets lost.
     fn post(&mut self, noise: &mut Unstructured, mail: Mail) -> Result<()> {
         let delay = match noise.int_in_range(0..=19u8)? {
@@ -238,6 +253,10 @@
             }
             kept
         });
+        if self.signed_off {
+            self.alive = !self.holds.is_empty();
+            return None;
+        }
         if now < self.next_beat {
             return None;
         }
@@ -291,6 +310,9 @@
     world.units[0].draining = false;
     if !world.units[0].alive {
         world.units[0] = unit(&mut world.born, world.now, 980);
+    } else if world.units[0].signed_off {
+        // It may hold keys still: another one comes beside it.
+        world.units.push(unit(&mut world.born, world.now, 980));
     }
     if world.ranges.is_none() {
         world.start_lease();
@@ -346,6 +368,7 @@
         ("gives at once", Fault::GivesAtOnce, false),
         ("late answers unannounced", Fault::LateUnannounced, true),
         ("slow clocks", Fault::SlowClocks, false),
+        ("frees at a sign-off", Fault::FreesAtSignOff, false),
         ("adopts at once", Fault::AdoptsAtOnce, false),
         ("adopts at once, late answers", Fault::AdoptsAtOnce, true),
     ];
