The simulator's upstreams sign off first and serve on

The plan sign-off-first: upstreams sign off without ever having said that they leave, hold their keys and serve on, and end seconds later. The broken twin, a heartbeat that lists nothing in the name of one that signed off, is caught.

--- a/crates/drill/src/sim/breaking.rs
+++ b/crates/drill/src/sim/breaking.rs
@@ -110,6 +110,9 @@
             }),
             Fault::CrashUnits(units) => units.into_iter().for_each(|unit| self.crash_unit(self.unit(unit))),
             Fault::Release(units) => units.into_iter().for_each(|unit| self.leave(self.unit(unit))),
+            Fault::SignOffFirst(units) => {
+                units.into_iter().for_each(|unit| self.sign_off_first(self.unit(unit)));
+            }
             Fault::ReuseAddress(unit) => {
                 let unit = self.unit(unit);
                 self.crash_unit(unit);
@@ -298,7 +301,7 @@
             }
             Fault::LateEvacuation(zone) | Fault::FrozenEvacuation(zone) => self.take_back(self.zone(zone)),
             Fault::CrashUnits(_) | Fault::HomesGone => self.raise_units(),
-            Fault::Release(units) => units.into_iter().for_each(|unit| {
+            Fault::Release(units) | Fault::SignOffFirst(units) => units.into_iter().for_each(|unit| {
                 let unit = self.unit(unit);
                 if self.units[unit].condition == enrolment::LEAVING {
                     self.crash_unit(unit);
--- a/crates/drill/src/sim/faults.rs
+++ b/crates/drill/src/sim/faults.rs
@@ -45,6 +45,8 @@
     CrashUnits(Vec<usize>),
     /// Leave with notice, and be replaced by a new instance on the same address.
     Release(Vec<usize>),
+    /// Sign off without having left before, serve on, and are replaced by a new instance on the same address.
+    SignOffFirst(Vec<usize>),
     /// Vanish, and the address is taken by another service.
     ReuseAddress(usize),
     /// Every so-many-th upstream comes back cold.
@@ -240,6 +242,7 @@
 /// Further kinds, which no seed draws by itself: so the drawn plans of known seeds stay as they were.
 pub const FURTHER: &[(&str, Drawer)] = &[
     ("late-answers", |_| Fault::LateAnswers),
+    ("sign-off-first", |d| Fault::SignOffFirst((0..6).map(|_| d.below(99) as usize).collect())),
     ("number-race", |_| Fault::NumberRace(6)),
     ("restart-postmasters", |_| Fault::RestartPostmasters),
     ("kept-connections", |_| Fault::Connections(Manners::default())),
--- a/crates/drill/src/sim/mod.rs
+++ b/crates/drill/src/sim/mod.rs
@@ -14,6 +14,7 @@
 mod order_faults;
 mod path;
 mod ranged;
+mod signing_off;
 mod units;
 mod world;
 
--- a/crates/drill/src/sim/units.rs
+++ b/crates/drill/src/sim/units.rs
@@ -8,7 +8,7 @@
 use crate::facts::Fact;
 use crate::shapes::{Work, mark_of};
 use crate::upstreams::given_slots;
-use controller::{Answer, Ask};
+use controller::Answer;
 use protocol::{Share, Upstream};
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -32,6 +32,8 @@
     /// The control node that it says its leaving to first, and when one acknowledged it.
     pub leaves_by: Option<usize>,
     pub taken_at: Option<Duration>,
+    /// It signed off before it ever said that it leaves: it beats no more, and serves on.
+    pub signed_off: bool,
     pub holder: u64,
     /// Slot, epoch and end of what it holds.
     pub holds: BTreeMap<u32, (u64, Duration)>,
@@ -76,6 +78,7 @@
             beat: 0,
             leaves_by: None,
             taken_at: None,
+            signed_off: false,
             holder: 0,
             holds: BTreeMap::new(),
             ranged: Ranged::default(),
@@ -107,7 +110,7 @@
         unit.condition = enrolment::READY;
         unit.warm = warm;
         unit.beat = 0;
-        (unit.leaves_by, unit.taken_at) = (None, None);
+        (unit.leaves_by, unit.taken_at, unit.signed_off) = (None, None, false);
         unit.holder = 0;
         unit.holds.clear();
         unit.ranged = Ranged::default();
@@ -130,7 +133,7 @@
 
     pub(super) fn beat(&mut self, at: usize, life: u64) {
         let now = self.now;
-        if !self.units[at].up || self.units[at].life != life {
+        if !self.units[at].up || self.units[at].life != life || self.is_silent(at) {
             return;
         }
         if now < self.units[at].paused_until {
@@ -144,7 +147,8 @@
     /// A beat that nobody took is sent to another postmaster, unless a newer one was sent meanwhile.
     pub(super) fn beat_again(&mut self, at: usize, life: u64, beat: u64) {
         let unit = &self.units[at];
-        if unit.up && unit.life == life && unit.beat == beat && self.now >= unit.paused_until {
+        let is_latest = unit.life == life && unit.beat == beat;
+        if unit.up && is_latest && self.now >= unit.paused_until && !self.is_silent(at) {
             self.beat_once(at);
         }
     }
@@ -182,7 +186,7 @@
         delay.into_iter().for_each(|delay| {
             let token = self.id();
             self.operators.beats.insert(token, (at, life, beat, now, node));
-            let event = NodeEvent::Ask { token, ask: Ask::Beat(told.clone()) };
+            let event = NodeEvent::Ask { token, ask: self.beat_or_sign_off(at, told.clone()) };
             self.after(delay, Action::Deliver { node, event });
         });
     }
@@ -199,6 +203,9 @@
             return self.after(BEAT_AGAIN, Action::BeatAgain { unit, life, beat });
         };
         self.leaving_taken(unit, life);
+        if self.units[unit].signed_off {
+            return;
+        }
         if self.units[unit].work.numbered {
             return self.ranges_answered(from, shares, span);
         }
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -108,6 +108,8 @@
     pub homeless: bool,
     /// Upstreams that leave say so to nobody.
     pub leaves_quietly: bool,
+    /// What an upstream holds counts as let go once it signed off: a heartbeat that lists nothing follows in its name.
+    pub lists_nothing_once_signed_off: bool,
     /// Proxies do not judge again, once connected, what they chose.
     pub hasty: bool,
     /// Clocks stand still while a machine is suspended.
@@ -152,6 +154,7 @@
             uncounted: false,
             homeless: false,
             leaves_quietly: false,
+            lists_nothing_once_signed_off: false,
             hasty: false,
             stands_still: false,
             counts_jumps: false,
--- a/crates/drill/tests/numbered.rs
+++ b/crates/drill/tests/numbered.rs
@@ -156,3 +156,28 @@
     assert!(gives_twice(named("late-answers+move-names"), Weakness { takes_late: true, ..real }));
     assert!(!gives_twice(named("late-answers+move-names"), real));
 }
+
+/// The plan in which upstreams sign off first, on eight seeds side by side: the rules that were broken.
+fn signed_off_first(weak: Weakness) -> Vec<u32> {
+    let rules_broken = |seed| {
+        let plan = Plan::named("sign-off-first", seed).expect("a known plan");
+        let outcome = World::weakened_site(seed, plan, LEDGER, weak).run();
+        outcome.violations.into_iter().map(|violation| violation.rule).collect::<Vec<_>>()
+    };
+    std::thread::scope(|scope| {
+        let running: Vec<_> = (1..9).map(|seed| scope.spawn(move || rules_broken(seed))).collect();
+        running.into_iter().flat_map(|thread| thread.join().expect("no run panics")).collect()
+    })
+}
+
+#[test]
+fn keys_of_an_upstream_that_signed_off_first_have_one_holder() {
+    assert_eq!(signed_off_first(Weakness::default()), Vec::<u32>::new());
+}
+
+#[test]
+fn keys_that_are_free_at_a_sign_off_are_caught() {
+    let weak = Weakness { lists_nothing_once_signed_off: true, ..Weakness::default() };
+    let broken = signed_off_first(weak);
+    assert!(broken.contains(&11), "{broken:?}");
+}
