A lease is won by a majority's grants, whatever the other voters answer

Cause: a candidate gave up at its first denial, and after a sixth of the span (0.2 s on the platform). One voter that denies (its clock jumps, it has just started, it granted a higher epoch to a candidate that failed) kept everybody from the lease, and so did answers that take a quarter of a second. A holder's renewal asked anew every sixth of the span and dropped what had been granted to the question before.

Ruled out: recovery of the two wiped disks (seven voters of nine were there at 31.7 s); the span that a restarted voter waits (1.2 s).

Changed: a candidate gives up only where those that did not deny are no quorum, or after a third of the span; one that its own vote denies asks nobody, which also spares sixteen messages for each vain try; a renewal is one question, sent again to those that did not answer, counted from its first sending. A change of the voters begins a new question. What is granted, and for how long, is as before.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -34,6 +34,21 @@
     pub fn new(span: Duration, margin: Duration) -> Times {
         Times { span, margin, longest_step: LONGEST_STEP }
     }
+
+    /// How long a candidate waits for a majority. What is left of the span then must do for the first renewal.
+    fn ask_patience(&self) -> Duration {
+        self.span / 3
+    }
+
+    /// How long after its question a holder renews the lease.
+    fn renew_after(&self) -> Duration {
+        self.span / 3
+    }
+
+    /// How long a holder waits before it sends the question of a renewal again to those that did not answer.
+    fn resend_every(&self) -> Duration {
+        self.span / 6
+    }
 }
 
 /// What happens to a lease.
@@ -84,9 +99,27 @@
 #[derive(Clone, Debug, PartialEq, Hash)]
 enum CandidatePhase {
     Resting,
-    Asking { epoch: u64, nonce: u64, asked_at: Duration, grants: BTreeSet<String>, firsts: BTreeSet<String> },
-    Holding { epoch: u64, until: Duration },
-    Renewing { epoch: u64, until: Duration, nonce: u64, asked_at: Duration, grants: BTreeSet<String> },
+    Asking {
+        epoch: u64,
+        nonce: u64,
+        asked_at: Duration,
+        grants: BTreeSet<String>,
+        firsts: BTreeSet<String>,
+        denied: BTreeSet<String>,
+    },
+    Holding {
+        epoch: u64,
+        until: Duration,
+    },
+    /// One question, sent again to those who did not answer: grants count from its first sending.
+    Renewing {
+        epoch: u64,
+        until: Duration,
+        nonce: u64,
+        asked_at: Duration,
+        sent_at: Duration,
+        grants: BTreeSet<String>,
+    },
     Closed,
 }
 
@@ -254,6 +287,10 @@
         let busy = !matches!(self.phase, CandidatePhase::Resting | CandidatePhase::Closed);
         if busy && !self.voter_set.contains(&self.me) {
             self.give_up(now, Duration::ZERO);
+        } else if let CandidatePhase::Renewing { epoch, until, .. } = self.phase {
+            // Grants of the voters before say nothing of those after: the next question is a new one.
+            self.next_ask = now;
+            self.turn(CandidatePhase::Holding { epoch, until });
         }
     }
 
@@ -274,57 +311,67 @@
         if !self.voter_set.contains(&self.me) {
             return;
         }
-        let phase = self.times.span / 6;
         if self.next_ask.is_zero() {
             // All start alike: from the first time on they ask one after the other.
             self.next_ask = now.max(self.times.span) + self.turn_wait();
         }
         match &self.phase {
             CandidatePhase::Resting if now >= self.next_ask && now >= self.times.span => self.ask(now),
-            CandidatePhase::Asking { asked_at, .. } if now >= *asked_at + phase => self.give_up(now, Duration::ZERO),
+            CandidatePhase::Asking { asked_at, .. } if now >= *asked_at + self.times.ask_patience() => {
+                self.give_up(now, Duration::ZERO)
+            }
             CandidatePhase::Holding { until, .. } | CandidatePhase::Renewing { until, .. } if now >= *until => {
                 self.give_up(now, Duration::ZERO)
             }
             CandidatePhase::Holding { .. } if now >= self.next_ask => self.renew(now),
-            CandidatePhase::Renewing { asked_at, .. } if now >= *asked_at + phase => self.renew(now),
+            CandidatePhase::Renewing { sent_at, .. } if now >= *sent_at + self.times.resend_every() => self.resend(now),
             _ => {}
         }
     }
 
     fn ask(&mut self, now: Duration) {
-        self.seen_epoch += 1;
-        let (epoch, nonce) = (self.seen_epoch, self.random.next_u64());
-        self.turn(CandidatePhase::Asking {
-            epoch,
-            nonce,
-            asked_at: now,
-            grants: BTreeSet::new(),
-            firsts: BTreeSet::new(),
-        });
-        self.ask_all(now, LeaseRequest { epoch, nonce, renewal: false, voter_epoch: self.voter_set.epoch });
+        let (epoch, nonce) = (self.seen_epoch + 1, self.random.next_u64());
+        let ask = LeaseRequest { epoch, nonce, renewal: false, voter_epoch: self.voter_set.epoch };
+        if let Some(wait) = self.denial(&self.me, &ask) {
+            // Who denies itself need not ask the others.
+            self.next_ask = now + wait + self.turn_wait();
+            return;
+        }
+        self.seen_epoch = epoch;
+        let (grants, firsts, denied) = Default::default();
+        self.turn(CandidatePhase::Asking { epoch, nonce, asked_at: now, grants, firsts, denied });
+        self.ask_all(now, ask, &BTreeSet::new());
     }
 
     fn renew(&mut self, now: Duration) {
-        let held = match &self.phase {
-            CandidatePhase::Holding { epoch, until } | CandidatePhase::Renewing { epoch, until, .. } => {
-                Some((*epoch, *until))
-            }
-            _ => None,
-        };
-        held.into_iter().for_each(|(epoch, until)| {
+        if let CandidatePhase::Holding { epoch, until } = self.phase {
             let nonce = self.random.next_u64();
-            self.turn(CandidatePhase::Renewing { epoch, until, nonce, asked_at: now, grants: BTreeSet::new() });
-            self.ask_all(now, LeaseRequest { epoch, nonce, renewal: true, voter_epoch: self.voter_set.epoch });
-        });
+            let (asked_at, sent_at, grants) = (now, now, BTreeSet::new());
+            self.turn(CandidatePhase::Renewing { epoch, until, nonce, asked_at, sent_at, grants });
+            self.ask_all(now, self.renewal(epoch, nonce), &BTreeSet::new());
+        }
+    }
+
+    /// The same question once more: what was granted to its first sending counts, however slowly it comes.
+    fn resend(&mut self, now: Duration) {
+        if let CandidatePhase::Renewing { epoch, nonce, sent_at, grants, .. } = &mut self.phase {
+            *sent_at = now;
+            let (epoch, nonce, granted) = (*epoch, *nonce, grants.clone());
+            self.ask_all(now, self.renewal(epoch, nonce), &granted);
+        }
     }
 
-    fn ask_all(&mut self, now: Duration, ask: LeaseRequest) {
+    fn renewal(&self, epoch: u64, nonce: u64) -> LeaseRequest {
+        LeaseRequest { epoch, nonce, renewal: true, voter_epoch: self.voter_set.epoch }
+    }
+
+    /// Asks the voters but for those that granted it already.
+    fn ask_all(&mut self, now: Duration, ask: LeaseRequest, granted: &BTreeSet<String>) {
         let me = self.me.clone();
-        let others: Vec<String> = self.voter_set.members().filter(|voter| **voter != me).cloned().collect();
-        others.iter().for_each(|voter| {
-            self.effects.push(Effect::Send { to: voter.clone(), body: Payload::LeaseRequest(ask.clone()) });
-        });
-        if self.voter_set.contains(&me) {
+        let others = self.voter_set.members().filter(|voter| **voter != me && !granted.contains(*voter));
+        let sends = others.map(|voter| Effect::Send { to: voter.clone(), body: Payload::LeaseRequest(ask.clone()) });
+        self.effects.extend(sends);
+        if self.voter_set.contains(&me) && !granted.contains(&me) {
             self.asked(now, &me, ask);
         }
     }
@@ -382,25 +429,14 @@
     fn asked(&mut self, now: Duration, from: &str, ask: LeaseRequest) {
         // A disk that takes so long is out of the round.
         self.pending.retain(|_, (.., since)| now < *since + self.times.span / 3);
-        let waited = self.grant_clock.now();
-        let busy = self.granted.as_ref().filter(|granted| waited < granted.until);
-        // Its quorum may share no voter with that of a candidate that knows the newer voters.
-        let outdated = ask.voter_epoch < self.voter_set.epoch;
-        // Whoever holds the lease goes on holding it, also by a voter that has forgotten, or that granted a
-        // higher epoch to a candidate that failed: no other can have won meanwhile.
-        let renewal = ask.renewal && !outdated && busy.is_none_or(|granted| granted.holder == from);
-        let wait = match busy {
-            _ if waited < self.quiet_until => Some(self.quiet_until - waited),
-            // A candidate that has not won may drop its votes any moment.
-            Some(granted) if granted.holder != from && !granted.renewed => Some(Duration::ZERO),
-            Some(granted) if granted.holder != from => Some(granted.until - waited),
-            _ => None,
-        };
-        let stale = outdated || ask.epoch <= self.granted_epoch;
-        let known = self.seen_epoch;
-        if wait.is_none() && renewal {
+        if let Some(wait) = self.denial(from, &ask) {
+            let LeaseRequest { epoch, nonce, .. } = ask;
+            let (wait_ms, highest_epoch) = (wait.as_millis() as u64, self.seen_epoch);
+            let deny = LeaseReply { epoch, nonce, granted: false, highest_epoch, wait_ms, first: false };
+            self.answer(now, from, deny);
+        } else if ask.renewal {
             self.grant(now, from, &ask);
-        } else if wait.is_none() && !stale && self.pending.is_empty() {
+        } else {
             let token = self.random.next_u64();
             self.seen_epoch = self.seen_epoch.max(ask.epoch);
             self.only_epoch = Some(ask.epoch).filter(|_| self.unheld);
@@ -408,14 +444,28 @@
             self.granted_epoch = ask.epoch;
             self.effects.push(Effect::RaiseEpoch { epoch: ask.epoch, token });
             self.pending.insert(token, (from.to_owned(), ask, now));
-        } else {
-            let wait_ms = wait.map(|wait| wait.as_millis() as u64).unwrap_or(0);
-            let LeaseRequest { epoch, nonce, .. } = ask;
-            let deny = LeaseReply { epoch, nonce, granted: false, highest_epoch: known, wait_ms, first: false };
-            self.answer(now, from, deny);
         }
     }
 
+    /// None where this voter may grant what is asked; else how long it is surely not free.
+    fn denial(&self, from: &str, ask: &LeaseRequest) -> Option<Duration> {
+        let waited = self.grant_clock.now();
+        if waited < self.quiet_until {
+            return Some(self.quiet_until - waited);
+        }
+        let busy = self.granted.as_ref().filter(|granted| waited < granted.until && granted.holder != from);
+        if let Some(granted) = busy {
+            // A candidate that has not won may drop its votes any moment.
+            return Some(if granted.renewed { granted.until - waited } else { Duration::ZERO });
+        }
+        // Its quorum may share no voter with that of a candidate that knows the newer voters.
+        let outdated = ask.voter_epoch < self.voter_set.epoch;
+        // Whoever holds the lease goes on holding it, also by a voter that has forgotten, or that granted a
+        // higher epoch to a candidate that failed: no other can have won meanwhile.
+        let free = ask.renewal || (ask.epoch > self.granted_epoch && self.pending.is_empty());
+        if outdated || !free { Some(Duration::ZERO) } else { None }
+    }
+
     fn grant(&mut self, now: Duration, from: &str, ask: &LeaseRequest) {
         let until = self.grant_clock.now() + self.times.span;
         self.granted = Some(Granted { epoch: ask.epoch, holder: from.to_owned(), until, renewed: ask.renewal });
@@ -454,12 +504,22 @@
                 self.founder = Some(epoch).filter(|_| first_of_all).or(self.founder);
             }
             if enough {
-                self.next_ask = asked_at + self.times.span / 3;
+                self.next_ask = asked_at + self.times.renew_after();
                 self.turn(CandidatePhase::Holding { epoch, until: asked_at + self.times.span - self.times.margin });
             }
-        } else if matches!(self.phase, CandidatePhase::Asking { .. }) {
-            let wait = Duration::from_millis(grant.wait_ms.min(self.times.span.as_millis() as u64));
-            self.give_up(now, wait);
+        } else if !grant.granted {
+            self.denied(now, from, Duration::from_millis(grant.wait_ms));
+        }
+    }
+
+    /// A denial ends a candidacy only where those who did not deny are no quorum any more.
+    fn denied(&mut self, now: Duration, from: &str, wait: Duration) {
+        if let CandidatePhase::Asking { denied, .. } = &mut self.phase {
+            denied.insert(from.to_owned());
+            let hopeless = !self.voter_set.is_quorum(|voter| !denied.contains(voter));
+            if hopeless {
+                self.give_up(now, wait.min(self.times.span));
+            }
         }
     }
 }
