--- /dev/null
+++ b/crates/explorer/src/disk.rs
@@ -0,0 +1,46 @@
+//! A node's disk, and the writes that it has not reported as synced.
+
+use protocol::DurableState;
+use std::collections::BTreeMap;
+
+/// A write that the disk has not reported as synced.
+#[derive(Clone, Hash)]
+pub(crate) struct Write {
+    pub ticket: u64,
+    pub content: Content,
+}
+
+#[derive(Clone, Hash)]
+pub(crate) enum Content {
+    State(DurableState),
+    Setup {
+        digest: String,
+        bytes: Vec<u8>,
+    },
+    /// A configuration that nothing refers to any more; nobody waits for this.
+    DroppedSetup {
+        digest: String,
+    },
+}
+
+/// One node's disk.
+#[derive(Clone, Debug, Default, Hash)]
+pub(crate) struct Disk {
+    pub durable: DurableState,
+    pub setups: BTreeMap<String, Vec<u8>>,
+}
+
+impl Disk {
+    /// Writes one thing.
+    pub fn apply(&mut self, content: &Content) {
+        match content {
+            Content::State(durable) => self.durable = durable.clone(),
+            Content::Setup { digest, bytes } => {
+                self.setups.insert(digest.clone(), bytes.clone());
+            }
+            Content::DroppedSetup { digest } => {
+                self.setups.remove(digest);
+            }
+        }
+    }
+}
--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -6,6 +6,7 @@
 //! that are too large to be searched. Each model has defects that can be switched on: broken twins whose violations
 //! must be found.
 
+mod disk;
 mod lease_model;
 mod model;
 mod network;
--- a/crates/explorer/src/register_history.rs
+++ b/crates/explorer/src/register_history.rs
@@ -1,20 +1,14 @@
 //! What an observer outside the system knows: what disks accepted, what operators were told. The invariants of the
 //! register are judged here.
 
+use crate::disk::Disk;
 use crate::model::{Invariant, Violation, node_index};
 use address::Code;
-use protocol::{Ballot, ClusterState, DurableState, VoterSet};
+use protocol::{Ballot, ClusterState, VoterSet};
 use quorum_register::Decision;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// One voter's disk.
-#[derive(Clone, Debug, Default, Hash)]
-pub(crate) struct Disk {
-    pub durable: DurableState,
-    pub setups: BTreeMap<String, Vec<u8>>,
-}
-
 impl Disk {
     fn has_decided(&self, order: &OrderFacts) -> bool {
         order.is_in(&self.durable.accepted)
