New voters wait for a span before they grant the lease; register and lease in one world

Cause: quorums of the voters before and after a whole change need not share a voter where their number is odd (of three with one replaced, two and two of four). A change begun and completed within a lease's span, the holder's grants from voters who left and one delayed message then brought a second holder about. Found by a new world of the explorer: nodes with the real register and the real lease, put together as the control plane does it, voters replaced at any moment. Change: a voter that has newly taken a place, or slept over a whole change, grants nothing for a span from the settled set it learns; before it has that set it denies requests that name it. Ruled out: waiting with the second step (the joint phase, which needs both majorities, would last a span longer, by the proposer's clock).

--- a/crates/drill/src/explore.rs
+++ b/crates/drill/src/explore.rs
@@ -1,8 +1,8 @@
 //! The bounded explorer of the register and the lease, with budgets from the command line.
 
 use explorer::{
-    LeaseBudget, LeaseModel, Limits, Model, RegisterModel, Scenario, Schedule, Trace, lease_scenarios,
-    register_scenarios, replay, search,
+    ControlBudget, ControlModel, ControlScenario, LeaseBudget, LeaseModel, Limits, Model, RegisterModel, Scenario,
+    Schedule, Trace, control_scenarios, lease_scenarios, register_scenarios, replay, search,
 };
 use std::time::Duration;
 
@@ -78,6 +78,17 @@
         scenario
     }
 
+    /// With as many voters as the scenario has: it names each of them.
+    fn control_scenario(&self, scenario: ControlScenario) -> ControlScenario {
+        let budget = ControlBudget {
+            schedule: self.schedule(scenario.budget.schedule),
+            crashes: self.crashes.unwrap_or(scenario.budget.crashes),
+            wipes: self.wipes.unwrap_or(scenario.budget.wipes),
+            ..scenario.budget
+        };
+        ControlScenario { budget, ..scenario }
+    }
+
     fn lease_budget(&self, budget: LeaseBudget) -> LeaseBudget {
         LeaseBudget {
             schedule: self.schedule(budget.schedule),
@@ -97,7 +108,7 @@
         let report = search(model, self.limits());
         let end = if report.complete { "searched to the end" } else { "bounded" };
         println!(
-            "{name:<18} {:>9} states {:>9} transitions, depth {:>3}, {end}, {:.1} s",
+            "{name:<26} {:>9} states {:>9} transitions, depth {:>3}, {end}, {:.1} s",
             report.states,
             report.transitions,
             report.depth,
@@ -115,7 +126,8 @@
 /// Complains of a scenario that does not exist.
 pub fn check(exploration: &Exploration) -> Result<(), String> {
     let names = register_scenarios().into_iter().map(|scenario| scenario.name);
-    let names: Vec<&str> = names.chain(lease_scenarios().into_iter().map(|(name, _)| name)).collect();
+    let names = names.chain(lease_scenarios().into_iter().map(|(name, _)| name));
+    let names: Vec<&str> = names.chain(control_scenarios().into_iter().map(|scenario| scenario.name)).collect();
     let known = names.iter().any(|name| exploration.is_wanted(name));
     known.then_some(()).ok_or_else(|| format!("--scenario: one of {}", names.join(", ")))?;
     let one = exploration.scenario.is_some();
@@ -135,7 +147,12 @@
         let voters = exploration.voters.unwrap_or(3);
         exploration.explore(name, &LeaseModel::new(voters, exploration.lease_budget(budget)))
     });
+    let scenarios = control_scenarios().into_iter().filter(|scenario| exploration.is_wanted(scenario.name));
+    let controls = scenarios.map(|scenario| {
+        let name = scenario.name;
+        exploration.explore(name, &ControlModel::new(exploration.control_scenario(scenario)))
+    });
     // Each is explored, also after one that found something.
-    let explored: Vec<bool> = registers.chain(leases).collect();
+    let explored: Vec<bool> = registers.chain(leases).chain(controls).collect();
     explored.into_iter().all(|fine| fine)
 }
--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -1,4 +1,4 @@
-//! A bounded model checker for the pure steps of the quorum register and the lease.
+//! A bounded model checker for the pure steps of the quorum register and the lease, each by itself and both in one world.
 //!
 //! A [`Model`] is a closed world: nodes that run the real `step` functions, their disks, the messages in flight and
 //! operators. [`search`] visits every state that some order of actions reaches within the model's budgets, breadth
@@ -6,7 +6,10 @@
 //! that are too large to be searched. Each model has defects that can be switched on: broken twins whose violations
 //! must be found.
 
+mod clocks;
+mod control_model;
 mod disk;
+mod holders;
 mod lease_model;
 mod model;
 mod network;
@@ -14,12 +17,14 @@
 mod register_model;
 mod scenarios;
 mod search;
+mod traffic;
 mod walk;
 
+pub use control_model::{ControlBudget, ControlDefect, ControlModel, ControlScenario, ControlWorld};
 pub use lease_model::{LeaseBudget, LeaseDefect, LeaseModel, LeaseWorld};
 pub use model::{Invariant, Model, Trace, Violation, replay};
 pub use network::Schedule;
 pub use register_model::{Order, RegisterBudget, RegisterDefect, RegisterModel, RegisterWorld, Scenario};
-pub use scenarios::{lease_scenarios, register_scenario, register_scenarios};
+pub use scenarios::{control_scenario, control_scenarios, lease_scenarios, register_scenario, register_scenarios};
 pub use search::{Limits, Report, search};
 pub use walk::{Choice, Walked, walk};
--- a/crates/explorer/src/scenarios.rs
+++ b/crates/explorer/src/scenarios.rs
@@ -1,5 +1,6 @@
 //! The scenarios that tests and the `drill explore` verb play.
 
+use crate::control_model::{ControlBudget, ControlScenario};
 use crate::lease_model::LeaseBudget;
 use crate::network::Schedule;
 use crate::register_model::{Order, RegisterBudget, Scenario};
@@ -87,6 +88,58 @@
     ]
 }
 
+/// Every scenario of register and lease in one world. The lease is held where a scenario begins, unless its name says
+/// otherwise, and one voter has not heard of that; `-begun` ones have the first replacement under way.
+///
+/// ```
+/// assert!(explorer::control_scenarios().iter().any(|scenario| scenario.name == "voters-lease"));
+/// ```
+pub fn control_scenarios() -> Vec<ControlScenario> {
+    let budget = ControlBudget { quantum: Duration::from_millis(120), passes: 8, ..ControlBudget::default() };
+    let slow = ControlBudget { quantum: Duration::from_millis(490), ..budget };
+    let completed = ControlBudget { proposals: 1, ..budget };
+    let plain = |name| ControlScenario {
+        replacements: vec![(0, 3)],
+        proposers: vec![2],
+        unaware: Some(1),
+        budget,
+        ..ControlScenario::new(name, 3)
+    };
+    let begun = |name| ControlScenario { begun: true, budget: completed, ..plain(name) };
+    let with = |scenario, budget| ControlScenario { budget, ..scenario };
+    vec![
+        ControlScenario { proposers: vec![0, 1, 2], ..plain("voters-lease") },
+        ControlScenario {
+            unaware: None,
+            budget: ControlBudget { passes: 12, ..budget },
+            ..plain("voters-lease-unheld")
+        },
+        with(begun("voters-lease-begun-stray"), ControlBudget { schedule: ONE_STRAY, ..completed }),
+        with(begun("voters-lease-begun-crash"), ControlBudget { crashes: 1, ..completed }),
+        with(begun("voters-lease-begun-wipe"), ControlBudget { wipes: 1, proposals: 1, ..slow }),
+        ControlScenario {
+            replicas: 2,
+            replacements: vec![(0, 3), (1, 4)],
+            budget: ControlBudget { proposals: 3, ..slow },
+            ..begun("voters-lease-begun-twice")
+        },
+        ControlScenario {
+            replacements: vec![(2, 3)],
+            proposers: vec![0],
+            ..with(begun("voters-lease-begun-holder"), ControlBudget { schedule: ONE_STRAY, ..completed })
+        },
+    ]
+}
+
+/// The scenario of register and lease with this name.
+///
+/// ```
+/// assert!(explorer::control_scenario("voters-lease-begun-stray").is_some_and(|scenario| scenario.begun));
+/// ```
+pub fn control_scenario(name: &str) -> Option<ControlScenario> {
+    control_scenarios().into_iter().find(|scenario| scenario.name == name)
+}
+
 /// The scenario with this name.
 ///
 /// ```
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The holder counts from the moment it asked and stops a margin before the end; a voter counts from the
 //! moment it granted. So the holder always stops first, whatever the network or a freeze does. A restarted
-//! voter grants nothing for one whole span, since it has forgotten whom it granted.
+//! voter grants nothing for one whole span, since it has forgotten whom it granted. Nor does a voter that has just taken
+//! another's place: it knows of no lease that the voters before it granted.
 
 mod hold_clock;
 
@@ -13,6 +14,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// How many epochs a change of the voters takes: begun, and settled.
+const EPOCHS_OF_A_CHANGE: u64 = 2;
+
 /// The lease's time values.
 #[derive(Clone, Copy, Debug, Hash)]
 pub struct Times {
@@ -247,6 +251,9 @@
         if voter_set == self.voter_set {
             return;
         }
+        if !self.stays_voter(&voter_set) {
+            self.quiet_until = self.quiet_until.max(self.grant_clock.now() + self.times.span);
+        }
         self.voter_set = voter_set;
         // What was asked of the voters before must not be granted among those after.
         let epoch = self.voter_set.epoch;
@@ -257,6 +264,22 @@
         }
     }
 
+    /// True where this node's vote counted, or it had none, in every settled set from the one known until now to a newer
+    /// one. Otherwise it has newly taken a place: a majority of the voters before, without it, may have granted a lease
+    /// that lasts. While a set is joint, a majority of those is asked too; once it has settled, nobody but the voters
+    /// who stayed remembers.
+    fn stays_voter(&self, newer: &VoterSet) -> bool {
+        let votes = |voter_set: &VoterSet| voter_set.voters.contains(&self.me);
+        let next_settled = newer.epoch <= self.voter_set.epoch + EPOCHS_OF_A_CHANGE;
+        !votes(newer) || (votes(&self.voter_set) && next_settled)
+    }
+
+    /// True while the set known here does not count this node's vote by itself, and the candidate knows a newer one: it
+    /// may be the one in which it does.
+    fn is_behind(&self, ask: &LeaseRequest) -> bool {
+        ask.voter_epoch > self.voter_set.epoch && !self.voter_set.voters.contains(&self.me)
+    }
+
     /// How long to wait before asking when the duty is free: one after the other, so that votes are not split.
     fn turn_wait(&mut self) -> Duration {
         let count = self.voter_set.members().count().max(1) as u64;
@@ -396,6 +419,7 @@
             Some(granted) if granted.holder != from => Some(granted.until - waited),
             _ => None,
         };
+        let wait = wait.or(self.is_behind(&ask).then_some(Duration::ZERO));
         let stale = outdated || ask.epoch <= self.granted_epoch;
         let known = self.seen_epoch;
         if wait.is_none() && renewal {
