Deliveries, syncs and the lease's observer once for all models of the explorer

One piece each: traffic.rs, holders.rs, clocks.rs. Choices keep their order, so traces replay as before.

--- a/crates/explorer/src/lease_model.rs
+++ b/crates/explorer/src/lease_model.rs
@@ -4,8 +4,11 @@
 //! runs fast or slow by as much as the bound allows. A node takes no notice before its `Tick`, so that one left out
 //! for some passes is a node that stood still.
 
+use crate::clocks::drifts;
+use crate::holders::{Holders, Holding};
 use crate::model::{Invariant, Model, Violation, fingerprint_of, node_index, node_name};
 use crate::network::{InFlight, Message, Network, Schedule};
+use crate::traffic::{self, Traffic, TrafficNode, TrafficWorld};
 use address::majority;
 use lease::{Effect, Event, Lease, Times};
 use protocol::{LeaseReply, Payload, VoterSet};
@@ -15,8 +18,6 @@
 
 const SPAN: Duration = Duration::from_millis(1500);
 const MARGIN: Duration = Duration::from_millis(500);
-/// The most that a clock may be off, in thousandths.
-const MAX_DRIFT: i64 = 10;
 /// How far a broken clock is off, in thousandths, and from which moment on.
 const BROKEN_FROM: Duration = Duration::from_millis(1800);
 const BROKEN_DRIFT: i64 = -800;
@@ -83,7 +84,7 @@
 }
 
 #[derive(Clone)]
-struct Node {
+pub(crate) struct Node {
     lease: Lease,
     /// The highest epoch on its disk.
     epoch: u64,
@@ -104,12 +105,23 @@
     }
 }
 
-/// Who held the lease, and under which epoch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Holding {
-    node: usize,
-    life: u64,
-    epoch: u64,
+impl TrafficNode for Node {
+    fn is_writing(&self) -> bool {
+        !self.writes.is_empty()
+    }
+
+    fn disk_is_stray(&self) -> bool {
+        self.disk_is_stray
+    }
+
+    fn make_disk_stray(&mut self) {
+        self.disk_is_stray = true;
+        self.renew_fingerprint();
+    }
+
+    fn is_awake(&self) -> bool {
+        !self.is_frozen
+    }
 }
 
 /// One state of the model.
@@ -118,8 +130,7 @@
     nodes: Vec<Arc<Node>>,
     network: Network,
     now: Duration,
-    first: Option<Holding>,
-    last: Option<Holding>,
+    holders: Holders,
     left: LeaseBudget,
     strays_left: u8,
     violation: Option<Violation>,
@@ -128,23 +139,7 @@
 /// What may happen next.
 #[derive(Clone, Copy, Debug)]
 pub enum LeaseAction {
-    Deliver {
-        message: usize,
-    },
-    Duplicate {
-        message: usize,
-    },
-    Sync {
-        node: usize,
-    },
-    /// The message whose turn it is comes at any later moment, or never.
-    StrayMessage {
-        message: usize,
-    },
-    /// The disk whose turn it is syncs at any later moment.
-    StrayDisk {
-        node: usize,
-    },
+    Traffic(Traffic),
     Freeze {
         node: usize,
     },
@@ -193,18 +188,14 @@
     /// assert!(model.violation(&model.initial()).is_none());
     /// ```
     pub fn with_defect(voters: usize, budget: LeaseBudget, defect: LeaseDefect) -> Self {
-        let drifts = [-MAX_DRIFT, MAX_DRIFT, 0, MAX_DRIFT / 2].into_iter().cycle().take(voters).collect();
+        let drifts = drifts(voters);
         let initial = LeaseWorld {
             nodes: Vec::new(),
             network: Network::new(budget.schedule),
             now: Duration::ZERO,
-            first: None,
-            last: None,
+            holders: Holders::default(),
             left: budget,
-            strays_left: match budget.schedule {
-                Schedule::InOrder { strays } => strays,
-                Schedule::AnyOrder => 0,
-            },
+            strays_left: traffic::strays_of(budget.schedule),
             violation: None,
         };
         let mut model = LeaseModel { defect, drifts, initial };
@@ -220,7 +211,7 @@
     /// assert_eq!(model.last_epoch(&model.initial()), 0);
     /// ```
     pub fn last_epoch(&self, world: &LeaseWorld) -> u64 {
-        world.last.map_or(0, |holding| holding.epoch)
+        world.holders.last.map_or(0, |holding| holding.epoch)
     }
 
     fn start_node(&self, at: usize, epoch: u64, born_at: Duration, lives: u64) -> Node {
@@ -342,21 +333,39 @@
         let holding = |at: usize| {
             let node = &world.nodes[at];
             let epoch = node.lease.holds(self.clock(world, at))?;
-            Some(Holding { node: at, life: node.lives, epoch })
+            Some(Holding { node: at, life: node.lives, epoch, founder: node.lease.is_founder(epoch) })
         };
         let holders: Vec<Holding> = (0..world.nodes.len()).filter_map(holding).collect();
-        if holders.len() > 1 {
-            return world.note(Invariant::OneHolder, format!("{holders:?}"));
-        }
-        let Some(holder) = holders.first().copied().filter(|holder| world.last != Some(*holder)) else { return };
-        if let Some(last) = world.last.filter(|last| last.epoch >= holder.epoch) {
-            return world.note(Invariant::EpochsRise, format!("{holder:?} comes after {last:?}"));
-        }
-        if world.first.is_some() && world.nodes[holder.node].lease.is_founder(holder.epoch) {
-            return world.note(Invariant::EpochsRise, format!("{holder:?} takes itself for the first"));
-        }
-        world.first = world.first.or(Some(holder));
-        world.last = Some(holder);
+        let checked = world.holders.observe(&holders);
+        world.note(checked);
+    }
+}
+
+impl TrafficWorld for LeaseWorld {
+    type Node = Node;
+
+    fn nodes(&self) -> &[Arc<Node>] {
+        &self.nodes
+    }
+
+    fn node_mut(&mut self, at: usize) -> &mut Node {
+        Arc::make_mut(&mut self.nodes[at])
+    }
+
+    fn network(&self) -> &Network {
+        &self.network
+    }
+
+    fn network_mut(&mut self) -> &mut Network {
+        &mut self.network
+    }
+
+    fn strays_left(&mut self) -> &mut u8 {
+        &mut self.strays_left
+    }
+
+    fn duplicates_left(&mut self) -> &mut u8 {
+        &mut self.left.duplicates
     }
 }
 
@@ -369,48 +378,21 @@
         !self.nodes[at].is_frozen
     }
 
-    /// The node whose disk syncs next, where everything comes in order.
-    fn disk_in_turn(&self) -> Option<usize> {
-        let ready = |node: &Arc<Node>| !node.writes.is_empty() && !node.disk_is_stray && !node.is_frozen;
-        self.nodes.iter().position(ready)
-    }
-
     /// Deliveries, syncs, ticks and the passing of time, whatever the order.
     fn any_order(&self) -> Vec<LeaseAction> {
-        let nodes = || 0..self.nodes.len();
-        let writing = nodes().filter(|at| !self.nodes[*at].writes.is_empty());
-        let deliveries = (0..self.network.len()).map(|message| LeaseAction::Deliver { message });
-        deliveries
-            .chain(writing.map(|node| LeaseAction::Sync { node }))
-            .chain(nodes().map(|node| LeaseAction::Tick { node }))
-            .chain((self.left.passes > 0).then_some(LeaseAction::Pass))
-            .collect()
+        let traffic = traffic::any_order(self).into_iter().map(LeaseAction::Traffic);
+        let ticks = (0..self.nodes.len()).map(|node| LeaseAction::Tick { node });
+        traffic.chain(ticks).chain((self.left.passes > 0).then_some(LeaseAction::Pass)).collect()
     }
 
-    /// What comes in turn, the strays, and what may become one.
+    /// What comes in turn, the strays, what may become one, and nodes that begin or end to stand still.
     fn in_order(&self) -> Vec<LeaseAction> {
-        let mut actions = Vec::new();
         let nodes = || 0..self.nodes.len();
-        let (disk, message) = (self.disk_in_turn(), self.network.next_in_turn());
-        let is_for_awake = |at: &usize| self.is_awake(self.network.message(*at).to);
-        if let Some(node) = disk {
-            actions.push(LeaseAction::Sync { node });
-        } else if let Some(message) = message {
-            // What comes for a node that stands still waits at its door.
-            let waits = !is_for_awake(&message);
-            actions.push(if waits { LeaseAction::StrayMessage { message } } else { LeaseAction::Deliver { message } });
-        } else if self.left.passes > 0 {
-            actions.push(LeaseAction::PassAndTick);
-        }
-        let strays = self.network.strays().filter(is_for_awake);
-        actions.extend(strays.map(|message| LeaseAction::Deliver { message }));
-        let stray_disks = nodes().filter(|at| self.nodes[*at].disk_is_stray && self.is_awake(*at));
-        actions.extend(stray_disks.map(|node| LeaseAction::Sync { node }));
-        if self.strays_left > 0 {
-            actions.extend(disk.map(|node| LeaseAction::StrayDisk { node }));
-            let message = message.filter(is_for_awake).filter(|_| disk.is_none());
-            actions.extend(message.map(|message| LeaseAction::StrayMessage { message }));
-        }
+        let traffic::InOrder { turn, others } = traffic::in_order(self, self.strays_left);
+        let pass = (self.left.passes > 0).then_some(LeaseAction::PassAndTick);
+        let first = turn.map(LeaseAction::Traffic).or(pass);
+        let mut actions: Vec<LeaseAction> =
+            first.into_iter().chain(others.into_iter().map(LeaseAction::Traffic)).collect();
         actions.extend(nodes().filter(|at| !self.is_awake(*at)).map(|node| LeaseAction::Thaw { node }));
         if self.left.freezes > 0 {
             actions.extend(nodes().filter(|at| self.is_awake(*at)).map(|node| LeaseAction::Freeze { node }));
@@ -424,8 +406,10 @@
     }
 
     /// The first violation stays.
-    fn note(&mut self, invariant: Invariant, detail: String) {
-        self.violation.get_or_insert(Violation { invariant, detail });
+    fn note(&mut self, checked: Result<(), Violation>) {
+        if self.violation.is_none() {
+            self.violation = checked.err();
+        }
     }
 }
 
@@ -453,8 +437,7 @@
             actions.extend(nodes().map(|node| LeaseAction::Wipe { node }));
         }
         if left.duplicates > 0 {
-            let awake = (0..world.network.len()).filter(|at| world.is_awake(world.network.message(*at).to));
-            actions.extend(awake.map(|message| LeaseAction::Duplicate { message }));
+            actions.extend(traffic::duplicates(world).into_iter().map(LeaseAction::Traffic));
         }
         actions
     }
@@ -462,28 +445,11 @@
     fn next(&self, world: &LeaseWorld, action: LeaseAction) -> LeaseWorld {
         let mut next = world.clone();
         match action {
-            LeaseAction::Deliver { message } => {
-                let in_flight = next.network.take(message);
-                self.deliver(&mut next, &in_flight);
-            }
-            LeaseAction::Duplicate { message } => {
-                next.left.duplicates -= 1;
-                let in_flight = next.network.copy(message);
-                self.deliver(&mut next, &in_flight);
+            LeaseAction::Traffic(traffic) => {
+                let deliver = |world: &mut LeaseWorld, in_flight: &InFlight| self.deliver(world, in_flight);
+                traffic::take(&mut next, traffic, deliver, |world, node| self.sync(world, node));
             }
-            LeaseAction::Sync { node } => self.sync(&mut next, node),
             LeaseAction::Tick { node } => self.tick(&mut next, node),
-            LeaseAction::StrayMessage { message } => {
-                let is_awake = next.is_awake(next.network.message(message).to);
-                next.strays_left -= u8::from(is_awake);
-                next.network.make_stray(message);
-            }
-            LeaseAction::StrayDisk { node } => {
-                next.strays_left -= 1;
-                let node = Arc::make_mut(&mut next.nodes[node]);
-                node.disk_is_stray = true;
-                node.renew_fingerprint();
-            }
             LeaseAction::Freeze { node } | LeaseAction::Thaw { node } => {
                 let freezes = next.is_awake(node);
                 next.left.freezes -= u8::from(freezes);
@@ -535,22 +501,12 @@
         let invariant: Option<Invariant> = world.violation.as_ref().map(|violation| violation.invariant);
         let network = world.network.fingerprints();
         let budget = (world.left, world.strays_left);
-        fingerprint_of(&(nodes, network, world.now, world.first, world.last, budget, invariant))
+        fingerprint_of(&(nodes, network, world.now, world.holders, budget, invariant))
     }
 
     fn describe(&self, world: &LeaseWorld, action: LeaseAction) -> String {
         match action {
-            LeaseAction::Deliver { message }
-            | LeaseAction::Duplicate { message }
-            | LeaseAction::StrayMessage { message } => {
-                let Message { from, to, body } = world.network.message(message);
-                let verb = match action {
-                    LeaseAction::Deliver { .. } => "deliver",
-                    LeaseAction::Duplicate { .. } => "duplicate",
-                    _ => "stray",
-                };
-                format!("{verb} v{from} -> v{to}: {body:?}")
-            }
+            LeaseAction::Traffic(traffic) => traffic::describe(world, traffic),
             LeaseAction::Tick { node } => format!("tick v{node} at {:?}", self.clock(world, node)),
             LeaseAction::Pass => format!("pass from {:?}", world.now),
             other => format!("{other:?}"),
--- a/crates/explorer/src/register_model/mod.rs
+++ b/crates/explorer/src/register_model/mod.rs
@@ -17,8 +17,9 @@
 
 use crate::disk::Disk;
 use crate::model::{fingerprint_of, node_index, node_name};
-use crate::network::{Network, Schedule};
+use crate::network::Network;
 use crate::register_history::OrderFacts;
+use crate::traffic;
 use quorum_register::{Change, Event, Register, Start, VoterPhase};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -74,10 +75,7 @@
                 history: Arc::default(),
                 history_fingerprint: 0,
                 left: scenario.budget,
-                strays_left: match scenario.schedule {
-                    Schedule::InOrder { strays } => strays,
-                    Schedule::AnyOrder => 0,
-                },
+                strays_left: traffic::strays_of(scenario.schedule),
                 asked,
                 violation: None,
             },
--- a/crates/explorer/src/register_model/play.rs
+++ b/crates/explorer/src/register_model/play.rs
@@ -4,7 +4,8 @@
 use super::world::{Node, RegisterAction, RegisterWorld};
 use crate::disk::Content;
 use crate::model::{Invariant, Model, Violation, fingerprint_of};
-use crate::network::{Message, Schedule};
+use crate::network::{InFlight, Schedule};
+use crate::traffic::{self, Traffic, shortened};
 use std::sync::Arc;
 
 impl Model for RegisterModel {
@@ -48,7 +49,7 @@
             actions.extend(self.proposals(world));
         }
         if left.duplicates > 0 {
-            actions.extend((0..world.network.len()).map(|message| RegisterAction::Duplicate { message }));
+            actions.extend(traffic::duplicates(world).into_iter().map(RegisterAction::Traffic));
         }
         actions
     }
@@ -56,27 +57,11 @@
     fn next(&self, world: &RegisterWorld, action: RegisterAction) -> RegisterWorld {
         let mut next = world.clone();
         match action {
-            RegisterAction::Deliver { message } => {
-                let in_flight = next.network.take(message);
-                self.deliver(&mut next, &in_flight);
-            }
-            RegisterAction::Duplicate { message } => {
-                next.left.duplicates -= 1;
-                let in_flight = next.network.copy(message);
-                self.deliver(&mut next, &in_flight);
-            }
-            RegisterAction::Sync { node } => {
-                self.sync(&mut next, node);
-            }
-            RegisterAction::StrayMessage { message } => {
-                next.strays_left -= 1;
-                next.network.make_stray(message);
-            }
-            RegisterAction::StrayDisk { node } => {
-                next.strays_left -= 1;
-                let node = Arc::make_mut(&mut next.nodes[node]);
-                node.disk_is_stray = true;
-                node.renew_fingerprint();
+            RegisterAction::Traffic(traffic) => {
+                let deliver = |world: &mut RegisterWorld, in_flight: &InFlight| self.deliver(world, in_flight);
+                traffic::take(&mut next, traffic, deliver, |world, node| {
+                    self.sync(world, node);
+                });
             }
             RegisterAction::TickAll => {
                 next.left.rounds -= 1;
@@ -144,18 +129,7 @@
 
     fn describe(&self, world: &RegisterWorld, action: RegisterAction) -> String {
         match action {
-            RegisterAction::Deliver { message }
-            | RegisterAction::Duplicate { message }
-            | RegisterAction::StrayMessage { message } => {
-                let Message { from, to, body } = world.network.message(message);
-                let verb = match action {
-                    RegisterAction::Deliver { .. } => "deliver",
-                    RegisterAction::Duplicate { .. } => "duplicate",
-                    _ => "stray",
-                };
-                format!("{verb} v{from} -> v{to}: {}", shortened(&format!("{body:?}")))
-            }
-            RegisterAction::Sync { node } => {
+            RegisterAction::Traffic(Traffic::Sync { node }) => {
                 let what = match world.nodes[node].writes.front().map(|write| &write.content) {
                     Some(Content::State(durable)) => {
                         format!("promised {:?} accepted {:?}", durable.promised, durable.accepted_at)
@@ -166,6 +140,7 @@
                 };
                 format!("sync v{node}: {what}")
             }
+            RegisterAction::Traffic(traffic) => traffic::describe(world, traffic),
             RegisterAction::Ask { order, node } => {
                 format!("ask v{node}: {}", shortened(&format!("{:?}", self.scenario.orders[order].change)))
             }
@@ -173,8 +148,3 @@
         }
     }
 }
-
-/// Long enough to be told apart in a trace.
-fn shortened(text: &str) -> String {
-    text.chars().take(160).collect()
-}
--- a/crates/explorer/src/register_model/world.rs
+++ b/crates/explorer/src/register_model/world.rs
@@ -5,13 +5,14 @@
 use crate::model::{Violation, fingerprint_of};
 use crate::network::Network;
 use crate::register_history::History;
+use crate::traffic::{self, Traffic, TrafficNode, TrafficWorld};
 use quorum_register::Register;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Clone)]
-pub(super) struct Node {
+pub(crate) struct Node {
     pub(super) register: Register,
     pub(super) disk: Disk,
     /// The disk before its last write, for the defect that forgets it.
@@ -41,23 +42,7 @@
 /// What may happen next.
 #[derive(Clone, Copy, Debug)]
 pub enum RegisterAction {
-    Deliver {
-        message: usize,
-    },
-    Duplicate {
-        message: usize,
-    },
-    Sync {
-        node: usize,
-    },
-    /// The message whose turn it is comes at any later moment, or never.
-    StrayMessage {
-        message: usize,
-    },
-    /// The disk whose turn it is syncs at any later moment.
-    StrayDisk {
-        node: usize,
-    },
+    Traffic(Traffic),
     Tick {
         node: usize,
     },
@@ -114,38 +99,17 @@
         self.note(checked);
     }
 
-    /// The node whose disk syncs next, where everything comes in order.
-    pub(super) fn disk_in_turn(&self) -> Option<usize> {
-        self.nodes.iter().position(|node| !node.writes.is_empty() && !node.disk_is_stray)
-    }
-
     /// Deliveries and syncs that may come next, whatever the order.
     pub(super) fn any_order(&self) -> Vec<RegisterAction> {
-        let writing = (0..self.nodes.len()).filter(|at| !self.nodes[*at].writes.is_empty());
-        let deliveries = (0..self.network.len()).map(|message| RegisterAction::Deliver { message });
-        deliveries.chain(writing.map(|node| RegisterAction::Sync { node })).collect()
+        traffic::any_order(self).into_iter().map(RegisterAction::Traffic).collect()
     }
 
     /// What comes in turn, the strays, and what may become one.
     pub(super) fn in_order(&self) -> Vec<RegisterAction> {
-        let mut actions = Vec::new();
-        let (disk, message) = (self.disk_in_turn(), self.network.next_in_turn());
-        if let Some(node) = disk {
-            actions.push(RegisterAction::Sync { node });
-        } else if let Some(message) = message {
-            actions.push(RegisterAction::Deliver { message });
-        } else if self.left.rounds > 0 {
-            actions.push(RegisterAction::TickAll);
-        }
-        actions.extend(self.network.strays().map(|message| RegisterAction::Deliver { message }));
-        let stray_disks = (0..self.nodes.len()).filter(|at| self.nodes[*at].disk_is_stray);
-        actions.extend(stray_disks.map(|node| RegisterAction::Sync { node }));
-        if self.strays_left > 0 {
-            actions.extend(disk.map(|node| RegisterAction::StrayDisk { node }));
-            let message = message.filter(|_| disk.is_none());
-            actions.extend(message.map(|message| RegisterAction::StrayMessage { message }));
-        }
-        actions
+        let traffic::InOrder { turn, others } = traffic::in_order(self, self.strays_left);
+        let ticks = (self.left.rounds > 0).then_some(RegisterAction::TickAll);
+        let first = turn.map(RegisterAction::Traffic).or(ticks);
+        first.into_iter().chain(others.into_iter().map(RegisterAction::Traffic)).collect()
     }
 
     /// The first violation stays.
@@ -159,3 +123,46 @@
 pub(super) fn disks(nodes: &[Arc<Node>]) -> Vec<&Disk> {
     nodes.iter().map(|node| &node.disk).collect()
 }
+
+impl TrafficNode for Node {
+    fn is_writing(&self) -> bool {
+        !self.writes.is_empty()
+    }
+
+    fn disk_is_stray(&self) -> bool {
+        self.disk_is_stray
+    }
+
+    fn make_disk_stray(&mut self) {
+        self.disk_is_stray = true;
+        self.renew_fingerprint();
+    }
+}
+
+impl TrafficWorld for RegisterWorld {
+    type Node = Node;
+
+    fn nodes(&self) -> &[Arc<Node>] {
+        &self.nodes
+    }
+
+    fn node_mut(&mut self, at: usize) -> &mut Node {
+        Arc::make_mut(&mut self.nodes[at])
+    }
+
+    fn network(&self) -> &Network {
+        &self.network
+    }
+
+    fn network_mut(&mut self) -> &mut Network {
+        &mut self.network
+    }
+
+    fn strays_left(&mut self) -> &mut u8 {
+        &mut self.strays_left
+    }
+
+    fn duplicates_left(&mut self) -> &mut u8 {
+        &mut self.left.duplicates
+    }
+}
