--- a/crates/controller/tests/keys.rs
+++ b/crates/controller/tests/keys.rs
@@ -240,6 +240,7 @@
     assert_eq!(given_after_signing_off(1000), 0, "it may serve on after its sign-off");
     assert_eq!(given_after_signing_off(2900), 0);
     assert_eq!(given_after_signing_off(4500), KEYS);
+}
 
 /// After all control nodes started anew nobody holds the placement lease, and carriers are told what the upstreams say that
 /// they hold. Where that took long, the nodes had no time left to agree on a holder, so it went on.
