An acknowledged departure of an upstream outlives the restart of control nodes

Cause: a departure counts as acknowledged once a majority of the voters took it in, and whoever is confirmed later shares a voter with that majority. But voters kept departures in memory only: where the shared voter was killed and started between, a node was current without knowing of it. A second cause showed in the same test: a control node that does not know all upstreams yet tells carriers to keep those they know, and named none that had departed unless it held a whole record of them; so after a restart of all control nodes carriers were told for 2.9 s (29 readings, every 100 ms) that a departed upstream takes work.

Change: a voter counts as having taken a departure in once its recent ones are written to one of two files in turn, by a thread of their own and without a sync; the next start reads them back if they are under 60 s old. What is told to carriers names departed upstreams without a record too.

Ruled out: not counting a voter that started lately costs up to 4.5 s of views where all are killed at once, or must be waived just then; writing them with the next state write comes too late, as at rest there is none for minutes; a sync of their own protects only against power cuts and waits behind those of orders (contact.md, ways weighed).

Before: both new tests of contact.rs fail (from the first reading, 100 ms after the restart). After: no breach in three kinds of departures with one voter restarted and with all, and all of the majority vouch within 1 s after the herd's restart. A site that forgets is caught in the same way.

Left: a power cut with a start within 4.5 s, and the replacement of a voter.

--- a/crates/controller/src/departures.rs
+++ b/crates/controller/src/departures.rs
@@ -1,4 +1,4 @@
-//! Upstreams that leave or are gone: acknowledged once a majority of the voters knows.
+//! Upstreams that leave or are gone: acknowledged once a majority of the voters knows, also after a restart.
 //!
 //! Every node that is confirmed by a majority asks it for the departures that it lacks along with the confirmation. Two
 //! majorities share a voter; so whoever is confirmed by a question asked after the acknowledgement knows of it, and so
@@ -15,7 +15,7 @@
 const PATIENCE: Duration = Duration::from_millis(700);
 /// How often the nodes that did not answer are told again.
 const TELL_EVERY: Duration = Duration::from_millis(200);
-/// Most departures that wait for their acknowledgement.
+/// Most departures that wait for their acknowledgement, and most answers that wait for the disk.
 const MOST_WAITING: usize = 4096;
 /// How long it is remembered that a majority knows, and of how many at most.
 const REMEMBERED: Duration = Duration::from_secs(60);
@@ -30,6 +30,14 @@
     next_tell: Duration,
 }
 
+/// What waits until the departures taken in here outlive this process.
+enum AfterKept {
+    /// The acknowledgement to the control node that told of one.
+    Ack { to: String, nonce: u64 },
+    /// A departure that was told here counts this node among those that took it in.
+    Own { nonce: u64 },
+}
+
 /// Departures on their way to a majority, and those that it knows.
 #[derive(Default)]
 pub(crate) struct Departures {
@@ -38,6 +46,11 @@
     known: BTreeMap<(String, String), (u32, Duration)>,
     /// The digest that came with the question being answered.
     asked_with: u64,
+    /// The last write of departures, and what waits for it; nothing where it is done.
+    ticket: u64,
+    being_kept: Vec<AfterKept>,
+    /// What waits for the write after it.
+    to_keep: Vec<AfterKept>,
 }
 
 /// Stands for a set of departures, in whatever order.
@@ -63,11 +76,43 @@
             return self.refuse(now, token, Code::Stale);
         }
         let nonce = self.random.next_u64().max(1);
-        let taken_by = BTreeSet::from([self.me.node.clone()]);
-        let wait = Wait { token, upstream, taken_by, until: now + PATIENCE, next_tell: now };
+        let wait = Wait { token, upstream, taken_by: BTreeSet::new(), until: now + PATIENCE, next_tell: now };
         self.departures.waiting.insert(nonce, wait);
+        self.keep_departures(now, AfterKept::Own { nonce });
         self.tell_waiting(now, nonce);
-        self.settle_departure(now, nonce);
+    }
+
+    /// Writes the departures known here; one write at a time takes all that came meanwhile.
+    fn keep_departures(&mut self, now: Duration, then: AfterKept) {
+        if self.departures.to_keep.len() < MOST_WAITING {
+            self.departures.to_keep.push(then);
+        }
+        self.begin_keeping(now);
+    }
+
+    fn begin_keeping(&mut self, now: Duration) {
+        if !self.departures.being_kept.is_empty() || self.departures.to_keep.is_empty() {
+            return;
+        }
+        self.departures.being_kept = std::mem::take(&mut self.departures.to_keep);
+        self.departures.ticket += 1;
+        let (ticket, departures) = (self.departures.ticket, self.recent_departures(now));
+        self.effects.push_back(Effect::KeepDepartures { ticket, departures });
+    }
+
+    /// What was known of departures when this write began is known in the next life of this process too.
+    pub(crate) fn departures_kept(&mut self, now: Duration, ticket: u64) {
+        if ticket != self.departures.ticket {
+            return;
+        }
+        std::mem::take(&mut self.departures.being_kept).into_iter().for_each(|then| match then {
+            AfterKept::Ack { to, nonce } => {
+                let body = Payload::BeatsAck(BeatsAck { nonce });
+                self.effects.push_back(Effect::Send { to, body });
+            }
+            AfterKept::Own { nonce } => self.beats_taken(now, self.me.node.clone(), BeatsAck { nonce }),
+        });
+        self.begin_keeping(now);
     }
 
     /// Tells those that did not answer yet.
@@ -80,7 +125,7 @@
         let voters = voter_set.members();
         let members = self.members.iter().filter(|member| member.roles == "postmaster").map(|member| &member.node);
         let all: BTreeSet<&String> = voters.chain(members).collect();
-        let others = all.into_iter().filter(|node| !wait.taken_by.contains(*node));
+        let others = all.into_iter().filter(|node| **node != self.me.node && !wait.taken_by.contains(*node));
         let sends = others.map(|node| Effect::Send { to: node.clone(), body: body.clone() });
         self.effects.extend(sends.collect::<Vec<_>>());
     }
@@ -89,8 +134,7 @@
     pub(crate) fn beats_told(&mut self, now: Duration, from: String, beats: Beats) {
         let dropped = beats.upstreams.into_iter().filter(|upstream| !self.take_told(now, upstream.clone())).count();
         if dropped == 0 && beats.nonce != 0 {
-            let body = Payload::BeatsAck(BeatsAck { nonce: beats.nonce });
-            self.effects.push_back(Effect::Send { to: from, body });
+            self.keep_departures(now, AfterKept::Ack { to: from, nonce: beats.nonce });
         }
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod anonymous_orders;
 mod contact;
+pub mod departure_writer;
 mod departures;
 mod dialect;
 pub mod disk;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -14,7 +14,9 @@
 use lease::HoldClock;
 use lease::Lease;
 use membership::Membership;
-use protocol::{DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest};
+use protocol::{
+    Departure, DurableState, Member, Payload, Placement, Share, Upstream, UpstreamsReply, UpstreamsRequest,
+};
 use quorum_register::{Change, OrderId, Register, VoterPhase};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -50,6 +52,8 @@
     pub owners: Owners,
     pub durable: DurableState,
     pub setups: BTreeMap<String, Vec<u8>>,
+    /// What an earlier process kept of the departures of its last minute.
+    pub departures: Vec<Departure>,
     pub times: Times,
 }
 
@@ -135,6 +139,10 @@
         ticket: u64,
     },
     DiskFailed,
+    /// The departures with this ticket outlive this process.
+    DeparturesKept {
+        ticket: u64,
+    },
     /// A write failed, and the disk tries it again until it is done.
     DiskRetrying,
     /// The write that failed is done.
@@ -164,6 +172,12 @@
         digest: String,
         bytes: Vec<u8>,
     },
+    /// Write these departures, without a sync and without waiting for other writes, then tell `DeparturesKept`. They
+    /// take the place of those written before.
+    KeepDepartures {
+        ticket: u64,
+        departures: Vec<Departure>,
+    },
     /// The file of this setup may go, after all writes before.
     DropSetup {
         digest: String,
@@ -269,13 +283,17 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    ///     durable: Default::default(), setups: Default::default(), times };
+    ///     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn new(start: Start) -> Self {
         let life = address::spread(&format!("life {}", start.seed)).max(1);
         let mut random = Random::new(start.seed);
-        let Start { me, seeds, roster_size, reader, owners, durable, setups, times, .. } = start;
+        let Start { me, seeds, roster_size, reader, owners, durable, setups, departures, times, .. } = start;
+        let mut roll = Roll::default();
+        departures.iter().for_each(|departure| {
+            roll.depart(Duration::ZERO, departure);
+        });
         let register = Register::new(quorum_register::Start {
             me: me.node.clone(),
             roster_size,
@@ -297,7 +315,7 @@
             owners,
             random,
             register,
-            roll: Roll::default(),
+            roll,
             duty: None,
             loads: KeyCounts::default(),
             placement: Placement::default(),
@@ -331,7 +349,7 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// #     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// assert_eq!(controller::ControlNode::new(start).edition(), 0);
     /// ```
     pub fn edition(&self) -> u64 {
@@ -343,7 +361,7 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// #     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// use controller::{Answer, Ask, Effect, Event, ControlNode};
     /// let mut control = ControlNode::new(start);
     /// let ask = Ask::Submit { id: "a".into(), base: None, bytes: b"{".to_vec(), in_force: false };
@@ -363,6 +381,7 @@
             Event::Ask { token, .. } if self.closing => self.refuse(now, token, Code::Closing),
             Event::Ask { token, ask } => self.ask(now, token, ask),
             Event::Kept { ticket } => self.run_register(now, quorum_register::Event::Kept { ticket }),
+            Event::DeparturesKept { ticket } => self.departures_kept(now, ticket),
             Event::DiskFailed => self.run_register(now, quorum_register::Event::DiskFailed),
             Event::DiskRetrying => self.disk_fails = true,
             Event::DiskRecovered => self.disk_fails = false,
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -42,7 +42,7 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// #     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// assert!(!controller::ControlNode::new(start).holds_placement(Default::default()));
     /// ```
     pub fn holds_placement(&self, now: Duration) -> bool {
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -1,5 +1,6 @@
 //! The thin shell: sockets, timers and the disk thread turn the world into events and carry out effects.
 
+use crate::departure_writer::DepartureWriter;
 use crate::dialect::Dialect;
 use crate::disk::{Disk, DiskCounts, DiskReport, Pauses, Write};
 use crate::node::{Answer, Ask, ControlNode, Effect, Event, Start, Times};
@@ -14,7 +15,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use storage::{Contents, Storage, Trouble};
 use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::net::UdpSocket;
@@ -131,6 +132,7 @@
     };
     let node = me.node.clone();
     log::info!("start: postmaster {node} in {}", me.locality);
+    let (departure_log, departures) = storage.departure_log(SystemTime::now());
     let mut control = ControlNode::new(Start {
         me,
         seeds: transport::seeds(&settings),
@@ -143,12 +145,14 @@
         owners: if settings.get("owners") == "one" { Owners::One } else { Owners::ByCaller },
         durable: contents.durable,
         setups: contents.setups,
+        departures,
         times: times(&settings),
     });
     let (events, mut inbox) = mpsc::channel(MOST_EVENTS);
     let (arrivals, mut arrived) = mpsc::channel(MOST_EVENTS);
     let links = Links::open(node, Some(link), arrivals);
     let disk = Disk::start(storage, Pauses::default(), clock, report_to(events.clone()));
+    let departure_log = DepartureWriter::start(departure_log, Pauses::default(), kept_to(events.clone()));
     let (close, closing) = watch::channel(false);
     let shared = Arc::new(Shared {
         events: events.clone(),
@@ -200,7 +204,7 @@
         let now = clock.now();
         let ticked = matches!(event, Event::Tick);
         let effects = control.step(now, event);
-        run(effects, &links, &probe, &disk, &mut answers);
+        run(effects, &links, &probe, (&disk, &departure_log), &mut answers);
         if control.may_end() && end_at.is_none() {
             // What is said now must still leave the process, and what was on its way be answered.
             end_at = Some(now + LAST_WORDS);
@@ -224,12 +228,13 @@
         effects: Vec<Effect>,
         links: &Links,
         probe: &UdpSocket,
-        disk: &Disk,
+        (disk, departure_log): (&Disk, &DepartureWriter),
         answers: &mut HashMap<u64, oneshot::Sender<Answer>>,
     ) {
         effects.into_iter().for_each(|effect| match effect {
             Effect::Keep { ticket, durable } => disk.write(Write::State { ticket, durable }),
             Effect::KeepSetup { ticket, digest, bytes } => disk.write(Write::Setup { ticket, digest, bytes }),
+            Effect::KeepDepartures { ticket, departures } => departure_log.write(ticket, departures),
             Effect::DropSetup { digest } => disk.write(Write::DropSetup { digest }),
             Effect::Answer { token, answer } => {
                 answers.remove(&token).into_iter().for_each(|waiting| drop(waiting.send(answer.clone())));
@@ -266,6 +271,11 @@
     }
 }
 
+/// Tells the core which departures are kept.
+fn kept_to(events: mpsc::Sender<(Event, Option<oneshot::Sender<Answer>>)>) -> impl Fn(u64) -> bool {
+    move |ticket| events.blocking_send((Event::DeparturesKept { ticket }, None)).is_ok()
+}
+
 /// Opens the data folder. While the disk is full or failing it is tried again; what only an operator can mend ends the
 /// start. None where the process is told to end first.
 async fn open_storage(folder: &str) -> Result<Option<(Storage, Contents)>, Report<NoStart>> {
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -85,12 +85,14 @@
         let stream = self.random.next_u64().max(1);
         let state = carrier_state(self.register.state());
         let (placement, edition, whole) = (Arc::new(self.bare_placement(now)), 0, self.is_settled(now));
+        // What it keeps of before must not hold those that departed meanwhile.
+        let departed = self.roll.departed().filter(|_| !whole);
         let snapshot = ViewUpdate {
             stream,
             number: 0,
             setup: self.register.squeezed_setup(),
             state: Some(state.clone()),
-            upstreams: self.roll.all(now).into_iter().map(plain).collect(),
+            upstreams: self.roll.all(now).into_iter().chain(departed).map(plain).collect(),
             placement: Some(Placement::clone(&placement)),
             keeps_upstreams: !whole,
             age_ms: self.confirmation_age_ms(now),
--- a/crates/controller/src/voters.rs
+++ b/crates/controller/src/voters.rs
@@ -208,7 +208,7 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// #     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// let mut control = controller::ControlNode::new(start);
     /// assert!(!control.may_end());
     /// control.step(Default::default(), controller::Event::Close);
@@ -223,7 +223,7 @@
     /// ```
     /// # let times = controller::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
     /// # let start = controller::Start { me: Default::default(), seeds: vec![], roster_size: 6, seed: 1, reader: Default::default(), owners: Default::default(),
-    /// #     durable: Default::default(), setups: Default::default(), times };
+    /// #     durable: Default::default(), setups: Default::default(), departures: vec![], times };
     /// assert!(controller::ControlNode::new(start).voters().is_empty());
     /// ```
     pub fn voters(&self) -> Vec<String> {
--- a/crates/controller/tests/contact.rs
+++ b/crates/controller/tests/contact.rs
@@ -3,7 +3,10 @@
 
 use address::Code;
 use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
-use protocol::{ClusterState, DurableState, Heard, Member, Payload, Probe, Upstream, VoterSet};
+use gazetteer::View;
+use protocol::{
+    ClusterState, Departure, DurableState, Heard, Member, Payload, Probe, UpdateRequest, Upstream, ViewUpdate, VoterSet,
+};
 use quorum_register::OrderId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -15,6 +18,8 @@
 const TICK: u64 = 20;
 /// A caller that hears nothing for so long goes on to another node.
 const SILENCE: u64 = 1000;
+/// A carrier that follows whomever it is led to.
+const CARRIER: &str = "carrier";
 
 /// A site of voters in virtual time, with cuts between them.
 struct Site {
@@ -27,6 +32,14 @@
     queue: VecDeque<(u64, usize, Event)>,
     answers: BTreeMap<u64, (u64, Answer)>,
     next_token: u64,
+    /// When each node was started: its clock begins there.
+    started: [u64; NODES.len()],
+    /// What each disk holds of departures.
+    departures: [Vec<Departure>; NODES.len()],
+    /// A broken system: control nodes that start again know of no departures of before.
+    forgets_departures: bool,
+    /// What was sent to [`CARRIER`].
+    told_carrier: Vec<Payload>,
 }
 
 impl Site {
@@ -34,12 +47,16 @@
     fn settled() -> Site {
         let mut site = Site {
             now: 0,
-            nodes: NODES.iter().map(|node| control(node)).collect(),
+            nodes: NODES.iter().map(|node| control(node, Vec::new())).collect(),
             cuts: BTreeSet::new(),
             loses: |_, _, _| false,
             queue: VecDeque::new(),
             answers: BTreeMap::new(),
             next_token: 0,
+            started: [0; NODES.len()],
+            departures: Default::default(),
+            forgets_departures: false,
+            told_carrier: Vec::new(),
         };
         (0..NODES.len()).for_each(|at| site.introduce(at));
         site.run_for(6000);
@@ -53,7 +70,8 @@
     }
 
     fn step(&mut self, at: usize, event: Event) {
-        let effects = self.nodes[at].step(MS(self.now), event);
+        let now = self.local(at);
+        let effects = self.nodes[at].step(now, event);
         effects.into_iter().for_each(|effect| match effect {
             Effect::Send { to, body } => self.send(at, &to, |from| Event::Received { from, body: body.clone() }, &body),
             Effect::Datagram { address, body: Payload::Probe(probe) } => {
@@ -64,6 +82,10 @@
             Effect::Keep { ticket, .. } | Effect::KeepSetup { ticket, .. } => {
                 self.queue.push_back((self.now + 1, at, Event::Kept { ticket }));
             }
+            Effect::KeepDepartures { ticket, departures } => {
+                self.departures[at] = departures;
+                self.queue.push_back((self.now + 1, at, Event::DeparturesKept { ticket }));
+            }
             Effect::Answer { token, answer } => {
                 self.answers.insert(token, (self.now, answer));
             }
@@ -71,7 +93,15 @@
         });
     }
 
+    /// What a node's clock says.
+    fn local(&self, at: usize) -> Duration {
+        MS(self.now - self.started[at])
+    }
+
     fn send(&mut self, from: usize, to: &str, event: impl Fn(String) -> Event, body: &Payload) {
+        if to == CARRIER {
+            self.told_carrier.push(body.clone());
+        }
         let Some(to) = NODES.iter().position(|node| *node == to) else { return };
         if !self.cuts.contains(&(from, to)) && !(self.loses)(from, to, body) {
             self.queue.push_back((self.now + DELAY, to, event(NODES[from].to_owned())));
@@ -122,8 +152,8 @@
     }
 
     fn holder(&self) -> usize {
-        let holds = |control: &ControlNode| control.holds_placement(MS(self.now));
-        self.nodes.iter().position(holds).expect("somebody holds the placement lease")
+        let holds = |at: &usize| self.nodes[*at].holds_placement(self.local(*at));
+        (0..NODES.len()).find(holds).expect("somebody holds the placement lease")
     }
 
     /// A node that does not hold the placement lease.
@@ -131,6 +161,43 @@
         (self.holder() + 1) % NODES.len()
     }
 
+    /// Splits the nodes into two parts that do not hear each other.
+    fn split(&mut self, part: &[usize]) {
+        let pairs = (0..NODES.len()).flat_map(|one| (0..NODES.len()).map(move |other| (one, other)));
+        self.cuts.extend(pairs.filter(|(one, other)| part.contains(one) != part.contains(other)));
+    }
+
+    /// Kills a process and starts it again at once: its memory and what was on its way to it are gone.
+    fn restart(&mut self, at: usize) {
+        self.queue.retain(|(_, to, _)| *to != at);
+        let kept = if self.forgets_departures { Vec::new() } else { self.departures[at].clone() };
+        self.nodes[at] = control(NODES[at], kept);
+        self.started[at] = self.now;
+        self.introduce(at);
+    }
+
+    /// Upstreams that take work in the eyes of a carrier that knew this one and now asks this node; none where the node
+    /// vouches for nothing.
+    fn followed(&mut self, at: usize, known: Upstream) -> Option<Vec<String>> {
+        self.told_carrier.clear();
+        let ask = Payload::UpdateRequest(UpdateRequest::default());
+        self.step(at, Event::Received { from: CARRIER.into(), body: ask });
+        let told = std::mem::take(&mut self.told_carrier);
+        let vouched = told.iter().any(|body| matches!(body, Payload::Freshness(_)));
+        let mut view = View::default();
+        let before = ViewUpdate { upstreams: vec![known], ..ViewUpdate::default() };
+        view.take(before, true).expect("no setup");
+        told.into_iter().for_each(|body| {
+            if let Payload::ViewUpdate(update) = body {
+                let image = update.number == 0;
+                view.take(update, image).expect("no setup");
+            }
+        });
+        let upstreams = view.upstreams.values().flat_map(|service| service.values());
+        let at_work = upstreams.filter(|upstream| upstream.condition == enrolment::READY);
+        vouched.then(|| at_work.map(|upstream| upstream.instance.clone()).collect())
+    }
+
     /// What a node knows of an instance.
     fn condition(&mut self, at: usize, instance: &str) -> Option<String> {
         let Some(Answer::Sheet(sheet)) = self.answer_at_once(at, Ask::Upstreams) else { return None };
@@ -153,7 +220,7 @@
     }
 }
 
-fn control(node: &str) -> ControlNode {
+fn control(node: &str, departures: Vec<Departure>) -> ControlNode {
     let settings = tariff::Settings::read(&[tariff::TIMES], None, &[]).expect("no flags");
     let roster: Vec<String> = NODES.iter().map(|node| (*node).to_owned()).collect();
     let accepted = ClusterState { voter_set: VoterSet::new(roster.clone()), ..ClusterState::default() };
@@ -166,6 +233,7 @@
         seed: u64::from(node.as_bytes()[0]),
         durable: DurableState { disk: 7, roster, accepted, ..DurableState::default() },
         setups: Default::default(),
+        departures,
         times: controller::shell::times(&settings),
     })
 }
@@ -410,3 +478,93 @@
     site.run_for(1500);
     (0..NODES.len()).for_each(|node| assert_eq!(site.condition(node, "u").as_deref(), Some("gone"), "{node}"));
 }
+
+/// Two nodes that heard nothing of it, and one that took it in: a majority without the others that did.
+const LATER_MAJORITY: [usize; 3] = [2, 3, 4];
+
+/// An upstream leaves or signs off at a node; three of five take it in, and it is acknowledged. Then the network parts
+/// those two that nobody else needs from the rest.
+fn departed_with_three_of_five(departure: Ask) -> Site {
+    let mut site = Site::settled();
+    site.answer(0, Ask::Beat(beat(1, enrolment::READY)));
+    site.run_for(600);
+    site.split(&[3, 4]);
+    let token = site.ask(0, departure);
+    site.run_for(3 * DELAY);
+    let answer = site.answers.remove(&token).map(|(_, answer)| answer);
+    assert!(acknowledged(&answer), "{answer:?}");
+    site.cuts.clear();
+    site.split(&LATER_MAJORITY);
+    site
+}
+
+/// The ways to depart: with beats that go on, without any, and at a node that did not know the upstream.
+fn departures() -> [Ask; 3] {
+    let unknown = Ask::SignOff { instance: "unknown".into() };
+    [Ask::Beat(beat(2, enrolment::LEAVING)), Ask::SignOff { instance: "u".into() }, unknown]
+}
+
+/// What the carrier knows of the upstream of [`departures`].
+fn known_to_the_carrier(departure: &Ask) -> Upstream {
+    match departure {
+        Ask::SignOff { instance } => Upstream { instance: instance.clone(), ..beat(1, enrolment::READY) },
+        _ => beat(1, enrolment::READY),
+    }
+}
+
+/// Nodes that vouch to a carrier for a departed upstream, in the two seconds in which its earlier view may still count
+/// and the seconds after, and how long it takes until all of the majority vouch.
+fn vouched_for_after(restarted: &[usize], departure: Ask, forgets: bool) -> (Vec<String>, u64) {
+    let known = known_to_the_carrier(&departure);
+    let mut site = departed_with_three_of_five(departure);
+    site.forgets_departures = forgets;
+    restarted.iter().for_each(|at| site.restart(*at));
+    let (restarted_at, mut breaches, mut all_vouch_after) = (site.now, Vec::new(), None);
+    while site.now < restarted_at + 5000 {
+        site.run_for(100);
+        let views = LATER_MAJORITY.map(|at| (at, site.followed(at, known.clone())));
+        let after = site.now - restarted_at;
+        let vouching = |(at, view): &(usize, Option<Vec<String>>)| {
+            view.as_ref()
+                .filter(|view| view.contains(&known.instance))
+                .map(|view| format!("{} after {after} ms: {view:?}", NODES[*at]))
+        };
+        breaches.extend(views.iter().filter_map(vouching));
+        all_vouch_after = all_vouch_after.or(views.iter().all(|(_, view)| view.is_some()).then_some(after));
+    }
+    (breaches, all_vouch_after.expect("a majority is in contact"))
+}
+
+#[test]
+fn an_acknowledged_departure_outlives_the_restart_of_a_voter_that_took_it_in() {
+    departures().into_iter().for_each(|departure| {
+        let told = format!("{departure:?}");
+        let (breaches, _) = vouched_for_after(&[2], departure, false);
+        assert_eq!(breaches, Vec::<String>::new(), "{told}");
+    });
+}
+
+/// All control nodes are killed at once: departures are known again, and nothing is served later for it.
+#[test]
+fn an_acknowledged_departure_outlives_a_restart_of_all_at_no_cost() {
+    departures().into_iter().for_each(|departure| {
+        let told = format!("{departure:?}");
+        let (breaches, all_vouch_after) = vouched_for_after(&[0, 1, 2, 3, 4], departure, false);
+        assert_eq!(breaches, Vec::<String>::new(), "{told}");
+        assert!(all_vouch_after <= 1000, "{all_vouch_after} ms");
+    });
+}
+
+#[test]
+fn voters_that_forget_departures_at_a_restart_are_caught() {
+    let [leaving, signed_off, unknown] = departures();
+    // What nobody else knew is vouched for only by nodes that have yet to hear of upstreams at all.
+    let all = [0, 1, 2, 3, 4].as_slice();
+    [([2].as_slice(), leaving.clone()), (&[2], signed_off.clone()), (all, leaving), (all, signed_off), (all, unknown)]
+        .into_iter()
+        .for_each(|(restarted, departure)| {
+            let told = format!("{restarted:?} {departure:?}");
+            let (breaches, _) = vouched_for_after(restarted, departure, true);
+            assert!(!breaches.is_empty(), "{told}");
+        });
+}
--- a/crates/controller/tests/gossip.rs
+++ b/crates/controller/tests/gossip.rs
@@ -32,6 +32,7 @@
         seed: 1,
         durable: Default::default(),
         setups: Default::default(),
+        departures: vec![],
         times: controller::shell::times(&settings),
     });
     let members = all.iter().filter(|(other, _)| *other != node).map(|(node, place)| member(node, place)).collect();
--- a/crates/controller/tests/keys.rs
+++ b/crates/controller/tests/keys.rs
@@ -34,7 +34,18 @@
     let longest_step = if trusts_jumps { Duration::MAX } else { times.longest_step };
     let times = controller::Times { longest_step, ..times };
     let (reader, owners) = Default::default();
-    ControlNode::new(Start { me, seeds: vec![], roster_size: 1, seed, reader, owners, durable, setups, times })
+    ControlNode::new(Start {
+        me,
+        seeds: vec![],
+        roster_size: 1,
+        seed,
+        reader,
+        owners,
+        durable,
+        setups,
+        departures: vec![],
+        times,
+    })
 }
 
 impl Site {
@@ -74,6 +85,7 @@
                     self.setups.insert(digest, bytes);
                     events.push(Event::Kept { ticket });
                 }
+                Effect::KeepDepartures { ticket, .. } => events.push(Event::DeparturesKept { ticket }),
                 Effect::Answer { token, answer } => self.answers.push((token, answer)),
                 Effect::Send { body: Payload::SharesRequest(ask), .. } => self.asked.push(ask),
                 _ => {}
--- a/crates/controller/tests/repair.rs
+++ b/crates/controller/tests/repair.rs
@@ -25,6 +25,7 @@
         owners: Default::default(),
         durable,
         setups,
+        departures: vec![],
         times: controller::shell::times(&settings),
     })
 }
--- a/crates/controller/tests/site/mod.rs
+++ b/crates/controller/tests/site/mod.rs
@@ -37,6 +37,7 @@
             seed: 1,
             durable: Default::default(),
             setups: Default::default(),
+            departures: vec![],
             times: controller::shell::times(&settings),
         });
         Site { control, now: Duration::ZERO, answers: Vec::new(), updates: Vec::new() }
@@ -46,6 +47,7 @@
         let effects = self.control.step(self.now, event);
         effects.into_iter().for_each(|effect| match effect {
             Effect::Keep { ticket, .. } | Effect::KeepSetup { ticket, .. } => self.step(Event::Kept { ticket }),
+            Effect::KeepDepartures { ticket, .. } => self.step(Event::DeparturesKept { ticket }),
             Effect::Answer { answer, .. } => self.answers.push(answer),
             Effect::Send { body: Payload::ViewUpdate(update), .. } => self.updates.push(update),
             _ => {}
--- a/crates/drill/src/hollow/fleet.rs
+++ b/crates/drill/src/hollow/fleet.rs
@@ -179,6 +179,7 @@
                 owners: Default::default(),
                 durable,
                 setups,
+                departures: Vec::new(),
                 times,
             })))
         };
--- a/crates/drill/src/hollow/steps.rs
+++ b/crates/drill/src/hollow/steps.rs
@@ -66,6 +66,9 @@
             controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.keep(at, ticket, Write::Setup(digest, bytes));
             }
+            controller::Effect::KeepDepartures { ticket, .. } => {
+                self.step_control(at, "kept", controller::Event::DeparturesKept { ticket });
+            }
             controller::Effect::DropSetup { digest } => drop(self.nodes[at].setups.remove(&digest)),
             controller::Effect::Answer { token, answer } => self.answered(at, token, answer),
             controller::Effect::Addresses(book) => self.look_up(at, &book),
--- a/crates/drill/src/sim/disks.rs
+++ b/crates/drill/src/sim/disks.rs
@@ -3,12 +3,44 @@
 use super::nodes::Core;
 use super::world::{Action, World};
 use controller::Event;
+use protocol::Departure;
 use std::time::Duration;
 
 /// Between two tries of a write that was refused.
 const RETRY_EVERY: Duration = Duration::from_millis(100);
 
+/// A write without a sync.
+const UNSYNCED: Duration = Duration::from_micros(100);
+/// How long a control node that starts again believes what it finds of departures.
+const DEPARTURES_REMEMBERED: Duration = Duration::from_secs(60);
+
 impl World {
+    /// Departures are written beside all that waits for a sync.
+    pub(super) fn keep_departures(&mut self, at: usize, ticket: u64, departures: Vec<Departure>) {
+        let life = self.nodes[at].life;
+        self.after(UNSYNCED, Action::Departures { node: at, life, ticket, departures });
+    }
+
+    pub(super) fn departures_kept(&mut self, at: usize, life: u64, ticket: u64, departures: Vec<Departure>) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if node.life != life {
+            return;
+        }
+        if node.frozen.is_some() || node.disk.hung || node.disk.refuses || node.disk.broken {
+            return self.after(RETRY_EVERY, Action::Departures { node: at, life, ticket, departures });
+        }
+        node.disk.departures = Some((now, departures));
+        self.tell_disk(at, Event::DeparturesKept { ticket });
+    }
+
+    /// What a control node that starts now finds of departures.
+    pub(super) fn departures_found(&self, at: usize) -> Vec<Departure> {
+        let found = self.nodes[at].disk.departures.as_ref();
+        let found = found.filter(|(written_at, _)| self.now < *written_at + DEPARTURES_REMEMBERED);
+        found.map(|(_, departures)| departures.clone()).unwrap_or_default()
+    }
+
     /// The first write that waits is refused: it stays, and is tried again.
     pub(super) fn refuse_write(&mut self, at: usize) {
         if self.weak.gives_disks_up {
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -7,7 +7,7 @@
 use carrier::Carrier;
 use controller::{Answer, Ask, ControlNode};
 use gazetteer::SetupReader;
-use protocol::{BeatsAck, DurableState, Envelope, Member, Message, Payload, ReadBack};
+use protocol::{BeatsAck, Departure, DurableState, Envelope, Member, Message, Payload, ReadBack};
 use sorting::{Board, Outcome, Site};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -48,6 +48,8 @@
 pub struct Disk {
     pub durable: DurableState,
     pub setups: BTreeMap<String, Vec<u8>>,
+    /// Departures, and when they were written. They are never synced: a power cut takes them.
+    pub departures: Option<(Duration, Vec<Departure>)>,
     pub waiting: VecDeque<Write>,
     /// How much longer a sync takes than it should.
     pub slowed: Duration,
@@ -238,6 +240,7 @@
         let roster_size = self.shape.disks;
         let reader = if self.weak.unnumbered { SetupReader(read_unnumbered) } else { SetupReader::default() };
         let now = self.now;
+        let departures = self.departures_found(at);
         let node = &mut self.nodes[at];
         if node.removed {
             return;
@@ -272,6 +275,7 @@
                 owners: Default::default(),
                 durable,
                 setups,
+                departures,
                 times,
             };
             Core::ControlNode(Box::new(ControlNode::new(start)))
@@ -437,6 +441,7 @@
             controller::Effect::KeepSetup { ticket, digest, bytes } => {
                 self.write(at, Write::Setup(ticket, digest, bytes));
             }
+            controller::Effect::KeepDepartures { ticket, departures } => self.keep_departures(at, ticket, departures),
             controller::Effect::DropSetup { digest } => self.write(at, Write::Drop(digest)),
             controller::Effect::Answer { token, answer } => self.control_answered(at, token, answer),
             controller::Effect::Addresses(_) | controller::Effect::Note(_) | controller::Effect::Alarm(_) => {}
@@ -472,6 +477,7 @@
         let Some(write) = node.disk.waiting.pop_front() else { return };
         let powerless = node.disk.power_at.take_if(|(left, _)| *left == 0);
         node.disk.power_at = node.disk.power_at.map(|(left, synced)| (left - 1, synced));
+        node.disk.departures.take_if(|_| powerless.is_some());
         if powerless == Some((0, false)) {
             return self.kill(at);
         }
--- a/crates/drill/src/sim/world.rs
+++ b/crates/drill/src/sim/world.rs
@@ -12,7 +12,7 @@
 use crate::rules::{Violation, judge};
 use crate::shapes::{ROADWISE, Shape};
 use address::Random;
-use protocol::Share;
+use protocol::{Departure, Share};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::{Arc, Mutex};
@@ -31,6 +31,7 @@
     Tick { node: usize, life: u64 },
     Deliver { node: usize, event: NodeEvent },
     Disk { node: usize, life: u64 },
+    Departures { node: usize, life: u64, ticket: u64, departures: Vec<Departure> },
     Beat { unit: usize, life: u64 },
     BeatAgain { unit: usize, life: u64, beat: u64 },
     RangesAnswer { unit: usize, life: u64, beat: u64, sent_at: Duration, shares: Vec<Share>, span: Duration },
@@ -393,6 +394,9 @@
             Action::Tick { node, life } => self.tick(node, life),
             Action::Deliver { node, event } => self.deliver(node, event),
             Action::Disk { node, life } => self.disk_done(node, life),
+            Action::Departures { node, life, ticket, departures } => {
+                self.departures_kept(node, life, ticket, departures)
+            }
             Action::Beat { unit, life } => self.beat(unit, life),
             Action::BeatAgain { unit, life, beat } => self.beat_again(unit, life, beat),
             Action::BeatAnswer { unit, life, beat, sent_at, sheet } => {
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -276,12 +276,8 @@
         std::mem::take(&mut self.changed)
             .into_iter()
             .map(|id| {
-                self.entries.get(&id).map(|entry| Self::aged(entry, now)).unwrap_or_else(|| Upstream {
-                    service: id.0,
-                    instance: id.1,
-                    condition: GONE,
-                    ..Upstream::default()
-                })
+                let known = self.entries.get(&id).map(|entry| Self::aged(entry, now));
+                known.unwrap_or_else(|| Self::forgotten(&id))
             })
             .collect()
     }
@@ -359,6 +355,8 @@
         if known.is_empty() && self.departed_condition(&named, *beat) < *condition {
             let room = self.departed.len() < MOST_UPSTREAMS || self.departed.contains_key(&named);
             if room {
+                // Whoever follows this node may still know it.
+                self.changed.insert(named.clone());
                 self.departed.insert(named, Departed { condition: *condition, beat: *beat, known_since: now });
             }
             return room;
@@ -388,6 +386,25 @@
         known.map(|departed| departed.condition).max().unwrap_or(READY)
     }
 
+    /// Those that departed and have no entry: whoever still knows one of them is to forget it. Without a service it is
+    /// whoever has this instance id.
+    ///
+    /// ```
+    /// let (mut roll, now) = (enrolment::Roll::default(), std::time::Duration::ZERO);
+    /// roll.depart(now, &protocol::Departure { instance: "a".into(), condition: 1, ..Default::default() });
+    /// assert_eq!(roll.departed().map(|gone| gone.condition).collect::<Vec<_>>(), [enrolment::GONE]);
+    /// assert_eq!(roll.changes(now).len(), 1);
+    /// ```
+    pub fn departed(&self) -> impl Iterator<Item = Upstream> {
+        self.departed.keys().map(Self::forgotten)
+    }
+
+    /// What is told of an upstream that has no entry.
+    fn forgotten((service, instance): &Id) -> Upstream {
+        let (service, instance) = (service.clone(), instance.clone());
+        Upstream { service, instance, condition: GONE, ..Upstream::default() }
+    }
+
     /// Those that said within this span that they leave or are gone.
     ///
     /// ```
--- a/crates/gazetteer/src/view.rs
+++ b/crates/gazetteer/src/view.rs
@@ -117,6 +117,12 @@
         if !news.upstreams.is_empty() {
             let known = Arc::make_mut(&mut self.upstreams);
             news.upstreams.into_iter().for_each(|upstream| {
+                if upstream.service.is_empty() {
+                    // It signed off where nobody knew its service.
+                    let gone = upstream.condition >= 2;
+                    known.values_mut().filter(|_| gone).for_each(|service| drop(service.remove(&upstream.instance)));
+                    return;
+                }
                 let service = known.entry(upstream.service.clone()).or_default();
                 if upstream.condition >= 2 {
                     service.remove(&upstream.instance);
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -533,6 +533,19 @@
     pub beat: u64,
 }
 
+/// Recent departures, as a control node keeps them on its disk for its next life.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct DeparturesFile {
+    /// Each write's is higher than the one before.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// By the system's clock, since 1970.
+    #[prost(uint64, tag = "2")]
+    pub written_at_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub departures: Vec<Departure>,
+}
+
 /// A majority read by a node that knows of recent departures: their digest goes along, and a voter that knows others
 /// names its own in the answer. So whoever is confirmed by a majority knows what a majority knew before.
 #[derive(Clone, PartialEq, Hash, Message)]
--- /dev/null
+++ b/crates/storage/src/departures.rs
@@ -0,0 +1,94 @@
+//! Departures of upstreams, kept for the next life of this process.
+//!
+//! They are never synced: what is written outlives the end of the process, and a machine that lost its power starts
+//! again only after the few seconds in which they matter. Two files are written in turn, so that a write that was cut
+//! short leaves the one before.
+
+use crate::error::StorageError;
+use crate::failed;
+use crate::files::FileSystem;
+use error_stack::Report;
+use protocol::{Departure, DeparturesFile};
+use redb::StorageBackend;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const FILES: [&str; 2] = ["departures.0", "departures.1"];
+/// How long departures are remembered over a restart: as long as in memory.
+const REMEMBERED: Duration = Duration::from_secs(60);
+/// Ahead of each record stands its length, since the file may hold the end of a longer one behind it.
+const LENGTH_BYTES: usize = 8;
+
+/// The two files. Not for several threads.
+pub struct DepartureLog {
+    files: Arc<dyn FileSystem>,
+    folder: PathBuf,
+    open: [Option<Box<dyn StorageBackend>>; 2],
+    sequence: u64,
+}
+
+fn since_epoch_ms(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).map(|since| since.as_millis() as u64).unwrap_or(0)
+}
+
+/// The whole record in the file's bytes.
+fn decode(bytes: &[u8]) -> Option<DeparturesFile> {
+    let (length, rest) = bytes.split_at_checked(LENGTH_BYTES)?;
+    let length = u64::from_be_bytes(length.try_into().ok()?);
+    protocol::unpack(rest.get(..usize::try_from(length).ok()?)?)
+}
+
+fn encode(record: &DeparturesFile) -> Vec<u8> {
+    let packed = protocol::pack(record);
+    [(packed.len() as u64).to_be_bytes().as_slice(), &packed].concat()
+}
+
+impl DepartureLog {
+    /// Opens the log in a data folder that this process has locked; gives what an earlier process wrote there at most
+    /// 60 s before `now`. Files that can't be read count as missing.
+    pub(crate) fn open(files: Arc<dyn FileSystem>, folder: &Path, now: SystemTime) -> (DepartureLog, Vec<Departure>) {
+        let records = FILES.iter().filter_map(|name| decode(&files.read(&folder.join(name)).ok()?));
+        let latest = records.max_by_key(|record| record.sequence).unwrap_or_default();
+        let log = DepartureLog { files, folder: folder.to_owned(), open: [None, None], sequence: latest.sequence };
+        let age_ms = since_epoch_ms(now).checked_sub(latest.written_at_ms);
+        let recent = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < REMEMBERED);
+        (log, if recent { latest.departures } else { Vec::new() })
+    }
+
+    /// Writes these departures in the place of those of the write before the last one.
+    ///
+    /// ```
+    /// use std::time::{Duration, SystemTime};
+    /// let folder = std::env::temp_dir().join(format!("storage-departures-{}", std::process::id()));
+    /// let (storage, _) = storage::Storage::open(&folder).unwrap();
+    /// let leaves = protocol::Departure { instance: "a".into(), condition: 1, ..Default::default() };
+    /// let now = SystemTime::now();
+    /// let mut log = storage.departure_log(now).0;
+    /// log.keep(vec![leaves.clone()], now).unwrap();
+    /// assert_eq!(storage.departure_log(now).1, [leaves]);
+    /// assert!(storage.departure_log(now + Duration::from_secs(60)).1.is_empty(), "it is over");
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn keep(&mut self, departures: Vec<Departure>, now: SystemTime) -> Result<(), Report<StorageError>> {
+        self.sequence += 1;
+        let record = DeparturesFile { sequence: self.sequence, written_at_ms: since_epoch_ms(now), departures };
+        let written = self.write(&encode(&record));
+        if written.is_err() {
+            // The next try may find the disk repaired, with other files.
+            self.open = [None, None];
+        }
+        written.map_err(failed("cannot write departures"))
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let turn = (self.sequence % 2) as usize;
+        if self.open[turn].is_none() {
+            let path = self.folder.join(FILES[turn]);
+            let known = self.files.exists(&path)?;
+            self.open[turn] = Some(self.files.open_database(&path, !known)?);
+        }
+        self.open[turn].iter().try_for_each(|file| file.write(0, bytes))
+    }
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -3,17 +3,19 @@
 //!
 //! The order of the steps, and what a loss of power leaves after each, is in docs/design/control/disks.md.
 
+mod departures;
 mod error;
 mod files;
 mod state_file;
 mod witness;
 
+pub use departures::DepartureLog;
 pub use error::{StorageError, Trouble};
 pub use files::{FileSystem, FolderLock, NewFile, RealFiles};
 pub use redb::StorageBackend;
 
 use error_stack::Report;
-use protocol::DurableState;
+use protocol::{Departure, DurableState};
 use redb::Database;
 use state_file::{Numbered, Opened};
 use std::collections::BTreeMap;
@@ -21,6 +23,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::SystemTime;
 use witness::Witness;
 
 const STATE_FILE: &str = "word.redb";
@@ -153,6 +156,19 @@
         Ok(contents)
     }
 
+    /// The departures of upstreams in this folder, which has to stay open meanwhile: where to write them, from whichever
+    /// thread, and those that an earlier process wrote less than a minute before `now`.
+    ///
+    /// ```
+    /// let folder = std::env::temp_dir().join(format!("storage-log-{}", std::process::id()));
+    /// let (storage, _) = storage::Storage::open(&folder).unwrap();
+    /// assert!(storage.departure_log(std::time::SystemTime::now()).1.is_empty());
+    /// std::fs::remove_dir_all(&folder).unwrap();
+    /// ```
+    pub fn departure_log(&self, now: SystemTime) -> (DepartureLog, Vec<Departure>) {
+        DepartureLog::open(self.files.clone(), &self.folder, now)
+    }
+
     fn path(&self, name: &str) -> PathBuf {
         self.folder.join(name)
     }
--- a/crates/storage/tests/failures.rs
+++ b/crates/storage/tests/failures.rs
@@ -3,10 +3,11 @@
 mod simulated;
 
 use address::Random;
-use protocol::DurableState;
+use protocol::{Departure, DurableState};
 use simulated::{Loss, Omits, SimulatedDisk};
 use std::path::Path;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 use storage::{Contents, Storage, Trouble};
 
 const FOLDER: &str = "/data";
@@ -222,3 +223,41 @@
     assert!(Storage::open(&folder).is_ok());
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+fn departures(count: usize) -> Vec<Departure> {
+    (0..count).map(|at| Departure { instance: format!("unit-{at}"), condition: 1, ..Default::default() }).collect()
+}
+
+/// A process that is killed in the middle of a write leaves any part of it.
+#[test]
+fn a_write_of_departures_that_was_cut_short_leaves_the_one_before() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (storage, _) = open(&disk);
+    let now = SystemTime::now();
+    let mut log = storage.departure_log(now).0;
+    // The longer one's end stays behind the shorter one.
+    [7, 9, 3, 2].into_iter().for_each(|count| log.keep(departures(count), now).unwrap());
+    assert_eq!(storage.departure_log(now).1, departures(2));
+    let newest = Path::new("/data/departures.0");
+    let whole = 8 + 64 + departures(2).len();
+    (0..whole).for_each(|kept| {
+        disk.rot(newest, |bytes| bytes.iter_mut().skip(kept).for_each(|byte| *byte = !*byte));
+        assert_eq!(storage.departure_log(now).1, departures(3), "{kept} bytes were written");
+        disk.rot(newest, |bytes| bytes.iter_mut().skip(kept).for_each(|byte| *byte = !*byte));
+    });
+    assert_eq!(storage.departure_log(now).1, departures(2), "the test mended it each time");
+}
+
+#[test]
+fn departures_are_written_on_over_a_start_and_forgotten_after_a_minute() {
+    let disk = SimulatedDisk::new(Omits::Nothing);
+    let (storage, _) = open(&disk);
+    let (now, minute) = (SystemTime::now(), Duration::from_secs(60));
+    (1..6).for_each(|count| {
+        let (mut log, found) = storage.departure_log(now);
+        assert_eq!(found, departures(count - 1));
+        log.keep(departures(count), now).unwrap();
+    });
+    assert!(storage.departure_log(now + minute).1.is_empty(), "an instance id may be in use again");
+    assert!(storage.departure_log(now - minute).1.is_empty(), "the clock was set back: nobody knows how old they are");
+}
