Links drop what waited over a second and close what is not acknowledged in two

Cause: Beats and Alive tell ages as of their sending. A link's queue kept up to 512 messages for as long as its other side took nothing, and the kernel what it was handed for minutes; what came out after a cut or a freeze seemed younger than it was, so an upstream that died without a word was kept longer.

Change: each message in the queue knows since when it waits, and is dropped after 1 s; links set the kernel's bound on unacknowledged bytes (2 s), through the same function as connections to upstreams (0.5 s).

Every kind of message is safe to lose: a full queue dropped them before.

Before: with the drop taken out, the message that waited a second arrives first (the new test fails). After: it does not, and one that waited 1 ms less does. The kernel's bound is checked on a socket by the function's example; that a stalled peer's link is closed by it was not measured.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -6,7 +6,7 @@
 
 use crate::call::{Called, Reply};
 use crate::identity::{self, AnswerId, Belongs, Came};
-use crate::wire::{Progress, Record, Wire};
+use crate::wire::{Progress, Record, Wire, close_unacknowledged_after};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -14,7 +14,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::future::{Future, poll_fn};
 use std::pin::pin;
 use std::task::Poll;
@@ -77,7 +76,7 @@
             let _ = stream.set_nodelay(true);
             // What the other side's machine does not take soon is not delivered at all: a request may not
             // lie in a cut network and arrive when it is not allowed any more.
-            let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CONNECT_WITHIN));
+            close_unacknowledged_after(&stream, CONNECT_WITHIN);
             http1::handshake(TokioIo::new(Wire::new(stream, record.clone()))).await.ok()
         };
         let opened = tokio::time::timeout(within.min(CONNECT_WITHIN), opened).await.ok().flatten();
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -1,6 +1,7 @@
 //! Held connections to other processes. A envelope to a node goes over the connection that is open, or a new
 //! one; where neither works it is dropped, as any message may be.
 
+use crate::wire::close_unacknowledged_after;
 use futures::{SinkExt, StreamExt};
 use protocol::{Envelope, Frames, Message, Payload};
 use std::collections::{BTreeMap, HashMap};
@@ -9,6 +10,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 const MOST_FRAME_BYTES: usize = 16 * 1024 * 1024;
@@ -17,17 +19,39 @@
 const MOST_LINKS: usize = 4096;
 const CONNECT_WITHIN: Duration = Duration::from_millis(800);
 const WRITE_WITHIN: Duration = Duration::from_secs(3);
+/// What waited so long to be sent is dropped: messages tell ages as of their sending, and none of them may be counted on.
+pub const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// A link whose other side takes nothing for so long is closed, with all that lies in the kernel: no view in use is
+/// older, so nothing in it is missed.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(2);
+
+/// A message in a link's queue.
+struct Waiting {
+    envelope: Envelope,
+    since: Instant,
+}
+
+impl Waiting {
+    fn now(envelope: Envelope) -> Waiting {
+        Waiting { envelope, since: Instant::now() }
+    }
+
+    /// The message, where it is still worth sending.
+    fn in_time(self) -> Option<Envelope> {
+        Some(self.envelope).filter(|_| self.since.elapsed() < LONGEST_WAIT)
+    }
+}
 
 #[derive(Default)]
 struct Table {
-    open: HashMap<String, mpsc::Sender<Envelope>>,
+    open: HashMap<String, mpsc::Sender<Waiting>>,
     addresses: HashMap<String, String>,
 }
 
 /// Messages and bytes sent since the start, by kind.
 pub type Sent = BTreeMap<&'static str, (u64, u64)>;
 
-type Waitlist = (mpsc::Sender<Envelope>, mpsc::Receiver<Envelope>);
+type Waitlist = (mpsc::Sender<Waiting>, mpsc::Receiver<Waiting>);
 
 /// All links of one process.
 #[derive(Clone)]
@@ -109,14 +133,14 @@
         let dial = self.with(|table| {
             let open = table.open.get(to).filter(|sender| !sender.is_closed());
             if let Some(sender) = open {
-                let _ = sender.try_send(envelope);
+                let _ = sender.try_send(Waiting::now(envelope));
                 return None;
             }
             let address = table.addresses.get(to).cloned();
             address.map(|address| {
                 // Registered at once, so that what follows waits behind it in order.
                 let (sender, receiver) = mpsc::channel(MOST_WAITING);
-                let _ = sender.try_send(envelope);
+                let _ = sender.try_send(Waiting::now(envelope));
                 table.open.insert(to.to_owned(), sender.clone());
                 (address, (sender, receiver))
             })
@@ -158,6 +182,7 @@
     /// Serves one connection until either side ends it. An accepted one is known by its first envelope.
     async fn hold(self, stream: TcpStream, dialled: Option<Waitlist>) {
         let _ = stream.set_nodelay(true);
+        close_unacknowledged_after(&stream, ACKNOWLEDGED_WITHIN);
         let (reader, writer) = stream.into_split();
         let frames = || Frames { most_bytes: MOST_FRAME_BYTES };
         let mut reader = FramedRead::new(reader, frames());
@@ -176,7 +201,8 @@
                 Err(reader.next().await)
             };
             match next {
-                Ok(Some(envelope)) => {
+                Ok(Some(waiting)) => {
+                    let Some(envelope) = waiting.in_time() else { continue };
                     let sent = tokio::time::timeout(WRITE_WITHIN, writer.send(envelope)).await;
                     if !matches!(sent, Ok(Ok(()))) {
                         return;
--- a/crates/transport/src/wire.rs
+++ b/crates/transport/src/wire.rs
@@ -10,11 +10,28 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
+/// Has the kernel close a connection whose other side takes nothing for so long, with all that it was handed.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let stream = tokio::net::TcpStream::connect(socket.local_addr().unwrap()).await.unwrap();
+/// let span = std::time::Duration::from_millis(500);
+/// transport::close_unacknowledged_after(&stream, span);
+/// assert_eq!(socket2::SockRef::from(&stream).tcp_user_timeout().unwrap(), Some(span));
+/// # });
+/// ```
+pub fn close_unacknowledged_after(stream: &TcpStream, span: Duration) {
+    // A system that knows no such bound gives up by its own, later.
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(span));
+}
+
 /// How far a request got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Progress {
--- /dev/null
+++ b/crates/transport/tests/links.rs
@@ -0,0 +1,45 @@
+//! Links between two processes: what waited too long is not sent any more.
+
+use protocol::{Alive, Payload};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{advance, pause, resume};
+use transport::{LONGEST_WAIT, Links};
+
+fn told(beat: u64) -> Payload {
+    Payload::Alive(Alive { beats: vec![beat], ..Alive::default() })
+}
+
+/// Two processes, the first of which knows where to reach the second.
+async fn pair() -> (Links, mpsc::Receiver<(String, Payload)>, Links) {
+    let (arrivals, heard) = mpsc::channel(8);
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    let receiver = Links::open("b".into(), Some(socket), arrivals);
+    let sender = Links::open("a".into(), None, mpsc::channel(8).0);
+    sender.learn(vec![("b".into(), address)]);
+    (sender, heard, receiver)
+}
+
+/// What arrives first of a message that waited for so long, and one that did not.
+async fn first_after(waited: Duration) -> Payload {
+    let (sender, mut heard, _receiver) = pair().await;
+    pause();
+    // The connection is only begun once this task waits: until then the message lies in the link's queue.
+    sender.send("b", told(1));
+    advance(waited).await;
+    resume();
+    sender.send("b", told(2));
+    heard.recv().await.unwrap().1
+}
+
+#[tokio::test]
+async fn what_waited_too_long_in_a_link_is_dropped_and_what_follows_is_sent() {
+    assert_eq!(first_after(LONGEST_WAIT).await, told(2));
+}
+
+#[tokio::test]
+async fn what_waited_for_a_shorter_time_is_sent_in_order() {
+    assert_eq!(first_after(LONGEST_WAIT - Duration::from_millis(1)).await, told(1));
+}
