An edition counts for the life of a carrier that acknowledged it

Cause: an order whose operator waits until it is in force is answered once every carrier acknowledged its edition, over whichever control node; what a carrier had acknowledged counted for its name. One that started again and took the view of a control node that lags (under 2 s old) counted by what its earlier life had.

Ruled out: membership's incarnation. A carrier that starts again with the same addresses before it was suspected hears of itself what it says itself, refutes nothing and keeps its incarnation: just the case that is meant.

--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -43,6 +43,8 @@
     pub me: Member,
     pub seeds: Vec<String>,
     pub seed: u64,
+    /// Higher in each life of this carrier: the moment of the start by the system's clock.
+    pub life: u64,
     /// How configurations are read.
     pub reader: SetupReader,
     pub times: Times,
@@ -112,6 +114,7 @@
 /// The core of one carrier.
 pub struct Carrier {
     me: Member,
+    life: u64,
     times: Times,
     random: Random,
     membership: Membership,
@@ -161,15 +164,16 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
+    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().edition, 0);
     /// ```
     pub fn new(start: Start) -> Self {
-        let Start { me, seeds, seed, reader, times } = start;
+        let Start { me, seeds, seed, life, reader, times } = start;
         let mut random = Random::new(seed);
         let membership = Membership::new(me.clone(), seeds, times.membership, random.next_u64());
         let mut carrier = Carrier {
             me,
+            life,
             times,
             random,
             membership,
@@ -199,7 +203,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().as_of, None);
     /// ```
     pub fn view(&self) -> &View {
@@ -210,7 +214,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
     /// use carrier::{Event, Phase};
     /// use std::time::Duration;
     /// let mut carrier = carrier::Carrier::new(start);
@@ -234,7 +238,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
     /// assert!(carrier::Carrier::new(start).postmasters().is_empty());
     /// ```
     pub fn postmasters(&self) -> Vec<String> {
@@ -248,7 +252,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
     /// let mut carrier = carrier::Carrier::new(start);
     /// assert!(carrier.step(Default::default(), carrier::Event::Tick).is_empty(), "nobody to ask");
     /// ```
@@ -456,7 +460,7 @@
         if edition != before {
             self.effects.push(Effect::Note(format!("edition {edition} is in force")));
         }
-        let kept = UpdateAck { stream, number, edition };
+        let kept = UpdateAck { stream, number, edition, life: self.life };
         self.effects.push(Effect::Send { to: from, body: Payload::UpdateAck(kept) });
         self.effects.push(Effect::Publish);
     }
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -118,6 +118,7 @@
         me,
         seeds: transport::seeds(&settings),
         seed: transport::chance(),
+        life: transport::life(),
         reader,
         times: times(&settings),
     });
