--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -533,6 +533,19 @@
     pub beat: u64,
 }
 
+/// Recent departures, as a control node keeps them on its disk for its next life.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct DeparturesFile {
+    /// Each write's is higher than the one before.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// By the system's clock, since 1970.
+    #[prost(uint64, tag = "2")]
+    pub written_at_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub departures: Vec<Departure>,
+}
+
 /// A majority read by a node that knows of recent departures: their digest goes along, and a voter that knows others
 /// names its own in the answer. So whoever is confirmed by a majority knows what a majority knew before.
 #[derive(Clone, PartialEq, Hash, Message)]
@@ -742,6 +755,9 @@
     /// The edition in force at the carrier.
     #[prost(uint64, tag = "3")]
     pub edition: u64,
+    /// Which life of the carrier says so; higher in each, 0 from an older version.
+    #[prost(uint64, tag = "4")]
+    pub life: u64,
 }
 
 /// A postmaster tells the others which edition a carrier acknowledged to it.
@@ -751,6 +767,9 @@
     pub node: String,
     #[prost(uint64, tag = "2")]
     pub edition: u64,
+    /// As in [`UpdateAck`]; 0 where either of both is of an older version.
+    #[prost(uint64, tag = "3")]
+    pub life: u64,
 }
 
 /// Requests of one service that came in lately, over equal parts of its keys.
