Who holds which keys is gathered in one pass while no lease holder is known

At 12.5 s all control nodes but the cut-off one are restarted. While none knows a holder of the placement lease, each tells carriers what the upstreams list, and gathered it anew for every question of a carrier and every tenth of a second: for each row, all rows before it were sorted and joined again. On a quarter core that took all of a node's time (80 ms a question in the log), so that requests for the lease were read a second after they were sent, and a candidate waits 0.2 s. By then the keys had run out, and a new holder waits for a whole hold before it gives any: practice reads were refused to the end; probes of added routes were refused with them.

Now rows are gathered in one pass, by the later grant first, into a map of covered runs, and upstreams are not copied.

Tests, each seen failing before: 8192 rows took 2.7 s; 60 questions of carriers at a node that just started, with 2048 rows held, 13.2 s (five tests of that file now 0.4 s together). The new way equals cutting one by one on drawn rows.

--- a/crates/controller/src/keys.rs
+++ b/crates/controller/src/keys.rs
@@ -90,31 +90,16 @@
     /// all postmasters started anew. It gives nothing; a request that comes to the wrong one is not run.
     pub(crate) fn heard_shares(&self, now: Duration) -> Vec<ServiceShares> {
         let numbered = self.setup.services.values().filter(|service| service.keyed && service.numbered);
-        let names: Vec<&str> = numbered.map(|service| service.name.as_str()).collect();
-        if names.is_empty() {
-            return Vec::new();
-        }
-        let span_ms = self.times.share_span.as_millis() as u64;
-        let all = self.roll.all(now).into_iter();
-        let live: Vec<Upstream> =
-            all.filter(|known| known.condition != enrolment::GONE && known.age_ms < span_ms).collect();
         let of = |name: &str| {
-            let mine = live.iter().filter(|known| known.service == name);
-            let mut rows: Vec<Share> = mine
-                .flat_map(|known| {
-                    known.holds.iter().map(|share| Share { instance: known.instance.clone(), ..share.clone() })
-                })
-                .collect();
-            // Where two say that they hold a key, the later grant counts.
-            rows.sort_by_key(|share| std::cmp::Reverse(share.epoch));
-            let mut shares = rows.iter().fold(Vec::new(), |mut known: Vec<Share>, row| {
-                known.extend(gazetteer::uncovered(std::slice::from_ref(row), &known));
-                known
+            let heard = self.roll.heard_within(name, now, self.times.share_span);
+            let live = heard.filter(|upstream| upstream.condition != enrolment::GONE);
+            let rows = live.flat_map(|upstream| {
+                upstream.holds.iter().map(|share| Share { instance: upstream.instance.clone(), ..share.clone() })
             });
-            shares.sort_by_key(|share| share.from);
-            ServiceShares { service: name.to_owned(), shares }
+            // Where two say that they hold a key, the later grant counts.
+            ServiceShares { service: name.to_owned(), shares: gazetteer::latest_grants(rows.collect()) }
         };
-        names.into_iter().map(of).collect()
+        numbered.map(|service| of(&service.name)).collect()
     }
 
     /// All keys that an upstream holds from now on, in answer to its beat.
--- a/crates/controller/tests/keys.rs
+++ b/crates/controller/tests/keys.rs
@@ -3,9 +3,11 @@
 
 use address::KEYS;
 use controller::{Answer, Ask, ControlNode, Effect, Event, Start};
-use protocol::{DurableState, Holder, Member, Payload, Share, SharesReply, SharesRequest, Upstream};
+use protocol::{
+    DurableState, Holder, Member, Payload, Share, SharesReply, SharesRequest, UpdateRequest, Upstream, ViewUpdate,
+};
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 const SETUP: &str = r#"{
@@ -22,6 +24,8 @@
     setups: BTreeMap<String, Vec<u8>>,
     answers: Vec<(u64, Answer)>,
     asked: Vec<SharesRequest>,
+    /// What carriers were told.
+    told: Vec<ViewUpdate>,
     token: u64,
     /// True for the broken twin: holds run out by whatever its clock jumps.
     trusts_jumps: bool,
@@ -43,8 +47,8 @@
         let control = control(DurableState::default(), BTreeMap::new(), 1, trusts_jumps);
         let (durable, setups) = Default::default();
         let now = Duration::ZERO;
-        let (answers, asked) = (vec![], vec![]);
-        let mut site = Site { control, now, durable, setups, answers, asked, token: 0, trusts_jumps };
+        let (answers, asked, told) = (vec![], vec![], vec![]);
+        let mut site = Site { control, now, durable, setups, answers, asked, told, token: 0, trusts_jumps };
         site.until_held();
         let ask = Ask::Submit { id: "x".into(), base: None, bytes: SETUP.into(), in_force: false };
         site.step(Event::Ask { token: 0, ask });
@@ -76,6 +80,7 @@
                 }
                 Effect::Answer { token, answer } => self.answers.push((token, answer)),
                 Effect::Send { body: Payload::SharesRequest(ask), .. } => self.asked.push(ask),
+                Effect::Send { body: Payload::ViewUpdate(update), .. } => self.told.push(update),
                 _ => {}
             });
         }
@@ -218,3 +223,33 @@
     site.step(reply(later));
     assert!(site.answers.is_empty(), "a second answer finds no question");
 }
+
+/// After all control nodes started anew nobody holds the placement lease, and carriers are told what the upstreams say that
+/// they hold. Where that took long, the nodes had no time left to agree on a holder, so it went on.
+#[test]
+fn while_nobody_holds_the_lease_carriers_are_told_who_holds_what_in_little_time() {
+    const UPSTREAMS: u32 = 128;
+    const ROWS: u32 = 16;
+    const CARRIERS: usize = 60;
+    let mut site = Site::new(false);
+    site.restart();
+    site.wait(500);
+    let width = KEYS / (UPSTREAMS * ROWS);
+    (0..UPSTREAMS).for_each(|upstream| {
+        let from = |row| (row * UPSTREAMS + upstream) * width;
+        let row = |row| Share { from: from(row), until: from(row) + width, epoch: 1 << 24, ..Share::default() };
+        let holds: Vec<Share> = (0..ROWS).map(row).collect();
+        site.beat(&format!("u-{upstream}"), 1, &holds);
+    });
+    let begun_at = Instant::now();
+    (0..CARRIERS).for_each(|carrier| {
+        let ask = Payload::UpdateRequest(UpdateRequest::default());
+        site.step(Event::Received { from: format!("c-{carrier}"), body: ask });
+    });
+    let spent = begun_at.elapsed();
+    assert!(!site.control.holds_placement(site.now));
+    let snapshot = site.told.iter().rfind(|update| update.number == 0).expect("a snapshot");
+    let shares = &snapshot.placement.as_ref().expect("a placement").shares[0].shares;
+    assert_eq!(shares.len() as u32, UPSTREAMS * ROWS);
+    assert!(spent < Duration::from_secs(2), "{spent:?}");
+}
--- a/crates/enrolment/src/roll.rs
+++ b/crates/enrolment/src/roll.rs
@@ -312,6 +312,23 @@
         mine.map(|(_, entry)| &entry.upstream)
     }
 
+    /// Those of one service that were heard of within this span, as last told, without a copy.
+    ///
+    /// ```
+    /// use protocol::Upstream;
+    /// use std::time::Duration;
+    /// let (mut roll, second) = (enrolment::Roll::default(), Duration::from_secs(1));
+    /// let upstream = Upstream { service: "s".into(), instance: "a".into(), beat: 1, ..Upstream::default() };
+    /// roll.take(second, upstream);
+    /// assert_eq!(roll.heard_within("s", 2 * second, 3 * second).count(), 1);
+    /// assert_eq!(roll.heard_within("s", 4 * second, 3 * second).count(), 0);
+    /// ```
+    pub fn heard_within(&self, service: &str, now: Duration, span: Duration) -> impl Iterator<Item = &Upstream> {
+        let first = (service.to_owned(), String::new());
+        let mine = self.entries.range(first..).take_while(move |((other, _), _)| other == service);
+        mine.filter(move |(_, entry)| now.saturating_sub(entry.heard_at) < span).map(|(_, entry)| &entry.upstream)
+    }
+
     /// Those that will not come back, heard of lately: told again, since they tell themselves no more.
     ///
     /// ```
--- a/crates/gazetteer/src/patch.rs
+++ b/crates/gazetteer/src/patch.rs
@@ -30,6 +30,58 @@
     parts.filter(|(_, (from, until))| from < until).map(|(share, gap)| part(share, gap)).collect()
 }
 
+/// Shares of which no two name the same key, in the order of their keys: where some of the rows do, the one of the highest
+/// epoch counts, and of those alike the first.
+///
+/// ```
+/// use protocol::Share;
+/// let share = |from, until, epoch| Share { from, until, epoch, ..Share::default() };
+/// let held = gazetteer::latest_grants(vec![share(0, 10, 1), share(4, 6, 2)]);
+/// assert_eq!(held, [share(0, 4, 1), share(4, 6, 2), share(6, 10, 1)]);
+/// ```
+pub fn latest_grants(mut rows: Vec<Share>) -> Vec<Share> {
+    rows.sort_by_key(|share| std::cmp::Reverse(share.epoch));
+    let mut covered = Covered::default();
+    let part = |share: &Share, (from, until): (u32, u32)| Share { from, until, ..share.clone() };
+    let parts =
+        rows.iter().flat_map(|share| covered.cover(share.from, share.until).into_iter().map(move |gap| (share, gap)));
+    let mut shares: Vec<Share> = parts.map(|(share, gap)| part(share, gap)).collect();
+    shares.sort_by_key(|share| share.from);
+    shares
+}
+
+/// Keys covered so far: the ends of runs that neither overlap nor touch, by their starts.
+#[derive(Default)]
+struct Covered(BTreeMap<u32, u32>);
+
+impl Covered {
+    /// Covers these keys too, and gives the parts of them that were not covered before. A run that it joins is gone from
+    /// the map, so that many runs are joined only once.
+    fn cover(&mut self, from: u32, until: u32) -> Vec<(u32, u32)> {
+        if from >= until {
+            return Vec::new();
+        }
+        let before = self.0.range(..from).next_back().filter(|(_, end)| **end >= from);
+        let first = before.map_or(from, |(start, _)| *start);
+        let touched: Vec<(u32, u32)> = self.0.range(first..=until).map(|(start, end)| (*start, *end)).collect();
+        let mut gaps = Vec::new();
+        let end = touched.iter().fold(from, |at, (start, end)| {
+            if at < *start {
+                gaps.push((at, *start));
+            }
+            at.max(*end)
+        });
+        if end < until {
+            gaps.push((end, until));
+        }
+        touched.iter().for_each(|(start, _)| {
+            self.0.remove(start);
+        });
+        self.0.insert(first, end.max(until));
+        gaps
+    }
+}
+
 /// The keys that some of the shares cover, as runs in order that don't touch.
 fn union(shares: &[Share]) -> Vec<(u32, u32)> {
     let mut runs: Vec<(u32, u32)> =
--- a/crates/gazetteer/tests/patches.rs
+++ b/crates/gazetteer/tests/patches.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
-use gazetteer::{patch, patched, uncovered};
+use gazetteer::{latest_grants, patch, patched, uncovered};
 use protocol::Share;
 use std::time::{Duration, Instant};
 
@@ -85,3 +85,37 @@
     assert_eq!(patched(&old, &patch(&old, &new)), new);
     assert!(begun_at.elapsed() < Duration::from_secs(1), "{:?}", begun_at.elapsed());
 }
+
+/// Each row cut by all of higher epochs, one after the other.
+fn latest_one_by_one(mut rows: Vec<Share>) -> Vec<Share> {
+    rows.sort_by_key(|share| std::cmp::Reverse(share.epoch));
+    let mut shares = rows.iter().fold(Vec::new(), |mut known: Vec<Share>, row| {
+        known.extend(cut_one_by_one(std::slice::from_ref(row), &known));
+        known
+    });
+    shares.sort_by_key(|share| share.from);
+    shares
+}
+
+#[test]
+fn the_latest_grants_are_what_cutting_one_by_one_leaves() {
+    (1..400u64).for_each(|number| {
+        arbtest(|noise| {
+            let rows = mixed(noise)?;
+            assert_eq!(latest_grants(rows.clone()), latest_one_by_one(rows.clone()), "{rows:?}");
+            Ok(())
+        })
+        .seed(number << 32 | 400);
+    });
+}
+
+/// A control node that knows no lease holder does this many times a second. With the covered keys gathered anew for each row
+/// it took its whole processor, and no lease could be won meanwhile.
+#[test]
+fn the_latest_of_many_grants_take_little_time() {
+    let row = |at: u32| Share { from: at * 5 % 8192 * 8, until: at * 5 % 8192 * 8 + 8, epoch: 3, ..Share::default() };
+    let rows: Vec<Share> = (0..8192).map(row).collect();
+    let begun_at = Instant::now();
+    assert_eq!(latest_grants(rows).len(), 8192);
+    assert!(begun_at.elapsed() < Duration::from_secs(1), "{:?}", begun_at.elapsed());
+}
