States travel as what they add to those that receivers hold

Cause: a blank node behind 2 Mbit/s is sent more than its link carries, and what is late is asked for anew. Change: Prepare, Read and Promise say how many decided orders their sender knows (since); what is told to it names only later ones, with a digest of the whole (StateDelta). Who can't put a state together from what it accepted or has in force asks for the whole. Chosen names only the ballot to whoever was asked to accept; who lacks it reads. Refused promises and answers older than the reader's state bear none. A recovery keeps the newest state over its tries. Earlier versions say no since and are told whole states; AcceptDelta and ChosenDelta are messages of their own, so that they leave them unread. Ruled out: the state once, in Accept alone: 200 kB/s of the link's 250, and the read answers on top. A read answered alike below the state in force no longer ends unconfirmed: it is judged by its ballots. The explorer's twin SkipsJointVoters reads voters off promises, so it now asks for them whole; CountsMinority forges answers to AcceptDelta too.

--- a/crates/drill/src/changes.rs
+++ b/crates/drill/src/changes.rs
@@ -16,6 +16,9 @@
 /// Messages that wait for a link, as in the transport; more are dropped.
 const MAX_ON_LINK: usize = 512;
 
+/// So many changes a node follows that comes back over a slow link.
+const FOLLOWED_CHANGES: usize = 250;
+
 /// What is to be measured.
 #[derive(Clone, Debug)]
 pub struct Trial {
@@ -55,6 +58,31 @@
     pub received: Sent,
 }
 
+/// How a node followed a storm of changes, looked at after each of them.
+#[derive(Clone, Debug)]
+pub struct Following {
+    /// How long ago a majority confirmed its state to it; none before the first time.
+    pub ages: Vec<Option<Duration>>,
+    /// How many editions it was behind the first node.
+    pub editions_behind: Vec<u64>,
+    /// Between two looks.
+    pub gap: Duration,
+    /// What it was sent.
+    pub received: Sent,
+}
+
+impl Following {
+    /// How long it took until the node was never again further behind than this; none where it still was at the end.
+    pub fn caught_up_after(&self, max_age: Duration, max_editions_behind: u64) -> Option<Duration> {
+        let looks = self.ages.iter().zip(&self.editions_behind);
+        let is_late = |(age, behind): (&Option<Duration>, &u64)| {
+            age.is_none_or(|age| age > max_age) || *behind > max_editions_behind
+        };
+        let looks_before = looks.map(is_late).rposition(|late| late).map_or(0, |at| at + 1);
+        (looks_before < self.ages.len()).then(|| self.gap * looks_before as u32)
+    }
+}
+
 enum Disk {
     Memory(Box<Contents>),
     Real(Box<Storage>),
@@ -316,21 +344,9 @@
     /// The last node comes back, with its disk or a blank one, behind a link of so many bits a second. With a storm, the
     /// changes go on meanwhile.
     pub fn bring_back_last(&mut self, blank: bool, bits: u64, storm: bool) -> CatchUp {
-        let (last, begun_at, seed) = (self.nodes.len() - 1, self.now, self.number);
+        let (last, begun_at) = (self.nodes.len() - 1, self.now);
         let wanted = self.nodes[0].register.state().edition;
-        let (trial, node) = (&self.trial, &mut self.nodes[last]);
-        let contents = match &mut node.disk {
-            Disk::Memory(contents) => contents,
-            Disk::Real(_) => unreachable!("only the first node has a real disk"),
-        };
-        if blank {
-            **contents = Contents::default();
-        }
-        node.register = register(&node.name, trial, seed, contents);
-        node.up = true;
-        node.bits = Some(bits);
-        (node.link_free_at, node.on_link, node.received) = (begun_at, 0, Sent::new());
-        self.at(begun_at, last, What::Tick);
+        self.start_last(blank, bits);
         let mut took = None;
         while took.is_none() && self.now < begun_at + Duration::from_secs(60) {
             if storm {
@@ -348,6 +364,41 @@
         self.nodes[last].bits = None;
         CatchUp { took, received: self.nodes[last].received.clone() }
     }
+
+    /// The last node comes back behind a link of so many bits a second, and so many changes are made: how long ago a
+    /// majority confirmed its state to it after each of them, and none where nothing is confirmed to it, or where it
+    /// lacks the bytes.
+    pub fn follow_with_last(&mut self, blank: bool, bits: u64, changes: usize) -> Following {
+        let last = self.nodes.len() - 1;
+        self.start_last(blank, bits);
+        let ages = (0..changes).map(|_| {
+            self.change(1);
+            let register = &self.nodes[last].register;
+            let age = register.age(self.now).filter(|_| register.setup().is_some());
+            (age, self.nodes[0].register.state().edition.saturating_sub(register.state().edition))
+        });
+        let (ages, editions_behind) = ages.unzip();
+        self.nodes[last].bits = None;
+        let gap = self.trial.gap;
+        Following { ages, editions_behind, gap, received: self.nodes[last].received.clone() }
+    }
+
+    fn start_last(&mut self, blank: bool, bits: u64) {
+        let (last, begun_at, seed) = (self.nodes.len() - 1, self.now, self.number);
+        let (trial, node) = (&self.trial, &mut self.nodes[last]);
+        let contents = match &mut node.disk {
+            Disk::Memory(contents) => contents,
+            Disk::Real(_) => unreachable!("only the first node has a real disk"),
+        };
+        if blank {
+            **contents = Contents::default();
+        }
+        node.register = register(&node.name, trial, seed, contents);
+        node.up = true;
+        node.bits = Some(bits);
+        (node.link_free_at, node.on_link, node.received) = (begun_at, 0, Sent::new());
+        self.at(begun_at, last, What::Tick);
+    }
 }
 
 impl Disk {
@@ -456,4 +507,21 @@
             show_sent(&back.received)
         );
     }
+    for (blank, bits) in [(false, 2_000_000), (true, 2_000_000), (true, 1_000_000), (true, 500_000)] {
+        site.stop_last();
+        site.change(40);
+        site.settle();
+        let followed = site.follow_with_last(blank, bits, FOLLOWED_CHANGES);
+        site.settle();
+        let second_half = FOLLOWED_CHANGES / 2;
+        println!(
+            "follows {FOLLOWED_CHANGES} changes with {} disk over {bits} bit/s: no older than 1 s and 8 editions after {:?}; \
+             in the second half confirmed {:?} ago at the most, {:?} editions behind; received {}",
+            if blank { "a blank" } else { "its" },
+            followed.caught_up_after(Duration::from_secs(1), 8),
+            followed.ages[second_half..].iter().max(),
+            followed.editions_behind[second_half..].iter().max(),
+            show_sent(&followed.received)
+        );
+    }
 }
--- a/crates/drill/src/hollow/count.rs
+++ b/crates/drill/src/hollow/count.rs
@@ -290,9 +290,13 @@
         Payload::Alive(_) => "alive",
         Payload::KeyLoads(_) => "key loads",
         Payload::SetupBytes(_) => "setup bytes",
-        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
-            "round"
-        }
+        Payload::Prepare(_)
+        | Payload::Promise(_)
+        | Payload::Accept(_)
+        | Payload::AcceptDelta(_)
+        | Payload::Accepted(_)
+        | Payload::Chosen(_)
+        | Payload::ChosenDelta(_) => "round",
         _ => "other",
     }
 }
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -23,7 +23,7 @@
 
        drill measure     what the path costs: latency, news, messages
 
-       drill changes [--count N] [--routes R]
+       drill changes [--count N] [--routes R] [--nodes M]
                          what N changes (default 10000) of a setup with R routes (default 400) leave on a disk, and how
                          a node comes back over a slow link
 
@@ -143,6 +143,7 @@
             }
             "count" => trial.changes = number()?.max(10) as usize,
             "routes" => trial.routes = number()?.min(4000) as usize,
+            "nodes" => trial.nodes = number()?.clamp(1, 31) as usize,
             "show" => sim.show = Some(value),
             "plan" if verb.as_deref() == Some("sim") => sim.plan = Some(value),
             "shape" => {
--- a/crates/drill/src/sim/net.rs
+++ b/crates/drill/src/sim/net.rs
@@ -63,9 +63,13 @@
         Payload::Read(_) | Payload::ReadBack(_) | Payload::DeparturesRead(_) | Payload::DeparturesReadBack(_) => {
             "confirmations"
         }
-        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
-            "rounds"
-        }
+        Payload::Prepare(_)
+        | Payload::Promise(_)
+        | Payload::Accept(_)
+        | Payload::AcceptDelta(_)
+        | Payload::Accepted(_)
+        | Payload::Chosen(_)
+        | Payload::ChosenDelta(_) => "rounds",
         Payload::SetupBytes(_) | Payload::SetupAsk(_) => "setups",
         Payload::LeaseRequest(_) | Payload::LeaseReply(_) | Payload::LeaseRelease(_) | Payload::Holder(_) => "claims",
         Payload::SharesRequest(_) | Payload::SharesReply(_) => "shares",
--- a/crates/drill/tests/changes.rs
+++ b/crates/drill/tests/changes.rs
@@ -61,3 +61,33 @@
         }
     }
 }
+
+/// A blank node has caught up within this, and is never further behind again, while changes go on.
+const CAUGHT_UP_WITHIN: Duration = Duration::from_secs(3);
+/// How long ago a majority confirmed the state of a node that has caught up, at the most: two confirmations' pause.
+const MAX_AGE: Duration = Duration::from_millis(1000);
+const MAX_EDITIONS_BEHIND: u64 = 8;
+
+#[test]
+fn a_blank_node_follows_a_storm_of_changes_over_a_link_of_2_mbit() {
+    for nodes in [3, 6] {
+        for blank in [false, true] {
+            let mut site = Site::new(Trial { nodes, ..trial(600) });
+            site.change(560);
+            site.stop_last();
+            site.change(40);
+            site.settle();
+            let gap = Duration::from_millis(120);
+            let followed = site.follow_with_last(blank, 2_000_000, 250);
+            let caught_up = (CAUGHT_UP_WITHIN.as_millis() / gap.as_millis()) as usize;
+            let late = |age: &Option<Duration>| age.is_none_or(|age| age > MAX_AGE);
+            let ages = &followed.ages[caught_up..];
+            let behind = &followed.editions_behind[caught_up..];
+            let received = &followed.received;
+            assert!(
+                !ages.iter().any(late) && behind.iter().all(|behind| *behind <= MAX_EDITIONS_BEHIND),
+                "{nodes} nodes, blank {blank}: {ages:?}, {behind:?}, {received:?}"
+            );
+        }
+    }
+}
--- a/crates/explorer/src/register_model.rs
+++ b/crates/explorer/src/register_model.rs
@@ -7,7 +7,7 @@
 use crate::model::{Invariant, Model, Violation, fingerprint_of, node_index, node_name};
 use crate::network::{InFlight, Message, Network, Schedule};
 use crate::register_history::{Disk, History, OrderFacts};
-use protocol::{Accepted, Ballot, ClusterState, DurableState, Payload, Promise};
+use protocol::{Accept, AcceptDelta, Accepted, Ballot, ClusterState, DurableState, Payload, Prepare, Promise};
 use quorum_register::{Change, Effect, Event, Register, Start, Times, VoterPhase};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -556,6 +556,10 @@
             {
                 (replaced + 1, body)
             }
+            // The voters are to be read off the promise: it is asked for whole.
+            (RegisterDefect::SkipsJointVoters, Payload::Prepare(prepare)) => {
+                (from, Payload::Prepare(Prepare { since: None, ..prepare }))
+            }
             (RegisterDefect::SkipsJointVoters, Payload::Promise(mut promise)) => {
                 let voter_set = &mut promise.accepted.voter_set;
                 if voter_set.is_joint() {
@@ -754,12 +758,10 @@
             accepted: ClusterState::default(),
             ..Promise::default()
         })),
-        Payload::Accept(accept) => Some(Payload::Accepted(Accepted {
-            ballot: accept.ballot.clone(),
-            promised: accept.ballot.clone(),
-            done: true,
-            wants_bytes: false,
-        })),
+        Payload::Accept(Accept { ballot, .. }) | Payload::AcceptDelta(AcceptDelta { ballot, .. }) => {
+            let (ballot, promised) = (ballot.clone(), ballot.clone());
+            Some(Payload::Accepted(Accepted { ballot, promised, done: true, ..Accepted::default() }))
+        }
         _ => None,
     }
 }
--- a/crates/protocol/src/kinds.rs
+++ b/crates/protocol/src/kinds.rs
@@ -26,9 +26,13 @@
         Payload::UpstreamsRequest(_) => "rollAsk",
         Payload::UpstreamsReply(_) => "rollTold",
         Payload::SetupBytes(_) | Payload::SetupAsk(_) => "setups",
-        Payload::Prepare(_) | Payload::Promise(_) | Payload::Accept(_) | Payload::Accepted(_) | Payload::Chosen(_) => {
-            "rounds"
-        }
+        Payload::Prepare(_)
+        | Payload::Promise(_)
+        | Payload::Accept(_)
+        | Payload::AcceptDelta(_)
+        | Payload::Accepted(_)
+        | Payload::Chosen(_)
+        | Payload::ChosenDelta(_) => "rounds",
         Payload::BootstrapVote(_) | Payload::Bootstrapped(_) | Payload::VoterLeaving(_) => "founding",
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! What mothspindle's processes say to each other, how it is framed, and the seal on verdicts.
 
+mod delta;
 mod frames;
 mod kinds;
 mod messages;
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -10,7 +10,7 @@
     pub from: String,
     #[prost(
         oneof = "Payload",
-        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41,50,51,52"
+        tags = "2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32,40,41,50,51,52,60,61"
     )]
     pub body: Option<Payload>,
 }
@@ -90,6 +90,10 @@
     DeparturesRead(DeparturesRead),
     #[prost(message, tag = "52")]
     DeparturesReadBack(DeparturesReadBack),
+    #[prost(message, tag = "60")]
+    AcceptDelta(AcceptDelta),
+    #[prost(message, tag = "61")]
+    ChosenDelta(ChosenDelta),
 }
 
 /// A proposer's turn. Higher rounds win; `incarnation` is drawn anew at each start of a process, so a
@@ -203,6 +207,10 @@
 pub struct Prepare {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
+    /// The sender takes states as a [`StateDelta`] of one with so many decided submissions; 0 where it wants them whole,
+    /// none where it is of an earlier version, which knows no other way.
+    #[prost(uint64, optional, tag = "2")]
+    pub since: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Hash, Message)]
@@ -221,6 +229,40 @@
     pub disk: u64,
     #[prost(uint64, tag = "6")]
     pub lease_epoch: u64,
+    /// What was accepted, in the place of `accepted`. Both are left out where the promise was not given.
+    #[prost(message, optional, tag = "7")]
+    pub delta: Option<StateDelta>,
+    /// As in [`Prepare`]: how the sender of this promise takes the state that it is to accept.
+    #[prost(uint64, optional, tag = "8")]
+    pub since: Option<u64>,
+}
+
+/// A state for a receiver that holds an earlier one: of the submissions only those are told that were decided since.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct StateDelta {
+    /// The state with the latest submissions only.
+    #[prost(message, required, tag = "1")]
+    pub state: ClusterState,
+    /// How many submissions the whole state remembers.
+    #[prost(uint64, tag = "2")]
+    pub remembered: u64,
+    /// Of the whole state's encoding.
+    #[prost(bytes = "vec", tag = "3")]
+    pub digest: Vec<u8>,
+}
+
+/// An [`Accept`] whose state is told as a difference. It is a message of its own, which an earlier version leaves
+/// unread: to that an `Accept` without a state would name an empty one.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct AcceptDelta {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub delta: StateDelta,
+    #[prost(uint64, tag = "3")]
+    pub disk: u64,
+    #[prost(uint64, tag = "4")]
+    pub lease_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Hash, Message)]
@@ -248,6 +290,9 @@
     /// The voter lacks the setup's bytes.
     #[prost(bool, tag = "4")]
     pub wants_bytes: bool,
+    /// The voter holds no state that the difference fits to.
+    #[prost(bool, tag = "5")]
+    pub wants_state: bool,
 }
 
 #[derive(Clone, PartialEq, Hash, Message)]
@@ -257,6 +302,9 @@
     /// What the reader knows already: a state accepted at this ballot is left out of the answer.
     #[prost(message, required, tag = "2")]
     pub known: Ballot,
+    /// As in [`Prepare`]: how the reader takes the answer's state.
+    #[prost(uint64, optional, tag = "3")]
+    pub since: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Hash, Message)]
@@ -266,8 +314,11 @@
     /// None where it is what the question named as known; then the state is left out too.
     #[prost(message, optional, tag = "2")]
     pub accepted_at: Option<Ballot>,
+    /// Left out where it is older than what the question named as known, or told as a difference.
     #[prost(message, optional, tag = "3")]
     pub accepted: Option<ClusterState>,
+    #[prost(message, optional, tag = "4")]
+    pub delta: Option<StateDelta>,
 }
 
 /// A state known to be accepted by a majority.
@@ -279,6 +330,16 @@
     pub state: ClusterState,
 }
 
+/// A [`Chosen`] for receivers that take states as differences.
+#[derive(Clone, PartialEq, Hash, Message)]
+pub struct ChosenDelta {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    /// None where the receiver was asked to accept the state: it has it by its ballot, or reads.
+    #[prost(message, optional, tag = "2")]
+    pub delta: Option<StateDelta>,
+}
+
 #[derive(Clone, PartialEq, Hash, Message)]
 pub struct SetupBytes {
     #[prost(string, tag = "1")]
--- a/crates/quorum-register/src/bootstrap.rs
+++ b/crates/quorum-register/src/bootstrap.rs
@@ -5,7 +5,9 @@
 
 use crate::proposer::newest_promise;
 use crate::register::{Effect, Recovery, Register, VoterPhase};
-use protocol::{Ballot, BootstrapVote, Bootstrapped, DurableState, Payload, Prepare, Promise, SetupAsk, VoterSet};
+use protocol::{
+    Ballot, BootstrapVote, Bootstrapped, ClusterState, DurableState, Payload, Prepare, Promise, SetupAsk, VoterSet,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -19,7 +21,9 @@
         if let VoterPhase::Recovering(recovery) = &self.phase {
             if now >= recovery.until {
                 let voter_set = recovery.voter_set.clone();
-                self.start_recovery(now, voter_set);
+                let newest = newest_promise(&recovery.promises).map(|promise| &promise.accepted);
+                let base = newest.unwrap_or(&recovery.base).clone();
+                self.start_recovery(now, voter_set, base);
             }
             return;
         }
@@ -130,16 +134,20 @@
             VoterPhase::Bootstrapping { .. } if self.synced.endorsed == voter_set.voters && !voter_set.is_joint() => {
                 self.found();
             }
-            VoterPhase::Bootstrapping { .. } if self.durable.roster.is_empty() => self.start_recovery(now, voter_set),
-            VoterPhase::Blank { .. } if self.durable.endorsed.is_empty() => self.start_recovery(now, voter_set),
+            VoterPhase::Bootstrapping { .. } if self.durable.roster.is_empty() => {
+                self.start_recovery(now, voter_set, ClusterState::default());
+            }
+            VoterPhase::Blank { .. } if self.durable.endorsed.is_empty() => {
+                self.start_recovery(now, voter_set, ClusterState::default());
+            }
             _ => {}
         }
     }
 
-    fn start_recovery(&mut self, now: Duration, voter_set: VoterSet) {
+    fn start_recovery(&mut self, now: Duration, voter_set: VoterSet, base: ClusterState) {
         self.seen_round += 1;
         let ballot = Ballot { round: self.seen_round, voter: self.me.clone(), incarnation: self.incarnation };
-        let recovery = Recovery { voter_set, ballot, promises: BTreeMap::new(), until: now + RECOVERY_PHASE };
+        let recovery = Recovery { voter_set, ballot, promises: BTreeMap::new(), base, until: now + RECOVERY_PHASE };
         self.ask_for_recovery(&recovery, |_| true);
         self.enter_phase(VoterPhase::Recovering(recovery));
     }
@@ -147,7 +155,7 @@
     fn ask_for_recovery(&mut self, recovery: &Recovery, wanted: impl Fn(&str) -> bool) {
         let others = recovery.voter_set.members().filter(|voter| **voter != self.me && wanted(voter));
         let others: Vec<String> = others.cloned().collect();
-        let prepare = Payload::Prepare(Prepare { ballot: recovery.ballot.clone() });
+        let prepare = Payload::Prepare(Prepare { ballot: recovery.ballot.clone(), since: Some(recovery.base.decided) });
         others.iter().for_each(|voter| self.send(voter, prepare.clone()));
     }
 
@@ -162,6 +170,8 @@
             recovery.until = now + RECOVERY_RETRY;
             return;
         }
+        let Some(promise) = self.whole_promise(from, promise) else { return };
+        let VoterPhase::Recovering(recovery) = &mut self.phase else { return };
         recovery.promises.insert(from.to_owned(), promise);
         let recovery = recovery.clone();
         self.recover_if_promised(recovery);
--- a/crates/quorum-register/src/lib.rs
+++ b/crates/quorum-register/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod bootstrap;
 mod change;
+mod deltas;
 mod disaster_recovery;
 mod inspect;
 mod proposer;
--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -1,9 +1,10 @@
 //! The proposer's half of a round.
 
 use crate::change::{Change, Decision, apply, apply_to_voters};
+use crate::deltas::{WHOLE, told_state};
 use crate::register::{Effect, Register, VoterPhase};
 use address::Code;
-use protocol::{Accept, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupAsk, SetupBytes};
+use protocol::{Accept, AcceptDelta, Accepted, Ballot, ClusterState, Payload, Prepare, Promise, SetupAsk, SetupBytes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -63,6 +64,10 @@
         state: ClusterState,
         /// The highest lease epoch among the promises.
         lease_epoch: u64,
+        /// How many submissions were decided before this round.
+        decided_before: u64,
+        /// Who was asked to accept, with the disk whose promise was counted.
+        disks: BTreeMap<String, u64>,
         decisions: Vec<(Option<u64>, Decision)>,
         accepted: BTreeSet<String>,
     },
@@ -164,7 +169,8 @@
         });
         let asked = self.replica_nodes().into_iter().collect();
         self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, asked, promises: BTreeMap::new() });
-        self.send_all(Payload::Prepare(Prepare { ballot }));
+        let since = self.since();
+        self.send_all(Payload::Prepare(Prepare { ballot, since }));
     }
 
     fn back_off(&mut self, now: Duration) {
@@ -180,25 +186,25 @@
         if matches!(self.phase, VoterPhase::Recovering(_)) {
             return self.take_recovery_promise(now, from, promise);
         }
+        self.replicas.told_since(from, promise.since);
         let given = promise.promised == promise.ballot;
-        let late = match &mut self.round {
-            Round::Preparing { ballot, promises, .. } if *ballot == promise.ballot => {
-                if !given {
-                    return self.back_off(now);
-                }
-                promises.insert(from.to_owned(), promise);
-                self.start_accepting_if_promised(now);
-                None
+        match &self.round {
+            Round::Preparing { ballot, .. } if *ballot == promise.ballot && !given => self.back_off(now),
+            Round::Preparing { ballot, .. } if *ballot == promise.ballot => self.take_promise(now, from, promise),
+            // It came late: a quorum had promised already.
+            Round::Accepting { ballot, .. } if *ballot == promise.ballot && given => {
+                self.ask_to_accept(from, promise.disk, promise.since);
             }
-            Round::Accepting { ballot, state, lease_epoch, .. } if *ballot == promise.ballot && given => Some(Accept {
-                ballot: ballot.clone(),
-                state: state.clone(),
-                disk: promise.disk,
-                lease_epoch: *lease_epoch,
-            }),
-            _ => None,
-        };
-        late.into_iter().for_each(|accept| self.send(from, Payload::Accept(accept)));
+            _ => {}
+        }
+    }
+
+    fn take_promise(&mut self, now: Duration, from: &str, promise: Promise) {
+        let Some(promise) = self.whole_promise(from, promise) else { return };
+        if let Round::Preparing { promises, .. } = &mut self.round {
+            promises.insert(from.to_owned(), promise);
+            self.start_accepting_if_promised(now);
+        }
     }
 
     /// The newest state among the promises tells who votes. Those of them that were not asked yet are asked now; once a
@@ -214,7 +220,8 @@
         }
         let unasked: Vec<String> = voter_set.members().filter(|voter| !asked.contains(*voter)).cloned().collect();
         asked.extend(unasked.iter().cloned());
-        let prepare = Payload::Prepare(Prepare { ballot: ballot.clone() });
+        let ballot = ballot.clone();
+        let prepare = Payload::Prepare(Prepare { ballot, since: self.since() });
         unasked.iter().for_each(|voter| self.send(voter, prepare.clone()));
     }
 
@@ -224,25 +231,37 @@
         let newest = newest_promise(&promises).cloned().unwrap_or_default();
         let mut is_chosen = self.current.confirmed_at.is_some() && newest.accepted_at == self.current.ballot;
         let mut state = newest.accepted;
+        let decided_before = state.decided;
         let lease_epoch = promises.values().map(|promise| promise.lease_epoch).max().unwrap_or(0);
         let mut decisions = Vec::new();
         for pending in self.pending.iter_mut().take(MAX_AT_ONCE) {
             pending.tried = true;
             decisions.push((pending.token, apply_any(&mut state, &pending.change, &mut is_chosen)));
         }
-        let accept = |disk| Accept { ballot: ballot.clone(), state: state.clone(), disk, lease_epoch };
-        let accepts: Vec<(String, Accept)> =
-            promises.into_iter().map(|(voter, promise)| (voter, accept(promise.disk))).collect();
         self.turn(Round::Accepting {
             ballot,
             asked_at,
             since: now,
             state,
             lease_epoch,
+            decided_before,
+            disks: BTreeMap::new(),
             decisions,
             accepted: BTreeSet::new(),
         });
-        accepts.into_iter().for_each(|(voter, accept)| self.send(&voter, Payload::Accept(accept)));
+        promises.into_iter().for_each(|(voter, promise)| self.ask_to_accept(&voter, promise.disk, promise.since));
+    }
+
+    /// Asks who promised to accept the round's state, told as what it adds to the voter's own.
+    fn ask_to_accept(&mut self, voter: &str, disk: u64, since: Option<u64>) {
+        let Round::Accepting { ballot, state, lease_epoch, disks, .. } = &mut self.round else { return };
+        disks.insert(voter.to_owned(), disk);
+        let (ballot, lease_epoch) = (ballot.clone(), *lease_epoch);
+        let body = match told_state(state, since.filter(|_| voter != self.me)) {
+            (_, Some(delta)) => Payload::AcceptDelta(AcceptDelta { ballot, delta, disk, lease_epoch }),
+            (whole, None) => Payload::Accept(Accept { ballot, state: whole.unwrap_or_default(), disk, lease_epoch }),
+        };
+        self.send(voter, body);
     }
 
     pub(crate) fn accepted(&mut self, now: Duration, from: &str, answer: Accepted) {
@@ -250,10 +269,14 @@
         if answer.done {
             self.replicas.told_synced(from, answer.ballot.clone());
         }
-        let Round::Accepting { ballot, state, accepted, .. } = &mut self.round else { return };
+        let Round::Accepting { ballot, state, accepted, disks, .. } = &mut self.round else { return };
         if *ballot != answer.ballot {
             return;
         }
+        if answer.wants_state {
+            let disk = disks.get(from).copied();
+            return disk.into_iter().for_each(|disk| self.ask_to_accept(from, disk, WHOLE));
+        }
         if answer.wants_bytes {
             let digest = state.digest.clone();
             return self.resend_setup(from, digest, answer.ballot);
@@ -271,7 +294,8 @@
     fn resend_setup(&mut self, voter: &str, digest: String, ballot: Ballot) {
         if let Some(squeezed) = self.squeezed(&digest) {
             self.send(voter, Payload::SetupBytes(SetupBytes { digest, squeezed }));
-            self.send(voter, Payload::Prepare(Prepare { ballot }));
+            let since = self.since();
+            self.send(voter, Payload::Prepare(Prepare { ballot, since }));
         } else {
             // Taken over from an earlier round, with its bytes on other voters only.
             self.send_all(Payload::SetupAsk(SetupAsk { digest }));
@@ -281,10 +305,10 @@
     fn finish_round(&mut self) {
         self.lost_in_a_row = 0;
         let round = std::mem::replace(&mut self.round, Round::Idle);
-        let Round::Accepting { ballot, asked_at, state, decisions, .. } = round else { return };
+        let Round::Accepting { ballot, asked_at, state, decided_before, disks, decisions, .. } = round else { return };
         self.pending.drain(..decisions.len());
         self.adopt(ballot.clone(), state.clone(), Some(asked_at));
-        self.tell_chosen(ballot, state);
+        self.tell_chosen(ballot, state, decided_before, &disks);
         let told = decisions.into_iter().filter_map(|(token, decision)| token.map(|token| (token, decision)));
         self.effects.extend(told.map(|(token, decision)| Effect::Decided { token, decision }));
     }
--- a/crates/quorum-register/src/reading.rs
+++ b/crates/quorum-register/src/reading.rs
@@ -1,6 +1,7 @@
 //! Majority reads: what confirms that the state in force is the newest.
 
 use crate::change::Change;
+use crate::deltas::WHOLE;
 use crate::proposer::PendingChange;
 use crate::register::{Register, VoterPhase};
 use protocol::{Ballot, ClusterState, Payload, Read, ReadBack};
@@ -20,7 +21,8 @@
     asked_at: Duration,
     /// The ballot that the question named as known.
     known: (Ballot, ClusterState),
-    backs: BTreeMap<String, (Ballot, ClusterState)>,
+    /// What each node accepted last.
+    backs: BTreeMap<String, Ballot>,
 }
 
 impl Register {
@@ -51,7 +53,8 @@
         self.read_again = false;
         let nonce = self.random.next_u64();
         let known = (self.current.ballot.clone(), self.current.state.clone());
-        let body = Payload::Read(Read { nonce, known: known.0.clone() });
+        let since = if std::mem::take(&mut self.reads_whole) { WHOLE } else { self.since() };
+        let body = Payload::Read(Read { nonce, known: known.0.clone(), since });
         let excess = (self.readings.len() + 1).saturating_sub(MAX_READINGS);
         self.readings.drain(..excess);
         self.readings.push_back(Reading { nonce, asked_at: now, known, backs: BTreeMap::new() });
@@ -78,22 +81,32 @@
             return;
         }
         let Some(at) = self.readings.iter().position(|reading| reading.nonce == back.nonce) else { return };
+        let ReadBack { accepted_at, accepted, delta, .. } = back;
+        let told = accepted.or_else(|| self.whole_state(delta.as_ref()?));
+        if told.is_none() && delta.is_some() {
+            self.reads_whole = true;
+            return;
+        }
         let reading = &mut self.readings[at];
-        let (ballot, state) = back.accepted_at.zip(back.accepted).unwrap_or_else(|| reading.known.clone());
+        let (ballot, state) = match accepted_at {
+            Some(ballot) => (ballot, told),
+            None => (reading.known.0.clone(), Some(reading.known.1.clone())),
+        };
         let asked_at = reading.asked_at;
-        reading.backs.insert(from.to_owned(), (ballot.clone(), state.clone()));
-        let alike = |voter: &str| reading.backs.get(voter).is_some_and(|(other, _)| *other == ballot);
+        reading.backs.insert(from.to_owned(), ballot.clone());
+        let alike = |voter: &str| reading.backs.get(voter) == Some(&ballot);
         // The state itself names those whose quorum makes it chosen.
-        let chosen = state.voter_set.is_quorum(alike);
+        let chosen = state.filter(|state| ballot >= self.current.ballot && state.voter_set.is_quorum(alike));
         self.replicas.told_synced(from, ballot.clone());
-        if chosen {
-            self.readings.drain(..=at);
-            self.adopt(ballot, state, Some(asked_at));
-            if self.read_again {
-                self.start_reading(now);
+        match chosen {
+            Some(state) => {
+                self.readings.drain(..=at);
+                self.adopt(ballot, state, Some(asked_at));
+                if self.read_again {
+                    self.start_reading(now);
+                }
             }
-        } else {
-            self.confirm_by_known(now);
+            None => self.confirm_by_known(now),
         }
     }
 
@@ -103,7 +116,7 @@
     pub(crate) fn confirm_by_known(&mut self, now: Duration) {
         let current = &self.current;
         let confirms = |reading: &Reading| {
-            let is_older = |voter: &str| reading.backs.get(voter).is_some_and(|(ballot, _)| *ballot <= current.ballot);
+            let is_older = |voter: &str| reading.backs.get(voter).is_some_and(|ballot| *ballot <= current.ballot);
             current.state.voter_set.is_quorum(is_older)
         };
         let Some(at) = self.readings.iter().rposition(confirms) else { return };
--- a/crates/quorum-register/src/register.rs
+++ b/crates/quorum-register/src/register.rs
@@ -5,7 +5,7 @@
 use crate::reading::Reading;
 use crate::replicas::Replicas;
 use address::Random;
-use protocol::{Ballot, Chosen, ClusterState, DurableState, Payload, Promise, SetupAsk, VoterSet};
+use protocol::{Ballot, ClusterState, DurableState, Payload, Promise, SetupAsk, VoterSet};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -136,6 +136,8 @@
     pub(crate) voter_set: VoterSet,
     pub(crate) ballot: Ballot,
     pub(crate) promises: BTreeMap<String, Promise>,
+    /// The newest state that an earlier try was told: what is told now names what was decided since.
+    pub(crate) base: ClusterState,
     /// When to begin anew.
     pub(crate) until: Duration,
 }
@@ -209,6 +211,8 @@
     pub(crate) next_read: Duration,
     /// Somebody asked for a confirmation after the read under way was begun.
     pub(crate) read_again: bool,
+    /// An answer told a difference that fits to nothing here: the next read asks for whole states.
+    pub(crate) reads_whole: bool,
     pub(crate) next_tell: Duration,
     /// Rounds lost since the last that was won.
     pub(crate) lost_in_a_row: u32,
@@ -263,6 +267,7 @@
             readings: VecDeque::new(),
             next_read: Duration::ZERO,
             read_again: false,
+            reads_whole: false,
             next_tell: Duration::ZERO,
             lost_in_a_row: 0,
             writes: VecDeque::new(),
@@ -337,10 +342,12 @@
             Payload::Prepare(prepare) => self.prepare(from, prepare),
             Payload::Promise(promise) => self.promise(now, from, promise),
             Payload::Accept(accept) => self.accept(from, accept),
+            Payload::AcceptDelta(accept) => self.accept_delta(from, accept),
             Payload::Accepted(accepted) => self.accepted(now, from, accepted),
             Payload::Read(read) => self.read(from, read),
             Payload::ReadBack(back) => self.read_back(now, from, back),
             Payload::Chosen(chosen) => self.adopt(chosen.ballot, chosen.state, None),
+            Payload::ChosenDelta(chosen) => self.chosen_delta(now, chosen),
             Payload::SetupBytes(setup) => self.take_setup(setup),
             Payload::SetupAsk(ask) => self.give_setup(from, &ask),
             Payload::BootstrapVote(endorse) => self.endorse(from, endorse),
@@ -439,8 +446,4 @@
         }
         self.confirm_by_known(self.now);
     }
-
-    pub(crate) fn tell_chosen(&mut self, ballot: Ballot, state: ClusterState) {
-        self.send_all(Payload::Chosen(Chosen { ballot, state }));
-    }
 }
--- a/crates/quorum-register/src/replicas.rs
+++ b/crates/quorum-register/src/replicas.rs
@@ -11,6 +11,7 @@
 struct Replica {
     heard_at: Duration,
     synced: Option<Ballot>,
+    takes_deltas: bool,
 }
 
 /// The other control nodes, by name.
@@ -28,7 +29,7 @@
             let oldest = self.0.iter().min_by_key(|(_, replica)| replica.heard_at).map(|(node, _)| node.clone());
             oldest.into_iter().for_each(|node| drop(self.0.remove(&node)));
         }
-        self.0.insert(node.to_owned(), Replica { heard_at: now, synced: None });
+        self.0.insert(node.to_owned(), Replica { heard_at: now, ..Replica::default() });
     }
 
     /// A node told what its disk holds. It may have lost its disk meanwhile, so the last word counts.
@@ -38,6 +39,18 @@
         }
     }
 
+    /// A node asked for states by what it knows already, or did not, as one of an earlier version.
+    pub(crate) fn told_since(&mut self, node: &str, since: Option<u64>) {
+        if let Some(replica) = self.0.get_mut(node) {
+            replica.takes_deltas = since.is_some();
+        }
+    }
+
+    /// True where the last word of a node was that it takes states as differences.
+    pub(crate) fn takes_deltas(&self, node: &str) -> bool {
+        self.0.get(node).is_some_and(|replica| replica.takes_deltas)
+    }
+
     pub(crate) fn heard_at(&self, node: &str) -> Duration {
         self.0.get(node).map(|replica| replica.heard_at).unwrap_or_default()
     }
--- a/crates/quorum-register/tests/cluster/mod.rs
+++ b/crates/quorum-register/tests/cluster/mod.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// A node comes back with a blank disk.
+    #[allow(dead_code, reason = "not every test file loses a disk at will")]
+    pub fn blank_disk(&mut self, at: usize) {
+        self.nodes[at] = born(at, self.submitted + 1_000, DurableState::default(), BTreeMap::new(), self.now);
+    }
+
     pub fn tick_all(&mut self) {
         let there: Vec<usize> = (0..self.present).filter(|at| !self.nodes[*at].removed).collect();
         there.iter().for_each(|at| {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -52,7 +52,7 @@
     /// let _b = transport::Links::open("b".into(), Some(socket), told);
     /// let a = transport::Links::open("a".into(), None, tokio::sync::mpsc::channel(8).0);
     /// a.learn(vec![("b".into(), address)]);
-    /// let read = Payload::Read(Read { nonce: 7, known: Default::default() });
+    /// let read = Payload::Read(Read { nonce: 7, ..Default::default() });
     /// a.send("b", read.clone());
     /// assert_eq!(heard.recv().await, Some(("a".to_owned(), read)));
     /// # });
