--- a/crates/explorer/src/control_model.rs
+++ b/crates/explorer/src/control_model.rs
@@ -13,7 +13,7 @@
 use crate::register_history::History;
 use crate::traffic::{self, Traffic, TrafficNode, TrafficWorld};
 use lease::Lease;
-use protocol::{LeaseReply, Payload};
+use protocol::{LeaseReply, Payload, Prepare};
 use quorum_register::{Change, Register, Start, VoterPhase};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -457,6 +457,14 @@
                 accept.lease_epoch = 0;
                 Payload::Accept(accept)
             }
+            (ControlDefect::AcceptsLackEpoch, Payload::AcceptDelta(mut accept)) => {
+                accept.lease_epoch = 0;
+                Payload::AcceptDelta(accept)
+            }
+            // The voters are to be read off the promise: it is asked for whole.
+            (ControlDefect::SkipsJointVoters, Payload::Prepare(prepare)) => {
+                Payload::Prepare(Prepare { since: None, ..prepare })
+            }
             (ControlDefect::SkipsJointVoters, Payload::Promise(mut promise)) => {
                 let voter_set = &mut promise.accepted.voter_set;
                 if voter_set.is_joint() {
--- a/crates/explorer/src/register_model/defects.rs
+++ b/crates/explorer/src/register_model/defects.rs
@@ -2,7 +2,7 @@
 
 use super::RegisterModel;
 use super::scenario::RegisterDefect;
-use protocol::{Accepted, Ballot, ClusterState, Payload, Promise};
+use protocol::{Accept, AcceptDelta, Accepted, Ballot, ClusterState, Payload, Prepare, Promise};
 
 impl RegisterModel {
     /// What a defect makes of a message.
@@ -14,6 +14,10 @@
             {
                 (replaced + 1, body)
             }
+            // The voters are to be read off the promise: it is asked for whole.
+            (RegisterDefect::SkipsJointVoters, Payload::Prepare(prepare)) => {
+                (from, Payload::Prepare(Prepare { since: None, ..prepare }))
+            }
             (RegisterDefect::SkipsJointVoters, Payload::Promise(mut promise)) => {
                 let voter_set = &mut promise.accepted.voter_set;
                 if voter_set.is_joint() {
@@ -36,12 +40,10 @@
             accepted: ClusterState::default(),
             ..Promise::default()
         })),
-        Payload::Accept(accept) => Some(Payload::Accepted(Accepted {
-            ballot: accept.ballot.clone(),
-            promised: accept.ballot.clone(),
-            done: true,
-            wants_bytes: false,
-        })),
+        Payload::Accept(Accept { ballot, .. }) | Payload::AcceptDelta(AcceptDelta { ballot, .. }) => {
+            let (ballot, promised) = (ballot.clone(), ballot.clone());
+            Some(Payload::Accepted(Accepted { ballot, promised, done: true, ..Accepted::default() }))
+        }
         _ => None,
     }
 }
