--- a/crates/carrier/src/core.rs
+++ b/crates/carrier/src/core.rs
@@ -43,8 +43,6 @@
     pub me: Member,
     pub seeds: Vec<String>,
     pub seed: u64,
-    /// Higher in each life of this carrier: the moment of the start by the system's clock.
-    pub life: u64,
     /// How configurations are read.
     pub reader: SetupReader,
     pub times: Times,
@@ -114,7 +112,6 @@
 /// The core of one carrier.
 pub struct Carrier {
     me: Member,
-    life: u64,
     times: Times,
     random: Random,
     membership: Membership,
@@ -164,16 +161,15 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
+    /// let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().edition, 0);
     /// ```
     pub fn new(start: Start) -> Self {
-        let Start { me, seeds, seed, life, reader, times } = start;
+        let Start { me, seeds, seed, reader, times } = start;
         let mut random = Random::new(seed);
         let membership = Membership::new(me.clone(), seeds, times.membership, random.next_u64());
         let mut carrier = Carrier {
             me,
-            life,
             times,
             random,
             membership,
@@ -203,7 +199,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert_eq!(carrier::Carrier::new(start).view().as_of, None);
     /// ```
     pub fn view(&self) -> &View {
@@ -214,7 +210,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// use carrier::{Event, Phase};
     /// use std::time::Duration;
     /// let mut carrier = carrier::Carrier::new(start);
@@ -238,7 +234,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// assert!(carrier::Carrier::new(start).postmasters().is_empty());
     /// ```
     pub fn postmasters(&self) -> Vec<String> {
@@ -252,7 +248,7 @@
     ///
     /// ```
     /// # let times = carrier::shell::times(&tariff::Settings::read(&[tariff::TIMES], None, &[]).unwrap());
-    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, life: 1, reader: Default::default(), times };
+    /// # let start = carrier::Start { me: Default::default(), seeds: vec![], seed: 1, reader: Default::default(), times };
     /// let mut carrier = carrier::Carrier::new(start);
     /// assert!(carrier.step(Default::default(), carrier::Event::Tick).is_empty(), "nobody to ask");
     /// ```
@@ -460,7 +456,7 @@
         if edition != before {
             self.effects.push(Effect::Note(format!("edition {edition} is in force")));
         }
-        let kept = UpdateAck { stream, number, edition, life: self.life };
+        let kept = UpdateAck { stream, number, edition };
         self.effects.push(Effect::Send { to: from, body: Payload::UpdateAck(kept) });
         self.effects.push(Effect::Publish);
     }
--- a/crates/carrier/src/shell.rs
+++ b/crates/carrier/src/shell.rs
@@ -118,7 +118,6 @@
         me,
         seeds: transport::seeds(&settings),
         seed: transport::chance(),
-        life: transport::life(),
         reader,
         times: times(&settings),
     });
--- a/crates/carrier/tests/following.rs
+++ b/crates/carrier/tests/following.rs
@@ -27,7 +27,6 @@
         me,
         seeds: vec![],
         seed: 1,
-        life: 1,
         reader: Default::default(),
         times: carrier::shell::times(&settings),
     });
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -6,7 +6,7 @@
 use crate::departures::Departures;
 use crate::keys::KeyCounts;
 use crate::placement::Duty;
-use crate::updates::{Kept, Reader};
+use crate::updates::Reader;
 use crate::voters::VoterChanges;
 use address::{Code, Random};
 use enrolment::Roll;
@@ -248,7 +248,7 @@
     pub(crate) members: Vec<Member>,
     pub(crate) readers: BTreeMap<String, Reader>,
     /// The edition that each carrier acknowledged, to whichever postmaster.
-    pub(crate) kept: BTreeMap<String, Kept>,
+    pub(crate) kept: BTreeMap<String, u64>,
     pub(crate) waiting_force: Vec<InForce>,
     pub(crate) read_waits: Vec<ReadWait>,
     pub(crate) anonymous: AnonymousOrders,
--- a/crates/controller/src/updates.rs
+++ b/crates/controller/src/updates.rs
@@ -25,25 +25,6 @@
     pub(crate) edition: u64,
 }
 
-/// The edition that a carrier acknowledged last, and in which of its lives.
-#[derive(Default)]
-pub(crate) struct Kept {
-    life: u64,
-    edition: u64,
-}
-
-impl Kept {
-    /// Takes in an acknowledgement. What an earlier life had counts for nothing in a later one; carriers of older versions
-    /// tell no life, and are believed.
-    fn take(&mut self, life: u64, edition: u64) {
-        if life > self.life {
-            *self = Kept { life, edition };
-        } else if life == self.life || life == 0 {
-            self.edition = self.edition.max(edition);
-        }
-    }
-}
-
 /// The changes to the new placement, worked out once for all readers that were told the same one.
 struct PlacementChanges<'a> {
     new: &'a Arc<Placement>,
@@ -180,7 +161,7 @@
         let reader = self.readers.get_mut(from).filter(|reader| reader.stream == kept.stream);
         let newer = reader.filter(|reader| reader.edition < kept.edition).map(|reader| {
             reader.edition = kept.edition;
-            CarrierAck { node: from.to_owned(), edition: kept.edition, life: kept.life }
+            CarrierAck { node: from.to_owned(), edition: kept.edition }
         });
         newer.into_iter().for_each(|kept| {
             self.tell_postmasters(Payload::CarrierAck(kept.clone()));
@@ -190,16 +171,17 @@
 
     pub(crate) fn carrier_kept(&mut self, kept: CarrierAck) {
         let known = self.members.iter().any(|member| member.node == kept.node);
-        if known {
-            let CarrierAck { node, edition, life } = kept;
-            self.kept.entry(node).or_default().take(life, edition);
-        }
+        let edition = kept.edition;
+        Some(kept.node).filter(|_| known).into_iter().for_each(|node| {
+            let last = self.kept.entry(node).or_insert(0);
+            *last = edition.max(*last);
+        });
     }
 
     /// True where every carrier that membership knows has acknowledged this edition to some postmaster.
     pub(crate) fn all_kept(&self, edition: u64) -> bool {
         let mut carriers = self.members.iter().filter(|member| member.roles != "postmaster");
-        carriers.all(|member| self.kept.get(&member.node).is_some_and(|kept| kept.edition >= edition))
+        carriers.all(|member| self.kept.get(&member.node).is_some_and(|kept| *kept >= edition))
     }
 }
 
--- a/crates/drill/src/hollow/fleet.rs
+++ b/crates/drill/src/hollow/fleet.rs
@@ -163,14 +163,7 @@
         node.core = if node.role == Role::Carrier {
             let times = carrier::shell::times(&settings);
             Core::Carrier(
-                Box::new(Carrier::new(carrier::Start {
-                    me,
-                    seeds,
-                    seed,
-                    life: self.now.as_millis() as u64 + 1,
-                    reader: Default::default(),
-                    times,
-                })),
+                Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader: Default::default(), times })),
                 Box::default(),
             )
         } else {
--- a/crates/drill/src/sim/nodes.rs
+++ b/crates/drill/src/sim/nodes.rs
@@ -281,11 +281,7 @@
             Core::ControlNode(Box::new(ControlNode::new(start)))
         } else {
             let times = carrier::shell::times(&settings);
-            let life = now.as_millis() as u64 + 1;
-            Core::Carrier(
-                Box::new(Carrier::new(carrier::Start { me, seeds, seed, life, reader, times })),
-                Box::default(),
-            )
+            Core::Carrier(Box::new(Carrier::new(carrier::Start { me, seeds, seed, reader, times })), Box::default())
         };
         let life = node.life;
         // Not all tick at the same moment.
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -816,9 +816,6 @@
     /// The edition in force at the carrier.
     #[prost(uint64, tag = "3")]
     pub edition: u64,
-    /// Which life of the carrier says so; higher in each, 0 from an older version.
-    #[prost(uint64, tag = "4")]
-    pub life: u64,
 }
 
 /// A postmaster tells the others which edition a carrier acknowledged to it.
@@ -828,9 +825,6 @@
     pub node: String,
     #[prost(uint64, tag = "2")]
     pub edition: u64,
-    /// As in [`UpdateAck`]; 0 where either of both is of an older version.
-    #[prost(uint64, tag = "3")]
-    pub life: u64,
 }
 
 /// Requests of one service that came in lately, over equal parts of its keys.
--- a/crates/transport/src/start.rs
+++ b/crates/transport/src/start.rs
@@ -3,7 +3,7 @@
 use address::Random;
 use log::LevelFilter;
 use simplelog::{Config, ConfigBuilder, SimpleLogger};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tariff::{Complaint, Setting, Settings, Shape, check_times};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -197,16 +197,6 @@
     Random::new(drawn).next_u64()
 }
 
-/// A number that is higher at each start: the moment by the system's clock, in milliseconds.
-///
-/// ```
-/// assert!(transport::life() > 0);
-/// ```
-pub fn life() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    (since.as_millis() as u64).max(1)
-}
-
 /// Done when the process is asked to stop (SIGTERM or SIGINT).
 ///
 /// ```no_run
