Departures on disk are dated by the time since boot, as everything here

Cause: the departures' file was dated by the wall clock; drill sources::no_process_reads_a_wall_clock was red on it, rightly: that clock jumps. A later time than now stands for a boot in between, and its departures are forgotten, as before after a power cut.

--- a/crates/controller/src/departure_writer.rs
+++ b/crates/controller/src/departure_writer.rs
@@ -4,7 +4,6 @@
 use log::{error, info};
 use protocol::Departure;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::SystemTime;
 use storage::DepartureLog;
 
 /// Departures to be written, and the ticket that they are reported by.
@@ -22,7 +21,7 @@
     /// use controller::departure_writer::DepartureWriter;
     /// let folder = std::env::temp_dir().join(format!("departure-writer-{}", std::process::id()));
     /// let (storage, _) = storage::Storage::open(&folder).unwrap();
-    /// let (log, _) = storage.departure_log(std::time::SystemTime::now());
+    /// let (log, _) = storage.departure_log(transport::since_boot());
     /// let (tell, told) = std::sync::mpsc::channel();
     /// let writer = DepartureWriter::start(log, Default::default(), move |ticket| tell.send(ticket).is_ok());
     /// writer.write(7, vec![]);
@@ -46,7 +45,7 @@
     let mut failures = 0;
     let mut next = waiting.recv().ok();
     while let Some((ticket, departures)) = next {
-        next = match log.keep(departures.clone(), SystemTime::now()) {
+        next = match log.keep(departures.clone(), transport::since_boot()) {
             Ok(()) => {
                 if std::mem::take(&mut failures) > 0 {
                     info!("disk: departures are kept again");
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -15,7 +15,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use storage::{Contents, Storage, Trouble};
 use tariff::{Setting, Settings, Shape, Sheet};
 use tokio::net::UdpSocket;
@@ -132,7 +132,7 @@
     };
     let node = me.node.clone();
     log::info!("start: postmaster {node} in {}", me.locality);
-    let (departure_log, departures) = storage.departure_log(SystemTime::now());
+    let (departure_log, departures) = storage.departure_log(transport::since_boot());
     let mut control = ControlNode::new(Start {
         me,
         seeds: transport::seeds(&settings),
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -600,7 +600,7 @@
     /// Each write's is higher than the one before.
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
-    /// By the system's clock, since 1970.
+    /// Since the boot of the machine.
     #[prost(uint64, tag = "2")]
     pub written_at_ms: u64,
     #[prost(message, repeated, tag = "3")]
--- a/crates/storage/src/departures.rs
+++ b/crates/storage/src/departures.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 const FILES: [&str; 2] = ["departures.0", "departures.1"];
 /// How long departures are remembered over a restart: as long as in memory.
@@ -29,10 +29,6 @@
     sequence: u64,
 }
 
-fn since_epoch_ms(time: SystemTime) -> u64 {
-    time.duration_since(UNIX_EPOCH).map(|since| since.as_millis() as u64).unwrap_or(0)
-}
-
 /// The whole record in the file's bytes.
 fn decode(bytes: &[u8]) -> Option<DeparturesFile> {
     let (length, rest) = bytes.split_at_checked(LENGTH_BYTES)?;
@@ -47,12 +43,13 @@
 
 impl DepartureLog {
     /// Opens the log in a data folder that this process has locked; gives what an earlier process wrote there at most
-    /// 60 s before `now`. Files that can't be read count as missing.
-    pub(crate) fn open(files: Arc<dyn FileSystem>, folder: &Path, now: SystemTime) -> (DepartureLog, Vec<Departure>) {
+    /// 60 s before `now`, the time since the machine's boot. Files that can't be read, or bear a later time, as of before the
+    /// last boot, count as missing.
+    pub(crate) fn open(files: Arc<dyn FileSystem>, folder: &Path, now: Duration) -> (DepartureLog, Vec<Departure>) {
         let records = FILES.iter().filter_map(|name| decode(&files.read(&folder.join(name)).ok()?));
         let latest = records.max_by_key(|record| record.sequence).unwrap_or_default();
         let log = DepartureLog { files, folder: folder.to_owned(), open: [None, None], sequence: latest.sequence };
-        let age_ms = since_epoch_ms(now).checked_sub(latest.written_at_ms);
+        let age_ms = (now.as_millis() as u64).checked_sub(latest.written_at_ms);
         let recent = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < REMEMBERED);
         (log, if recent { latest.departures } else { Vec::new() })
     }
@@ -60,20 +57,20 @@
     /// Writes these departures in the place of those of the write before the last one.
     ///
     /// ```
-    /// use std::time::{Duration, SystemTime};
+    /// use std::time::Duration;
     /// let folder = std::env::temp_dir().join(format!("storage-departures-{}", std::process::id()));
     /// let (storage, _) = storage::Storage::open(&folder).unwrap();
     /// let leaves = protocol::Departure { instance: "a".into(), condition: 1, ..Default::default() };
-    /// let now = SystemTime::now();
+    /// let now = Duration::from_secs(3600);
     /// let mut log = storage.departure_log(now).0;
     /// log.keep(vec![leaves.clone()], now).unwrap();
     /// assert_eq!(storage.departure_log(now).1, [leaves]);
     /// assert!(storage.departure_log(now + Duration::from_secs(60)).1.is_empty(), "it is over");
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
-    pub fn keep(&mut self, departures: Vec<Departure>, now: SystemTime) -> Result<(), Report<StorageError>> {
+    pub fn keep(&mut self, departures: Vec<Departure>, now: Duration) -> Result<(), Report<StorageError>> {
         self.sequence += 1;
-        let record = DeparturesFile { sequence: self.sequence, written_at_ms: since_epoch_ms(now), departures };
+        let record = DeparturesFile { sequence: self.sequence, written_at_ms: now.as_millis() as u64, departures };
         let written = self.write(&encode(&record));
         if written.is_err() {
             // The next try may find the disk repaired, with other files.
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -23,7 +23,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::Duration;
 use witness::Witness;
 
 const STATE_FILE: &str = "word.redb";
@@ -157,15 +157,16 @@
     }
 
     /// The departures of upstreams in this folder, which has to stay open meanwhile: where to write them, from whichever
-    /// thread, and those that an earlier process wrote less than a minute before `now`.
+    /// thread, and those that an earlier process wrote less than a minute before `now`,
+    /// the time since the machine's boot.
     ///
     /// ```
     /// let folder = std::env::temp_dir().join(format!("storage-log-{}", std::process::id()));
     /// let (storage, _) = storage::Storage::open(&folder).unwrap();
-    /// assert!(storage.departure_log(std::time::SystemTime::now()).1.is_empty());
+    /// assert!(storage.departure_log(std::time::Duration::from_secs(3600)).1.is_empty());
     /// std::fs::remove_dir_all(&folder).unwrap();
     /// ```
-    pub fn departure_log(&self, now: SystemTime) -> (DepartureLog, Vec<Departure>) {
+    pub fn departure_log(&self, now: Duration) -> (DepartureLog, Vec<Departure>) {
         DepartureLog::open(self.files.clone(), &self.folder, now)
     }
 
--- a/crates/storage/tests/failures.rs
+++ b/crates/storage/tests/failures.rs
@@ -7,7 +7,7 @@
 use simulated::{Loss, Omits, SimulatedDisk};
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use storage::{Contents, Storage, Trouble};
 
 const FOLDER: &str = "/data";
@@ -224,6 +224,9 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+/// Since the machine's boot.
+const AN_HOUR: Duration = Duration::from_secs(3600);
+
 fn departures(count: usize) -> Vec<Departure> {
     (0..count).map(|at| Departure { instance: format!("unit-{at}"), condition: 1, ..Default::default() }).collect()
 }
@@ -233,7 +236,7 @@
 fn a_write_of_departures_that_was_cut_short_leaves_the_one_before() {
     let disk = SimulatedDisk::new(Omits::Nothing);
     let (storage, _) = open(&disk);
-    let now = SystemTime::now();
+    let now = AN_HOUR;
     let mut log = storage.departure_log(now).0;
     // The longer one's end stays behind the shorter one.
     [7, 9, 3, 2].into_iter().for_each(|count| log.keep(departures(count), now).unwrap());
@@ -252,12 +255,15 @@
 fn departures_are_written_on_over_a_start_and_forgotten_after_a_minute() {
     let disk = SimulatedDisk::new(Omits::Nothing);
     let (storage, _) = open(&disk);
-    let (now, minute) = (SystemTime::now(), Duration::from_secs(60));
+    let (now, minute) = (AN_HOUR, Duration::from_secs(60));
     (1..6).for_each(|count| {
         let (mut log, found) = storage.departure_log(now);
         assert_eq!(found, departures(count - 1));
         log.keep(departures(count), now).unwrap();
     });
     assert!(storage.departure_log(now + minute).1.is_empty(), "an instance id may be in use again");
-    assert!(storage.departure_log(now - minute).1.is_empty(), "the clock was set back: nobody knows how old they are");
+    assert!(
+        storage.departure_log(now - minute).1.is_empty(),
+        "the machine has booted since: nobody knows how old they are"
+    );
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -19,5 +19,5 @@
 pub use links::{LONGEST_WAIT, Links, Sent, send_datagram};
 pub use pool::Pool;
 pub use reload::{Reload, reload_signal};
-pub use start::{Clock, Program, begin, chance, exit, seeds, stop_signal};
+pub use start::{Clock, Program, begin, chance, exit, seeds, since_boot, stop_signal};
 pub use wire::close_unacknowledged_after;
--- a/crates/transport/src/start.rs
+++ b/crates/transport/src/start.rs
@@ -56,7 +56,12 @@
     }
 }
 
-fn since_boot() -> Duration {
+/// Time since the machine's boot, suspensions counted.
+///
+/// ```
+/// assert!(transport::since_boot() <= transport::since_boot());
+/// ```
+pub fn since_boot() -> Duration {
     let told = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     Duration::new(told.tv_sec.max(0) as u64, told.tv_nsec.max(0) as u32)
 }
