Sorting: the journey's file split by concept

Order goes to request.rs, Site to proxy.rs, Stage, Outcome and Move to steps.rs, the first decision to routing.rs, calls to upstreams to calls.rs. Behaviour is unchanged.

--- /dev/null
+++ b/crates/sorting/src/calls.rs
@@ -0,0 +1,190 @@
+//! Calls to upstreams: judged again once connected, and what follows from their outcomes.
+
+use crate::board::Board;
+use crate::journey::Journey;
+use crate::load::Load;
+use crate::notes::{Note, Why};
+use crate::steps::{Move, Outcome, Stage};
+use address::{Code, Kind};
+use gazetteer::View;
+use protocol::{Share, Upstream};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tariff::Service;
+
+/// Most connections tried for one request, those that never came up included.
+const MOST_CALLS: u32 = 4;
+
+impl Journey {
+    /// The bell rang, or the waiting is over: one more look for a seat.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Move, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let mut journey = Journey::new(Order::default(), site);
+    /// let next = journey.called(Duration::ZERO, &Default::default(), &Default::default());
+    /// assert!(matches!(next, Move::Answer { .. }), "it waited for nothing");
+    /// ```
+    pub fn called(&mut self, now: Duration, view: &View, board: &Board) -> Move {
+        self.notes.push(Note::Called);
+        self.choose(now, view, board)
+    }
+
+    /// The connection is up, and nothing was sent. The choice is judged once more, since the process may have
+    /// stood still in between: only what may still go there is written, and else another is chosen.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Move, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let mut journey = Journey::new(Order::default(), site);
+    /// let next = journey.connected(Duration::ZERO, &Default::default(), &Default::default());
+    /// assert!(matches!(next, Move::Answer { .. }), "it had chosen nobody");
+    /// ```
+    pub fn connected(&mut self, now: Duration, view: &View, board: &Board) -> Move {
+        let (Stage::Chosen { upstream, share }, Some(service)) = (self.stage.clone(), self.service.clone()) else {
+            return self.answer(now, Code::Expired);
+        };
+        let withdrawn = self.withdrawn(now, view, &service, &upstream, share.as_ref());
+        let within = self.left(now);
+        if let Some(why) = withdrawn {
+            self.notes.push(Note::Withdrawn { upstream, why });
+            self.leave_seat();
+            self.turn(Stage::Waiting);
+            return if self.calls < MOST_CALLS { self.choose(now, view, board) } else { self.answer(now, Code::Busy) };
+        }
+        if !self.written {
+            self.written = true;
+            self.desk.iter().for_each(|desk| desk.firsts.add(now));
+        }
+        self.sends += 1;
+        self.sent_at = self.seat.as_ref().map(|(seat, _)| (now, seat.load(now), upstream.slots));
+        self.turn(Stage::Sent { instance: upstream.instance.clone() });
+        self.sent_to = Some((upstream.clone(), share.clone()));
+        self.notes.push(Note::Sent { upstream });
+        Move::Send { share, within }
+    }
+
+    /// The kept connection that it was to be written on had ended, and no byte of it left this process: the same
+    /// upstream is called on a new one, and the choice judged again.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Move, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let mut journey = Journey::new(Order::default(), site);
+    /// assert!(matches!(journey.unsent(Duration::ZERO), Move::Answer { .. }), "it was to be written nowhere");
+    /// ```
+    pub fn unsent(&mut self, now: Duration) -> Move {
+        let Some((upstream, share)) = self.sent_to.take().filter(|_| matches!(self.stage, Stage::Sent { .. })) else {
+            return self.answer(now, Code::Expired);
+        };
+        self.sends -= 1;
+        self.notes.push(Note::Unsent { upstream: upstream.clone() });
+        self.turn(Stage::Chosen { upstream: upstream.clone(), share });
+        Move::Connect { upstream, within: self.left(now) }
+    }
+
+    /// Why what was chosen is not allowed any more.
+    fn withdrawn(
+        &self,
+        now: Duration,
+        view: &View,
+        service: &Service,
+        chosen: &Upstream,
+        share: Option<&Share>,
+    ) -> Option<Why> {
+        let stale = !self.site.may_use(view, now) || view.edition != self.edition;
+        let late = stale || self.left(now).is_zero();
+        let known = view.upstreams.get(&service.name).and_then(|known| known.get(&chosen.instance));
+        let known = known.filter(|known| known.address == chosen.address && !late);
+        let held = self.share(view, service);
+        let other = service.keyed && held.as_ref() != share;
+        known
+            .map_or(Some(Why::Gone), |known| self.barred(view, service, share, known))
+            .or(Some(Why::OtherHolder).filter(|_| other))
+    }
+
+    /// What the upstream told of its load with its answer; to be told before the outcome.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Load, Order, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// Journey::new(Order::default(), site).hear(Duration::ZERO, Load::default());
+    /// ```
+    pub fn hear(&self, now: Duration, load: Load) {
+        self.seat.iter().for_each(|(seat, _)| seat.hear(now, load));
+    }
+
+    /// What came of the call: pass it, call again where that is safe and allowed, or answer.
+    ///
+    /// ```
+    /// # use sorting::{Journey, Move, Order, Outcome, Site};
+    /// # use std::time::Duration;
+    /// # let site = Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// use address::Code;
+    /// let mut journey = Journey::new(Order::default(), site);
+    /// let next = journey.after(Duration::ZERO, &Default::default(), &Default::default(), Outcome::Lost);
+    /// assert!(matches!(next, Move::Answer { code: Code::Lost, .. }), "never sent again blindly");
+    /// ```
+    pub fn after(&mut self, now: Duration, view: &View, board: &Board, outcome: Outcome) -> Move {
+        let called = self.seat.is_some();
+        let was_sent = self.sent_to.take().is_some();
+        // The connection came up and ended before a byte went out.
+        self.sends -= u32::from(was_sent && outcome == Outcome::NotConnected);
+        // A holder of keys may also deny because a share just moved.
+        let least = u32::from(self.service.as_ref().is_some_and(|service| service.keyed));
+        self.seat.iter().for_each(|(seat, _)| {
+            seat.note(
+                now,
+                matches!(outcome, Outcome::Sealed | Outcome::SealedNotRun | Outcome::NotHeld | Outcome::Failed),
+            );
+            match outcome {
+                Outcome::SealedNotRun => seat.full(now, least),
+                Outcome::Replaced | Outcome::ReplacedNotRun => seat.replaced.store(true, Ordering::Release),
+                Outcome::Sealed => {
+                    self.sent_at.iter().filter(|(.., slots)| *slots > 0).for_each(|(at, load, slots)| {
+                        seat.gauge.worked(now.saturating_sub(*at), *load, *slots);
+                    })
+                }
+                _ => {}
+            }
+        });
+        self.leave_seat();
+        let code = match outcome {
+            Outcome::Sealed => {
+                self.answer(now, Code::Fine);
+                return Move::Pass;
+            }
+            Outcome::SealedNotRun | Outcome::ReplacedNotRun => Code::Busy,
+            Outcome::NotHeld => Code::NoHolder,
+            Outcome::Failed => Code::Failed,
+            Outcome::NotConnected => Code::ResendsSpent,
+            Outcome::Lost => Code::Lost,
+            Outcome::Garbage | Outcome::Replaced => Code::Garbage,
+            Outcome::TimedOut => Code::TimedOut,
+        };
+        self.doubt = self.doubt.or(Some(code).filter(|code| code.kind() == Kind::Unknown));
+        let said = self.route.as_ref().and_then(|route| route.terms.repeatable);
+        let repeatable = said.unwrap_or_else(|| self.service.as_ref().is_some_and(|service| service.repeatable));
+        let attempts = self.route.as_ref().and_then(|route| route.terms.attempts).unwrap_or(MOST_CALLS);
+        let safe = repeatable || code.kind() == Kind::NotRun;
+        let proxies = view.proxies.len();
+        // Where no connection came up, nothing was sent: going elsewhere is no resend.
+        let again = safe
+            && called
+            && self.calls < MOST_CALLS
+            && self.sends < attempts
+            && !self.left(now).is_zero()
+            && (code == Code::ResendsSpent || self.desk.as_ref().is_some_and(|desk| desk.take_resend(now, proxies)));
+        if again {
+            self.notes.push(Note::Again { after: code });
+            return self.choose(now, view, board);
+        }
+        let answer = self.answer(now, code);
+        // What it said of its failure is for the origin.
+        if outcome == Outcome::Failed { Move::Pass } else { answer }
+    }
+}
--- a/crates/sorting/src/choosing.rs
+++ b/crates/sorting/src/choosing.rs
@@ -1,8 +1,9 @@
 //! Which upstream a request goes to, and what happens where none has a seat.
 
 use crate::board::{Board, Desk, Seat};
-use crate::journey::{Journey, Move, Stage};
+use crate::journey::Journey;
 use crate::notes::{Note, Why};
+use crate::steps::{Move, Stage};
 use address::Code;
 use gazetteer::View;
 use protocol::{Share, Upstream};
--- a/crates/sorting/src/lib.rs
+++ b/crates/sorting/src/lib.rs
@@ -4,18 +4,26 @@
 //! denied.
 
 mod board;
+mod calls;
 mod choosing;
 mod comeback;
 mod journey;
 mod load;
 mod notes;
+mod proxy;
+mod request;
+mod routing;
+mod steps;
 mod waitlist;
 mod window;
 
 pub use board::{Board, Desk, Seat, Tally};
 pub use comeback::come_back;
-pub use journey::{Journey, Move, Order, Outcome, Site, Stage, suppose};
+pub use journey::{Journey, suppose};
 pub use load::{Gauge, Load};
 pub use notes::{Note, Why};
+pub use proxy::Site;
+pub use request::Order;
+pub use steps::{Move, Outcome, Stage};
 pub use waitlist::{Bell, Waitlist};
 pub use window::Window;
--- /dev/null
+++ b/crates/sorting/src/proxy.rs
@@ -0,0 +1,60 @@
+//! The proxy that serves requests: its place and the spans it goes by.
+
+use address::Locality;
+use gazetteer::{Owners, View};
+use std::time::Duration;
+
+/// The proxy that serves it.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub node: String,
+    pub locality: Locality,
+    /// The locality as text.
+    pub(crate) here: String,
+    pub stale_after: Duration,
+    /// How long a request may wait for a seat; zero denies at once.
+    pub wait_for: Duration,
+    /// Who owns a name; a proxy forwards only where one locality owns it for everybody.
+    pub owners: Owners,
+    /// True where a view that no majority confirms any more is served from all the same.
+    pub serves_on: bool,
+    /// What a request to another zone of the region, and to another region, costs beside work, in milliseconds.
+    pub far_ms: (f64, f64),
+}
+
+impl Site {
+    /// A proxy's place and spans.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let site = sorting::Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// assert_eq!(site.locality.region, "n");
+    /// ```
+    pub fn new(node: &str, locality: Locality, stale_after: Duration, wait_for: Duration) -> Self {
+        Site {
+            node: node.to_owned(),
+            here: locality.to_string(),
+            locality,
+            stale_after,
+            wait_for,
+            owners: Owners::One,
+            serves_on: false,
+            far_ms: (20.0, 60.0),
+        }
+    }
+
+    /// True while a view may be acted on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut site = sorting::Site::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let view = gazetteer::View { as_of: Some(Duration::ZERO), ..Default::default() };
+    /// assert!(!site.may_use(&view, Duration::from_secs(9)));
+    /// site.serves_on = true;
+    /// assert!(site.may_use(&view, Duration::from_secs(9)));
+    /// assert!(!site.may_use(&Default::default(), Duration::ZERO), "it was never confirmed at all");
+    /// ```
+    pub fn may_use(&self, view: &View, now: Duration) -> bool {
+        (self.serves_on && view.as_of.is_some()) || view.is_fresh(now, self.stale_after)
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/steps.rs
@@ -0,0 +1,66 @@
+//! Where a request stands, what came of its last call, and what to do next.
+
+use address::Code;
+use protocol::{Share, Upstream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where a request stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    /// Nothing was sent: it may be denied.
+    Waiting,
+    /// A connection is being opened; still nothing was sent, and another may be chosen.
+    Chosen {
+        upstream: Arc<Upstream>,
+        share: Option<Share>,
+    },
+    /// An upstream (or the next proxy) may have it: 'busy' can't be said any more.
+    Sent {
+        instance: String,
+    },
+    Answered {
+        code: Code,
+    },
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// A whole, sealed verdict.
+    Sealed,
+    /// The upstream sealed that it did not and will not run it.
+    SealedNotRun,
+    /// No byte can have reached it: none left this process.
+    NotConnected,
+    /// It may have reached it, and no whole verdict came.
+    Lost,
+    /// Partial, unsealed or foreign.
+    Garbage,
+    /// Whole and sealed, but by another instance: the one that was called is not there any more.
+    Replaced,
+    /// The same, and what answered says that it did not and will not run it.
+    ReplacedNotRun,
+    /// It does not hold the key, and did not and will not run it.
+    NotHeld,
+    /// A whole verdict that says that it failed.
+    Failed,
+    TimedOut,
+}
+
+/// What to do next.
+#[derive(Clone, Debug)]
+pub enum Move {
+    /// Open a connection to this upstream and tell [`Journey::connected`]. Nothing is sent yet.
+    Connect { upstream: Arc<Upstream>, within: Duration },
+    /// Write the request on the connection that just came up, at once.
+    Send { share: Option<Share>, within: Duration },
+    /// Hand it to one of these proxies, once.
+    Forward { proxies: Vec<String>, within: Duration },
+    /// No seat is free: tell [`Journey::called`] when the bell rings, or when this span is over.
+    Wait { within: Duration },
+    /// Pass the verdict that came.
+    Pass,
+    /// Answer with a code, and when to come back where that helps.
+    Answer { code: Code, retry_after: Option<Duration> },
+}
