--- a/crates/quorum-register/src/proposer.rs
+++ b/crates/quorum-register/src/proposer.rs
@@ -15,6 +15,9 @@
 const LEAST_BACK_OFF_MS: u64 = 20;
 const BACK_OFF_MS: u64 = 180;
 const MAX_DOUBLINGS: u32 = 1;
+/// How long after its sending a question goes again to the voters that have not answered it: longer than an answer takes
+/// between regions with its write, and well below the time of a phase.
+const RESEND_EVERY: Duration = Duration::from_millis(300);
 /// How many changes one round takes along.
 const MAX_AT_ONCE: usize = 16;
 
@@ -52,6 +55,7 @@
     Preparing {
         ballot: Ballot,
         asked_at: Duration,
+        resend_at: Duration,
         /// Who was asked so far.
         asked: BTreeSet<String>,
         promises: BTreeMap<String, Promise>,
@@ -61,6 +65,7 @@
         asked_at: Duration,
         /// Started this phase.
         since: Duration,
+        resend_at: Duration,
         state: ClusterState,
         /// The highest lease epoch among the promises.
         lease_epoch: u64,
@@ -127,11 +132,36 @@
             Round::BackingOff { until } if now >= *until => self.turn(Round::Idle),
             Round::Preparing { asked_at, .. } if now >= *asked_at + phase => self.back_off(now),
             Round::Accepting { since, .. } if now >= *since + phase => self.back_off(now),
+            Round::Preparing { resend_at, .. } if now >= *resend_at => self.resend_prepares(now),
+            Round::Accepting { resend_at, .. } if now >= *resend_at => self.resend_accepts(now),
             _ => {}
         }
         self.give_up_on_old(now);
     }
 
+    /// A lost question or answer costs this long instead of the whole phase; a voter answers a ballot alike each time.
+    fn resend_prepares(&mut self, now: Duration) {
+        let since = self.since();
+        let Round::Preparing { ballot, resend_at, asked, promises, .. } = &mut self.round else { return };
+        *resend_at = now + RESEND_EVERY;
+        let prepare = Payload::Prepare(Prepare { ballot: ballot.clone(), since });
+        let silent: Vec<String> = asked.iter().filter(|voter| !promises.contains_key(*voter)).cloned().collect();
+        silent.iter().for_each(|voter| self.send(voter, prepare.clone()));
+    }
+
+    fn resend_accepts(&mut self, now: Duration) {
+        let Round::Accepting { resend_at, decided_before, disks, accepted, .. } = &mut self.round else { return };
+        *resend_at = now + RESEND_EVERY;
+        let since = *decided_before;
+        let silent = disks.iter().filter(|(voter, _)| !accepted.contains(*voter));
+        let silent: Vec<(String, u64)> = silent.map(|(voter, disk)| (voter.clone(), *disk)).collect();
+        silent.into_iter().for_each(|(voter, disk)| {
+            // Whoever can't put the state together from that asks for the whole.
+            let since = Some(since).filter(|_| self.replicas.takes_deltas(&voter));
+            self.ask_to_accept(&voter, disk, since);
+        });
+    }
+
     fn give_up_on_old(&mut self, now: Duration) {
         let patience = self.times.patience;
         let edition = self.current.state.edition;
@@ -168,7 +198,8 @@
             }
         });
         let asked = self.replica_nodes().into_iter().collect();
-        self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, asked, promises: BTreeMap::new() });
+        let (resend_at, promises) = (now + RESEND_EVERY, BTreeMap::new());
+        self.turn(Round::Preparing { ballot: ballot.clone(), asked_at: now, resend_at, asked, promises });
         let since = self.since();
         self.send_all(Payload::Prepare(Prepare { ballot, since }));
     }
@@ -242,6 +273,7 @@
             ballot,
             asked_at,
             since: now,
+            resend_at: now + RESEND_EVERY,
             state,
             lease_epoch,
             decided_before,
