--- a/crates/explorer/tests/control.rs
+++ b/crates/explorer/tests/control.rs
@@ -43,10 +43,10 @@
 #[test]
 fn two_steps_of_a_change_within_a_span_bring_no_second_holder() {
     let scenario = ControlScenario {
-        budget: ControlBudget { passes: 2, ..named("voters-lease-begun-stray").budget },
+        budget: ControlBudget { passes: 4, ..named("voters-lease-begun-stray").budget },
         ..named("voters-lease-begun-stray")
     };
-    let report = search(&ControlModel::new(scenario), limits(3 * STATES));
+    let report = search(&ControlModel::new(scenario), limits(10 * STATES));
     assert_eq!(report.violating.map(|trace| trace.to_string()), None);
 }
 
@@ -63,7 +63,7 @@
 #[test]
 fn a_new_voter_that_grants_at_once_is_found_out() {
     let scenario = named("voters-lease-begun-stray");
-    let budget = ControlBudget { passes: 2, ..scenario.budget };
+    let budget = ControlBudget { passes: 4, ..scenario.budget };
     let found = broken_by(ControlDefect::NewVoterGrantsAtOnce, ControlScenario { budget, ..scenario });
     assert_eq!(found, Invariant::OneHolder);
 }
