--- a/deploy/hunting/command.py
+++ b/deploy/hunting/command.py
@@ -81,7 +81,7 @@
     found = play_and_keep(player, plays, flags, kept)
     asked = {(path.stem, seed) for path in files for seed in seeds(flags.seeds)}
     earlier = [result for result in before if (result.day, result.seed) in asked & known]
-    return _tell(earlier + found)
+    return _tell(earlier + found, flags.whole)
 
 
 def play_and_keep(player, plays, flags, kept):
@@ -121,11 +121,11 @@
             found += _read_results(path)
         else:
             found += results.of_entry(json.loads(path.read_text()), path.name)
-    return _tell(found)
+    return _tell(found, flags.whole)
 
 
-def _tell(found):
-    print(results.table(found))
+def _tell(found, whole):
+    print(results.table(found, whole))
     outcomes = {result.outcome for result in found}
     if results.BROKEN in outcomes:
         return BROKEN
@@ -150,6 +150,7 @@
     _add_play(verbs)
     table = verbs.add_parser("table", help="the table of results kept before, or of journal entries")
     table.add_argument("entries", nargs="+", type=pathlib.Path, help="results-*.jsonl, or journal/*.json")
+    table.add_argument("--whole", action="store_true", help="also rows of days of which there is nothing to say")
     table.set_defaults(verb=_table)
     return parser
 
@@ -178,4 +179,5 @@
     play.add_argument("--anew", action="store_true", help="also play what --keep has a result of")
     play.add_argument("--journal", type=pathlib.Path, default=REPOSITORY / bench.JOURNAL, help="where new entries are copied")
     play.add_argument("--bench", help="the bench's program; else FLEETBENCH names it")
+    play.add_argument("--whole", action="store_true", help="also rows of days of which there is nothing to say")
     play.set_defaults(verb=_play)
--- a/deploy/hunting/tests/test_results.py
+++ b/deploy/hunting/tests/test_results.py
@@ -50,7 +50,13 @@
         found.append(results.not_played("north", "cut", 3, "too busy"))
         text = results.table(found)
         self.assertIn("| north | cut | 2 (+1 not played) | 1 | 2: CONFIG 5 DENIED 4 |", text)
-        self.assertIn("3 runs: 1 passed, 1 broken, 1 not played", text)
+        self.assertIn("3 runs of 1 days: 1 passed, 1 broken, 1 not played", text)
+
+    def test_a_day_that_passed_whole_has_a_row_only_in_the_whole_table(self):
+        found = results.of_entry(entry(), "a.json")
+        self.assertNotIn("| cut |", results.table(found))
+        self.assertIn("| cut |", results.table(found, whole=True))
+        self.assertIn("1 runs of 1 days: 1 passed", results.table(found))
 
     def test_a_gate_that_is_missed_without_a_rule_is_told(self):
         found = results.of_entry(entry(gate=False, short=["no ack after 6054 ms"]), "a.json")
