Data plane: what is rejected is counted and logged by name or route, code and time

Now each series of rejections (lookups by name, requests by route id, with the code) is counted from its first to its last; the log says when one begins, goes on or is over, and 'counters' lists them.

--- a/crates/data-plane/src/admin.rs
+++ b/crates/data-plane/src/admin.rs
@@ -4,6 +4,7 @@
 
 use crate::counters::Counters;
 use crate::node::Node;
+use crate::rejections::{Rejected, RejectionSeries};
 use bytes::Bytes;
 use config::JsonValue;
 use http_body_util::Full;
@@ -23,6 +24,11 @@
         let now = self.clock.now();
         let services = self.stats.service_counters(now).into_iter();
         let ejected = self.stats.ejected(now).into_iter();
+        let rejections = self
+            .rejections
+            .current()
+            .into_iter()
+            .map(|(rejected, series)| (rejected, series, now));
         let json = JsonValue::object([
             ("listings", Counters::value_of(&self.counters.lookups)),
             ("forwarded", Counters::value_of(&self.counters.forwarded)),
@@ -30,6 +36,7 @@
             ("services", services.map(service_json).collect()),
             ("setAside", ejected.map(JsonValue::from).collect()),
             ("codes", JsonValue::Object(self.counters.codes())),
+            ("rejections", rejections.map(rejection_json).collect()),
         ]);
         transport::json_response(ResultCode::Success, &json)
     }
@@ -112,3 +119,16 @@
         ("deniedIn10s", counters.rejected.into()),
     ])
 }
+
+fn rejection_json((rejected, series, now): (Rejected, RejectionSeries, Duration)) -> JsonValue {
+    JsonValue::object([
+        ("what", rejected.kind.to_string().into()),
+        ("subject", rejected.subject.into()),
+        ("code", u64::from(rejected.code.number()).into()),
+        ("count", series.count.into()),
+        (
+            "sinceMs",
+            (now.saturating_sub(series.since).as_millis() as u64).into(),
+        ),
+    ])
+}
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::api_adapter::{ApiAdapter, Endpoint, ListenerKind};
 use crate::counters::Counters;
+use crate::rejections::{RejectedKind, Rejections};
 use crate::traces::Traces;
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -51,6 +52,7 @@
     pub(crate) api_adapter: ApiAdapter,
     pub(crate) traces: Traces,
     pub(crate) counters: Counters,
+    pub(crate) rejections: Rejections,
     pub(crate) roles: String,
     lifetime: Duration,
     /// Not ready any more.
@@ -97,6 +99,7 @@
             api_adapter,
             traces: Traces::default(),
             counters: Counters::default(),
+            rejections: Rejections::default(),
             roles,
             lifetime,
             is_draining: AtomicBool::new(false),
@@ -170,6 +173,17 @@
         self.counters.count_code(code);
     }
 
+    /// Counts a rejection by what it concerns.
+    pub(crate) fn count_rejection(&self, kind: RejectedKind, subject: &str, code: ResultCode) {
+        self.rejections
+            .record(self.clock.now(), kind, subject, code);
+    }
+
+    /// Log lines on what is being rejected.
+    pub(crate) fn rejection_report(&self, now: Duration) -> Vec<String> {
+        self.rejections.report(now)
+    }
+
     /// Success where the node is ready for requests, else why not.
     pub(crate) fn readiness(&self) -> ResultCode {
         if self.is_draining.load(Ordering::Acquire) {
@@ -205,6 +219,7 @@
         match answer {
             Ok(answer) => (self.api_adapter.lookup_response)(answer),
             Err(code) => {
+                self.count_rejection(RejectedKind::Lookup, name, code);
                 let salt = format!("{name}{client}");
                 let retry_after = request_routing::retry_after_for(code, 0.0, &salt);
                 self.reject(code, retry_after, "")
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -6,6 +6,7 @@
 use crate::api_adapter::Call;
 use crate::node::Node;
 use crate::own_api;
+use crate::rejections::RejectedKind;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
@@ -137,6 +138,8 @@
                 NextStep::Forward { proxies, within } => self.forward(&proxies, within).await,
                 NextStep::Answer { code, retry_after } => {
                     node.count(code);
+                    let subject = self.state.route_id().unwrap_or(&self.request.name);
+                    node.count_rejection(RejectedKind::Request, subject, code);
                     return node.reject(code, retry_after, &self.request.attempt_id);
                 }
                 NextStep::PassResponse => return self.respond(),
--- a/crates/data-plane/src/shell.rs
+++ b/crates/data-plane/src/shell.rs
@@ -163,6 +163,9 @@
             self.next_sweep = now + SWEEP_INTERVAL;
             let loads = self.node.sweep(now);
             self.core.step(now, Event::KeyLoadsCounted(loads));
+            for line in self.node.rejection_report(now) {
+                log::warn!("rejections: {line}");
+            }
             log::debug!("links: {:?}", self.links.sent_counts());
         }
     }
--- a/crates/request-routing/src/request_state.rs
+++ b/crates/request-routing/src/request_state.rs
@@ -106,6 +106,18 @@
         &self.stage
     }
 
+    /// The id of the route that it is on, once that is known.
+    ///
+    /// ```
+    /// # use request_routing::{RequestState, RequestInfo, ProxyContext};
+    /// # use std::time::Duration;
+    /// # let proxy = ProxyContext::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// assert_eq!(RequestState::new(RequestInfo::default(), proxy).route_id(), None);
+    /// ```
+    pub fn route_id(&self) -> Option<&str> {
+        self.route.as_ref().map(|route| route.id.as_str())
+    }
+
     /// What was decided on the way, in order.
     ///
     /// ```
