--- a/crates/simulator/src/clients.rs
+++ b/crates/simulator/src/clients.rs
@@ -152,7 +152,7 @@
                 name,
                 &client,
                 &name_directory::LookupOptions {
-                    ownership: name_directory::OwnershipMode::SingleZone,
+                    ownership: self.shape.ownership,
                     max_proxies: 3,
                     lifetime,
                 },
--- a/crates/simulator/src/fault_injection/upstreams.rs
+++ b/crates/simulator/src/fault_injection/upstreams.rs
@@ -144,7 +144,7 @@
 
     fn crash_home_upstreams(&mut self) {
         for upstream in 0..self.upstreams.len() {
-            if self.upstreams[upstream].profile.homes > 0 {
+            if !self.upstreams[upstream].profile.homes.is_empty() {
                 self.crash_upstream(upstream);
             }
         }
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -60,7 +60,7 @@
         self.operators.configurations += 1;
         let mut shape = self.shape.clone();
         if self.defects.omits_home_regions {
-            shape.services.iter_mut().for_each(|work| work.homes = 0);
+            shape.services.iter_mut().for_each(|work| work.homes = &[]);
         }
         let extra = extra + self.operators.configurations;
         let bytes = shape.configuration(extra);
--- a/crates/simulator/src/processes.rs
+++ b/crates/simulator/src/processes.rs
@@ -63,7 +63,8 @@
             }
         );
         let zone: Locality = locality.parse().unwrap_or_default();
-        let site = ProxyContext::new(&name, zone, self.defects.stale_after, self.load.wait_for);
+        let mut site = ProxyContext::new(&name, zone, self.defects.stale_after, self.load.wait_for);
+        site.ownership = self.shape.ownership;
         let drift = self.random.below(2 * DRIFT) as i64 - DRIFT as i64;
         let place = Endpoint {
             machine: Some(machine),
@@ -187,7 +188,7 @@
             initial_voter_count: self.shape.disks,
             seed,
             reader: self.configuration_parser(),
-            owners: Default::default(),
+            owners: self.shape.ownership,
             durable,
             configurations,
             departures,
--- a/crates/simulator/src/shapes.rs
+++ b/crates/simulator/src/shapes.rs
@@ -1,6 +1,7 @@
 //! Layouts of sites: regions, machines, upstreams and traffic.
 
 use invariants::rules::RuleParameters;
+use name_directory::OwnershipMode;
 use std::collections::BTreeSet;
 
 /// The layout of one site.
@@ -24,6 +25,10 @@
     pub far_micros: u64,
     /// The services.
     pub services: [ServiceProfile; 3],
+    /// The one name that all services share, as routes with a path each; where there is none, each has its own name.
+    pub shared_name: Option<&'static str>,
+    /// Who owns a name.
+    pub ownership: OwnershipMode,
 }
 
 /// One service and its part of the traffic.
@@ -37,8 +42,8 @@
     pub keyed: bool,
     /// Whether its keys are whole numbers, held in ranges; else they fall into slots.
     pub numbered: bool,
-    /// How many of the three regions are its home, from the first; 0 for anywhere.
-    pub homes: usize,
+    /// Which of the three regions are its home; empty for anywhere.
+    pub homes: &'static [usize],
     /// Its part of the requests, in percent.
     pub percent: u64,
 }
@@ -47,7 +52,7 @@
     service: &'static str,
     at_most_once: bool,
     keyed: bool,
-    homes: usize,
+    homes: &'static [usize],
     percent: u64,
 ) -> ServiceProfile {
     ServiceProfile {
@@ -80,10 +85,12 @@
     near_micros: 1500,
     far_micros: 20_000,
     services: [
-        profile("practice", false, false, 0, 50),
-        profile("booking", true, false, 2, 30),
-        profile("payment", true, true, 0, 20),
+        profile("practice", false, false, &[], 50),
+        profile("booking", true, false, &[0, 1], 30),
+        profile("payment", true, true, &[], 20),
     ],
+    shared_name: None,
+    ownership: OwnershipMode::SingleZone,
 };
 
 /// Kalam: 15 machines, 39 upstreams, about 680 requests a second, half of them clause reads.
@@ -97,10 +104,12 @@
     near_micros: 500,
     far_micros: 35_000,
     services: [
-        profile("clause", false, false, 0, 50),
-        profile("posting", true, true, 0, 30),
-        profile("renewal", true, false, 2, 20),
+        profile("clause", false, false, &[], 50),
+        profile("posting", true, true, &[], 30),
+        profile("renewal", true, false, &[0, 1], 20),
     ],
+    shared_name: None,
+    ownership: OwnershipMode::SingleZone,
 };
 
 /// Ledger: 13 machines, 36 upstreams, about 160 requests a second, half of them on accounts that are numbered. It
@@ -115,10 +124,32 @@
     near_micros: 1500,
     far_micros: 20_000,
     services: [
-        profile("statement", false, false, 0, 30),
-        numbered(profile("account", true, true, 0, 50)),
-        profile("transfer", true, false, 2, 20),
+        profile("statement", false, false, &[], 30),
+        numbered(profile("account", true, true, &[], 50)),
+        profile("transfer", true, false, &[0, 1], 20),
     ],
+    shared_name: None,
+    ownership: OwnershipMode::SingleZone,
+};
+
+/// Counters: services of one region each and one of all regions, as routes of one name, so that no region is the home of
+/// all its routes. Each zone's clients have an owner of the name of their own. It plays in the simulator only.
+pub const COUNTERS: Shape = Shape {
+    name: "counters",
+    regions: ["hill", "coast", "plain"],
+    machines: 13,
+    disks: 6,
+    per_service: 12,
+    per_second: 120,
+    near_micros: 1500,
+    far_micros: 20_000,
+    services: [
+        profile("deed", false, false, &[0], 40),
+        profile("duty", true, false, &[2], 30),
+        profile("template", false, false, &[], 30),
+    ],
+    shared_name: Some("counter"),
+    ownership: OwnershipMode::PerClientZone,
 };
 
 /// First sends a second that one upstream may get while it warms up.
@@ -127,11 +158,11 @@
 /// Marker services of one upstream each. Every configuration routes the name `probe` to one of them, so that arrivals
 /// there show which configuration a proxy served by.
 pub const MARKERS: [ServiceProfile; 5] = [
-    profile("mark-0", false, false, 0, 0),
-    profile("mark-1", false, false, 0, 0),
-    profile("mark-2", false, false, 0, 0),
-    profile("mark-3", false, false, 0, 0),
-    profile("mark-4", false, false, 0, 0),
+    profile("mark-0", false, false, &[], 0),
+    profile("mark-1", false, false, &[], 0),
+    profile("mark-2", false, false, &[], 0),
+    profile("mark-3", false, false, &[], 0),
+    profile("mark-4", false, false, &[], 0),
 ];
 
 /// The number of a marker service.
@@ -152,7 +183,7 @@
     /// assert!(simulator::shapes::Shape::named("moon").is_none());
     /// ```
     pub fn named(name: &str) -> Option<Shape> {
-        [ROADWISE, KALAM, LEDGER]
+        [ROADWISE, KALAM, LEDGER, COUNTERS]
             .into_iter()
             .find(|shape| shape.name == name)
     }
@@ -190,8 +221,12 @@
     /// let shape = simulator::shapes::ROADWISE;
     /// assert_eq!(shape.homes(&shape.services[1]), ["north", "middle"]);
     /// ```
-    pub fn homes(&self, profile: &ServiceProfile) -> &[&'static str] {
-        &self.regions[..profile.homes]
+    pub fn homes(&self, profile: &ServiceProfile) -> Vec<&'static str> {
+        profile
+            .homes
+            .iter()
+            .map(|region| self.regions[*region])
+            .collect()
     }
 
     /// The profiles of its services, the marker services last, and how many upstreams each has.
@@ -246,7 +281,7 @@
         let routes = self.services.iter().enumerate().map(|(at, profile)| {
             route(
                 format!("r{at}"),
-                profile.service,
+                self.shared_name.unwrap_or(profile.service),
                 format!("/{}", profile.service),
                 profile.service,
             )
@@ -287,7 +322,10 @@
     /// assert_eq!(simulator::shapes::KALAM.rule_parameters().homes.len(), 1);
     /// ```
     pub fn rule_parameters(&self) -> RuleParameters {
-        let bound = self.services.iter().filter(|profile| profile.homes > 0);
+        let bound = self
+            .services
+            .iter()
+            .filter(|profile| !profile.homes.is_empty());
         let homes = bound.map(|profile| {
             let homes: BTreeSet<String> = self
                 .homes(profile)
