Names: home regions rank the proxies and owners of a name, and never leave it without one

Ruled out: upstreams (the same services were served under another name), the closing fault (it failed from second 0 on).

Change: a proxy in the client's own region may take any request of the name; elsewhere proxies and owners are ranked by how many of the name's routes have their homes elsewhere. Where a request is executed stays bound by its own route and service.

--- a/crates/name-directory/src/lookup.rs
+++ b/crates/name-directory/src/lookup.rs
@@ -1,9 +1,10 @@
 //! Directory lookups: the proxies of the locality that owns a name, for a short lifetime.
 
-use crate::home_regions::{is_allowed_in, is_in_regions};
+use crate::home_regions::HomeRegionsOfName;
 use crate::view::{Proxy, View};
 use locality::Locality;
 use result_code::ResultCode;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -58,12 +59,14 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Distance {
     is_suspect: bool,
+    /// How many routes of the name have their homes elsewhere.
+    routes_bound_elsewhere: usize,
     is_outside_locality: bool,
     is_outside_region: bool,
 }
 
 /// Answers a directory request. Aliases are resolved to the route name; the owner's own proxies come first, and where
-/// none of them is alive, the nearest others that its requests may pass through.
+/// none of them is alive, the nearest others, those first that most of its requests may pass through.
 ///
 /// ```
 /// use result_code::ResultCode;
@@ -84,12 +87,17 @@
         .configuration
         .resolve(requested_name)
         .ok_or(ResultCode::NoSuchName)?;
+    let entries = EntryPoints {
+        view,
+        home_regions: HomeRegionsOfName::new(&view.configuration, name),
+        client,
+    };
     let owner = match options.ownership {
         OwnershipMode::SingleZone => reserved_owner(view, name),
-        OwnershipMode::PerClientZone => owner_for_client(view, name, client),
+        OwnershipMode::PerClientZone => entries.owner_for_client(name),
     };
     let owner = owner.ok_or(ResultCode::NoOwner)?;
-    let proxies = nearest_proxies(view, name, requested_name, &owner.locality, client);
+    let proxies = entries.nearest_proxies(requested_name, &owner.locality);
     if proxies.is_empty() {
         return Err(ResultCode::NoOwner);
     }
@@ -118,79 +126,85 @@
     })
 }
 
-/// The proxies at the least distance from the owner; those of the client's region first, then in an order that spreads
-/// clients and names over them.
-fn nearest_proxies<'a>(
+/// The proxies where a client's requests under one name may enter.
+struct EntryPoints<'a> {
     view: &'a View,
-    name: &'a str,
-    requested_name: &str,
-    owner: &Locality,
-    client: &Locality,
-) -> Vec<&'a Proxy> {
-    let distance = |proxy: &Proxy| Distance {
-        is_suspect: proxy.suspect,
-        is_outside_locality: proxy.locality != *owner,
-        is_outside_region: proxy.locality.region != owner.region,
-    };
-    let order = |proxy: &&Proxy| {
-        let is_in_other_region = proxy.locality.region != client.region;
-        let spread_parts = [requested_name, &client.region, &client.zone, &proxy.node];
-        let spread = random::stable_hash_parts(spread_parts);
-        (distance(proxy), is_in_other_region, spread)
-    };
-    let mut proxies: Vec<&Proxy> = eligible_proxies(view, name).collect();
-    proxies.sort_by_cached_key(order);
-    if let Some(least) = proxies.first().map(|proxy| distance(proxy)) {
-        proxies.retain(|proxy| distance(proxy) == least);
-    }
-    proxies
+    home_regions: HomeRegionsOfName<'a>,
+    client: &'a Locality,
 }
 
-/// The proxies that may carry a name's requests: not evacuated, and within the home regions of all its services and
-/// routes.
-fn eligible_proxies<'a>(view: &'a View, name: &'a str) -> impl Iterator<Item = &'a Proxy> {
-    let services: Vec<_> = view.configuration.services_of_name(name).collect();
-    let route_regions: Vec<_> = view
-        .configuration
-        .routes_of_name(name)
-        .map(|route| &route.policy.home_regions)
-        .collect();
-    view.proxies.iter().filter(move |proxy| {
-        let locality = proxy.locality.to_string();
-        !view.evacuated.contains(&locality)
-            && services
-                .iter()
-                .all(|service| is_allowed_in(service, &locality))
-            && route_regions
-                .iter()
-                .all(|regions| is_in_regions(regions, &locality))
-    })
-}
+impl<'a> EntryPoints<'a> {
+    /// Every proxy but those in evacuated localities. Home regions don't leave any out, they only rank: a route that is
+    /// bound elsewhere is carried on to its home regions by the proxy that it enters at.
+    fn proxies(&self) -> impl Iterator<Item = &'a Proxy> {
+        let evacuated = &self.view.evacuated;
+        self.view
+            .proxies
+            .iter()
+            .filter(|proxy| !evacuated.contains(&proxy.locality.to_string()))
+    }
 
-/// The zone that owns a name for the clients of one zone: their own where a proxy of it is alive, else one of their
-/// region, else any; among equals the one with the most proxies, ties broken by a spread over name and zones.
-fn owner_for_client(view: &View, name: &str, client: &Locality) -> Option<Owner> {
-    let mut weights: BTreeMap<&Locality, u64> = BTreeMap::new();
-    for proxy in eligible_proxies(view, name) {
-        *weights.entry(&proxy.locality).or_default() += match proxy.suspect {
-            true => SUSPECT_PROXY_WEIGHT,
-            false => ALIVE_PROXY_WEIGHT,
+    /// How many of the name's routes have their homes elsewhere. In the client's own region that counts for nothing:
+    /// there the request is already.
+    fn routes_bound_elsewhere(&self, region: &str) -> usize {
+        if region == self.client.region {
+            return 0;
+        }
+        self.home_regions.routes_bound_elsewhere(region)
+    }
+
+    /// The proxies at the least distance from the owner; those of the client's region first, then in an order that
+    /// spreads clients and names over them.
+    fn nearest_proxies(&self, requested_name: &str, owner: &Locality) -> Vec<&'a Proxy> {
+        let client = self.client;
+        let distance = |proxy: &Proxy| Distance {
+            is_suspect: proxy.suspect,
+            routes_bound_elsewhere: self.routes_bound_elsewhere(&proxy.locality.region),
+            is_outside_locality: proxy.locality != *owner,
+            is_outside_region: proxy.locality.region != owner.region,
+        };
+        let order = |proxy: &&Proxy| {
+            let is_in_other_region = proxy.locality.region != client.region;
+            let spread_parts = [requested_name, &client.region, &client.zone, &proxy.node];
+            let spread = random::stable_hash_parts(spread_parts);
+            (distance(proxy), is_in_other_region, spread)
         };
+        let mut proxies: Vec<&Proxy> = self.proxies().collect();
+        proxies.sort_by_cached_key(order);
+        if let Some(least) = proxies.first().map(|proxy| distance(proxy)) {
+            proxies.retain(|proxy| distance(proxy) == least);
+        }
+        proxies
+    }
+
+    /// The zone that owns a name for the clients of one zone: their own where a proxy of it is alive, else one of their
+    /// region, else one where as many routes as possible are at home; among equals the one with the most proxies, ties
+    /// broken by a spread over name and zones.
+    fn owner_for_client(&self, name: &str) -> Option<Owner> {
+        let client = self.client;
+        let mut weights: BTreeMap<&Locality, u64> = BTreeMap::new();
+        for proxy in self.proxies() {
+            *weights.entry(&proxy.locality).or_default() += match proxy.suspect {
+                true => SUSPECT_PROXY_WEIGHT,
+                false => ALIVE_PROXY_WEIGHT,
+            };
+        }
+        let rank = |(locality, weight): &(&Locality, u64)| {
+            let has_alive_proxy = *weight >= ALIVE_PROXY_WEIGHT;
+            let spread = random::stable_hash_parts([name, &client.zone, &locality.zone]);
+            (
+                has_alive_proxy,
+                Reverse(self.routes_bound_elsewhere(&locality.region)),
+                *locality == client,
+                locality.region == client.region,
+                *weight,
+                spread,
+            )
+        };
+        let (locality, _) = weights.into_iter().max_by_key(rank)?;
+        Some(Owner {
+            locality: locality.clone(),
+            epoch: self.view.revision,
+        })
     }
-    let rank = |(locality, weight): &(&Locality, u64)| {
-        let has_alive_proxy = *weight >= ALIVE_PROXY_WEIGHT;
-        let spread = random::stable_hash_parts([name, &client.zone, &locality.zone]);
-        (
-            has_alive_proxy,
-            *locality == client,
-            locality.region == client.region,
-            *weight,
-            spread,
-        )
-    };
-    let (locality, _) = weights.into_iter().max_by_key(rank)?;
-    Some(Owner {
-        locality: locality.clone(),
-        epoch: view.revision,
-    })
 }
--- a/crates/name-directory/src/zone_assigner.rs
+++ b/crates/name-directory/src/zone_assigner.rs
@@ -1,7 +1,7 @@
 //! Which locality owns each name, derived from upstreams' heartbeats, evacuations and the configuration. Runs on the
 //! holder of the placement lease.
 
-use crate::home_regions::is_allowed_in;
+use crate::home_regions::{HomeRegionsOfName, is_allowed_in, is_in_regions};
 use crate::view::TombstoneKey;
 use config::Configuration;
 use protocol::{Placement, Reservation, ServiceKeyShares, Tombstone, Upstream, UpstreamState};
@@ -150,7 +150,7 @@
         let capacities = ready_capacities(inputs);
         let mut has_moved = false;
         for (name, services) in &names {
-            let candidates = candidate_localities(inputs, &capacities, services);
+            let candidates = candidate_localities(inputs, &capacities, name, services);
             has_moved |= self.keep_or_move(now, name, &candidates);
         }
         has_moved || has_dropped
@@ -292,36 +292,56 @@
     capacities
 }
 
-/// The localities that may own a name of these services, with their weights. One that has no proxy alive counts only
+/// The localities that may own a name of these services, with their weights: those where something of it may be served,
+/// and of these the ones where as many of its routes as possible are at home. One that has no proxy alive counts only
 /// where no other is left.
 fn candidate_localities(
     inputs: &PlacementInputs,
     capacities: &Capacities,
+    name: &str,
     services: &BTreeSet<&str>,
 ) -> BTreeMap<String, u64> {
-    let configured: Vec<_> = services
-        .iter()
-        .filter_map(|service| inputs.configuration.services.get(*service))
-        .collect();
-    let is_eligible = |locality: &str| {
-        let is_evacuated = inputs
+    let is_evacuated = |locality: &str| {
+        inputs
             .evacuated
             .iter()
-            .any(|evacuated| evacuated == locality);
-        !is_evacuated
-            && configured
-                .iter()
-                .all(|service| is_allowed_in(service, locality))
+            .any(|evacuated| evacuated == locality)
     };
     let mut candidates: BTreeMap<String, u64> = BTreeMap::new();
     for (key, weight) in capacities {
-        if services.contains(key.service) && is_eligible(key.locality) {
+        if services.contains(key.service)
+            && !is_evacuated(key.locality)
+            && is_served_in(inputs.configuration, name, key)
+        {
             *candidates.entry(key.locality.to_owned()).or_default() += weight;
         }
     }
+    let home_regions = HomeRegionsOfName::new(inputs.configuration, name);
+    let bound_elsewhere = |locality: &str| {
+        let region = locality.split('/').next().unwrap_or_default();
+        home_regions.routes_bound_elsewhere(region)
+    };
+    let fewest = candidates
+        .keys()
+        .map(|locality| bound_elsewhere(locality))
+        .min();
+    candidates.retain(|locality, _| Some(bound_elsewhere(locality)) == fewest);
     let has_proxy = |locality: &String| inputs.served.contains(locality);
     if candidates.keys().any(has_proxy) {
         candidates.retain(|locality, _| has_proxy(locality));
     }
     candidates
 }
+
+/// True where requests under a name may be served by a service's upstreams in a locality: its home regions allow it,
+/// and those of a route that leads to it.
+fn is_served_in(configuration: &Configuration, name: &str, at: &ServiceInLocality) -> bool {
+    configuration
+        .services
+        .get(at.service)
+        .is_some_and(|service| is_allowed_in(service, at.locality))
+        && configuration
+            .routes_of_name(name)
+            .filter(|route| route.services().any(|service| service == at.service))
+            .any(|route| is_in_regions(&route.policy.home_regions, at.locality))
+}
--- a/crates/name-directory/tests/home_regions.rs
+++ b/crates/name-directory/tests/home_regions.rs
@@ -121,6 +121,24 @@
     }
 }
 
+#[test]
+fn a_client_whose_own_region_is_down_is_sent_where_most_routes_may_be_served() {
+    let down = ["coast/coast-1", "coast/coast-2"];
+    let two_at_home = configuration(
+        vec![service("s", &[])],
+        vec![
+            route("r1", "s", &["hill"]),
+            route("r2", "s", &["plain"]),
+            route("r3", "s", &["plain"]),
+        ],
+    );
+    let regions: BTreeSet<String> = told(&view(two_at_home, &down), "coast/coast-1")
+        .iter()
+        .map(|locality| locality.split('/').next().unwrap_or_default().to_owned())
+        .collect();
+    assert_eq!(regions, BTreeSet::from(["plain".to_owned()]));
+}
+
 #[test]
 fn a_name_whose_routes_share_home_regions_is_not_sent_past_them() {
     let shared = configuration(
@@ -173,6 +191,34 @@
         .next()
 }
 
+#[test]
+fn a_name_whose_services_share_no_home_region_has_an_owner() {
+    let disjoint = configuration(
+        vec![service("a", &["hill"]), service("b", &["plain"])],
+        vec![route("r1", "a", &[]), route("r2", "b", &[])],
+    );
+    let owner = owner(&disjoint, &[]).expect("each of its routes can be served");
+    assert!(
+        owner.starts_with("hill/") || owner.starts_with("plain/"),
+        "{owner}"
+    );
+}
+
+#[test]
+fn a_name_is_owned_within_the_home_regions_of_its_routes() {
+    let bound = configuration(
+        vec![service("a", &[]), service("b", &[])],
+        vec![route("r1", "a", &["plain"]), route("r2", "b", &[])],
+    );
+    let owner = owner(&bound, &[]);
+    assert!(
+        owner
+            .as_deref()
+            .is_some_and(|owner| owner.starts_with("plain/")),
+        "{owner:?}"
+    );
+}
+
 #[test]
 fn a_name_none_of_whose_routes_can_be_served_has_no_owner() {
     let bound = configuration(vec![service("a", &["hill"])], vec![route("r1", "a", &[])]);
