Keys are held where the routes that need them are at home; shared home regions come first again

The upstreams that hold keys are now ranked like proxies: those where the most routes to the service are at home; where none is left, the others.

Regions that are home to all routes of a name come first again, the client's own region only where there is none, or none of their proxies is alive.

--- a/crates/control-plane/src/key_ranges.rs
+++ b/crates/control-plane/src/key_ranges.rs
@@ -4,8 +4,9 @@
 use crate::node::ControlNode;
 use crate::placement::DECISION_INTERVAL;
 use key_space::KEY_COUNT;
+use name_directory::HomeRegionLists;
 use protocol::{KeyShare, ServiceKeyShares, Upstream, UpstreamState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use upstream_registry::{
@@ -132,6 +133,26 @@
             && !self.register.state().evacuated.contains(&upstream.locality)
     }
 
+    /// The upstreams among which a service's keys are divided: of those that may hold any, the ones where as many routes to
+    /// the service as possible are at home. A key has one holder, so one outside a route's home regions would leave that
+    /// route's requests for the key without any.
+    pub(crate) fn key_holders(&self, service: &str) -> Vec<&Upstream> {
+        let home_regions = HomeRegionLists::of_service(&self.configuration, service);
+        let bound_elsewhere =
+            |upstream: &Upstream| home_regions.routes_bound_elsewhere_than(&upstream.locality);
+        let mut holders: Vec<&Upstream> = self
+            .registry
+            .of_service(service)
+            .filter(|upstream| self.may_hold(upstream))
+            .collect();
+        let fewest = holders
+            .iter()
+            .map(|upstream| bound_elsewhere(upstream))
+            .min();
+        holders.retain(|upstream| Some(bound_elsewhere(upstream)) == fewest);
+        holders
+    }
+
     fn read_division_inputs(
         &self,
         now: Duration,
@@ -139,16 +160,21 @@
         counts: &KeyLoadCounts,
     ) -> KeyDivisionInputs {
         let capacity = |upstream: &Upstream| upstream.slots.max(upstream.free_slots).max(1);
-        let all = self
+        let ready = self
+            .key_holders(service)
+            .into_iter()
+            .map(|upstream| (upstream.instance.clone(), capacity(upstream)))
+            .collect();
+        let may_hold = self
             .registry
             .of_service(service)
-            .filter(|upstream| self.may_hold(upstream));
-        let ready = all
-            .map(|upstream| (upstream.instance.clone(), capacity(upstream)))
+            .filter(|upstream| self.may_hold(upstream))
+            .map(|upstream| upstream.instance.clone())
             .collect();
         KeyDivisionInputs {
             read_at: now,
             ready,
+            may_hold,
             load: counts.histogram(service),
         }
     }
@@ -157,8 +183,10 @@
 /// What a service's keys are divided by: read anew as often as placements are decided, not for each heartbeat.
 pub(crate) struct KeyDivisionInputs {
     read_at: Duration,
-    /// Who may be granted keys, and their capacity.
+    /// Who is granted keys, and their capacity.
     ready: BTreeMap<String, u32>,
+    /// Who may hold keys, those included that lie outside the home regions of routes.
+    may_hold: BTreeSet<String>,
     load: LoadHistogram,
 }
 
@@ -166,7 +194,7 @@
     /// True while it is young, and right about whether this upstream may hold keys.
     fn is_current(&self, now: Duration, upstream: &Upstream, may_hold: bool) -> bool {
         now < self.read_at + DECISION_INTERVAL
-            && self.ready.contains_key(&upstream.instance) == may_hold
+            && self.may_hold.contains(&upstream.instance) == may_hold
     }
 }
 
--- a/crates/control-plane/src/placement.rs
+++ b/crates/control-plane/src/placement.rs
@@ -360,9 +360,8 @@
         let grant_time = self.grant_clock.now();
         let duration = self.times.share_span;
         let ready: BTreeSet<String> = self
-            .registry
-            .of_service(&upstream.service)
-            .filter(|other| self.may_hold(other))
+            .key_holders(&upstream.service)
+            .into_iter()
             .map(|other| other.instance.clone())
             .collect();
         let lease = self
--- a/crates/control-plane/tests/key_ranges.rs
+++ b/crates/control-plane/tests/key_ranges.rs
@@ -73,6 +73,11 @@
 impl Site {
     /// Founded, with its configuration in force, and holding the placement lease.
     fn new(trusts_jumps: bool) -> Self {
+        Self::with_configuration(trusts_jumps, CONFIGURATION)
+    }
+
+    /// The same under another configuration.
+    fn with_configuration(trusts_jumps: bool, configuration: &str) -> Self {
         let control = control(DurableState::default(), BTreeMap::new(), 1, trusts_jumps);
         let (durable, configurations) = Default::default();
         let now = Duration::ZERO;
@@ -92,7 +97,7 @@
         let request = ControlRequest::SubmitConfiguration {
             id: "x".into(),
             base: None,
-            bytes: CONFIGURATION.into(),
+            bytes: configuration.into(),
             in_force: false,
         };
         site.step(Event::ControlRequest {
@@ -178,8 +183,12 @@
         heartbeat_number: u64,
         holds: &[KeyShare],
     ) -> Option<Vec<KeyShare>> {
+        self.heartbeat_of(unit(instance, heartbeat_number, holds))
+    }
+
+    /// The same for any upstream.
+    fn heartbeat_of(&mut self, unit: Upstream) -> Option<Vec<KeyShare>> {
         self.request_id += 1;
-        let unit = unit(instance, heartbeat_number, holds);
         self.step(Event::ControlRequest {
             request_id: self.request_id,
             request: ControlRequest::Heartbeat(unit),
@@ -454,3 +463,40 @@
     assert_eq!(shares.len() as u32, UPSTREAMS * ROWS);
     assert!(spent < Duration::from_secs(2), "{spent:?}");
 }
+
+/// A route bound to `n`, and one bound nowhere, to one service with keys.
+const BOUND_ROUTE: &str = r#"{
+  "services": [{"name": "account", "work": "once", "keyed": true, "numbered": true, "homeRegions": []}],
+  "routes": [
+    {"id": "r", "name": "account", "path": "/account", "service": "account", "homeRegions": ["n"]},
+    {"id": "s", "name": "account", "path": "/statement", "service": "account"}
+  ],
+  "aliases": []
+}"#;
+
+/// A key has one holder: outside the home regions of a route, that route's requests for the key would have none.
+#[test]
+fn keys_are_held_in_the_home_regions_of_the_routes_that_need_them() {
+    let mut site = Site::with_configuration(false, BOUND_ROUTE);
+    let far = |heartbeat_number| Upstream {
+        locality: "s/s1".into(),
+        ..unit("far", heartbeat_number, &[])
+    };
+    assert_eq!(keys(&site.heartbeat("home", 1, &[])), KEY_COUNT);
+    assert_eq!(keys(&site.heartbeat_of(far(1))), 0);
+    site.wait(1000);
+    let held = site.heartbeat("home", 2, &[]);
+    assert_eq!(keys(&held), KEY_COUNT, "none are moved away for balance");
+    assert_eq!(keys(&site.heartbeat_of(far(2))), 0);
+}
+
+/// Home regions rank the holders; they leave no key without one.
+#[test]
+fn where_no_upstream_is_at_home_others_hold_the_keys() {
+    let mut site = Site::with_configuration(false, BOUND_ROUTE);
+    let far = Upstream {
+        locality: "s/s1".into(),
+        ..unit("far", 1, &[])
+    };
+    assert_eq!(keys(&site.heartbeat_of(far)), KEY_COUNT);
+}
--- a/crates/name-directory/src/home_regions.rs
+++ b/crates/name-directory/src/home_regions.rs
@@ -30,35 +30,73 @@
     regions.is_empty() || regions.iter().any(|home| home == region)
 }
 
-/// All lists of home regions that bind requests of one name: those of its routes, and of the services behind them.
-pub(crate) struct HomeRegionsOfName<'a> {
-    /// How many routes each list binds. Lists that allow any region are left out.
+/// The lists of home regions that bind the requests of one name or one service, each with the number of routes that it
+/// binds. Lists that allow any region are left out.
+///
+/// ```
+/// use config::{Configuration, Route, RoutePolicy, Service};
+/// let mut configuration = Configuration::default();
+/// configuration.insert_service(Service { name: "s".into(), ..Service::default() });
+/// for (id, home) in [("r1", "north"), ("r2", "south")] {
+///     let policy = RoutePolicy { home_regions: vec![home.into()], ..RoutePolicy::default() };
+///     let route = Route { id: id.into(), name: "book".into(), path: format!("/{id}"), service: "s".into(), policy,
+///         ..Route::default() };
+///     configuration.insert_route(route, "/routes", &mut Vec::new());
+/// }
+/// let lists = name_directory::HomeRegionLists::of_name(&configuration, "book");
+/// assert_eq!(["north", "south", "east"].map(|region| lists.routes_bound_elsewhere(region)), [1, 1, 2]);
+/// ```
+pub struct HomeRegionLists<'a> {
     routes_by_list: BTreeMap<&'a [String], usize>,
 }
 
-impl<'a> HomeRegionsOfName<'a> {
-    pub(crate) fn new(configuration: &'a Configuration, name: &str) -> Self {
+impl<'a> HomeRegionLists<'a> {
+    /// Those of a name's routes, and of the services behind them.
+    pub fn of_name(configuration: &'a Configuration, name: &str) -> Self {
         let of_routes = configuration
             .routes_of_name(name)
             .map(|route| route.policy.home_regions.as_slice());
         let of_services = configuration
             .services_of_name(name)
             .map(|service| service.home_regions.as_slice());
+        Self::count(of_routes.chain(of_services))
+    }
+
+    /// Those of a service, and of the routes that lead to it.
+    pub fn of_service(configuration: &'a Configuration, service: &str) -> Self {
+        let of_routes = configuration
+            .routes
+            .values()
+            .filter(|route| route.services().any(|name| name == service))
+            .map(|route| route.policy.home_regions.as_slice());
+        let of_service = configuration
+            .services
+            .get(service)
+            .map(|service| service.home_regions.as_slice());
+        Self::count(of_routes.chain(of_service))
+    }
+
+    fn count(lists: impl Iterator<Item = &'a [String]>) -> Self {
         let mut routes_by_list = BTreeMap::new();
-        for list in of_routes.chain(of_services) {
+        for list in lists {
             if !list.is_empty() {
                 *routes_by_list.entry(list).or_default() += 1;
             }
         }
-        HomeRegionsOfName { routes_by_list }
+        HomeRegionLists { routes_by_list }
     }
 
     /// How many routes have their homes elsewhere than in this region.
-    pub(crate) fn routes_bound_elsewhere(&self, region: &str) -> usize {
+    pub fn routes_bound_elsewhere(&self, region: &str) -> usize {
         self.routes_by_list
             .iter()
             .filter(|(list, _)| !list.iter().any(|home| home == region))
             .map(|(_, routes)| routes)
             .sum()
     }
+
+    /// The same for a locality in text form (region/zone).
+    pub fn routes_bound_elsewhere_than(&self, locality: &str) -> usize {
+        self.routes_bound_elsewhere(locality.split('/').next().unwrap_or_default())
+    }
 }
--- a/crates/name-directory/src/lookup.rs
+++ b/crates/name-directory/src/lookup.rs
@@ -1,6 +1,6 @@
 //! Directory lookups: the proxies of the locality that owns a name, for a short lifetime.
 
-use crate::home_regions::HomeRegionsOfName;
+use crate::home_regions::HomeRegionLists;
 use crate::view::{Proxy, View};
 use locality::Locality;
 use result_code::ResultCode;
@@ -59,8 +59,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Distance {
     is_suspect: bool,
-    /// How many routes of the name have their homes elsewhere.
-    routes_bound_elsewhere: usize,
+    /// How badly its region fits the routes of the name.
+    misfit: usize,
     is_outside_locality: bool,
     is_outside_region: bool,
 }
@@ -89,7 +89,7 @@
         .ok_or(ResultCode::NoSuchName)?;
     let entries = EntryPoints {
         view,
-        home_regions: HomeRegionsOfName::new(&view.configuration, name),
+        home_regions: HomeRegionLists::of_name(&view.configuration, name),
         client,
     };
     let owner = match options.ownership {
@@ -129,7 +129,7 @@
 /// The proxies where a client's requests under one name may enter.
 struct EntryPoints<'a> {
     view: &'a View,
-    home_regions: HomeRegionsOfName<'a>,
+    home_regions: HomeRegionLists<'a>,
     client: &'a Locality,
 }
 
@@ -144,13 +144,14 @@
             .filter(|proxy| !evacuated.contains(&proxy.locality.to_string()))
     }
 
-    /// How many of the name's routes have their homes elsewhere. In the client's own region that counts for nothing:
-    /// there the request is already.
-    fn routes_bound_elsewhere(&self, region: &str) -> usize {
-        if region == self.client.region {
-            return 0;
+    /// How badly a region fits the name's routes, 0 best: where all routes are at home; then the client's own region,
+    /// since the request is there already; then by how many routes have their homes elsewhere.
+    fn misfit(&self, region: &str) -> usize {
+        match self.home_regions.routes_bound_elsewhere(region) {
+            0 => 0,
+            _ if region == self.client.region => 1,
+            routes => 1 + routes,
         }
-        self.home_regions.routes_bound_elsewhere(region)
     }
 
     /// The proxies at the least distance from the owner; those of the client's region first, then in an order that
@@ -159,7 +160,7 @@
         let client = self.client;
         let distance = |proxy: &Proxy| Distance {
             is_suspect: proxy.suspect,
-            routes_bound_elsewhere: self.routes_bound_elsewhere(&proxy.locality.region),
+            misfit: self.misfit(&proxy.locality.region),
             is_outside_locality: proxy.locality != *owner,
             is_outside_region: proxy.locality.region != owner.region,
         };
@@ -177,9 +178,9 @@
         proxies
     }
 
-    /// The zone that owns a name for the clients of one zone: their own where a proxy of it is alive, else one of their
-    /// region, else one where as many routes as possible are at home; among equals the one with the most proxies, ties
-    /// broken by a spread over name and zones.
+    /// The zone that owns a name for the clients of one zone: among those with a proxy alive and in a region that fits the
+    /// name's routes best, their own zone, else one of their region, else the one with the most proxies, ties broken by
+    /// a spread over name and zones.
     fn owner_for_client(&self, name: &str) -> Option<Owner> {
         let client = self.client;
         let mut weights: BTreeMap<&Locality, u64> = BTreeMap::new();
@@ -194,7 +195,7 @@
             let spread = random::stable_hash_parts([name, &client.zone, &locality.zone]);
             (
                 has_alive_proxy,
-                Reverse(self.routes_bound_elsewhere(&locality.region)),
+                Reverse(self.misfit(&locality.region)),
                 *locality == client,
                 locality.region == client.region,
                 *weight,
--- a/crates/name-directory/src/zone_assigner.rs
+++ b/crates/name-directory/src/zone_assigner.rs
@@ -1,7 +1,7 @@
 //! Which locality owns each name, derived from upstreams' heartbeats, evacuations and the configuration. Runs on the
 //! holder of the placement lease.
 
-use crate::home_regions::{HomeRegionsOfName, is_allowed_in, is_in_regions};
+use crate::home_regions::{HomeRegionLists, is_allowed_in, is_in_regions};
 use crate::view::TombstoneKey;
 use config::Configuration;
 use protocol::{Placement, Reservation, ServiceKeyShares, Tombstone, Upstream, UpstreamState};
@@ -316,11 +316,8 @@
             *candidates.entry(key.locality.to_owned()).or_default() += weight;
         }
     }
-    let home_regions = HomeRegionsOfName::new(inputs.configuration, name);
-    let bound_elsewhere = |locality: &str| {
-        let region = locality.split('/').next().unwrap_or_default();
-        home_regions.routes_bound_elsewhere(region)
-    };
+    let home_regions = HomeRegionLists::of_name(inputs.configuration, name);
+    let bound_elsewhere = |locality: &str| home_regions.routes_bound_elsewhere_than(locality);
     let fewest = candidates
         .keys()
         .map(|locality| bound_elsewhere(locality))
--- a/crates/name-directory/tests/home_regions.rs
+++ b/crates/name-directory/tests/home_regions.rs
@@ -139,6 +139,20 @@
     assert_eq!(regions, BTreeSet::from(["plain".to_owned()]));
 }
 
+#[test]
+fn where_the_shared_home_region_is_down_the_clients_own_region_takes_the_name() {
+    let shared = configuration(
+        vec![service("s", &[])],
+        vec![route("r1", "s", &["plain"]), route("r2", "s", &[])],
+    );
+    let down = ["plain/plain-1", "plain/plain-2"];
+    assert_eq!(
+        told(&view(shared, &down), "coast/coast-2"),
+        BTreeSet::from(["coast/coast-2".to_owned()]),
+        "its other routes can be served"
+    );
+}
+
 #[test]
 fn a_name_whose_routes_share_home_regions_is_not_sent_past_them() {
     let shared = configuration(
@@ -149,11 +163,13 @@
         ],
     );
     let down = ["coast/coast-1", "coast/coast-2"];
-    let told = told(&view(shared, &down), "coast/coast-1");
-    assert!(
-        !told.is_empty() && told.iter().all(|locality| locality.starts_with("plain/")),
-        "{told:?}"
-    );
+    for suspect in [&down[..], &[]] {
+        let told = told(&view(shared.clone(), suspect), "coast/coast-1");
+        assert!(
+            !told.is_empty() && told.iter().all(|locality| locality.starts_with("plain/")),
+            "{told:?}"
+        );
+    }
 }
 
 /// The locality that owns [`NAME`] for everybody.
--- a/crates/simulator/src/shapes.rs
+++ b/crates/simulator/src/shapes.rs
@@ -144,7 +144,7 @@
     near_micros: 1500,
     far_micros: 20_000,
     services: [
-        profile("deed", false, false, &[0], 40),
+        numbered(profile("deed", false, true, &[0], 40)),
         profile("duty", true, false, &[2], 30),
         profile("template", false, false, &[], 30),
     ],
