--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -51,7 +51,7 @@
 }
 
 fn print_done(text: String) -> Result<ExitCode, CliError> {
-    println!("{text}");
+    output::print(text);
     Ok(ExitCode::Success)
 }
 
--- a/crates/cli/src/commands/configuration.rs
+++ b/crates/cli/src/commands/configuration.rs
@@ -35,7 +35,7 @@
 /// Validates a configuration without a node.
 pub fn check(file: &str) -> Result<ExitCode, CliError> {
     Configuration::parse(&read_file(file)?).map_err(CliError::InvalidConfiguration)?;
-    println!("the configuration is valid");
+    crate::output::print("the configuration is valid");
     Ok(ExitCode::Success)
 }
 
@@ -51,6 +51,6 @@
     for remark in &converted.remarks {
         output::warn(remark);
     }
-    println!("{}", converted.configuration);
+    crate::output::print(&converted.configuration);
     Ok(ExitCode::Success)
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,8 +17,10 @@
 
 async fn run() -> Result<ExitCode, CliError> {
     match Arguments::from_command_line()? {
-        Invocation::Help => println!("{}", cli::help::HELP),
-        Invocation::Version => println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION")),
+        Invocation::Help => output::print(cli::help::HELP),
+        Invocation::Version => {
+            output::print(format_args!("{PROGRAM} {}", env!("CARGO_PKG_VERSION")))
+        }
         Invocation::Run(arguments) => return commands::run(&arguments).await,
     }
     Ok(ExitCode::Success)
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -27,10 +27,10 @@
     /// Prints it; a summary with problems is a failure.
     pub fn print(&self) -> ExitCode {
         for line in &self.lines {
-            println!("{line}");
+            print(line);
         }
         for problem in &self.problems {
-            println!("wrong: {problem}");
+            print(format_args!("wrong: {problem}"));
         }
         if self.problems.is_empty() {
             ExitCode::Success
@@ -40,6 +40,11 @@
     }
 }
 
+/// Prints a line of the result. Where nobody reads it any more, the command ends as it would have.
+pub fn print(line: impl Display) {
+    transport::print_line(&line.to_string());
+}
+
 /// Prints a remark that is no part of the result.
 pub fn warn(text: impl Display) {
     eprintln!("{PROGRAM}: {text}");
@@ -57,7 +62,7 @@
         eprintln!("edition {revision}");
     }
     let text = String::from_utf8_lossy(&reply.body);
-    println!("{text}");
+    print(&text);
     if let Ok(json) = JsonValue::parse(&text) {
         print_validation_errors(&json);
     }
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -125,11 +125,11 @@
                 None => break,
             }
         }
-        if let Some(route) = self.routes.get(target) {
-            return Some(&route.name);
+        // A name before an id: a dialect whose ids may look like names must not lead one name to another.
+        if let Some((name, _)) = self.route_ids.get_key_value(target) {
+            return Some(name);
         }
-        let (name, _) = self.route_ids.get_key_value(target)?;
-        Some(name)
+        Some(&self.routes.get(target)?.name)
     }
 
     /// The route for a path under a name: the one of exactly this path, or else that of the longest matching prefix.
--- a/crates/simulator/src/shapes.rs
+++ b/crates/simulator/src/shapes.rs
@@ -133,7 +133,7 @@
 };
 
 /// Counters: services of one region each and one of all regions, as routes of one name, so that no region is the home of
-/// all its routes. Each zone's clients have an owner of the name of their own. It plays in the simulator only.
+/// all its routes. Each zone's clients have an owner of the name of their own.
 pub const COUNTERS: Shape = Shape {
     name: "counters",
     regions: ["hill", "coast", "plain"],
@@ -144,7 +144,7 @@
     near_micros: 1500,
     far_micros: 20_000,
     services: [
-        numbered(profile("deed", false, true, &[0], 40)),
+        profile("deed", false, false, &[0], 40),
         profile("duty", true, false, &[2], 30),
         profile("template", false, false, &[], 30),
     ],
--- a/crates/simulator/tests/shared_names.rs
+++ b/crates/simulator/tests/shared_names.rs
@@ -29,6 +29,23 @@
     }
 }
 
+/// The same site where the bound service has numeric keys.
+fn with_bound_keys() -> Shape {
+    let mut shape = COUNTERS;
+    shape.services[0].keyed = true;
+    shape.services[0].numbered = true;
+    shape
+}
+
+#[test]
+fn keys_of_a_bound_service_are_held_where_its_requests_may_go() {
+    assert_every_service_is_served(with_bound_keys());
+    assert_every_service_is_served(Shape {
+        ownership: OwnershipMode::SingleZone,
+        ..with_bound_keys()
+    });
+}
+
 #[test]
 fn every_service_of_a_shared_name_is_served_where_each_zone_has_its_own_owner() {
     assert_every_service_is_served(COUNTERS);
--- a/crates/test-harness/src/arguments.rs
+++ b/crates/test-harness/src/arguments.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 use testbed::plans::PLANS;
 use testbed::runs::Run;
+use testbed::soak::SoakOptions;
 
 /// The range of every number on the command line.
 const NUMBERS: std::ops::RangeInclusive<u64> = 1..=100_000;
 const MIN_CHANGES: u64 = 10;
 const MAX_ROUTES: u64 = 4000;
 const MAX_NODES: u64 = 31;
+/// A soak runs so many processes at most, links included in one of them.
+const MAX_PROCESSES: u64 = 240;
 
 /// A subcommand with its arguments.
 pub enum Command {
@@ -22,6 +25,8 @@
     Version,
     /// Load a local fleet of real processes and break it.
     Fleet(Run),
+    /// Let troubles of real processes overlap, for a range of seeds.
+    Soak(SoakOptions),
     /// Simulate a range of seeds.
     Sim(Sim),
     /// Search the models' states.
@@ -79,6 +84,7 @@
     exploration: Exploration,
     run: Run,
     trial: Trial,
+    soak: SoakOptions,
 }
 
 /// Reads this process's command line.
@@ -134,6 +140,14 @@
                 gap: Duration::from_millis(120),
                 folder: Some(folder),
             },
+            soak: SoakOptions {
+                shape: None,
+                seeds: 1..=3,
+                trouble: Duration::from_secs(30),
+                processes: None,
+                rate: None,
+                keep: None,
+            },
         }
     }
 }
@@ -144,6 +158,9 @@
         if command == Some("explore") {
             return self.exploration.read_flag(name, value);
         }
+        if command == Some("soak") {
+            return self.read_soak_flag(name, value);
+        }
         let number = || read_number(name, value);
         match name {
             "seeds" => (self.sim.from, self.sim.until) = read_seeds(value)?,
@@ -165,6 +182,23 @@
         Ok(())
     }
 
+    fn read_soak_flag(&mut self, name: &str, value: &str) -> Result<(), ArgumentError> {
+        let number = || read_number(name, value);
+        match name {
+            "shape" => self.soak.shape = Some(read_shape(value)?),
+            "seeds" => {
+                let (from, until) = read_seeds(value)?;
+                self.soak.seeds = from..=until;
+            }
+            "seconds" => self.soak.trouble = Duration::from_secs(number()?),
+            "processes" => self.soak.processes = Some(number()?.min(MAX_PROCESSES) as usize),
+            "rate" => self.soak.rate = Some(number()?),
+            "keep" => self.soak.keep = Some(value.into()),
+            _ => return Err(ArgumentError::UnknownFlag(name.to_owned())),
+        }
+        Ok(())
+    }
+
     fn into_command(self) -> Result<Command, ArgumentError> {
         let Some(command) = self.command else {
             return Ok(Command::Help);
@@ -174,6 +208,7 @@
             "overload" => Ok(Command::Overload),
             "measure" => Ok(Command::Measure),
             "fleet" => Ok(Command::Fleet(self.run)),
+            "soak" => Ok(Command::Soak(self.soak)),
             "explore" => {
                 explore::check(&self.exploration)?;
                 Ok(Command::Explore(self.exploration))
@@ -208,6 +243,6 @@
 }
 
 fn read_shape(value: &str) -> Result<Shape, ArgumentError> {
-    const SHAPES: &str = ": roadwise, kalam or, simulated, ledger";
+    const SHAPES: &str = ": roadwise, kalam, counters or, simulated, ledger";
     Shape::named(value).ok_or_else(|| ArgumentError::invalid("shape", value, SHAPES))
 }
--- a/crates/test-harness/src/main.rs
+++ b/crates/test-harness/src/main.rs
@@ -31,11 +31,14 @@
 /// Runs a command; true where it succeeded and no rule was broken.
 async fn run(command: Command) -> bool {
     match command {
-        Command::Help => help::print(),
-        Command::Version => println!("test-harness {}", env!("CARGO_PKG_VERSION")),
+        Command::Help => return help::print(),
+        Command::Version => {
+            return transport::print_line(&format!("test-harness {}", env!("CARGO_PKG_VERSION")));
+        }
         Command::Overload => simulator::overload::all(),
         Command::Changes(trial) => scale_model::changes::measure(trial),
         Command::Fleet(run) => return testbed::runs::fleet(run).await,
+        Command::Soak(options) => return testbed::soak::run(options).await,
         Command::Measure => return commands::measure::run().await,
         Command::Explore(exploration) => return commands::explore::run(&exploration),
         Command::Sim(sim) => return simulator::seeds::run(&sim),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -1,12 +1,13 @@
 //! A site's processes on this one machine: real daemons on loopback addresses.
 
 use crate::link_proxies::{LinkEndpoint, LinkProxies};
+use name_directory::OwnershipMode;
 use simulator::shapes::Shape;
 use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -73,7 +74,8 @@
         )))
     }
 
-    fn spawn(&mut self) -> io::Result<()> {
+    /// Starts it without a look at whether it stays.
+    pub fn spawn(&mut self) -> io::Result<()> {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -88,6 +90,26 @@
         Ok(())
     }
 
+    /// How it ended, where it ran and has ended since.
+    pub fn take_end(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Its process id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// The last lines of its log.
+    pub fn log_tail(&self, lines: usize) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let mut tail: Vec<String> = log.lines().rev().take(lines).map(str::to_owned).collect();
+        tail.reverse();
+        tail
+    }
+
     /// Kills it without warning, as a power cut would.
     pub fn kill(&mut self) {
         self.child.take().into_iter().for_each(|mut child| {
@@ -231,6 +253,9 @@
         for (name, value) in settings {
             flags.extend([name.to_owned(), value]);
         }
+        if self.shape.ownership == OwnershipMode::PerClientZone {
+            flags.extend(["--owners", "by-caller"].map(str::to_owned));
+        }
         flags.extend(more);
         Ok(Process {
             program: self.programs.join(kind),
--- a/crates/testbed/src/runs.rs
+++ b/crates/testbed/src/runs.rs
@@ -132,7 +132,7 @@
 }
 
 /// Starts the stand-in upstreams of every service.
-async fn start_upstreams(
+pub(crate) async fn start_upstreams(
     shape: &Shape,
     nodes: &Arc<Vec<String>>,
     clock: Clock,
@@ -254,11 +254,22 @@
     shape: &Shape,
     extra: usize,
 ) -> Result<u64, String> {
-    let (configuration, marker, submitted_at) = (
-        shape.configuration(extra),
-        extra % MARKERS.len(),
-        clock.now(),
-    );
+    let configuration = shape.configuration(extra);
+    let marker = extra % MARKERS.len();
+    submit_text(client, record, clock, node, id, &configuration, marker).await
+}
+
+/// Submits the text of a configuration, whose name `probe` leads to this marker, and waits until it is in force.
+pub async fn submit_text(
+    client: &HttpClient,
+    record: &ObservationLog,
+    clock: &Clock,
+    node: &str,
+    id: &str,
+    configuration: &str,
+    marker: usize,
+) -> Result<u64, String> {
+    let submitted_at = clock.now();
     let digest = protocol::digest(configuration.as_bytes());
     let path = format!("/setup?id={id}");
     // Unknown or not yet possible: the same id is asked again, and is decided once.
@@ -268,7 +279,7 @@
             "PUT",
             &path,
             &[],
-            Bytes::from(configuration.clone()),
+            Bytes::from(configuration.to_owned()),
             Duration::from_secs(10),
             false,
         );
@@ -294,6 +305,9 @@
         if code == Some(u64::from(ResultCode::RevisionConflict.number())) {
             return Err(format!("{id} was made from an older edition"));
         }
+        if code == Some(u64::from(ResultCode::InvalidConfiguration.number())) {
+            return Err(format!("{id} is invalid: {json:?}"));
+        }
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
     Err("the setup was not accepted".into())
@@ -355,7 +369,7 @@
 }
 
 /// Reads the configuration back from every node, again and again: each gives the same answer, or says that it can't know.
-async fn read_everywhere(nodes: Arc<Vec<String>>, record: ObservationLog, clock: Clock) {
+pub(crate) async fn read_everywhere(nodes: Arc<Vec<String>>, record: ObservationLog, clock: Clock) {
     loop {
         nodes.iter().for_each(|node| {
             let (node, record) = (node.clone(), record.clone());
--- a/crates/testbed/src/stand_in_clients.rs
+++ b/crates/testbed/src/stand_in_clients.rs
@@ -17,8 +17,8 @@
 
 /// What a directory node answered, and when it was asked.
 #[derive(Clone)]
-struct CachedLookup {
-    proxies: Vec<String>,
+pub(crate) struct CachedLookup {
+    pub(crate) proxies: Vec<String>,
     requested_at: Duration,
     lifetime: Duration,
 }
@@ -198,7 +198,7 @@
     }
 
     /// Notes a proxy's answer to an attempt, and returns its code.
-    fn note_answer(&self, attempt_id: &str, work: &str, reply: &Reply) -> ResultCode {
+    pub(crate) fn note_answer(&self, attempt_id: &str, work: &str, reply: &Reply) -> ResultCode {
         let code = reply.header("x-code").parse().ok();
         let code = code.and_then(ResultCode::from_number);
         let code = code.unwrap_or(ResultCode::InvalidResponse);
@@ -219,7 +219,7 @@
         code
     }
 
-    async fn look_up(
+    pub(crate) async fn look_up(
         &self,
         random: &mut Random,
         service: &'static str,
