--- a/crates/control-plane/src/daemon/event_loop.rs
+++ b/crates/control-plane/src/daemon/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::node::ControlNode;
 use protocol::{Envelope, Message, Payload};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -84,8 +85,8 @@
         &mut self,
         inputs: &mut Inputs,
         mut queued_events: mpsc::Receiver<QueuedEvent>,
+        mut stop: Pin<&mut impl Future<Output = ()>>,
     ) {
-        let mut stop = std::pin::pin!(transport::stop_signal());
         let mut stopping = false;
         while self.end_at.is_none_or(|end_at| self.clock.now() < end_at) {
             let event = tokio::select! {
--- a/crates/control-plane/src/daemon/mod.rs
+++ b/crates/control-plane/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 use error_stack::Report;
 use event_loop::{EventLoop, Inputs};
 use http_handlers::HttpHandlers;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -56,9 +57,13 @@
 /// ```
 pub async fn run(settings: Settings, api_adapter: ApiAdapter) -> Result<(), Report<StartError>> {
     let clock = Clock::default();
+    // Once for the whole life: a signal that comes between two listeners would be lost.
+    let mut stop = pin!(transport::stop_signal());
     let reload = transport::reload_signal(&PROGRAM, &settings);
     // Ahead of the sockets: clients that call meanwhile are refused at once, and try another node.
-    let Some((storage, contents)) = startup::open_storage(settings.get("data")).await? else {
+    let Some((storage, contents)) =
+        startup::open_storage(settings.get("data"), stop.as_mut()).await?
+    else {
         return Ok(());
     };
     startup::log_damaged_files(&contents);
@@ -104,7 +109,7 @@
     let executor = EffectExecutor::new(links, probe.clone(), storage_thread, departure_writer);
     let mut inputs = Inputs::new(messages, probe, reload);
     let mut event_loop = EventLoop::new(control, clock, executor, handlers);
-    event_loop.run(&mut inputs, events).await;
+    event_loop.run(&mut inputs, events, stop.as_mut()).await;
 
     // The links and the storage threads stay until the last HTTP connections are finished.
     let _ = stop_http.send(true);
--- a/crates/control-plane/src/daemon/startup.rs
+++ b/crates/control-plane/src/daemon/startup.rs
@@ -9,6 +9,7 @@
 use name_directory::{ConfigurationParser, OwnershipMode};
 use protocol::{Departure, Member};
 use std::path::PathBuf;
+use std::pin::Pin;
 use storage::{Contents, FailureKind, Storage};
 use transport::StartError;
 
@@ -16,9 +17,9 @@
 /// can repair ends the start. `None` where the process is asked to stop first.
 pub(super) async fn open_storage(
     folder: &str,
+    mut stop: Pin<&mut impl Future<Output = ()>>,
 ) -> Result<Option<(Storage, Contents)>, Report<StartError>> {
     let cannot_open = || StartError::new(format!("data: {folder} can't be used"));
-    let mut stop = std::pin::pin!(transport::stop_signal());
     let backoff = RetryBackoff::default();
     for failures in 1.. {
         let path = PathBuf::from(folder);
--- a/crates/data-plane/src/rejections.rs
+++ b/crates/data-plane/src/rejections.rs
@@ -1,7 +1,7 @@
 //! What a node rejects of its own, by subject and result code, and since when: the first thing to look at where one kind
 //! of request fails while others are served.
 //!
-//! Everything is bounded: subjects come from clients, so beyond [`MAX_SUBJECTS`] they are counted together.
+//! Everything is bounded: subjects come from clients, so beyond 64 they are counted together.
 
 use dashmap::DashMap;
 use result_code::ResultCode;
@@ -48,7 +48,7 @@
     pub code: ResultCode,
 }
 
-/// One series of rejections, without a pause longer than [`QUIET_AFTER`].
+/// One series of rejections, without a pause of 10 s.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RejectionSeries {
     /// How many there were.
--- a/crates/data-plane/src/shell.rs
+++ b/crates/data-plane/src/shell.rs
@@ -11,6 +11,7 @@
 use futures::future::JoinAll;
 use locality::Locality;
 use protocol::{Envelope, Message};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
@@ -41,11 +42,11 @@
 /// # }
 /// ```
 pub async fn run(settings: Settings, api_adapter: ApiAdapter) -> Result<(), Report<StartError>> {
+    let mut stop = pin!(transport::stop_signal());
     let mut reload = transport::reload_signal(&PROGRAM, &settings);
     let (mut shell, mut arrivals, http) = Shell::start(&settings, api_adapter).await?;
     let (shutdown, servers) = spawn_servers(&settings, &shell.node, http).await?;
     let mut tick = ticks();
-    let mut stop = std::pin::pin!(transport::stop_signal());
     let mut datagram = vec![0u8; MAX_DATAGRAM_BYTES];
     while shell.core.phase() != Phase::Rejecting {
         let event = tokio::select! {
--- a/crates/simulator/tests/commands.rs
+++ b/crates/simulator/tests/commands.rs
@@ -95,6 +95,33 @@
     assert_eq!(wrong(seeds(pairs, 1..2)), Vec::<String>::new());
 }
 
+/// Many processes go at once, by a kill or by a loss of power, while orders go wrong: what is read afterwards, again and
+/// again and at any node, is never older than what was acknowledged, and whole.
+#[test]
+fn reads_after_many_processes_went_at_once_are_whole_and_never_older() {
+    let herds = [
+        "restart-postmasters",
+        "kill-herd",
+        "dark-region",
+        "dark-zone",
+        "power-at-write",
+    ];
+    let pairs = ["lost-acks", "order-storm", "long-storm"]
+        .iter()
+        .flat_map(|orders| herds.iter().map(move |herd| format!("{orders}+{herd}")));
+    assert_eq!(wrong(seeds(pairs, 21..23)), Vec::<String>::new());
+    let outcome = run(
+        21,
+        Plan::named("order-storm+restart-postmasters", 21),
+        ROADWISE,
+    );
+    let is_late_read = |(at, observation): &&(std::time::Duration, Observation)| {
+        *at > outcome.healed_at && matches!(observation, Observation::ConfigurationRead { .. })
+    };
+    let late_reads = outcome.observations.iter().filter(is_late_read).count();
+    assert!(late_reads > 10, "{late_reads} reads after the end");
+}
+
 /// How many answers with this code operators got in a run, and how many came to orders that had been answered before.
 fn answers(plan: &str, code: ResultCode) -> (usize, usize) {
     answers_on(1, plan, code)
--- a/crates/testbed/src/soak/judgement.rs
+++ b/crates/testbed/src/soak/judgement.rs
@@ -29,6 +29,17 @@
     disk_kib: 8 * 1024,
 };
 
+/// One figure of what a process holds.
+type Measure = fn(&Resources) -> u64;
+
+/// All of them, with their units.
+const MEASURES: [(&str, Measure); 4] = [
+    ("KiB of memory", |resources| resources.memory_kib),
+    ("descriptors", |resources| resources.descriptors),
+    ("threads", |resources| resources.threads),
+    ("KiB on disk", |resources| resources.disk_kib),
+];
+
 /// What a process holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Resources {
@@ -83,6 +94,8 @@
         service: String,
         /// Of a thousand operations, so many were served.
         per_mille: u64,
+        /// What proxies say would become of such a request, a line each.
+        explanation: Vec<String>,
     },
     /// A service failed whole while others were served.
     OneSidedOutage {
@@ -137,11 +150,18 @@
             }
             Finding::DidNotEnd { node } => write!(f, "{node} did not end when told to"),
             Finding::NotReady { node } => write!(f, "{node} was not ready in time"),
-            Finding::NotServed { service, per_mille } => {
+            Finding::NotServed {
+                service,
+                per_mille,
+                explanation,
+            } => {
                 write!(
                     f,
                     "{service} was served {per_mille} of 1000 after trouble ended"
-                )
+                )?;
+                explanation
+                    .iter()
+                    .try_for_each(|line| write!(f, "\n      {line}"))
             }
             Finding::OneSidedOutage {
                 service,
@@ -217,6 +237,7 @@
         .map(|(service, tally)| Finding::NotServed {
             service: service.to_owned(),
             per_mille: if tally.all == 0 { 0 } else { tally.per_mille() },
+            explanation: Vec::new(),
         })
         .collect()
 }
@@ -305,22 +326,17 @@
         return Vec::new();
     }
     let (early, late) = (&settled[..third], &settled[settled.len() - third..]);
-    let grown = |of: fn(&Resources) -> u64| {
-        median(late.iter().map(|sample| of(&sample.resources)))
-            .saturating_sub(median(early.iter().map(|sample| of(&sample.resources))))
+    let grown = |measure: Measure| {
+        median(late.iter().map(|sample| measure(&sample.resources))).saturating_sub(median(
+            early.iter().map(|sample| measure(&sample.resources)),
+        ))
     };
-    let bounds: [(&str, fn(&Resources) -> u64); 4] = [
-        ("KiB of memory", |resources| resources.memory_kib),
-        ("descriptors", |resources| resources.descriptors),
-        ("threads", |resources| resources.threads),
-        ("KiB on disk", |resources| resources.disk_kib),
-    ];
-    bounds
+    MEASURES
         .into_iter()
-        .filter(|(_, of)| grown(*of) > of(&MAX_GROWTH))
-        .map(|(what, of)| Finding::Leak {
+        .filter(|(_, measure)| grown(*measure) > measure(&MAX_GROWTH))
+        .map(|(what, measure)| Finding::Leak {
             node: node.to_owned(),
-            what: format!("{} {what} more in {changes} changes", grown(of)),
+            what: format!("{} {what} more in {changes} changes", grown(measure)),
         })
         .collect()
 }
--- a/crates/testbed/src/soak/session.rs
+++ b/crates/testbed/src/soak/session.rs
@@ -9,6 +9,8 @@
 use crate::fleet::Fleet;
 use crate::runs::{read_everywhere, start_upstreams};
 use crate::stand_in_clients::StandInClients;
+use bytes::Bytes;
+use config::JsonValue;
 use invariants::observations::{Observation, ObservationLog};
 use invariants::rules;
 use random::Random;
@@ -20,21 +22,25 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::MissedTickBehavior;
-use transport::Clock;
+use transport::{Clock, HttpClient};
 
 /// How often processes are looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Every process is ready within this after trouble ended.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Every service is served from this on after trouble ended.
+/// Every service is served from this on after trouble ended, at the latest.
 const RECOVERY: Duration = Duration::from_secs(15);
+/// An operation of a stand-in client has ended after so long.
+const LONGEST_OPERATION: Duration = Duration::from_secs(4);
 /// What is served is looked at for so long.
 const CALM: Duration = Duration::from_secs(5);
 /// What was acknowledged is read back again and again for so long.
 const CONTACT: Duration = Duration::from_secs(5);
 /// Requests a second where nothing else is said; the machine is shared.
 const DEFAULT_RATE: u64 = 60;
+/// How many proxies are asked about a service that is not served.
+const EXPLAINING: usize = 3;
 /// Zones of every shape.
 const ZONES: usize = 6;
 const ABORT_POLL: Duration = Duration::from_millis(200);
@@ -331,11 +337,7 @@
         }
         let left = (ended_at + READY_TIMEOUT).saturating_sub(self.clock.now());
         self.check_ready(left).await;
-        self.watch_for((ended_at + RECOVERY).saturating_sub(self.clock.now()))
-            .await;
-        let from = self.clock.now();
-        self.watch_for(CALM).await;
-        self.check_services(from).await;
+        self.check_services(ended_at).await;
     }
 
     async fn check_ready(&mut self, within: Duration) {
@@ -350,20 +352,66 @@
         }
     }
 
-    /// Every service is served among what started from then on.
-    async fn check_services(&mut self, from: Duration) {
-        let until = self.clock.now();
-        // What started last has its time to end.
-        self.watch_for(Duration::from_secs(4)).await;
+    /// Every service is served among what starts within a calm span, no later than [`RECOVERY`] after trouble ended.
+    async fn check_services(&mut self, ended_at: Duration) {
         let services: Vec<&str> = self
             .shape
             .services
             .iter()
             .map(|work| work.service)
             .collect();
-        let findings =
-            judgement::unserved_services(&self.clients.finished(), &services, from, until);
-        self.processes.findings.extend(findings);
+        loop {
+            // What started last has its time to end.
+            let until = self.clock.now().saturating_sub(LONGEST_OPERATION);
+            let from = until.saturating_sub(CALM);
+            if from >= ended_at {
+                let finished = self.clients.finished();
+                let findings = judgement::unserved_services(&finished, &services, from, until);
+                if findings.is_empty() {
+                    return;
+                }
+                if from >= ended_at + RECOVERY {
+                    let explained = self.explain(findings).await;
+                    return self.processes.findings.extend(explained);
+                }
+            }
+            self.watch_for(SAMPLE_INTERVAL).await;
+        }
+    }
+
+    /// Asks some proxies what would become of a request to each service that is not served.
+    async fn explain(&self, mut findings: Vec<Finding>) -> Vec<Finding> {
+        for finding in &mut findings {
+            if let Finding::NotServed {
+                service,
+                explanation,
+                ..
+            } = finding
+            {
+                let name = format!("{service}.{}.example", self.shape.name);
+                for proxy in self.processes.fleet.data_nodes.iter().take(EXPLAINING) {
+                    explanation.push(format!("{}:", proxy.node));
+                    explanation.extend(self.explain_at(&proxy.http, &name, service).await);
+                }
+            }
+        }
+        findings
+    }
+
+    async fn explain_at(&self, proxy: &str, name: &str, service: &str) -> Vec<String> {
+        let path = format!("/trace?name={name}&path=%2F{service}&key=key-1");
+        let client = HttpClient::default();
+        let timeout = Duration::from_secs(2);
+        let called = client.call(proxy, "GET", &path, &[], Bytes::new(), timeout, false);
+        let reply = called.await.ok();
+        let json =
+            reply.and_then(|reply| JsonValue::parse(&String::from_utf8_lossy(&reply.body)).ok());
+        let notes = json.map(|json| json.list("notes").to_vec());
+        notes
+            .unwrap_or_default()
+            .iter()
+            .map(JsonValue::to_string)
+            .collect()
     }
 
     /// The end: everything is killed right after a change was acknowledged. What was acknowledged is read back at every
--- a/crates/testbed/src/soak/upstreams.rs
+++ b/crates/testbed/src/soak/upstreams.rs
@@ -11,6 +11,8 @@
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(700);
 /// How long a draining upstream serves on.
 const DRAIN: Duration = Duration::from_secs(4);
+/// Stands between an instance's first name and the number of its successor.
+const GENERATION: &str = ".g";
 /// How long a new upstream is cold.
 const WARM_UP: Duration = Duration::from_secs(2);
 
@@ -113,11 +115,11 @@
         let place = &self.places[at];
         let generation = place.generation + 1;
         let old = place.upstream.clone();
-        let first_name = old.instance.split('+').next().unwrap_or_default();
+        let first_name = old.instance.split(GENERATION).next().unwrap_or_default();
         let started = StandInUpstream::start(
             ANY_PORT,
             old.work,
-            format!("{first_name}+{generation}"),
+            format!("{first_name}{GENERATION}{generation}"),
             old.locality.clone(),
             false,
             self.nodes.clone(),
--- a/crates/testbed/src/stand_in_upstreams.rs
+++ b/crates/testbed/src/stand_in_upstreams.rs
@@ -62,6 +62,26 @@
     pub withholds_responses_to: Vec<String>,
 }
 
+/// One request under way. Where its client leaves midway, the slot is free again with it.
+struct BusySlot<'a> {
+    busy: &'a AtomicU32,
+    /// How many were under way before it.
+    number: u32,
+}
+
+impl<'a> BusySlot<'a> {
+    fn take(busy: &'a AtomicU32) -> Self {
+        let number = busy.fetch_add(1, Ordering::AcqRel);
+        BusySlot { busy, number }
+    }
+}
+
+impl Drop for BusySlot<'_> {
+    fn drop(&mut self) {
+        self.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl StandInUpstream {
     /// Starts a stand-in at an address, [`ANY_PORT`] or one that another had before; it sends heartbeats to the nodes in turn.
     #[allow(clippy::too_many_arguments)]
@@ -325,14 +345,14 @@
         }
         let attempt_id = request.header("x-try-id").to_owned();
         self.note_arrival(&request);
-        let busy = self.busy.fetch_add(1, Ordering::AcqRel);
-        let runs = busy < SLOTS && self.may_execute(&request);
+        let slot = BusySlot::take(&self.busy);
+        let runs = slot.number < SLOTS && self.may_execute(&request);
         let body = if runs {
             self.execute(&request).await
         } else {
             "not run".to_owned()
         };
-        self.busy.fetch_sub(1, Ordering::AcqRel);
+        drop(slot);
         let status = if runs { 200 } else { 503 };
         let mut random = Random::new(random::stable_hash(&attempt_id));
         let garbled = random.below(1000) < fault.invalid_responses_per_mille;
