Soak: many processes are killed at the same moment, and a kill counts from when the process is gone

The soak killed processes one after the other and waited for each, but noted the moment before the first; a request that a later one took meanwhile looked as if it had been dropped. All are told first now, and a life is over when its process is reaped.

--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -118,6 +118,13 @@
         });
     }
 
+    /// Tells the kernel to kill it, and does not wait until it has ended.
+    pub fn begin_kill(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+        }
+    }
+
     /// Sends it a signal by name (TERM, STOP, CONT).
     pub fn signal(&self, name: &str) {
         self.child.iter().for_each(|child| {
--- a/crates/testbed/src/soak/processes.rs
+++ b/crates/testbed/src/soak/processes.rs
@@ -6,11 +6,12 @@
 use super::schedule::{ProcessId, Signal, Step};
 use crate::fleet::{Fleet, Process};
 use random::Random;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use transport::Clock;
 
 /// A process ends within this after the signal to shut down.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(6500);
@@ -30,7 +31,9 @@
         self.0
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert(address.to_owned(), at);
+            .entry(address.to_owned())
+            .and_modify(|known| *known = at.max(*known))
+            .or_insert(at);
     }
 
     /// True where the process behind an address was killed or frozen since then.
@@ -59,6 +62,7 @@
 /// All processes of the site under the soak.
 pub(super) struct Processes {
     pub(super) fleet: Fleet,
+    clock: Clock,
     treatments: BTreeMap<ProcessId, Treatment>,
     pub(super) ended: EndedLives,
     random: Random,
@@ -69,7 +73,7 @@
 }
 
 impl Processes {
-    pub(super) fn new(fleet: Fleet, seed: u64) -> Self {
+    pub(super) fn new(fleet: Fleet, clock: Clock, seed: u64) -> Self {
         let control = (0..fleet.control_nodes.len()).map(ProcessId::Control);
         let data = (0..fleet.data_nodes.len()).map(ProcessId::Data);
         let treatments = control
@@ -78,6 +82,7 @@
             .collect();
         Processes {
             fleet,
+            clock,
             treatments,
             ended: EndedLives::default(),
             random: Random::new(seed),
@@ -115,11 +120,7 @@
     pub(super) fn carry_out(&mut self, now: Duration, step: &Step) {
         match step {
             Step::Signal(id, signal) => self.signal(now, *id, *signal),
-            Step::SignalMany(ids, signal) => {
-                for id in ids {
-                    self.signal(now, *id, *signal);
-                }
-            }
+            Step::SignalMany(ids, signal) => self.signal_many(now, ids, *signal),
             Step::Freeze(id, pause) => self.freeze(now, *id, *pause),
             Step::Wipe(at) => {
                 self.signal(now, ProcessId::Control(*at), Signal::Kill);
@@ -129,6 +130,18 @@
         }
     }
 
+    /// At the same moment: what is killed is waited for only once all are told.
+    fn signal_many(&mut self, now: Duration, ids: &[ProcessId], signal: Signal) {
+        if signal == Signal::Kill {
+            for id in ids {
+                self.process(*id).begin_kill();
+            }
+        }
+        for id in ids {
+            self.signal(now, *id, signal);
+        }
+    }
+
     fn signal(&mut self, now: Duration, id: ProcessId, signal: Signal) {
         let address = self.process(id).http.clone();
         if self.process(id).id().is_none() {
@@ -141,9 +154,11 @@
                 self.process(id).signal(signal.name());
             }
             Signal::Kill => {
-                self.ended.note(&address, now);
                 // Reaps it too: its end is not looked for any more.
                 self.process(id).kill();
+                // Once it is gone: until then it may have taken further requests.
+                let gone_at = self.clock.now();
+                self.ended.note(&address, gone_at);
                 self.ends += 1;
                 self.start_again_later(now, id);
             }
@@ -278,10 +293,8 @@
 
     /// Kills everything at the same moment.
     pub(super) fn kill_all(&mut self, now: Duration) {
-        let all: BTreeSet<ProcessId> = self.treatments.keys().copied().collect();
-        for id in all {
-            self.signal(now, id, Signal::Kill);
-        }
+        let all = self.ids();
+        self.signal_many(now, &all, Signal::Kill);
     }
 
     /// Looks at what each process holds.
--- a/crates/testbed/src/soak/session.rs
+++ b/crates/testbed/src/soak/session.rs
@@ -238,7 +238,7 @@
             .iter()
             .map(|process| process.http.clone())
             .collect();
-        let mut processes = Processes::new(fleet, seed);
+        let mut processes = Processes::new(fleet, clock, seed);
         processes
             .start_all(clock.now())
             .map_err(|e| e.to_string())?;
