--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::sync::watch;
 use transport::{Clock, ConnectionPool, HttpClient, HttpRequest};
 
 /// When a node that is not ready should be asked again.
@@ -59,6 +60,8 @@
     is_draining: AtomicBool,
     /// Takes no further request.
     is_rejecting: AtomicBool,
+    /// Turns true when requests under way are given up.
+    gives_up: watch::Sender<bool>,
 }
 
 impl Node {
@@ -104,6 +107,7 @@
             lifetime,
             is_draining: AtomicBool::new(false),
             is_rejecting: AtomicBool::new(false),
+            gives_up: watch::Sender::new(false),
         }
     }
 
@@ -165,6 +169,21 @@
         }
     }
 
+    /// Requests that are still under way are answered at once: the process is about to end, and a closed connection would
+    /// tell their clients nothing.
+    pub(crate) fn give_up_requests(&self) {
+        self.gives_up.send_replace(true);
+    }
+
+    /// Returns when requests under way are given up.
+    pub(crate) async fn given_up(&self) {
+        let _ = self
+            .gives_up
+            .subscribe()
+            .wait_for(|gives_up| *gives_up)
+            .await;
+    }
+
     pub(crate) fn is_rejecting(&self) -> bool {
         self.is_rejecting.load(Ordering::Acquire)
     }
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -60,7 +60,10 @@
             state: RequestState::new(request.clone(), self.proxy.clone()),
             request,
         };
-        let response = exchange.run().await;
+        let response = tokio::select! {
+            response = exchange.run() => response,
+            () = self.given_up() => exchange.give_up(),
+        };
         let trace = exchange.state.into_trace();
         self.traces.keep(exchange.request.attempt_id, trace);
         response
@@ -147,6 +150,15 @@
         }
     }
 
+    /// The answer where the process ends before the request does.
+    fn give_up(&mut self) -> Response<Full<Bytes>> {
+        let code = self.state.give_up(self.node.clock.now());
+        self.node.count(code);
+        let attempt_id = &self.request.attempt_id;
+        let retry_after = request_routing::retry_after_for(code, 0.0, attempt_id);
+        self.node.reject(code, retry_after, attempt_id)
+    }
+
     /// Opens a connection to the selected upstream, or takes an idle one.
     async fn connect(&mut self, upstream: &Upstream, within: Duration) -> NextStep {
         match self.open_connection(&upstream.address, within).await {
--- a/crates/data-plane/src/shell.rs
+++ b/crates/data-plane/src/shell.rs
@@ -27,6 +27,8 @@
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 /// A process that shuts down ends by then, whatever is still under way.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(5500);
+/// The end of that time, in which requests that were given up get their answers.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Listeners of their own, where the settings name an address for them.
 const EXTRA_LISTENERS: [(&str, ListenerKind); 2] = [
@@ -65,8 +67,17 @@
     }
     let _ = shutdown.send(true);
     let lifetime = settings.duration("address-lifetime-ms");
-    // Requests under way get the rest of the time; after it they are cut off.
-    let _ = tokio::time::timeout(SHUTDOWN_TIMEOUT.saturating_sub(lifetime), servers).await;
+    // Requests under way get the rest of the time; those that are still there then are answered, not cut off.
+    let mut servers = pin!(servers);
+    let time_left = SHUTDOWN_TIMEOUT.saturating_sub(lifetime);
+    let finishing = time_left.saturating_sub(LAST_ANSWERS_TIMEOUT);
+    if tokio::time::timeout(finishing, servers.as_mut())
+        .await
+        .is_err()
+    {
+        shell.node.give_up_requests();
+        let _ = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, servers).await;
+    }
     Ok(())
 }
 
--- a/crates/request-routing/src/request_state.rs
+++ b/crates/request-routing/src/request_state.rs
@@ -118,6 +118,27 @@
         self.route.as_ref().map(|route| route.id.as_str())
     }
 
+    /// Ends the request where it is, since its proxy ends: not executed where it was never written to an upstream, else
+    /// unknown.
+    ///
+    /// ```
+    /// # use request_routing::{RequestState, RequestInfo, ProxyContext};
+    /// # use std::time::Duration;
+    /// # let proxy = ProxyContext::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// let mut request_state = RequestState::new(RequestInfo::default(), proxy);
+    /// assert_eq!(request_state.give_up(Duration::ZERO), result_code::ResultCode::ShuttingDown);
+    /// ```
+    pub fn give_up(&mut self, now: Duration) -> ResultCode {
+        let code = match self.was_written {
+            true => ResultCode::ResponseLost,
+            false => ResultCode::ShuttingDown,
+        };
+        match self.answer(now, code) {
+            NextStep::Answer { code, .. } => code,
+            _ => code,
+        }
+    }
+
     /// What was decided on the way, in order.
     ///
     /// ```
--- a/crates/testbed/src/soak/held_connections.rs
+++ b/crates/testbed/src/soak/held_connections.rs
@@ -1,8 +1,7 @@
 //! Clients that open a connection to one proxy and keep using it until the process behind it is gone: through drain,
 //! freeze and restart. Some send one request after the other, some rest between them, some leave midway.
 
-use super::judgement::{Finding, lost_connection};
-use super::processes::EndedLives;
+use super::judgement::LostConnection;
 use crate::stand_in_clients::StandInClients;
 use bytes::Bytes;
 use invariants::observations::Observation;
@@ -33,23 +32,21 @@
 /// What all of these clients share.
 pub(super) struct HeldConnections {
     clients: Arc<StandInClients>,
-    ended: EndedLives,
     is_over: AtomicBool,
     next: AtomicU64,
     /// Requests answered on a connection that carried one before.
     pub(super) reused: AtomicU64,
-    findings: Mutex<Vec<Finding>>,
+    lost: Mutex<Vec<LostConnection>>,
 }
 
 impl HeldConnections {
-    pub(super) fn new(clients: Arc<StandInClients>, ended: EndedLives) -> Arc<Self> {
+    pub(super) fn new(clients: Arc<StandInClients>) -> Arc<Self> {
         Arc::new(HeldConnections {
             clients,
-            ended,
             is_over: AtomicBool::new(false),
             next: AtomicU64::new(0),
             reused: AtomicU64::new(0),
-            findings: Mutex::default(),
+            lost: Mutex::default(),
         })
     }
 
@@ -67,8 +64,9 @@
         self.is_over.store(true, Ordering::Release);
     }
 
-    pub(super) fn take_findings(&self) -> Vec<Finding> {
-        std::mem::take(&mut self.findings.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Every connection that ended without an answer to a request.
+    pub(super) fn take_lost(&self) -> Vec<LostConnection> {
+        std::mem::take(&mut self.lost.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     async fn run(&self, proxy: &str, habit: Habit, mut random: Random) {
@@ -147,12 +145,15 @@
                     .fetch_add(u64::from(was_used), Ordering::Relaxed);
             }
             Err(transport::CallError::ConnectionLost) => {
-                let was_ended = self.ended.was_ended_since(proxy, sent_at);
-                let lost = lost_connection(proxy, clock.now() - sent_at, was_ended);
-                self.findings
+                let lost = LostConnection {
+                    address: proxy.to_owned(),
+                    sent_at,
+                    lost_at: clock.now(),
+                };
+                self.lost
                     .lock()
                     .unwrap_or_else(PoisonError::into_inner)
-                    .extend(lost);
+                    .push(lost);
             }
             Err(_) => {}
         }
--- a/crates/testbed/src/soak/judgement.rs
+++ b/crates/testbed/src/soak/judgement.rs
@@ -374,10 +374,43 @@
         .collect()
 }
 
-/// A connection that ended without an answer to a request, while its process was neither killed nor past its end.
-pub fn lost_connection(address: &str, sent_before: Duration, was_killed: bool) -> Option<Finding> {
-    (!was_killed && sent_before > CROSSING).then(|| Finding::ConnectionLost {
-        address: address.to_owned(),
-        after: sent_before,
-    })
+/// A connection that ended without an answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostConnection {
+    /// The address of the process behind it.
+    pub address: String,
+    /// When the request was sent.
+    pub sent_at: Duration,
+    /// When the client saw the end.
+    pub lost_at: Duration,
+}
+
+/// A span in which the soak kills a process or lets it stand still: what is lost there is the soak's own doing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Interruption {
+    /// The address of the process.
+    pub address: String,
+    /// Before the kernel was told.
+    pub from: Duration,
+    /// When the process was surely gone, or went on.
+    pub until: Duration,
+}
+
+/// Connections that were closed on a request, by processes that were not interrupted meanwhile.
+pub fn lost_connections(lost: &[LostConnection], interruptions: &[Interruption]) -> Vec<Finding> {
+    let is_excused = |lost: &LostConnection| {
+        interruptions.iter().any(|interruption| {
+            interruption.address == lost.address
+                && interruption.from <= lost.lost_at
+                && lost.sent_at <= interruption.until
+        })
+    };
+    lost.iter()
+        .filter(|lost| lost.lost_at.saturating_sub(lost.sent_at) > CROSSING)
+        .filter(|lost| !is_excused(lost))
+        .map(|lost| Finding::ConnectionLost {
+            address: lost.address.clone(),
+            after: lost.lost_at.saturating_sub(lost.sent_at),
+        })
+        .collect()
 }
--- a/crates/testbed/src/soak/operators.rs
+++ b/crates/testbed/src/soak/operators.rs
@@ -233,7 +233,7 @@
 }
 
 /// A configuration with one more route, whose weights and time-out differ from change to change.
-fn with_varied_route(configuration: &str, shape: &Shape, random: &mut Random) -> String {
+fn with_varied_route(text: &str, shape: &Shape, random: &mut Random) -> String {
     let [first, second, _] = shape.services;
     let weight = 1 + random.below(99);
     let timeout_ms = 500 + random.below(5000);
@@ -243,5 +243,5 @@
         second.service,
         100 - weight
     );
-    configuration.replacen("\"routes\": [\n", &format!("\"routes\": [\n{route}\n"), 1)
+    text.replacen("\"routes\": [\n", &format!("\"routes\": [\n{route}\n"), 1)
 }
--- a/crates/testbed/src/soak/processes.rs
+++ b/crates/testbed/src/soak/processes.rs
@@ -1,7 +1,7 @@
 //! Starts, signals and watches the processes of a site: whatever ends is started again, and whatever ends by itself is
 //! a finding.
 
-use super::judgement::{Finding, ResourceSample};
+use super::judgement::{Finding, Interruption, ResourceSample};
 use super::resources::resources_of;
 use super::schedule::{ProcessId, Signal, Step};
 use crate::fleet::{Fleet, Process};
@@ -9,7 +9,6 @@
 use std::collections::BTreeMap;
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use transport::Clock;
 
@@ -17,35 +16,12 @@
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(6500);
 /// A process that finds its port in use for a moment ends this soon after its start, and is started again.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
+/// A frozen process is thawed within this after its time.
+const THAW_DELAY: Duration = Duration::from_secs(1);
 const MAX_START_RETRIES: u32 = 20;
 const LOG_LINES: usize = 8;
 const SIGNAL_KILL: i32 = 9;
 
-/// Which lives of which node were ended by the soak, for the callers to look up by address.
-#[derive(Clone, Default)]
-pub(super) struct EndedLives(Arc<Mutex<BTreeMap<String, Duration>>>);
-
-impl EndedLives {
-    /// Notes that the process behind an address was killed, frozen or past its end at this moment.
-    fn note(&self, address: &str, at: Duration) {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(address.to_owned())
-            .and_modify(|known| *known = at.max(*known))
-            .or_insert(at);
-    }
-
-    /// True where the process behind an address was killed or frozen since then.
-    pub(super) fn was_ended_since(&self, address: &str, since: Duration) -> bool {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(address)
-            .is_some_and(|at| *at >= since)
-    }
-}
-
 /// What the soak did to a process, until it is over.
 #[derive(Clone, Copy, Debug, Default)]
 struct Treatment {
@@ -64,7 +40,7 @@
     pub(super) fleet: Fleet,
     clock: Clock,
     treatments: BTreeMap<ProcessId, Treatment>,
-    pub(super) ended: EndedLives,
+    pub(super) interruptions: Vec<Interruption>,
     random: Random,
     pub(super) findings: Vec<Finding>,
     pub(super) samples: Vec<ResourceSample>,
@@ -84,7 +60,7 @@
             fleet,
             clock,
             treatments,
-            ended: EndedLives::default(),
+            interruptions: Vec::new(),
             random: Random::new(seed),
             findings: Vec::new(),
             samples: Vec::new(),
@@ -132,13 +108,14 @@
 
     /// At the same moment: what is killed is waited for only once all are told.
     fn signal_many(&mut self, now: Duration, ids: &[ProcessId], signal: Signal) {
+        let told_at = self.clock.now();
         if signal == Signal::Kill {
             for id in ids {
                 self.process(*id).begin_kill();
             }
         }
         for id in ids {
-            self.signal(now, *id, signal);
+            self.signal(now.min(told_at), *id, signal);
         }
     }
 
@@ -156,9 +133,11 @@
             Signal::Kill => {
                 // Reaps it too: its end is not looked for any more.
                 self.process(id).kill();
-                // Once it is gone: until then it may have taken further requests.
-                let gone_at = self.clock.now();
-                self.ended.note(&address, gone_at);
+                self.interruptions.push(Interruption {
+                    address,
+                    from: now,
+                    until: self.clock.now(),
+                });
                 self.ends += 1;
                 self.start_again_later(now, id);
             }
@@ -167,7 +146,11 @@
 
     fn freeze(&mut self, now: Duration, id: ProcessId, pause: Duration) {
         let address = self.process(id).http.clone();
-        self.ended.note(&address, now + pause);
+        self.interruptions.push(Interruption {
+            address,
+            from: now,
+            until: now + pause + THAW_DELAY,
+        });
         let until = self.treatment(id).frozen_until.unwrap_or_default();
         self.treatment(id).frozen_until = Some(until.max(now + pause));
         self.process(id).signal("STOP");
@@ -266,7 +249,11 @@
             (process.node.clone(), process.http.clone())
         };
         self.findings.push(Finding::DidNotEnd { node });
-        self.ended.note(&address, now);
+        self.interruptions.push(Interruption {
+            address,
+            from: now,
+            until: now + START_TIMEOUT,
+        });
         self.process(id).signal(Signal::Kill.name());
         self.treatment(id).was_killed = true;
     }
--- a/crates/testbed/src/soak/session.rs
+++ b/crates/testbed/src/soak/session.rs
@@ -244,7 +244,7 @@
             .map_err(|e| e.to_string())?;
         let stand_ins = start_upstreams(&shape, &nodes, clock, &record).await?;
         let clients = StandInClients::new(shape.clone(), proxies.clone(), clock, record.clone());
-        let held = HeldConnections::new(clients.clone(), processes.ended.clone());
+        let held = HeldConnections::new(clients.clone());
         held.start(&proxies, seed);
         Ok(Session {
             clock,
@@ -444,7 +444,10 @@
         let finished = self.clients.finished();
         let mut findings = std::mem::take(&mut self.processes.findings);
         findings.extend(self.operators.take_findings());
-        findings.extend(self.held.take_findings());
+        findings.extend(judgement::lost_connections(
+            &self.held.take_lost(),
+            &self.processes.interruptions,
+        ));
         findings.extend(judgement::one_sided_outages(&finished));
         findings.extend(judgement::leaks(&self.processes.samples));
         let mut timed: BTreeMap<u32, usize> = BTreeMap::new();
--- a/crates/testbed/src/soak/upstreams.rs
+++ b/crates/testbed/src/soak/upstreams.rs
@@ -1,7 +1,7 @@
 //! The stand-in upstreams of a soak: they crash, drain, and cold ones take their places.
 
 use super::schedule::UpstreamStep;
-use crate::stand_in_upstreams::{ANY_PORT, StandInUpstream};
+use crate::stand_in_upstreams::StandInUpstream;
 use invariants::observations::ObservationLog;
 use std::sync::Arc;
 use std::time::Duration;
@@ -116,8 +116,9 @@
         let generation = place.generation + 1;
         let old = place.upstream.clone();
         let first_name = old.instance.split(GENERATION).next().unwrap_or_default();
+        let address = own_address(at, generation);
         let started = StandInUpstream::start(
-            ANY_PORT,
+            &address,
             old.work,
             format!("{first_name}{GENERATION}{generation}"),
             old.locality.clone(),
@@ -144,3 +145,14 @@
         }
     }
 }
+
+/// Any port of a loopback number of its own: the kernel may give a port that was just closed to the next upstream, and a request to
+/// the old one would reach it.
+fn own_address(place: usize, generation: u32) -> String {
+    format!(
+        "127.{}.{}.{}:0",
+        130 + generation % 100,
+        generation / 100 % 250,
+        1 + place % 250
+    )
+}
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use testbed::soak::judgement::{
-    CROSSING, Finding, ReadBack, ResourceSample, Resources, leaks, lost_connection, old_read_backs,
-    one_sided_outages, unserved_services,
+    CROSSING, Finding, Interruption, LostConnection, ReadBack, ResourceSample, Resources, leaks,
+    lost_connections, old_read_backs, one_sided_outages, unserved_services,
 };
 use testbed::soak::schedule::{Population, ProcessId, Signal, Step, TimedStep, draw};
 
@@ -199,17 +199,35 @@
 
 #[test]
 fn a_connection_closed_on_a_request_that_was_read_is_found() {
-    assert!(lost_connection("a", CROSSING * 2, false).is_some());
+    let lost = |after: Duration| LostConnection {
+        address: "a".into(),
+        sent_at: SECOND,
+        lost_at: SECOND + after,
+    };
+    let interruption = |address: &str, from: Duration, until: Duration| Interruption {
+        address: address.into(),
+        from,
+        until,
+    };
+    let read = [lost(CROSSING * 2)];
+    assert_eq!(lost_connections(&read, &[]).len(), 1);
+    let others = [
+        interruption("b", SECOND, SECOND * 2),
+        interruption("a", Duration::ZERO, SECOND / 2),
+        interruption("a", SECOND * 2, SECOND * 3),
+    ];
     assert_eq!(
-        lost_connection("a", CROSSING, false),
-        None,
-        "it crossed the close"
+        lost_connections(&read, &others).len(),
+        1,
+        "another's, earlier, later"
     );
     assert_eq!(
-        lost_connection("a", CROSSING * 2, true),
-        None,
-        "it was killed"
+        lost_connections(&[lost(CROSSING)], &[]),
+        [],
+        "it crossed the close"
     );
+    let killed = [interruption("a", SECOND, SECOND * 2)];
+    assert_eq!(lost_connections(&read, &killed), []);
 }
 
 fn steps_of(seeds: std::ops::Range<u64>) -> Vec<Vec<TimedStep>> {
