A closing server lets go of its socket at once

The kernel went on taking connections that nobody would read; they hung, and were reset when the process ended. The socket goes first now: who comes then is refused at once and calls another node.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server: bounded in size, time and number of connections.
 //!
 //! Shutdown has one mechanism: a watch channel that turns true. The server then accepts for a moment more what was on
-//! its way, ends idle connections, lets requests in flight finish, and returns once every connection has ended.
+//! its way, closes its socket, ends idle connections, lets requests in flight finish, and returns once every connection has ended.
 
 use crate::http_request::HttpRequest;
 use bytes::Bytes;
@@ -73,6 +73,8 @@
             drop(permit);
         });
     }
+    // The socket goes first: while it is open, the kernel takes connections that nobody here would ever read.
+    drop(acceptor);
     // Every connection gives its permit back when it ends.
     let _ = permits.acquire_many(MAX_CONNECTIONS as u32).await;
 }
