--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -273,6 +273,8 @@
         self.service, self.zone, self.slots, self.beat_s = service, zone, slots, beat
         self.instance = f"i-{random.randrange(16**10):010x}"
         self.sequence, self.state, self.cold_until = 0, "ready", 0.0
+        # Until then it is cut off from control: what it sends there gets no answer.
+        self.cut_until = 0.0
         self.work = work or (lambda upstream, request: 0.05)
         self.arrivals, self.runs = [], []
         self.target = None
@@ -303,6 +305,9 @@
         nodes.sort(key=lambda node: node != self.near())
         for node in nodes[:3]:
             self.sequence += 1
+            if time.monotonic() < self.cut_until:
+                await asyncio.sleep(min(1.0, self.cut_until - time.monotonic()))
+                continue
             body = {
                 "serviceName": self.service,
                 "address": self.address,
@@ -346,6 +351,10 @@
     async def handle(self, request, reader, writer):
         headers = request["headers"]
         attempt = headers.get("x-attempt-id", "")
+        if request["path"] == "/health":
+            cold_ms = int(self.cold_left() * 1000)
+            await self.send(writer, 200, attempt, b"", [("X-Instance-Id", self.instance), ("X-Cold-Ms", str(cold_ms))])
+            return
         expected = headers.get("x-expected-instance")
         if expected and expected != self.instance:
             self.record.note(f"upstream: {self.instance} answers 421 to {attempt}, meant for {expected}")
