A node that knows no configuration yet says so, not that a route does not exist

Cause: a view that a majority confirmed, but that never got a configuration, was treated like one whose configuration lacks the name, by requests (`start`) and by lookups (`lookup`).

Change: a view knows whether it ever got a configuration; without one, an unknown name or route is answered 1202 (503). Requests and lookups share the function that tells the two apart. The revision would not do: an evacuation raises it before the first configuration.

The test `a_node_that_knows_no_configuration_does_not_say_that_a_route_does_not_exist` fails with the old line in `start` (NoSuchName for StaleView), its counterpart for a route that is lacking passes with both.

Test changed: the doc example of `lookup` held 1107 for a view without a configuration, which is the fault; it now holds 1107 for a view with one, and 1202 for one without.

--- a/crates/name-directory/src/lookup.rs
+++ b/crates/name-directory/src/lookup.rs
@@ -72,10 +72,11 @@
 /// use result_code::ResultCode;
 /// use name_directory::{LookupOptions, OwnershipMode};
 /// use std::time::Duration;
-/// let view = name_directory::View::default();
+/// let view = name_directory::View { has_configuration: true, ..Default::default() };
 /// let options = LookupOptions { ownership: OwnershipMode::SingleZone, max_proxies: 3, lifetime: Duration::from_secs(2) };
-/// let answer = name_directory::lookup(&view, "book", &"north/n1".parse().unwrap(), &options);
-/// assert_eq!(answer, Err(ResultCode::NoSuchName));
+/// let look_up = |view| name_directory::lookup(view, "book", &"north/n1".parse().unwrap(), &options);
+/// assert_eq!(look_up(&view), Err(ResultCode::NoSuchName));
+/// assert_eq!(look_up(&Default::default()), Err(ResultCode::StaleView), "it knows no configuration yet");
 /// ```
 pub fn lookup(
     view: &View,
@@ -86,7 +87,7 @@
     let name = view
         .configuration
         .resolve(requested_name)
-        .ok_or(ResultCode::NoSuchName)?;
+        .ok_or_else(|| view.unknown_name_code())?;
     let entries = EntryPoints {
         view,
         home_regions: HomeRegionLists::of_name(&view.configuration, name),
--- a/crates/name-directory/src/view.rs
+++ b/crates/name-directory/src/view.rs
@@ -5,6 +5,7 @@
 use config::{Configuration, ValidationError};
 use locality::Locality;
 use protocol::{KeyShare, Placement, Reservation, Tombstone, Upstream, UpstreamState, ViewUpdate};
+use result_code::ResultCode;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,6 +65,8 @@
     pub digest: String,
     /// The configuration of this revision.
     pub configuration: Arc<Configuration>,
+    /// True once any configuration was received: before, nothing is known of which names and routes there are.
+    pub has_configuration: bool,
     /// Localities (region/zone) that are evacuated.
     pub evacuated: BTreeSet<String>,
     /// By service, then by instance; only those that are not deregistered.
@@ -98,6 +101,21 @@
         self.as_of.is_some_and(|as_of| now < as_of + stale_after)
     }
 
+    /// Why a name or route that the configuration lacks is not served: there is none, or nobody can tell yet.
+    ///
+    /// ```
+    /// use result_code::ResultCode;
+    /// let known = name_directory::View { has_configuration: true, ..Default::default() };
+    /// assert_eq!(known.unknown_name_code(), ResultCode::NoSuchName);
+    /// assert_eq!(name_directory::View::default().unknown_name_code(), ResultCode::StaleView);
+    /// ```
+    pub fn unknown_name_code(&self) -> ResultCode {
+        match self.has_configuration {
+            true => ResultCode::NoSuchName,
+            false => ResultCode::StaleView,
+        }
+    }
+
     /// The tombstone of a name in a locality (region/zone) that it left.
     ///
     /// ```
@@ -146,6 +164,7 @@
             self.evacuated = state.evacuated.into_iter().collect();
             if let Some(configuration) = configuration {
                 self.configuration = configuration;
+                self.has_configuration = true;
             }
         }
         if !update.upstreams.is_empty() {
--- a/crates/request-routing/src/admission.rs
+++ b/crates/request-routing/src/admission.rs
@@ -35,7 +35,7 @@
             return self.answer(now, ResultCode::StaleView);
         }
         let Some((route, service)) = self.resolve(view) else {
-            return self.answer(now, ResultCode::NoSuchName);
+            return self.answer(now, view.unknown_name_code());
         };
         self.revision = view.revision;
         self.trace.push(TraceEvent::RouteResolved {
