--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -51,6 +51,29 @@
     pub help: &'static str,
 }
 
+impl Setting {
+    /// A setting of a table. `default` is none where it must be given.
+    ///
+    /// ```
+    /// use config::{Setting, SettingType};
+    /// const NODE: Setting = Setting::new("node", SettingType::Id, None, "this process's id");
+    /// assert_eq!(NODE.name, "node");
+    /// ```
+    pub const fn new(
+        name: &'static str,
+        kind: SettingType,
+        default: Option<&'static str>,
+        help: &'static str,
+    ) -> Setting {
+        Setting {
+            name,
+            kind,
+            default,
+            help,
+        }
+    }
+}
+
 /// Validated settings, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Settings(BTreeMap<&'static str, String>);
--- a/crates/control-plane/src/daemon/settings.rs
+++ b/crates/control-plane/src/daemon/settings.rs
@@ -6,78 +6,64 @@
 
 /// Settings of a control node, beside the time values.
 pub const SETTINGS: &[Setting] = &[
-    setting(
+    Setting::new(
         "node",
         SettingType::Id,
         None,
         "this process's id, unlike all others",
     ),
-    setting("locality", SettingType::Locality, None, "where it stands"),
-    setting(
+    Setting::new("locality", SettingType::Locality, None, "where it stands"),
+    Setting::new(
         "http",
         SettingType::Address,
         None,
         "where operators and upstreams call (HTTP)",
     ),
-    setting(
+    Setting::new(
         "link",
         SettingType::Address,
         None,
         "where other processes connect (TCP) and probe (UDP)",
     ),
-    setting(
+    Setting::new(
         "told",
         SettingType::Addresses,
         Some(""),
         "the link address that others use, where it is not 'link' itself",
     ),
-    setting(
+    Setting::new(
         "seeds",
         SettingType::Addresses,
         Some(""),
         "addresses of other processes, to find them all by",
     ),
-    setting(
+    Setting::new(
         "seed-port",
         SettingType::Integer(0, 65_535),
         Some("0"),
         "the port of their links, where 'seeds' names others",
     ),
-    setting(
+    Setting::new(
         "roster-size",
         SettingType::Integer(0, 31),
         Some("6"),
         "how many vote; a founding needs them all; 0: one a locality",
     ),
-    setting(
+    Setting::new(
         "localities",
         SettingType::Localities,
         Some(""),
         "the site's localities",
     ),
-    setting(
+    Setting::new(
         "owners",
         SettingType::OneOf(&["one", "by-caller"]),
         Some("one"),
         "who owns a name: one locality, or one for each",
     ),
-    setting("data", SettingType::Directory, None, "the data folder"),
+    Setting::new("data", SettingType::Directory, None, "the data folder"),
 ];
 
-const fn setting(
-    name: &'static str,
-    kind: SettingType,
-    default: Option<&'static str>,
-    help: &'static str,
-) -> Setting {
-    Setting {
-        name,
-        kind,
-        default,
-        help,
-    }
-}
-
 /// Name, description and settings of this program, for the command line.
 pub const PROGRAM: Program = Program {
     name: "control-plane",
--- a/crates/data-plane/src/settings.rs
+++ b/crates/data-plane/src/settings.rs
@@ -15,98 +15,98 @@
 
 /// Settings of a data-plane node, beside the time values.
 pub const SETTINGS: &[Setting] = &[
-    setting(
+    Setting::new(
         "node",
         SettingType::Id,
         None,
         "this process's id, unlike all others",
     ),
-    setting("locality", SettingType::Locality, None, "where it stands"),
-    setting(
+    Setting::new("locality", SettingType::Locality, None, "where it stands"),
+    Setting::new(
         "http",
         SettingType::Address,
         None,
         "where origins, upstreams and operators call (HTTP)",
     ),
-    setting(
+    Setting::new(
         "link",
         SettingType::Address,
         None,
         "where other processes connect (TCP) and probe (UDP)",
     ),
-    setting(
+    Setting::new(
         "told",
         SettingType::Addresses,
         Some(""),
         "the link address that others use, where it is not 'link' itself",
     ),
-    setting(
+    Setting::new(
         "seeds",
         SettingType::Addresses,
         Some(""),
         "addresses of other processes, to find them all by",
     ),
-    setting(
+    Setting::new(
         "seed-port",
         SettingType::Integer(0, 65_535),
         Some("0"),
         "the port of their links, where 'seeds' names others",
     ),
-    setting(
+    Setting::new(
         "directory",
         SettingType::Addresses,
         Some(""),
         "where origins ask for names, where it is not 'http' itself",
     ),
-    setting(
+    Setting::new(
         "readiness",
         SettingType::Addresses,
         Some(""),
         "where readiness is asked for, where it is not 'http' itself",
     ),
-    setting(
+    Setting::new(
         "owners",
         SettingType::OneOf(&["one", "by-caller"]),
         Some("one"),
         "who owns a name: one locality, or one for each",
     ),
-    setting(
+    Setting::new(
         "out-of-touch",
         SettingType::OneOf(&["stop", "serve"]),
         Some("stop"),
         "what to do with a view that is too old",
     ),
-    setting(
+    Setting::new(
         "keep-connections",
         SettingType::OneOf(&["no", "yes"]),
         Some("no"),
         "whether connections to upstreams are reused",
     ),
-    setting(
+    Setting::new(
         "far-zone-ms",
         SettingType::Integer(0, 10_000),
         Some("20"),
         "what another zone costs beside an upstream's work",
     ),
-    setting(
+    Setting::new(
         "far-region-ms",
         SettingType::Integer(0, 10_000),
         Some("60"),
         "what another region costs beside its work",
     ),
-    setting(
+    Setting::new(
         "warm-up-excess",
         SettingType::Decimal(100),
         Some(""),
         "how many times its slow-start rate an upstream bears while it warms up; empty: 1.5",
     ),
-    setting(
+    Setting::new(
         "warm-up-margin",
         SettingType::Decimal(10_000),
         Some(""),
         "how many requests a second more it bears; empty: 5",
     ),
-    setting(
+    Setting::new(
         "serve",
         SettingType::SomeOf(&["proxy", "directory"]),
         Some("proxy,directory"),
@@ -114,20 +114,6 @@
     ),
 ];
 
-const fn setting(
-    name: &'static str,
-    kind: SettingType,
-    default: Option<&'static str>,
-    help: &'static str,
-) -> Setting {
-    Setting {
-        name,
-        kind,
-        default,
-        help,
-    }
-}
-
 /// How the program presents itself.
 pub const PROGRAM: Program = Program {
     name: "data-plane",
