--- a/crates/request-routing/src/lib.rs
+++ b/crates/request-routing/src/lib.rs
@@ -48,6 +48,7 @@
 mod admission;
 mod admission_queue;
 mod attempt_table;
+mod cold_tolerance;
 mod dispatch;
 mod distance;
 mod explain;
@@ -75,6 +76,7 @@
 mod warm_up_checks;
 
 pub use admission_queue::{AdmissionQueue, WakeUp};
+pub use cold_tolerance::{ColdTolerance, RequestRate};
 pub use explain::explain;
 pub use health_check::HealthCheck;
 pub use load_estimate::{Load, LoadEstimate};
@@ -94,6 +96,5 @@
 pub use trace::{RejectReason, TraceEvent};
 pub use upstream_stats::UpstreamStats;
 pub use warm_up_checks::{
-    ColdTolerance, HEALTH_CHECK_TIMEOUT, HealthReport, RequestRate, WarmUpChecks, Warmth,
-    WarmthAssessment,
+    HEALTH_CHECK_TIMEOUT, HealthReport, WarmUpChecks, Warmth, WarmthAssessment,
 };
--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -16,6 +16,7 @@
 //!    upstream is taken in its place.
 
 use crate::admission::is_allowed_in;
+use crate::cold_tolerance::{ColdTolerance, RequestRate};
 use crate::distance::Distance;
 use crate::health_check::HealthCheck;
 use crate::permits::SlotPermit;
@@ -27,7 +28,7 @@
 use crate::slot_limit::ReportedSlots;
 use crate::trace::{RejectReason, TraceEvent};
 use crate::upstream_stats::UpstreamStats;
-use crate::warm_up_checks::{ColdTolerance, RequestRate, Warmth};
+use crate::warm_up_checks::Warmth;
 use config::{Route, Service};
 use name_directory::View;
 use protocol::{KeyShare, Upstream};
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -10,7 +10,7 @@
 //! are within its tolerance together. Where few proxies send to an upstream, each may send one request along with its
 //! check, so that nobody waits for the answer.
 
-use crate::proxy_context::WarmUpTolerance;
+use crate::cold_tolerance::{ColdTolerance, MIN_CHECKED_OWN_RATE, RequestRate};
 use crate::sliding_window::SlidingWindow;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -20,25 +20,13 @@
 /// How long a request waits for the answer to a health check at most, before it goes to an upstream that is farther.
 pub(crate) const HEALTH_ANSWER_WAIT: Duration = Duration::from_millis(100);
 /// How far apart the health checks of one upstream are at least.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long an answer confirms an upstream at most.
-const MAX_VALIDITY: Duration = Duration::from_secs(1);
+pub(crate) const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The next check is due after this part of an answer's span, or of its requests; the rest is for its way.
 const RENEWAL_POINT: f64 = 0.67;
 /// Rates are counted over this span.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Rates of few requests are counted over this span.
 const STEADY_RATE_SPAN: Duration = Duration::from_secs(10);
-/// The part of what a cold upstream tolerates that it gets on a heartbeat's word: rates are estimates.
-const UNCONFIRMED_PART: f64 = 0.9;
-/// Chance lets the requests of a second exceed their mean by this many standard deviations, for what matters here.
-const FLUCTUATION: f64 = 2.0;
-/// Where only chance may exceed the tolerance, a proxy asks that sends at least so many requests a second...
-const MIN_CHECKED_OWN_RATE: f64 = 3.0;
-/// ...and at least this part of all.
-const MIN_CHECKED_SHARE: f64 = 0.25;
-/// Requests that go out along with checks may take up this part of what it tolerates beyond its slow-start rate.
-const MAX_UNANSWERED_PART: f64 = 0.5;
 
 /// What an upstream tells of itself in its answer to a health check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,79 +58,6 @@
     pub is_check_due: bool,
 }
 
-/// How many requests per second an upstream gets, by a proxy's best estimate.
-#[derive(Clone, Copy, Debug)]
-pub struct RequestRate {
-    /// From this proxy.
-    pub own: f64,
-    /// From all proxies.
-    pub total: f64,
-}
-
-/// What an upstream that is warming up bears, from all proxies together.
-#[derive(Clone, Copy, Debug)]
-pub struct ColdTolerance {
-    /// The rate of slow start, in requests per second.
-    slow_start_rate: f64,
-    /// The most requests that it tolerates in a second.
-    most: f64,
-}
-
-impl ColdTolerance {
-    /// The tolerance of an upstream with this rate of slow start, in requests per second.
-    pub fn new(tolerance: WarmUpTolerance, slow_start_per_second: u64) -> Self {
-        let slow_start_rate = slow_start_per_second as f64;
-        ColdTolerance {
-            slow_start_rate,
-            most: slow_start_rate * tolerance.excess + tolerance.margin,
-        }
-    }
-
-    /// How many requests a second it gets on a heartbeat's word.
-    fn unconfirmed_rate(&self) -> f64 {
-        self.most * UNCONFIRMED_PART
-    }
-
-    /// What of that is beyond its slow-start rate.
-    fn spare(&self) -> f64 {
-        (self.unconfirmed_rate() - self.slow_start_rate).max(0.0)
-    }
-
-    /// True where an upstream that gets so many is to be asked: it gets more than it tolerates, or may by chance.
-    fn is_checked(&self, rate: RequestRate) -> bool {
-        let by_chance = rate.total + FLUCTUATION * rate.total.sqrt();
-        let is_large_sender =
-            rate.own >= MIN_CHECKED_OWN_RATE && rate.own >= rate.total * MIN_CHECKED_SHARE;
-        rate.total > self.unconfirmed_rate() || (by_chance > self.most && is_large_sender)
-    }
-
-    /// How many proxies would send one request each along with a check; none where they are too many for that.
-    fn senders_unanswered(&self, rate: RequestRate) -> Option<f64> {
-        let senders = rate.total / rate.own.max(f64::MIN_POSITIVE);
-        Some(senders).filter(|senders| *senders <= self.spare() * MAX_UNANSWERED_PART)
-    }
-
-    /// How long an answer confirms an upstream that gets so many requests: the longest span V for which
-    /// `total * V + slow_start_rate * (1 - V)`, and what goes out along with checks, is tolerated within a second.
-    ///
-    /// ```
-    /// # use request_routing::{ColdTolerance, RequestRate};
-    /// let tolerance = ColdTolerance::new(Default::default(), 10);
-    /// let validity = |own, total| tolerance.validity(RequestRate { own, total }).as_millis();
-    /// assert_eq!(validity(1.0, 14.0), 1000, "it bears that anyway");
-    /// assert_eq!(validity(1.0, 42.0), 250, "8 of 32 beyond its slow-start rate");
-    /// assert_eq!(validity(21.0, 42.0), 187, "6 of 32: one request each of two proxies is unanswered");
-    /// ```
-    pub fn validity(&self, rate: RequestRate) -> Duration {
-        let spare = self.spare() - self.senders_unanswered(rate).unwrap_or(0.0);
-        let excess = rate.total - self.slow_start_rate;
-        if excess <= spare {
-            return MAX_VALIDITY;
-        }
-        Duration::from_secs_f64(spare / excess).max(MIN_CHECK_INTERVAL)
-    }
-}
-
 /// An answer that said "warm".
 #[derive(Clone, Copy)]
 struct Confirmation {
