--- a/crates/data-plane/src/health_checks.rs
+++ b/crates/data-plane/src/health_checks.rs
@@ -5,7 +5,7 @@
 use request_routing::{HEALTH_CHECK_TIMEOUT, HealthCheck, HealthReport};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use transport::{CallError, Connection, OutboundRequest};
+use transport::{CallError, OutboundRequest};
 
 impl Node {
     /// Sends health checks, each in a task of its own.
@@ -30,14 +30,9 @@
     /// What the upstream tells; none where what came is no answer to a health check.
     async fn ask_health(&self, check: &HealthCheck) -> Result<Option<HealthReport>, CallError> {
         let address = &check.upstream.address;
-        let pooled = match self.keeps_connections {
-            true => self.pool.take(address).await,
-            false => None,
-        };
-        let connection = match pooled {
-            Some(connection) => connection,
-            None => Connection::open(address, HEALTH_CHECK_TIMEOUT).await?,
-        };
+        let connection = self
+            .open_connection(address, self.keeps_connections, HEALTH_CHECK_TIMEOUT)
+            .await?;
         let outbound = OutboundRequest {
             method: "GET",
             path: &check.path,
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
-use transport::{Clock, ConnectionPool, HttpClient, HttpRequest};
+use transport::{CallError, Clock, Connection, ConnectionPool, HttpClient, HttpRequest};
 
 /// When a node that is not ready should be asked again.
 const READINESS_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -129,6 +129,19 @@
         self.is_rejecting.store(rejects, Ordering::Release);
     }
 
+    /// A connection to an upstream: an idle one where one may be reused and is known to be quiet, else a new one.
+    pub(crate) async fn open_connection(
+        &self,
+        address: &str,
+        may_reuse: bool,
+        timeout: Duration,
+    ) -> Result<Connection, CallError> {
+        if may_reuse && let Some(connection) = self.pool.take(address).await {
+            return Ok(connection);
+        }
+        Connection::open(address, timeout).await
+    }
+
     /// Forgets what is of no more use, and gives the requests by key since the last time.
     pub(crate) fn sweep(&self, now: Duration) -> Vec<KeyLoad> {
         let view = self.view.load();
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -165,7 +165,11 @@
 
     /// Opens a connection to the selected upstream, or takes an idle one.
     async fn connect(&mut self, upstream: &Upstream, within: Duration) -> NextStep {
-        match self.open_connection(&upstream.address, within).await {
+        let opened = self
+            .node
+            .open_connection(&upstream.address, self.may_reuse, within)
+            .await;
+        match opened {
             Ok(connection) => {
                 self.connection = Some(UpstreamConnection {
                     connection,
@@ -182,20 +186,6 @@
         }
     }
 
-    /// An idle connection where one may be used and is known to be quiet, else a new one.
-    async fn open_connection(
-        &self,
-        address: &str,
-        within: Duration,
-    ) -> Result<Connection, CallError> {
-        if self.may_reuse
-            && let Some(connection) = self.node.pool.take(address).await
-        {
-            return Ok(connection);
-        }
-        Connection::open(address, within).await
-    }
-
     /// Writes the request to the selected upstream, and judges the response.
     async fn send(
         &mut self,
