--- a/crates/cli/src/commands/site.rs
+++ b/crates/cli/src/commands/site.rs
@@ -6,14 +6,13 @@
 use crate::error::{CliError, ExitCode};
 use crate::output::{self, Summary};
 use config::JsonValue;
+use protocol::CONTROL_NODE_ROLE;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// How long a node has to serve a page about itself.
 pub const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The roles of a control node in membership, which name it as the deploy file does.
-const CONTROL_NODE_ROLES: &str = "postmaster";
 /// The state of a member that failure detection does not suspect.
 const ALIVE: &str = "alive";
 const READY: &str = "ready";
@@ -71,7 +70,7 @@
 
 async fn ask_member(client: ApiClient, member: JsonValue) -> NodeReport {
     let text = |name: &str| member.text(name).unwrap_or_default().to_owned();
-    let is_control_node = text("roles") == CONTROL_NODE_ROLES;
+    let is_control_node = text("roles") == CONTROL_NODE_ROLE;
     let page = if is_control_node { "/status" } else { "/node" };
     NodeReport {
         node: text("node"),
--- a/crates/control-plane/src/daemon/startup.rs
+++ b/crates/control-plane/src/daemon/startup.rs
@@ -1,13 +1,12 @@
 //! What happens before the event loop: the data folder is opened, and the node is described from the settings.
 
 use crate::daemon::settings::times;
-use crate::node::CONTROL_NODE_ROLE;
 use crate::persistence::RetryBackoff;
 use crate::start::Start;
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use name_directory::{ConfigurationParser, OwnershipMode};
-use protocol::{Departure, Member};
+use protocol::{CONTROL_NODE_ROLE, Departure, Member};
 use std::path::PathBuf;
 use std::pin::Pin;
 use storage::{Contents, FailureKind, Storage};
--- a/crates/control-plane/src/node.rs
+++ b/crates/control-plane/src/node.rs
@@ -17,7 +17,7 @@
 use lease::Lease;
 use membership::Membership;
 use name_directory::{ConfigurationParser, OwnershipMode};
-use protocol::{Member, Payload, UpstreamsRequest};
+use protocol::{CONTROL_NODE_ROLE, Member, Payload, UpstreamsRequest};
 use quorum_register::{Register, VoterPhase};
 use random::Random;
 use result_code::ResultCode;
@@ -26,9 +26,6 @@
 use std::time::Duration;
 use upstream_registry::UpstreamRegistry;
 
-/// The role of a control node in `Member.roles`: part of the wire format, so it keeps its old word.
-pub(crate) const CONTROL_NODE_ROLE: &str = "postmaster";
-
 /// What a control node did since its start, beside its membership.
 #[derive(Default)]
 pub(crate) struct Statistics {
--- a/crates/control-plane/src/update_streams.rs
+++ b/crates/control-plane/src/update_streams.rs
@@ -1,10 +1,10 @@
 //! Updates to data-plane nodes: a stream to each of them begins with a snapshot and goes on with numbered changes, each
 //! acknowledged.
 
-use crate::node::{CONTROL_NODE_ROLE, ControlNode};
+use crate::node::ControlNode;
 use protocol::{
-    ClusterState, DataPlaneAck, Freshness, Member, Payload, Placement, UpdateAck, UpdateRequest,
-    Upstream, ViewUpdate,
+    CONTROL_NODE_ROLE, ClusterState, DataPlaneAck, Freshness, Member, Payload, Placement,
+    UpdateAck, UpdateRequest, Upstream, ViewUpdate,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/control-plane/src/voters.rs
+++ b/crates/control-plane/src/voters.rs
@@ -6,8 +6,8 @@
 //! votes along, and the nodes that are left never decide that they are enough.
 
 use crate::interface::ControlResponse;
-use crate::node::{CONTROL_NODE_ROLE, ControlNode};
-use protocol::{MemberState, Payload, VoterLeaving, majority};
+use crate::node::ControlNode;
+use protocol::{CONTROL_NODE_ROLE, MemberState, Payload, VoterLeaving, majority};
 use quorum_register::{Change, Event};
 use result_code::ResultCode;
 use std::collections::BTreeMap;
--- a/crates/data-plane/src/data_node.rs
+++ b/crates/data-plane/src/data_node.rs
@@ -14,14 +14,12 @@
 use membership::Membership;
 use name_directory::{Proxy, View};
 use pending_requests::PendingRequests;
-use protocol::{Member, Payload};
+use protocol::{CONTROL_NODE_ROLE, Member, Payload};
 use random::Random;
 use source::Source;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The role of a control node in `Member.roles`, as it is on the wire.
-const CONTROL_NODE_ROLE: &str = "postmaster";
 /// The role of a node that serves requests.
 const PROXY_ROLE: &str = "proxy";
 
--- a/crates/protocol/src/messages/membership.rs
+++ b/crates/protocol/src/messages/membership.rs
@@ -2,6 +2,9 @@
 
 use prost::Message;
 
+/// The role of a control node in [`Member::roles`]: part of the wire format, so it keeps its old word.
+pub const CONTROL_NODE_ROLE: &str = "postmaster";
+
 /// What is known of one node.
 #[derive(Clone, PartialEq, Hash, Message)]
 pub struct Member {
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -8,7 +8,7 @@
 use control_plane::ControlNode;
 use data_plane::DataNode;
 use name_directory::View;
-use protocol::{DurableState, Member, Payload, ProbeReply};
+use protocol::{CONTROL_NODE_ROLE, DurableState, Member, Payload, ProbeReply};
 use random::Random;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -143,7 +143,7 @@
         let roles = if node.role == Role::DataNode {
             "proxy,directory"
         } else {
-            "postmaster"
+            CONTROL_NODE_ROLE
         };
         let port = |port: u32| {
             format!(
--- a/crates/simulator/src/processes.rs
+++ b/crates/simulator/src/processes.rs
@@ -11,12 +11,11 @@
 use data_plane::DataNode;
 use locality::Locality;
 use name_directory::ConfigurationParser;
-use protocol::Member;
+use protocol::{CONTROL_NODE_ROLE, Member};
 use request_routing::ProxyContext;
 use std::time::Duration;
 
-/// What membership calls a control node and a data-plane node: these strings are on the wire.
-const CONTROL_NODE_ROLES: &str = "postmaster";
+/// What membership calls a data-plane node: the string is on the wire.
 const DATA_NODE_ROLES: &str = "proxy,directory";
 /// How many nodes the settings name as seeds.
 const SEED_NODES: usize = 3;
@@ -185,7 +184,7 @@
             times.longest_step = Duration::MAX;
         }
         Core::ControlNode(Box::new(ControlNode::new(control_plane::Start {
-            me: self.member(at, CONTROL_NODE_ROLES),
+            me: self.member(at, CONTROL_NODE_ROLE),
             seeds: self.seed_nodes(),
             initial_voter_count: self.shape.disks,
             seed,
