Health checks: an upstream's word that it warms up is believed for a minute at most

An absurd span in a health answer would have overflowed the clock's arithmetic, and a long one was never asked about again. The doc examples of request-routing hold both ends.

--- a/crates/request-routing/src/load_estimate.rs
+++ b/crates/request-routing/src/load_estimate.rs
@@ -132,9 +132,10 @@
     /// use request_routing::{Load, LoadEstimate};
     /// use std::time::Duration;
     /// let estimate = LoadEstimate::default();
-    /// assert_eq!(estimate.others_per_second(3, 100.0), None);
-    /// estimate.record_load(Duration::from_secs(1), Load { running: 3, waiting: 2, slots: 3 }, 1);
-    /// assert_eq!(estimate.others_per_second(3, 100.0), Some(30.0), "three slots of 100 ms each");
+    /// let now = Duration::from_secs(1);
+    /// assert_eq!(estimate.others_per_second(now, 3, 100.0), None);
+    /// estimate.record_load(now, Load { running: 3, waiting: 2, slots: 3 }, 1);
+    /// assert_eq!(estimate.others_per_second(now, 3, 100.0), Some(30.0), "three slots of 100 ms each");
     /// ```
     pub fn others_per_second(
         &self,
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -23,6 +23,8 @@
 pub(crate) const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The next check is due after this part of an answer's span, or of its requests; the rest is for its way.
 const RENEWAL_POINT: f64 = 0.67;
+/// An upstream that says it warms up is believed for so long at most; then it is asked again.
+const MAX_REPORTED_WARM_UP: Duration = Duration::from_secs(60);
 /// Rates are counted over this span.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Rates of few requests are counted over this span.
@@ -216,6 +218,8 @@
     /// let warmth = |at| checks.assess(at, rate, ColdTolerance::new(Default::default(), 10)).warmth;
     /// assert_eq!(warmth(now), Warmth::WarmingUp);
     /// assert_eq!(warmth(now + Duration::from_secs(3)), Warmth::Warm);
+    /// checks.record_answer(now, now, Some(HealthReport { warm_up_left: Duration::MAX }));
+    /// assert_eq!(warmth(now + Duration::from_secs(60)), Warmth::Warm, "it is asked again before it gets much");
     /// ```
     pub fn record_answer(&self, sent_at: Duration, now: Duration, report: Option<HealthReport>) {
         self.with_state(|state| {
@@ -236,7 +240,7 @@
             });
             state.cold_until = match report.warm_up_left {
                 Duration::ZERO => Duration::ZERO,
-                left => now + left,
+                left => now + left.min(MAX_REPORTED_WARM_UP),
             };
         });
     }
