--- a/crates/config/src/parser.rs
+++ b/crates/config/src/parser.rs
@@ -114,7 +114,7 @@
             1..=MAX_WARM_UP_PER_SECOND,
             Some(DEFAULT_WARM_UP_PER_SECOND),
         );
-        let health_path = fields.path("healthPath");
+        let health_path = fields.path("healthCheckPath");
         let max_body_bytes = fields.count(
             "mostBytes",
             1..=MAX_BODY_BYTES,
--- a/crates/config/tests/rejected_configurations.rs
+++ b/crates/config/tests/rejected_configurations.rs
@@ -46,8 +46,8 @@
         ),
         (
             "a health path that is no path",
-            with(r#""healthPath": "health""#),
-            "/services/0/healthPath",
+            with(r#""healthCheckPath": "health""#),
+            "/services/0/healthCheckPath",
         ),
         (
             "below zero",
--- a/crates/request-routing/tests/warm_up_checks.rs
+++ b/crates/request-routing/tests/warm_up_checks.rs
@@ -107,7 +107,7 @@
 fn view(proxies: usize, profile: Profile) -> View {
     let configuration =
         r#"{"services": [{"name": "clauses", "work": "repeatable", "warmUpPerSecond": RATE,
-                                          "healthPath": "/health"}],
+                                          "healthCheckPath": "/health"}],
         "routes": [{"id": "r1", "name": "clause", "path": "/text", "service": "clauses"}]}"#
             .replace("RATE", &profile.slow_start_rate.to_string());
     let upstream = Upstream {
