--- a/crates/data-plane/src/admin.rs
+++ b/crates/data-plane/src/admin.rs
@@ -40,6 +40,10 @@
                 "failedHealthChecks",
                 Counters::value_of(&self.counters.failed_health_checks),
             ),
+            (
+                "coldUpstreams",
+                Counters::value_of(&self.counters.cold_upstreams),
+            ),
             ("viewAgeMs", self.view_age_ms(now)),
             ("services", services.map(service_json).collect()),
             ("setAside", ejected.map(JsonValue::from).collect()),
--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -16,6 +16,8 @@
     pub(crate) health_checks: AtomicU64,
     /// Health checks without a valid answer.
     pub(crate) failed_health_checks: AtomicU64,
+    /// How often an upstream turned out to be cold after requests were sent there as to a warm one.
+    pub(crate) cold_upstreams: AtomicU64,
     /// Answers by code.
     codes: DashMap<u32, u64>,
 }
--- a/crates/data-plane/src/health_checks.rs
+++ b/crates/data-plane/src/health_checks.rs
@@ -2,9 +2,10 @@
 
 use crate::node::Node;
 use bytes::Bytes;
-use request_routing::{HEALTH_CHECK_TIMEOUT, HealthCheck, HealthReport};
+use request_routing::{ColdUpstream, HEALTH_CHECK_TIMEOUT, HealthCheck, HealthReport};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use transport::{CallError, OutboundRequest};
 
 impl Node {
@@ -24,7 +25,19 @@
             let failures = &self.counters.failed_health_checks;
             failures.fetch_add(1, Ordering::Relaxed);
         }
-        self.stats.on_health_check(&check, self.clock.now(), report);
+        let cold = self.stats.on_health_check(&check, self.clock.now(), report);
+        self.log_cold_upstreams(cold);
+    }
+
+    /// Tells operators of upstreams that turned out to be cold after requests were sent there as to warm ones.
+    pub(crate) fn log_cold_upstreams(&self, cold: impl IntoIterator<Item = ColdUpstream>) {
+        for upstream in cold {
+            self.counters.cold_upstreams.fetch_add(1, Ordering::Relaxed);
+            let now = self.clock.now();
+            let age = |as_of: Duration| format!("{} ms", now.saturating_sub(as_of).as_millis());
+            let view_age = self.view.load().as_of.map_or("unknown".to_owned(), age);
+            log::info!("warm-up: {upstream}; age of the view: {view_age}");
+        }
     }
 
     /// What the upstream tells; none where what came is no answer to a health check.
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -132,6 +132,7 @@
             .start(node.clock.now(), &node.view.load(), &node.stats);
         loop {
             node.send_health_checks(self.state.take_health_checks());
+            node.log_cold_upstreams(self.state.take_cold_upstreams());
             next = match next {
                 NextStep::Connect { upstream, within } => self.connect(&upstream, within).await,
                 NextStep::Send { share, within } => match self.connection.take() {
--- a/crates/request-routing/src/dispatch.rs
+++ b/crates/request-routing/src/dispatch.rs
@@ -46,6 +46,7 @@
             let mut notes = SelectionNotes {
                 trace: std::mem::take(&mut self.trace),
                 health_checks: std::mem::take(&mut self.health_checks),
+                cold_upstreams: std::mem::take(&mut self.cold_upstreams),
                 awaits_health_answer: false,
             };
             let selected = self.selection(now, view, &service, share.as_ref()).select(
@@ -56,6 +57,7 @@
             );
             self.trace = notes.trace;
             self.health_checks = notes.health_checks;
+            self.cold_upstreams = notes.cold_upstreams;
             if notes.awaits_health_answer {
                 max_wait = max_wait.min(HEALTH_ANSWER_WAIT);
             }
--- a/crates/request-routing/src/proxy_stats.rs
+++ b/crates/request-routing/src/proxy_stats.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt_table::AttemptTable;
 use crate::health_check::HealthCheck;
+use crate::recent_sends::{ColdNews, ColdUpstream};
 use crate::service_stats::ServiceStats;
 use crate::upstream_stats::UpstreamStats;
 use crate::warm_up_checks::HealthReport;
@@ -58,7 +59,8 @@
         get_or_default(&self.upstreams, instance)
     }
 
-    /// Records what came of a health check; none where it has no valid answer. A request that waits for it is woken.
+    /// Records what came of a health check; none where it has no valid answer. A request that waits for it is woken. Gives
+    /// the upstream, where it is news that it is cold after this proxy had sent there as to a warm one.
     ///
     /// ```
     /// use request_routing::{HealthCheck, HealthReport, ProxyStats};
@@ -72,15 +74,22 @@
         check: &HealthCheck,
         now: Duration,
         report: Option<HealthReport>,
-    ) {
+    ) -> Option<ColdUpstream> {
         let HealthCheck {
             upstream, sent_at, ..
         } = check;
-        self.upstream(&upstream.instance)
+        let sends = self
+            .upstream(&upstream.instance)
             .warm_up_checks
             .record_answer(*sent_at, now, report);
         self.service(&upstream.service)
             .wake_first(Some(&upstream.instance));
+        Some(ColdUpstream {
+            service: upstream.service.clone(),
+            instance: upstream.instance.clone(),
+            news: ColdNews::HealthAnswer,
+            sends: sends?,
+        })
     }
 
     /// Registers an attempt; false where it was registered before and its retention is not over, or too many are.
--- a/crates/request-routing/src/request_state.rs
+++ b/crates/request-routing/src/request_state.rs
@@ -4,6 +4,7 @@
 use crate::health_check::HealthCheck;
 use crate::permits::{AdmissionPermit, QueueEntry, SlotPermit};
 use crate::proxy_context::ProxyContext;
+use crate::recent_sends::ColdUpstream;
 use crate::request_info::RequestInfo;
 use crate::retry_after::retry_after_for;
 use crate::service_stats::ServiceStats;
@@ -61,6 +62,8 @@
     pub(crate) ambiguous_outcome: Option<ResultCode>,
     /// Health checks that became due by this request.
     pub(crate) health_checks: Vec<HealthCheck>,
+    /// Upstreams that turned out to be cold by this request.
+    pub(crate) cold_upstreams: Vec<ColdUpstream>,
     pub(crate) trace: Vec<TraceEvent>,
 }
 
@@ -94,6 +97,7 @@
             wait_until: None,
             ambiguous_outcome: None,
             health_checks: Vec::new(),
+            cold_upstreams: Vec::new(),
             trace: Vec::new(),
         }
     }
@@ -157,6 +161,18 @@
         std::mem::take(&mut self.health_checks)
     }
 
+    /// The upstreams that turned out to be cold since the last call, after this proxy had sent there as to warm ones.
+    ///
+    /// ```
+    /// # use request_routing::{RequestState, RequestInfo, ProxyContext};
+    /// # use std::time::Duration;
+    /// # let proxy = ProxyContext::new("p", "n/1".parse().unwrap(), Duration::from_secs(2), Duration::ZERO);
+    /// assert!(RequestState::new(RequestInfo::default(), proxy).take_cold_upstreams().is_empty());
+    /// ```
+    pub fn take_cold_upstreams(&mut self) -> Vec<ColdUpstream> {
+        std::mem::take(&mut self.cold_upstreams)
+    }
+
     /// What was decided on the way, in order.
     ///
     /// ```
--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -23,12 +23,13 @@
 use crate::proxy_context::ProxyContext;
 use crate::proxy_partition::ProxyPartition;
 use crate::proxy_stats::ProxyStats;
+use crate::recent_sends::{ColdNews, ColdUpstream, SendBasis};
 use crate::request_info::RequestInfo;
 use crate::service_stats::ServiceStats;
 use crate::slot_limit::ReportedSlots;
 use crate::trace::{RejectReason, TraceEvent};
 use crate::upstream_stats::UpstreamStats;
-use crate::warm_up_checks::Warmth;
+use crate::warm_up_checks::{Warmth, WarmthAssessment};
 use config::{Route, Service};
 use name_directory::View;
 use protocol::{KeyShare, Upstream};
@@ -79,6 +80,8 @@
     pub(crate) trace: Vec<TraceEvent>,
     /// Health checks that became due.
     pub(crate) health_checks: Vec<HealthCheck>,
+    /// Upstreams that turned out to be cold.
+    pub(crate) cold_upstreams: Vec<ColdUpstream>,
     /// The answer to a health check of a nearer upstream is worth waiting for.
     pub(crate) awaits_health_answer: bool,
 }
@@ -116,7 +119,7 @@
             if awaited.is_some_and(|awaited| distance > awaited) {
                 break;
             }
-            let acquired = self.try_acquire(&stats, upstream, &mut notes.health_checks);
+            let acquired = self.try_acquire(&stats, upstream, notes);
             if let Err(reason) = acquired {
                 if self.may_wait && reason.is_answer_near() {
                     awaited = Some(awaited.map_or(distance, |nearest| nearest.min(distance)));
@@ -273,14 +276,14 @@
         &self,
         stats: &UpstreamStats,
         upstream: &Arc<Upstream>,
-        health_checks: &mut Vec<HealthCheck>,
+        notes: &mut SelectionNotes,
     ) -> Result<(), RejectReason> {
         let partition = self.partition();
         let limit = self.in_flight_limit(stats, upstream, partition);
         if !limit.is_some_and(|limit| stats.try_acquire(limit)) {
             return Err(RejectReason::NoSlot);
         }
-        let warmth = self.warmth(stats, upstream, partition, health_checks);
+        let WarmthAssessment { warmth, basis, .. } = self.warmth(stats, upstream, partition, notes);
         let allowed = match warmth {
             Warmth::Warm => Ok(()),
             Warmth::Unconfirmed { is_answer_near } => {
@@ -289,7 +292,7 @@
             Warmth::WarmingUp => self.take_slow_start_turn(stats, partition),
         };
         match allowed {
-            Ok(()) => stats.warm_up_checks.record_send(self.now),
+            Ok(()) => stats.warm_up_checks.record_send(self.now, basis),
             Err(_) => stats.release(),
         }
         allowed
@@ -314,13 +317,26 @@
         stats: &UpstreamStats,
         upstream: &Arc<Upstream>,
         partition: ProxyPartition,
-        health_checks: &mut Vec<HealthCheck>,
-    ) -> Warmth {
+        notes: &mut SelectionNotes,
+    ) -> WarmthAssessment {
+        let unchecked = |warmth, basis| WarmthAssessment {
+            warmth,
+            basis,
+            is_check_due: false,
+        };
         if !upstream.warm {
-            return Warmth::WarmingUp;
+            if let Some(sends) = stats.warm_up_checks.note_cold(self.now) {
+                notes.cold_upstreams.push(ColdUpstream {
+                    service: upstream.service.clone(),
+                    instance: upstream.instance.clone(),
+                    news: ColdNews::Heartbeat,
+                    sends,
+                });
+            }
+            return unchecked(Warmth::WarmingUp, SendBasis::SlowStart);
         }
         let Some(path) = &self.service.health_path else {
-            return Warmth::Warm;
+            return unchecked(Warmth::Warm, SendBasis::Heartbeat);
         };
         let tolerance = ColdTolerance::new(
             self.proxy.warm_up_tolerance,
@@ -329,13 +345,13 @@
         let rate = self.request_rate(stats, upstream, partition);
         let assessment = stats.warm_up_checks.assess(self.now, rate, tolerance);
         if assessment.is_check_due {
-            health_checks.push(HealthCheck {
+            notes.health_checks.push(HealthCheck {
                 upstream: upstream.clone(),
                 path: path.clone(),
                 sent_at: self.now,
             });
         }
-        assessment.warmth
+        assessment
     }
 
     /// How many requests per second an upstream gets from all proxies by the best estimate, one more of this proxy's
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -11,6 +11,7 @@
 //! check, so that nobody waits for the answer.
 
 use crate::cold_tolerance::{ColdTolerance, MIN_CHECKED_OWN_RATE, RequestRate};
+use crate::recent_sends::{RecentSends, SendBasis, SendCounts};
 use crate::sliding_window::SlidingWindow;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -56,6 +57,8 @@
 pub struct WarmthAssessment {
     /// What a proxy may go by.
     pub warmth: Warmth,
+    /// What allows a request, where one may be sent.
+    pub basis: SendBasis,
     /// A health check is due; it counts as sent.
     pub is_check_due: bool,
 }
@@ -91,6 +94,9 @@
     confirmation: Option<Confirmation>,
     /// Until when it warms up, by what it said.
     cold_until: Duration,
+    /// It is known to be cold, by whatever news.
+    is_known_cold: bool,
+    recent_sends: RecentSends,
 }
 
 impl State {
@@ -103,6 +109,13 @@
         self.checked_at.map_or(Duration::ZERO, |at| at + interval)
     }
 
+    /// Notes that it is known to be cold; what was sent there in the last second, where that is news.
+    fn note_cold(&mut self, now: Duration) -> Option<SendCounts> {
+        let is_news = !std::mem::replace(&mut self.is_known_cold, true);
+        let sends = self.recent_sends.counts(now);
+        Some(sends).filter(|sends| is_news && sends.total() > 0)
+    }
+
     /// True where a check was sent so lately that its answer may come at any moment.
     fn is_answer_near(&self, now: Duration) -> bool {
         let is_recent = |at: Duration| now < at + HEALTH_ANSWER_WAIT;
@@ -122,10 +135,17 @@
         use_state(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Counts a request that is sent there.
-    pub(crate) fn record_send(&self, now: Duration) {
+    /// Notes that a heartbeat says that it is cold; what was sent there in the last second, where that is news.
+    pub(crate) fn note_cold(&self, now: Duration) -> Option<SendCounts> {
+        self.with_state(|state| state.note_cold(now))
+    }
+
+    /// Counts a request that is sent there, and what allowed it.
+    pub(crate) fn record_send(&self, now: Duration, basis: SendBasis) {
         self.sends.add(now);
         self.with_state(|state| {
+            state.is_known_cold = basis == SendBasis::SlowStart;
+            state.recent_sends.record(now, basis);
             state.sends_since_check += 1;
             if let Some(confirmation) = &mut state.confirmation {
                 confirmation.sends += 1;
@@ -175,6 +195,7 @@
             if now < state.cold_until {
                 return WarmthAssessment {
                     warmth: Warmth::WarmingUp,
+                    basis: SendBasis::SlowStart,
                     is_check_due: false,
                 };
             }
@@ -199,15 +220,22 @@
                     is_answer_near: state.is_answer_near(now),
                 },
             };
+            let basis = match (is_tolerated, is_confirmed) {
+                (true, _) => SendBasis::Heartbeat,
+                (false, true) => SendBasis::HealthAnswer,
+                (false, false) => SendBasis::AlongWithCheck,
+            };
             WarmthAssessment {
                 warmth,
+                basis,
                 is_check_due,
             }
         })
     }
 
     /// Records the answer to the check that was sent at `sent_at`; none where no valid one came. An answer that was
-    /// overtaken by the answer to a later check counts for nothing.
+    /// overtaken by the answer to a later check counts for nothing. Gives what was sent there in the last second, where
+    /// it is news that it is cold.
     ///
     /// ```
     /// use request_routing::{ColdTolerance, HealthReport, RequestRate, WarmUpChecks, Warmth};
@@ -221,16 +249,19 @@
     /// checks.record_answer(now, now, Some(HealthReport { warm_up_left: Duration::MAX }));
     /// assert_eq!(warmth(now + Duration::from_secs(60)), Warmth::Warm, "it is asked again before it gets much");
     /// ```
-    pub fn record_answer(&self, sent_at: Duration, now: Duration, report: Option<HealthReport>) {
+    pub fn record_answer(
+        &self,
+        sent_at: Duration,
+        now: Duration,
+        report: Option<HealthReport>,
+    ) -> Option<SendCounts> {
         self.with_state(|state| {
             let is_latest = state.checked_at == Some(sent_at);
             if is_latest {
                 state.is_pending = false;
             }
             let is_overtaken = state.answered_check_at.is_some_and(|at| sent_at < at);
-            let Some(report) = report.filter(|_| !is_overtaken) else {
-                return;
-            };
+            let report = report.filter(|_| !is_overtaken)?;
             state.answered_check_at = Some(sent_at);
             // An answer that came after its time-out confirms nothing: the requests since then were not counted.
             let confirms = is_latest && report.warm_up_left.is_zero();
@@ -242,7 +273,11 @@
                 Duration::ZERO => Duration::ZERO,
                 left => now + left.min(MAX_REPORTED_WARM_UP),
             };
-        });
+            match report.warm_up_left {
+                Duration::ZERO => None,
+                _ => state.note_cold(now),
+            }
+        })
     }
 
     pub(crate) fn snapshot(&self) -> Self {
