Slow start: a turn that is not taken within half a second is lost

Callers: an upstream that turns cold a second time may be flooded, by proxies that know that it is cold. Cause: a proxy kept the time of its next turn for good. Why this works: turns come due at the slow-start rate over all proxies, and those open at any moment came due in the last half second; with the ones of the next second that is one and a half times the rate, which every upstream bears. A lost turn begins a new series, staggered by rank as the first.

--- a/crates/request-routing/src/slow_start.rs
+++ b/crates/request-routing/src/slow_start.rs
@@ -4,16 +4,20 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+/// A turn that is not taken within this span is lost. So the turns that are open at any moment, and those that come due in the
+/// second after it, are one and a half times the rate at most.
+const TURN_VALIDITY: Duration = Duration::from_millis(500);
+
 /// When the next request may go to an upstream that is warming up.
 #[derive(Default)]
 pub struct SlowStart {
-    /// In milliseconds; 0 until the first request asks.
+    /// When this proxy's next turn comes due, in milliseconds; 0 until the first request asks.
     next_ms: AtomicU64,
 }
 
 impl SlowStart {
     /// Takes one request of the warm-up rate (`per_second`, over all proxies together), of which this proxy has its
-    /// part. The rank staggers the proxies, so that not all begin at once.
+    /// part. The rank staggers the proxies, so that not all begin at once, in each warm-up of the same upstream anew.
     ///
     /// ```
     /// use request_routing::{ProxyPartition, SlowStart};
@@ -24,26 +28,21 @@
     /// assert!(slow_start.try_take(now + Duration::from_millis(500), 2, second_of_four));
     /// assert!(!slow_start.try_take(now + Duration::from_millis(600), 2, second_of_four));
     /// assert!(slow_start.try_take(now + Duration::from_millis(2500), 2, second_of_four));
+    /// assert!(!slow_start.try_take(now + Duration::from_millis(9000), 2, second_of_four), "that turn is lost");
+    /// assert!(slow_start.try_take(now + Duration::from_millis(9500), 2, second_of_four));
     /// ```
     pub fn try_take(&self, now: Duration, per_second: u64, partition: ProxyPartition) -> bool {
         let proxies = u64::from(partition.proxies.max(1));
         let now_ms = now.as_millis() as u64;
         let interval_ms = 1000 * proxies / per_second.max(1);
-        let first_ms = now_ms + interval_ms * u64::from(partition.rank) / proxies;
-        let started =
-            self.next_ms
-                .compare_exchange(0, first_ms.max(1), Ordering::AcqRel, Ordering::Acquire);
-        let due_ms = match started {
-            Ok(_) => first_ms,
-            Err(next_ms) => next_ms,
-        };
+        let due_ms = self.next_turn_ms(now_ms, interval_ms, partition);
         if now_ms < due_ms {
             return false;
         }
         // Only one of several requests at this moment gets the turn.
         self.next_ms
             .compare_exchange(
-                due_ms.max(1),
+                due_ms,
                 now_ms + interval_ms,
                 Ordering::AcqRel,
                 Ordering::Acquire,
@@ -51,6 +50,22 @@
             .is_ok()
     }
 
+    /// When the next turn comes due; where there is none, or it was lost, the first of a new series.
+    fn next_turn_ms(&self, now_ms: u64, interval_ms: u64, partition: ProxyPartition) -> u64 {
+        let known_ms = self.next_ms.load(Ordering::Acquire);
+        let is_open = known_ms > 0 && now_ms <= known_ms + TURN_VALIDITY.as_millis() as u64;
+        if is_open {
+            return known_ms;
+        }
+        let proxies = u64::from(partition.proxies.max(1));
+        let first_ms = (now_ms + interval_ms * u64::from(partition.rank) / proxies).max(1);
+        let stored =
+            self.next_ms
+                .compare_exchange(known_ms, first_ms, Ordering::AcqRel, Ordering::Acquire);
+        // Another request may have begun the series.
+        stored.map_or_else(|begun_ms| begun_ms, |_| first_ms)
+    }
+
     pub(crate) fn snapshot(&self) -> Self {
         SlowStart {
             next_ms: self.next_ms.load(Ordering::Acquire).into(),
