Warm-up: what all proxies may still send to an upstream that turned cold is counted, not estimated

Callers: a cold upstream in a zone that is cut off gets more requests in a second than it bears. Cause: each proxy bounded the sum over all proxies by its own estimate of that sum: requests were sent on a heartbeat's word as long as the estimated mean was nine tenths of the bound (chance and rises were not in it), and an answer to a health check was good for a span that followed from the mean, with one request more at each proxy. Class: a bound on a sum over nodes, kept by each node's estimate of a mean. Change: an answer is good for a counted number of requests, a proxy's part of what is tolerated beside slow start, so that the parts of all add up to it; a proxy whose part is less than one asks for each request. Where heartbeats may be missing (the view was not confirmed for 1.5 s, or is again for less than 3 s), their word allows nothing: a request is confirmed, or takes a turn of slow start. After a check without an answer the next one waits for its time-out. Test bed: the view of scripted proxies is confirmed for as long as a case lasts; otherwise a health check would take a step of an upstream's script, which is about responses to attempts. What the scripts check is as before.

--- a/crates/data-plane/src/data_node/updates.rs
+++ b/crates/data-plane/src/data_node/updates.rs
@@ -83,7 +83,7 @@
             return self.request_snapshot(now);
         }
         // A snapshot replaces what was known: the view is as old as it, also where another source knew newer things.
-        self.view.as_of = as_of;
+        self.view.confirm(now, as_of);
         self.view.update_senders(now);
         self.stream = stream;
         self.sequence = number;
@@ -166,7 +166,8 @@
         if !is_doubtful {
             self.failed_sources = 0;
         }
-        self.view.as_of = asked_at.checked_sub(age).max(self.view.as_of);
+        let as_of = asked_at.checked_sub(age).max(self.view.as_of);
+        self.view.confirm(now, as_of);
         self.effects.push(Effect::Publish);
     }
 
--- a/crates/name-directory/src/view.rs
+++ b/crates/name-directory/src/view.rs
@@ -85,8 +85,15 @@
     pub senders: Arc<ServiceSenders>,
     /// The view is certainly no older than this: the time of its own request, less the age that was reported.
     pub as_of: Option<Duration>,
+    /// When it was confirmed again after a gap, or for the first time.
+    pub gap_ended_at: Option<Duration>,
 }
 
+/// A view in touch is confirmed more often than this, by what is no older.
+const CONFIRMATION_GAP: Duration = Duration::from_millis(1500);
+/// By then the next heartbeat of each upstream has reached every view in touch.
+const HEARTBEAT_DELAY: Duration = Duration::from_secs(3);
+
 impl View {
     /// True while the view may be used. To be called at the moment of use.
     ///
@@ -101,6 +108,35 @@
         self.as_of.is_some_and(|as_of| now < as_of + stale_after)
     }
 
+    /// The view is confirmed as of a moment; none where nobody says how old it is.
+    pub fn confirm(&mut self, now: Duration, as_of: Option<Duration>) {
+        if !self.is_fresh(now, CONFIRMATION_GAP) {
+            self.gap_ended_at = Some(now);
+        }
+        self.as_of = as_of;
+    }
+
+    /// True where heartbeats of the last seconds may be missing: the view is not confirmed now, or was not until a moment
+    /// ago. Then upstreams may be cold that it calls warm.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut view = name_directory::View::default();
+    /// let seconds = Duration::from_secs;
+    /// assert!(view.may_lack_heartbeats(seconds(1)));
+    /// (1..=4).for_each(|second| view.confirm(seconds(second), Some(seconds(second))));
+    /// assert!(!view.may_lack_heartbeats(seconds(4)));
+    /// assert!(view.may_lack_heartbeats(seconds(6)), "nobody confirms it any more");
+    /// view.confirm(seconds(7), Some(seconds(7)));
+    /// assert!(view.may_lack_heartbeats(seconds(8)), "heartbeats of before may still be on their way");
+    /// ```
+    pub fn may_lack_heartbeats(&self, now: Duration) -> bool {
+        let is_after_gap = self
+            .gap_ended_at
+            .is_some_and(|end| now < end + HEARTBEAT_DELAY);
+        is_after_gap || !self.is_fresh(now, CONFIRMATION_GAP)
+    }
+
     /// Why a name or route that the configuration lacks is not served: there is none, or nobody can tell yet.
     ///
     /// ```
--- a/crates/request-routing/src/cold_tolerance.rs
+++ b/crates/request-routing/src/cold_tolerance.rs
@@ -1,11 +1,11 @@
 //! What an upstream bears while it warms up, and what follows from it for the requests that it gets.
 
 use crate::proxy_context::WarmUpTolerance;
-use crate::warm_up_checks::MIN_CHECK_INTERVAL;
+use crate::warm_up_checks::{HEALTH_ANSWER_WAIT, HeartbeatTrust};
 use std::time::Duration;
 
 /// How long an answer confirms an upstream at most.
-const MAX_VALIDITY: Duration = Duration::from_secs(1);
+const MAX_VALIDITY: Duration = Duration::from_millis(500);
 /// The part of what a cold upstream tolerates that it gets on a heartbeat's word: rates are estimates.
 const UNCONFIRMED_PART: f64 = 0.9;
 /// Chance lets the requests of a second exceed their mean by this many standard deviations, for what matters here.
@@ -24,6 +24,17 @@
     pub own: f64,
     /// From all proxies.
     pub total: f64,
+    /// How many proxies may send there, this one included.
+    pub proxies: u32,
+}
+
+/// How far an answer that says "warm" carries at one proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowance {
+    /// So many requests, from the moment of its check on.
+    pub requests: u64,
+    /// For so long.
+    pub validity: Duration,
 }
 
 /// What an upstream that is warming up bears, from all proxies together.
@@ -63,29 +74,50 @@
         rate.total > self.unconfirmed_rate() || (by_chance > self.most && is_large_sender)
     }
 
-    /// How many proxies would send one request each along with a check; none where they are too many for that.
-    pub(crate) fn senders_unanswered(&self, rate: RequestRate) -> Option<f64> {
-        let senders = rate.total / rate.own.max(f64::MIN_POSITIVE);
+    /// How many proxies would send one request each along with a check; none where they are too many for that. Where the
+    /// rates may have risen just now (`trust`), all that may send count.
+    pub(crate) fn senders_unanswered(
+        &self,
+        rate: RequestRate,
+        trust: HeartbeatTrust,
+    ) -> Option<f64> {
+        let all = f64::from(rate.proxies.max(1));
+        let senders = match trust {
+            HeartbeatTrust::Current => (rate.total / rate.own.max(f64::MIN_POSITIVE)).min(all),
+            HeartbeatTrust::Missing => all,
+        };
         Some(senders).filter(|senders| *senders <= self.spare() * MAX_UNANSWERED_PART)
     }
 
-    /// How long an answer confirms an upstream that gets so many requests: the longest span V for which
-    /// `total * V + slow_start_rate * (1 - V)`, and what goes out along with checks, is tolerated within a second.
+    /// How far an answer carries, so that what all proxies send on theirs after the upstream has turned cold, what goes out
+    /// along with checks, and slow start are tolerated within a second: each proxy's part follows from its part of the requests.
+    /// One that sends too few for a whole request of its own asks for each.
     ///
     /// ```
     /// # use request_routing::{ColdTolerance, RequestRate};
     /// let tolerance = ColdTolerance::new(Default::default(), 10);
-    /// let validity = |own, total| tolerance.validity(RequestRate { own, total }).as_millis();
-    /// assert_eq!(validity(1.0, 14.0), 1000, "it bears that anyway");
-    /// assert_eq!(validity(1.0, 42.0), 250, "8 of 32 beyond its slow-start rate");
-    /// assert_eq!(validity(21.0, 42.0), 187, "6 of 32: one request each of two proxies is unanswered");
+    /// let rate = |own, total| RequestRate { own, total, proxies: 2 };
+    /// let requests = |own, total| tolerance.allowance(rate(own, total), None).requests;
+    /// assert_eq!(requests(40.0, 40.0), 10, "20 are tolerated, 10 of them by slow start");
+    /// assert_eq!(requests(20.0, 40.0), 5);
+    /// assert_eq!(requests(1.0, 40.0), 1);
+    /// let beside_two = tolerance.allowance(rate(20.0, 40.0), Some(2.0));
+    /// assert_eq!(beside_two.requests, 4, "two go out unanswered");
     /// ```
-    pub fn validity(&self, rate: RequestRate) -> Duration {
-        let spare = self.spare() - self.senders_unanswered(rate).unwrap_or(0.0);
-        let excess = rate.total - self.slow_start_rate;
-        if excess <= spare {
-            return MAX_VALIDITY;
+    pub fn allowance(&self, rate: RequestRate, unanswered: Option<f64>) -> Allowance {
+        let spare = self.most - self.slow_start_rate - unanswered.unwrap_or(0.0);
+        let own_part = rate.own / rate.total.max(rate.own);
+        let requests = (spare * own_part) as u64;
+        if requests == 0 {
+            // It is used at once, by the request that waits for it.
+            return Allowance {
+                requests: 1,
+                validity: HEALTH_ANSWER_WAIT,
+            };
+        }
+        Allowance {
+            requests,
+            validity: MAX_VALIDITY,
         }
-        Duration::from_secs_f64(spare / excess).max(MIN_CHECK_INTERVAL)
     }
 }
--- a/crates/request-routing/src/lib.rs
+++ b/crates/request-routing/src/lib.rs
@@ -77,7 +77,7 @@
 mod warm_up_checks;
 
 pub use admission_queue::{AdmissionQueue, WakeUp};
-pub use cold_tolerance::{ColdTolerance, RequestRate};
+pub use cold_tolerance::{Allowance, ColdTolerance, RequestRate};
 pub use explain::explain;
 pub use health_check::HealthCheck;
 pub use load_estimate::{Load, LoadEstimate};
@@ -98,5 +98,5 @@
 pub use trace::{RejectReason, TraceEvent};
 pub use upstream_stats::UpstreamStats;
 pub use warm_up_checks::{
-    HEALTH_CHECK_TIMEOUT, HealthReport, WarmUpChecks, Warmth, WarmthAssessment,
+    HEALTH_CHECK_TIMEOUT, HealthReport, HeartbeatTrust, WarmUpChecks, Warmth, WarmthAssessment,
 };
--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -23,13 +23,13 @@
 use crate::proxy_context::ProxyContext;
 use crate::proxy_partition::ProxyPartition;
 use crate::proxy_stats::ProxyStats;
-use crate::recent_sends::{ColdNews, ColdUpstream, SendBasis};
+use crate::recent_sends::{ColdNews, ColdUpstream};
 use crate::request_info::RequestInfo;
 use crate::service_stats::ServiceStats;
 use crate::slot_limit::ReportedSlots;
 use crate::trace::{RejectReason, TraceEvent};
 use crate::upstream_stats::UpstreamStats;
-use crate::warm_up_checks::{Warmth, WarmthAssessment};
+use crate::warm_up_checks::{HeartbeatTrust, Warmth, WarmthAssessment};
 use config::{Route, Service};
 use name_directory::View;
 use protocol::{KeyShare, Upstream};
@@ -319,11 +319,6 @@
         partition: ProxyPartition,
         notes: &mut SelectionNotes,
     ) -> WarmthAssessment {
-        let unchecked = |warmth, basis| WarmthAssessment {
-            warmth,
-            basis,
-            is_check_due: false,
-        };
         if !upstream.warm {
             if let Some(sends) = stats.warm_up_checks.note_cold(self.now) {
                 notes.cold_upstreams.push(ColdUpstream {
@@ -333,17 +328,20 @@
                     sends,
                 });
             }
-            return unchecked(Warmth::WarmingUp, SendBasis::SlowStart);
+            return WarmthAssessment::SLOW_START;
         }
         let Some(path) = &self.service.health_path else {
-            return unchecked(Warmth::Warm, SendBasis::Heartbeat);
+            return WarmthAssessment::WARM_BY_HEARTBEAT;
         };
         let tolerance = ColdTolerance::new(
             self.proxy.warm_up_tolerance,
             self.service.warm_up_per_second,
         );
         let rate = self.request_rate(stats, upstream, partition);
-        let assessment = stats.warm_up_checks.assess(self.now, rate, tolerance);
+        let trust = self.heartbeat_trust();
+        let assessment = stats
+            .warm_up_checks
+            .assess(self.now, rate, tolerance, trust);
         if assessment.is_check_due {
             notes.health_checks.push(HealthCheck {
                 upstream: upstream.clone(),
@@ -354,6 +352,14 @@
         assessment
     }
 
+    /// Whether the view's word that an upstream is warm is good for anything.
+    fn heartbeat_trust(&self) -> HeartbeatTrust {
+        match self.view.may_lack_heartbeats(self.now) {
+            true => HeartbeatTrust::Missing,
+            false => HeartbeatTrust::Current,
+        }
+    }
+
     /// How many requests per second an upstream gets from all proxies by the best estimate, one more of this proxy's
     /// included. Where it has reported no load, the other proxies are taken to send as much as this one does over a
     /// longer time, up to what it can execute.
@@ -379,6 +385,7 @@
         RequestRate {
             own,
             total: own + others,
+            proxies: partition.proxies,
         }
     }
 
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -5,12 +5,14 @@
 //! So only as much as a cold upstream tolerates is sent on the word of a heartbeat. Where an upstream gets more, from all
 //! proxies together, each proxy that sends to it asks it directly, and sends only while a recent answer said "warm".
 //!
-//! An answer is good for a span, and for as many requests as this proxy sends in it at its present rate. The span is so
-//! short that what an upstream gets in it after it has turned cold, and what slow start admits in the rest of the second,
-//! are within its tolerance together. Where few proxies send to an upstream, each may send one request along with its
-//! check, so that nobody waits for the answer.
+//! An answer is good for so many requests that what all proxies send on theirs after the upstream has turned cold is within its
+//! tolerance, together with slow start ([`ColdTolerance::allowance`]). Where few proxies send to an upstream, each may send one
+//! request along with its check, so that nobody waits for the answer.
+//!
+//! Where heartbeats may be missing ([`HeartbeatTrust::Missing`]), their word is good for nothing: each request is confirmed, or takes
+//! a turn of slow start where no answer is to be had.
 
-use crate::cold_tolerance::{ColdTolerance, MIN_CHECKED_OWN_RATE, RequestRate};
+use crate::cold_tolerance::{Allowance, ColdTolerance, MIN_CHECKED_OWN_RATE, RequestRate};
 use crate::recent_sends::{RecentSends, SendBasis, SendCounts};
 use crate::sliding_window::SlidingWindow;
 use std::sync::{Mutex, PoisonError};
@@ -21,7 +23,7 @@
 /// How long a request waits for the answer to a health check at most, before it goes to an upstream that is farther.
 pub(crate) const HEALTH_ANSWER_WAIT: Duration = Duration::from_millis(100);
 /// How far apart the health checks of one upstream are at least.
-pub(crate) const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The next check is due after this part of an answer's span, or of its requests; the rest is for its way.
 const RENEWAL_POINT: f64 = 0.67;
 /// An upstream that says it warms up is believed for so long at most; then it is asked again.
@@ -48,7 +50,7 @@
         /// The answer to a check may come at any moment.
         is_answer_near: bool,
     },
-    /// It said that it is warming up.
+    /// It said that it is warming up, or nobody can tell.
     WarmingUp,
 }
 
@@ -63,6 +65,31 @@
     pub is_check_due: bool,
 }
 
+impl WarmthAssessment {
+    /// A request takes a turn of slow start.
+    pub(crate) const SLOW_START: WarmthAssessment = WarmthAssessment {
+        warmth: Warmth::WarmingUp,
+        basis: SendBasis::SlowStart,
+        is_check_due: false,
+    };
+
+    /// A request is sent on a heartbeat's word.
+    pub(crate) const WARM_BY_HEARTBEAT: WarmthAssessment = WarmthAssessment {
+        warmth: Warmth::Warm,
+        basis: SendBasis::Heartbeat,
+        is_check_due: false,
+    };
+}
+
+/// Whether what the view says of an upstream's warmth is as late as its heartbeats at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatTrust {
+    /// It is, as far as this proxy knows.
+    Current,
+    /// Heartbeats of the last seconds may be missing.
+    Missing,
+}
+
 /// An answer that said "warm".
 #[derive(Clone, Copy)]
 struct Confirmation {
@@ -73,10 +100,10 @@
 }
 
 impl Confirmation {
-    /// True while it is within a part of its span, and of the requests that it is good for.
-    fn holds(&self, now: Duration, span: Duration, own_rate: f64, part: f64) -> bool {
-        let requests = own_rate * span.as_secs_f64() + 1.0;
-        now < self.asked_at + span.mul_f64(part) && (self.sends as f64) < requests * part
+    /// True while it is within a part of what it allows.
+    fn holds(&self, now: Duration, allowance: Allowance, part: f64) -> bool {
+        now < self.asked_at + allowance.validity.mul_f64(part)
+            && (self.sends as f64) < allowance.requests as f64 * part
     }
 }
 
@@ -86,6 +113,8 @@
     checked_at: Option<Duration>,
     /// The latest check has no answer yet.
     is_pending: bool,
+    /// The latest check that came to an end had no valid answer.
+    is_failing: bool,
     /// When the check was sent whose answer is the latest that came.
     answered_check_at: Option<Duration>,
     /// Requests sent since the latest check was.
@@ -102,13 +131,24 @@
 impl State {
     /// When the next check may be sent.
     fn next_check_at(&self) -> Duration {
-        let interval = match self.is_pending {
+        let interval = match self.is_pending || self.is_failing {
             true => HEALTH_CHECK_TIMEOUT,
             false => MIN_CHECK_INTERVAL,
         };
         self.checked_at.map_or(Duration::ZERO, |at| at + interval)
     }
 
+    fn is_confirmed(&self, now: Duration, allowance: Allowance, part: f64) -> bool {
+        let confirmation = self.confirmation.as_ref();
+        confirmation.is_some_and(|answer| answer.holds(now, allowance, part))
+    }
+
+    fn begin_check(&mut self, now: Duration) {
+        self.checked_at = Some(now);
+        self.is_pending = true;
+        self.sends_since_check = 0;
+    }
+
     /// Notes that it is known to be cold; what was sent there in the last second, where that is news.
     fn note_cold(&mut self, now: Duration) -> Option<SendCounts> {
         let is_news = !std::mem::replace(&mut self.is_known_cold, true);
@@ -144,8 +184,14 @@
     pub(crate) fn record_send(&self, now: Duration, basis: SendBasis) {
         self.sends.add(now);
         self.with_state(|state| {
-            state.is_known_cold = basis == SendBasis::SlowStart;
+            if basis != SendBasis::SlowStart {
+                state.is_known_cold = false;
+            }
             state.recent_sends.record(now, basis);
+            if basis == SendBasis::AlongWithCheck {
+                // It is no later than the check, and what an answer allows is sent after it.
+                return;
+            }
             state.sends_since_check += 1;
             if let Some(confirmation) = &mut state.confirmation {
                 confirmation.sends += 1;
@@ -170,64 +216,62 @@
     /// Whether a further request may be sent to an upstream that gets so many.
     ///
     /// ```
-    /// use request_routing::{ColdTolerance, HealthReport, RequestRate, WarmUpChecks, Warmth};
+    /// use request_routing::{ColdTolerance, HealthReport, HeartbeatTrust, RequestRate, WarmUpChecks, Warmth};
     /// use std::time::Duration;
     /// let (checks, tolerance) = (WarmUpChecks::default(), ColdTolerance::new(Default::default(), 10));
-    /// let (few, many) = (RequestRate { own: 2.0, total: 8.0 }, RequestRate { own: 2.0, total: 30.0 });
+    /// let (few, many) = (RequestRate { own: 2.0, total: 8.0, proxies: 4 }, RequestRate { own: 2.0, total: 30.0, proxies: 15 });
     /// let now = Duration::from_secs(5);
-    /// assert_eq!(checks.assess(now, few, tolerance).warmth, Warmth::Warm, "a cold one tolerates that");
-    /// let unconfirmed = checks.assess(now, many, tolerance);
+    /// assert_eq!(checks.assess(now, few, tolerance, HeartbeatTrust::Current).warmth, Warmth::Warm, "a cold one tolerates that");
+    /// let unconfirmed = checks.assess(now, many, tolerance, HeartbeatTrust::Current);
     /// assert_eq!(unconfirmed.warmth, Warmth::Unconfirmed { is_answer_near: true });
     /// assert!(unconfirmed.is_check_due);
-    /// assert!(!checks.assess(now, many, tolerance).is_check_due, "one is under way");
+    /// assert!(!checks.assess(now, many, tolerance, HeartbeatTrust::Current).is_check_due, "one is under way");
     /// checks.record_answer(now, now, Some(HealthReport { warm_up_left: Duration::ZERO }));
-    /// assert_eq!(checks.assess(now, many, tolerance).warmth, Warmth::Warm);
-    /// assert_ne!(checks.assess(now + Duration::from_secs(1), many, tolerance).warmth, Warmth::Warm, "too long ago");
+    /// assert_eq!(checks.assess(now, many, tolerance, HeartbeatTrust::Current).warmth, Warmth::Warm);
+    /// assert_ne!(checks.assess(now + Duration::from_secs(1), many, tolerance, HeartbeatTrust::Current).warmth, Warmth::Warm, "too long ago");
     /// ```
     pub fn assess(
         &self,
         now: Duration,
         rate: RequestRate,
         tolerance: ColdTolerance,
+        trust: HeartbeatTrust,
     ) -> WarmthAssessment {
-        let validity = tolerance.validity(rate);
+        let unanswered = tolerance.senders_unanswered(rate, trust);
+        let allowance = tolerance.allowance(rate, unanswered);
+        let is_trusted = trust == HeartbeatTrust::Current;
+        let is_tolerated = is_trusted && rate.total <= tolerance.unconfirmed_rate();
+        let is_checked = !is_trusted || tolerance.is_checked(rate);
         self.with_state(|state| {
             if now < state.cold_until {
-                return WarmthAssessment {
-                    warmth: Warmth::WarmingUp,
-                    basis: SendBasis::SlowStart,
-                    is_check_due: false,
-                };
+                return WarmthAssessment::SLOW_START;
             }
-            let is_confirmed_for = |part: f64| {
-                let confirmation = state.confirmation.as_ref();
-                confirmation.is_some_and(|answer| answer.holds(now, validity, rate.own, part))
-            };
-            let is_tolerated = rate.total <= tolerance.unconfirmed_rate();
-            let is_confirmed = is_confirmed_for(1.0);
-            let is_check_due = tolerance.is_checked(rate)
-                && !is_confirmed_for(RENEWAL_POINT)
+            let is_confirmed = state.is_confirmed(now, allowance, 1.0);
+            let is_check_due = is_checked
+                && !state.is_confirmed(now, allowance, RENEWAL_POINT)
                 && now >= state.next_check_at();
             if is_check_due {
-                state.checked_at = Some(now);
-                state.is_pending = true;
-                state.sends_since_check = 0;
+                state.begin_check(now);
+            }
+            let may_go_along = is_check_due && unanswered.is_some();
+            let is_answer_near = state.is_answer_near(now);
+            if is_tolerated || is_confirmed || may_go_along {
+                return WarmthAssessment {
+                    warmth: Warmth::Warm,
+                    basis: match (is_tolerated, is_confirmed) {
+                        (true, _) => SendBasis::Heartbeat,
+                        (false, true) => SendBasis::HealthAnswer,
+                        (false, false) => SendBasis::AlongWithCheck,
+                    },
+                    is_check_due,
+                };
+            }
+            if !is_trusted && !is_answer_near {
+                return WarmthAssessment::SLOW_START;
             }
-            let may_go_along = is_check_due && tolerance.senders_unanswered(rate).is_some();
-            let warmth = match is_tolerated || is_confirmed || may_go_along {
-                true => Warmth::Warm,
-                false => Warmth::Unconfirmed {
-                    is_answer_near: state.is_answer_near(now),
-                },
-            };
-            let basis = match (is_tolerated, is_confirmed) {
-                (true, _) => SendBasis::Heartbeat,
-                (false, true) => SendBasis::HealthAnswer,
-                (false, false) => SendBasis::AlongWithCheck,
-            };
             WarmthAssessment {
-                warmth,
-                basis,
+                warmth: Warmth::Unconfirmed { is_answer_near },
+                basis: SendBasis::HealthAnswer,
                 is_check_due,
             }
         })
@@ -238,12 +282,12 @@
     /// it is news that it is cold.
     ///
     /// ```
-    /// use request_routing::{ColdTolerance, HealthReport, RequestRate, WarmUpChecks, Warmth};
+    /// use request_routing::{ColdTolerance, HealthReport, HeartbeatTrust, RequestRate, WarmUpChecks, Warmth};
     /// use std::time::Duration;
     /// let (checks, now) = (WarmUpChecks::default(), Duration::from_secs(5));
     /// checks.record_answer(now, now, Some(HealthReport { warm_up_left: Duration::from_secs(3) }));
-    /// let rate = RequestRate { own: 1.0, total: 1.0 };
-    /// let warmth = |at| checks.assess(at, rate, ColdTolerance::new(Default::default(), 10)).warmth;
+    /// let rate = RequestRate { own: 1.0, total: 1.0, proxies: 1 };
+    /// let warmth = |at| checks.assess(at, rate, ColdTolerance::new(Default::default(), 10), HeartbeatTrust::Current).warmth;
     /// assert_eq!(warmth(now), Warmth::WarmingUp);
     /// assert_eq!(warmth(now + Duration::from_secs(3)), Warmth::Warm);
     /// checks.record_answer(now, now, Some(HealthReport { warm_up_left: Duration::MAX }));
@@ -259,6 +303,7 @@
             let is_latest = state.checked_at == Some(sent_at);
             if is_latest {
                 state.is_pending = false;
+                state.is_failing = report.is_none();
             }
             let is_overtaken = state.answered_check_at.is_some_and(|at| sent_at < at);
             let report = report.filter(|_| !is_overtaken)?;
--- a/crates/request-routing/tests/cold_upstreams/harness.rs
+++ b/crates/request-routing/tests/cold_upstreams/harness.rs
@@ -326,7 +326,7 @@
             .as_millis()
             .is_multiple_of(CONFIRMATION_INTERVAL.as_millis())
         {
-            self.view.as_of = Some(now);
+            self.view.confirm(now, Some(now));
         }
         let mut update = ViewUpdate::default();
         if now == EVACUATION_END {
--- a/crates/testbed/src/scripted/clients.rs
+++ b/crates/testbed/src/scripted/clients.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use transport::{Clock, HttpRequest};
 
+/// The view is fresh for as long as a case lasts: no health check comes between the attempts.
+const IN_TOUCH_UNTIL: Duration = LONG;
 const LONG: Duration = Duration::from_secs(3600);
 
 /// How requests and answers look on a site.
@@ -234,7 +236,7 @@
     };
     let mut view = View {
         reader: conventions.reader,
-        as_of: Some(Duration::ZERO),
+        as_of: Some(IN_TOUCH_UNTIL),
         ..View::default()
     };
     view.apply_update(news, true)
