Warm-up: where a zone's evacuation has just ended, a heartbeat's word allows nothing

Callers: a cold upstream of a zone that is taken back gets more requests in a second than it bears, all proxies in touch. Cause: proxies hear of an evacuation's end at once, and that the zone's upstreams turned cold shortly before only with their next heartbeat.

--- a/crates/data-plane/src/data_node/updates.rs
+++ b/crates/data-plane/src/data_node/updates.rs
@@ -76,6 +76,7 @@
             configuration,
             ..update
         };
+        let evacuated_before = self.view.evacuated.clone();
         if let Err(errors) = self.view.apply_update(update, number == 0) {
             for error in errors {
                 self.log(format!("news denied: {error}"));
@@ -84,6 +85,7 @@
         }
         // A snapshot replaces what was known: the view is as old as it, also where another source knew newer things.
         self.view.confirm(now, as_of);
+        self.view.note_evacuation_ends(now, &evacuated_before);
         self.view.update_senders(now);
         self.stream = stream;
         self.sequence = number;
--- a/crates/data-plane/tests/control_plane_updates.rs
+++ b/crates/data-plane/tests/control_plane_updates.rs
@@ -477,3 +477,34 @@
         "as old as its question"
     );
 }
+
+/// Guards against a proxy that sends to a zone as to a warm one, since it heard of its evacuation's end and not yet of the cold.
+#[test]
+fn heartbeats_of_a_zone_whose_evacuation_has_just_ended_may_be_missing() {
+    let mut data_node = data_node();
+    let (mut at, mut asked) = next_request(&mut data_node, 50);
+    while at < 5000 {
+        answer(&mut data_node, at + 10, &asked, 40);
+        (at, asked) = next_request(&mut data_node, at + 50);
+    }
+    answer(&mut data_node, at + 10, &asked, 40);
+    let mut update = |number, evacuated: &[&str]| {
+        let state = ClusterState {
+            revision: number,
+            evacuated: evacuated.iter().map(|zone| zone.to_string()).collect(),
+            ..ClusterState::default()
+        };
+        let body = Payload::ViewUpdate(ViewUpdate {
+            stream: 7,
+            number,
+            state: Some(state),
+            ..ViewUpdate::default()
+        });
+        let from = asked.0.clone();
+        data_node.step(MS(at + 20), Event::Received { from, body });
+        let view = data_node.view();
+        ["south/s1", "north/n1"].map(|zone| view.may_lack_heartbeats(MS(at + 20), zone))
+    };
+    assert_eq!(update(1, &["south/s1"]), [false, false]);
+    assert_eq!(update(2, &[]), [true, false]);
+}
--- a/crates/name-directory/src/view.rs
+++ b/crates/name-directory/src/view.rs
@@ -69,6 +69,8 @@
     pub has_configuration: bool,
     /// Localities (region/zone) that are evacuated.
     pub evacuated: BTreeSet<String>,
+    /// When evacuations ended, by locality, as far as heartbeats of then may be missing.
+    pub evacuation_ends: Arc<BTreeMap<String, Duration>>,
     /// By service, then by instance; only those that are not deregistered.
     pub upstreams: Arc<BTreeMap<String, Upstreams>>,
     /// By name.
@@ -116,25 +118,48 @@
         self.as_of = as_of;
     }
 
-    /// True where heartbeats of the last seconds may be missing: the view is not confirmed now, or was not until a moment
-    /// ago. Then upstreams may be cold that it calls warm.
+    /// Notes which evacuations ended with an update, after what was evacuated before it. An evacuated zone's upstreams may
+    /// have turned cold shortly before its end, which is known at once, and the cold with the next heartbeat.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut view = name_directory::View { as_of: Some(Duration::ZERO), ..Default::default() };
+    /// view.note_evacuation_ends(Duration::ZERO, &["n/1".to_owned()].into());
+    /// assert!(view.may_lack_heartbeats(Duration::ZERO, "n/1"));
+    /// assert!(!view.may_lack_heartbeats(Duration::ZERO, "n/2"));
+    /// ```
+    pub fn note_evacuation_ends(&mut self, now: Duration, evacuated_before: &BTreeSet<String>) {
+        let is_missing = |end: &Duration| now < *end + HEARTBEAT_DELAY;
+        let are_all_recent = self.evacuation_ends.values().all(is_missing);
+        let mut ended = evacuated_before.difference(&self.evacuated).peekable();
+        if ended.peek().is_none() && are_all_recent {
+            return;
+        }
+        let ends = Arc::make_mut(&mut self.evacuation_ends);
+        ends.retain(|_, end| is_missing(end));
+        ends.extend(ended.map(|locality| (locality.clone(), now)));
+    }
+
+    /// True where heartbeats of the last seconds from a locality may be missing: the view is not confirmed now, or was not
+    /// until a moment ago, or the locality's evacuation has just ended. Then upstreams may be cold that it calls warm.
     ///
     /// ```
     /// use std::time::Duration;
     /// let mut view = name_directory::View::default();
     /// let seconds = Duration::from_secs;
-    /// assert!(view.may_lack_heartbeats(seconds(1)));
+    /// assert!(view.may_lack_heartbeats(seconds(1), "n/1"));
     /// (1..=4).for_each(|second| view.confirm(seconds(second), Some(seconds(second))));
-    /// assert!(!view.may_lack_heartbeats(seconds(4)));
-    /// assert!(view.may_lack_heartbeats(seconds(6)), "nobody confirms it any more");
+    /// assert!(!view.may_lack_heartbeats(seconds(4), "n/1"));
+    /// assert!(view.may_lack_heartbeats(seconds(6), "n/1"), "nobody confirms it any more");
     /// view.confirm(seconds(7), Some(seconds(7)));
-    /// assert!(view.may_lack_heartbeats(seconds(8)), "heartbeats of before may still be on their way");
+    /// assert!(view.may_lack_heartbeats(seconds(8), "n/1"), "heartbeats of before may still be on their way");
     /// ```
-    pub fn may_lack_heartbeats(&self, now: Duration) -> bool {
-        let is_after_gap = self
-            .gap_ended_at
-            .is_some_and(|end| now < end + HEARTBEAT_DELAY);
-        is_after_gap || !self.is_fresh(now, CONFIRMATION_GAP)
+    pub fn may_lack_heartbeats(&self, now: Duration, locality: &str) -> bool {
+        let is_recent = |end: Duration| now < end + HEARTBEAT_DELAY;
+        let evacuation_end = self.evacuation_ends.get(locality).copied();
+        self.gap_ended_at.is_some_and(is_recent)
+            || evacuation_end.is_some_and(is_recent)
+            || !self.is_fresh(now, CONFIRMATION_GAP)
     }
 
     /// Why a name or route that the configuration lacks is not served: there is none, or nobody can tell yet.
--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -338,7 +338,7 @@
             self.service.warm_up_per_second,
         );
         let rate = self.request_rate(stats, upstream, partition);
-        let trust = self.heartbeat_trust();
+        let trust = self.heartbeat_trust(upstream);
         let assessment = stats
             .warm_up_checks
             .assess(self.now, rate, tolerance, trust);
@@ -353,8 +353,8 @@
     }
 
     /// Whether the view's word that an upstream is warm is good for anything.
-    fn heartbeat_trust(&self) -> HeartbeatTrust {
-        match self.view.may_lack_heartbeats(self.now) {
+    fn heartbeat_trust(&self, upstream: &Upstream) -> HeartbeatTrust {
+        match self.view.may_lack_heartbeats(self.now, &upstream.locality) {
             true => HeartbeatTrust::Missing,
             false => HeartbeatTrust::Current,
         }
--- a/crates/request-routing/tests/cold_upstreams/harness.rs
+++ b/crates/request-routing/tests/cold_upstreams/harness.rs
@@ -343,7 +343,9 @@
             });
         }
         if update != ViewUpdate::default() {
+            let evacuated_before = self.view.evacuated.clone();
             self.view.apply_update(update, false).expect("it is valid");
+            self.view.note_evacuation_ends(now, &evacuated_before);
             self.view.update_senders(now);
         }
     }
