--- a/crates/data-plane/src/data_node/updates.rs
+++ b/crates/data-plane/src/data_node/updates.rs
@@ -84,7 +84,7 @@
             return self.request_snapshot(now);
         }
         // A snapshot replaces what was known: the view is as old as it, also where another source knew newer things.
-        self.view.confirm(now, as_of);
+        self.confirm_view(now, as_of);
         self.view.note_evacuation_ends(now, &evacuated_before);
         self.view.update_senders(now);
         self.stream = stream;
@@ -169,10 +169,17 @@
             self.failed_sources = 0;
         }
         let as_of = asked_at.checked_sub(age).max(self.view.as_of);
-        self.view.confirm(now, as_of);
+        self.confirm_view(now, as_of);
         self.effects.push(Effect::Publish);
     }
 
+    fn confirm_view(&mut self, now: Duration, as_of: Option<Duration>) {
+        if let Some(age) = self.view.confirm(now, as_of) {
+            let age_ms = age.as_millis();
+            self.log(format!("confirmed again, after {age_ms} ms"));
+        }
+    }
+
     fn log(&mut self, line: String) {
         self.effects.push(Effect::Log(line));
     }
--- a/crates/name-directory/src/view.rs
+++ b/crates/name-directory/src/view.rs
@@ -110,12 +110,24 @@
         self.as_of.is_some_and(|as_of| now < as_of + stale_after)
     }
 
-    /// The view is confirmed as of a moment; none where nobody says how old it is.
-    pub fn confirm(&mut self, now: Duration, as_of: Option<Duration>) {
-        if !self.is_fresh(now, CONFIRMATION_GAP) {
+    /// The view is confirmed as of a moment; none where nobody says how old it is. Gives how old it was, where that ends a
+    /// gap in its confirmations.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let (mut view, seconds) = (name_directory::View::default(), Duration::from_secs);
+    /// assert_eq!(view.confirm(seconds(1), Some(seconds(1))), None, "it is the first");
+    /// assert_eq!(view.confirm(seconds(2), Some(seconds(2))), None);
+    /// assert_eq!(view.confirm(seconds(5), Some(seconds(5))), Some(seconds(3)));
+    /// ```
+    pub fn confirm(&mut self, now: Duration, as_of: Option<Duration>) -> Option<Duration> {
+        let age = self.as_of.map(|as_of| now.saturating_sub(as_of));
+        let ends_gap = !self.is_fresh(now, CONFIRMATION_GAP);
+        if ends_gap {
             self.gap_ended_at = Some(now);
         }
         self.as_of = as_of;
+        age.filter(|_| ends_gap)
     }
 
     /// Notes which evacuations ended with an update, after what was evacuated before it. An evacuated zone's upstreams may
