Warm-up: what allowed a request is taken anew where connecting took long

Callers: a cold upstream gets many requests at once when a partition heals. Cause: an upstream's warmth was looked at when it was selected, and not again once the connection was up. Change: after 0.25 s of connecting the allowance is void; it is taken anew from what is known then, or the request goes elsewhere. Nothing has been sent by then. With it, two things that the count of allowances had changed for proxies in touch go back to what they were: an answer's span and requests by rates, and 0.1 s between checks.

--- a/crates/request-routing/src/cold_tolerance.rs
+++ b/crates/request-routing/src/cold_tolerance.rs
@@ -4,8 +4,11 @@
 use crate::warm_up_checks::{HEALTH_ANSWER_WAIT, HeartbeatTrust};
 use std::time::Duration;
 
-/// How long an answer confirms an upstream at most.
-const MAX_VALIDITY: Duration = Duration::from_millis(500);
+/// How long an answer confirms an upstream at most, and at least.
+const MAX_VALIDITY: Duration = Duration::from_secs(1);
+const MIN_VALIDITY: Duration = Duration::from_millis(100);
+/// How long an answer at most is good for a counted number of requests.
+const MAX_COUNTED_VALIDITY: Duration = Duration::from_millis(500);
 /// The part of what a cold upstream tolerates that it gets on a heartbeat's word: rates are estimates.
 const UNCONFIRMED_PART: f64 = 0.9;
 /// Chance lets the requests of a second exceed their mean by this many standard deviations, for what matters here.
@@ -29,10 +32,10 @@
 }
 
 /// How far an answer that says "warm" carries at one proxy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
     /// So many requests, from the moment of its check on.
-    pub requests: u64,
+    pub requests: f64,
     /// For so long.
     pub validity: Duration,
 }
@@ -90,34 +93,61 @@
     }
 
     /// How far an answer carries, so that what all proxies send on theirs after the upstream has turned cold, what goes out
-    /// along with checks, and slow start are tolerated within a second: each proxy's part follows from its part of the requests.
-    /// One that sends too few for a whole request of its own asks for each.
+    /// along with checks, and slow start are tolerated within a second.
     ///
     /// ```
-    /// # use request_routing::{ColdTolerance, RequestRate};
+    /// # use request_routing::{ColdTolerance, HeartbeatTrust, RequestRate};
     /// let tolerance = ColdTolerance::new(Default::default(), 10);
     /// let rate = |own, total| RequestRate { own, total, proxies: 2 };
-    /// let requests = |own, total| tolerance.allowance(rate(own, total), None).requests;
-    /// assert_eq!(requests(40.0, 40.0), 10, "20 are tolerated, 10 of them by slow start");
-    /// assert_eq!(requests(20.0, 40.0), 5);
-    /// assert_eq!(requests(1.0, 40.0), 1);
-    /// let beside_two = tolerance.allowance(rate(20.0, 40.0), Some(2.0));
-    /// assert_eq!(beside_two.requests, 4, "two go out unanswered");
+    /// let requests = |own, total| tolerance.allowance(rate(own, total), None, HeartbeatTrust::Missing).requests;
+    /// assert_eq!(requests(40.0, 40.0), 10.0, "20 are tolerated, 10 of them by slow start");
+    /// assert_eq!(requests(20.0, 40.0), 5.0);
+    /// assert_eq!(requests(1.0, 40.0), 1.0);
+    /// let validity = |total| tolerance.allowance(rate(1.0, total), None, HeartbeatTrust::Current).validity.as_millis();
+    /// assert_eq!(validity(14.0), 1000, "it bears that anyway");
+    /// assert_eq!(validity(42.0), 250, "8 of 32 beyond its slow-start rate");
     /// ```
-    pub fn allowance(&self, rate: RequestRate, unanswered: Option<f64>) -> Allowance {
+    pub fn allowance(
+        &self,
+        rate: RequestRate,
+        unanswered: Option<f64>,
+        trust: HeartbeatTrust,
+    ) -> Allowance {
+        match trust {
+            HeartbeatTrust::Current => self.allowance_by_rate(rate, unanswered),
+            HeartbeatTrust::Missing => self.counted_allowance(rate, unanswered),
+        }
+    }
+
+    /// The longest span V for which `total * V + slow_start_rate * (1 - V)` is tolerated, and what this proxy sends in it.
+    fn allowance_by_rate(&self, rate: RequestRate, unanswered: Option<f64>) -> Allowance {
+        let spare = self.spare() - unanswered.unwrap_or(0.0);
+        let excess = rate.total - self.slow_start_rate;
+        let validity = match excess <= spare {
+            true => MAX_VALIDITY,
+            false => Duration::from_secs_f64(spare / excess).max(MIN_VALIDITY),
+        };
+        Allowance {
+            requests: rate.own * validity.as_secs_f64() + 1.0,
+            validity,
+        }
+    }
+
+    /// This proxy's part of what is tolerated beside slow start, so that the parts of all proxies add up to it whatever the
+    /// rates do meanwhile. One that sends too few for a whole request of its own asks for each.
+    fn counted_allowance(&self, rate: RequestRate, unanswered: Option<f64>) -> Allowance {
         let spare = self.most - self.slow_start_rate - unanswered.unwrap_or(0.0);
-        let own_part = rate.own / rate.total.max(rate.own);
-        let requests = (spare * own_part) as u64;
-        if requests == 0 {
+        let requests = (spare * rate.own / rate.total.max(rate.own)).floor();
+        if requests < 1.0 {
             // It is used at once, by the request that waits for it.
             return Allowance {
-                requests: 1,
+                requests: 1.0,
                 validity: HEALTH_ANSWER_WAIT,
             };
         }
         Allowance {
             requests,
-            validity: MAX_VALIDITY,
+            validity: MAX_COUNTED_VALIDITY,
         }
     }
 }
--- a/crates/request-routing/src/dispatch.rs
+++ b/crates/request-routing/src/dispatch.rs
@@ -43,24 +43,17 @@
         let selected = if self.must_queue(&service_stats, needed_instance) {
             None
         } else {
-            let mut notes = SelectionNotes {
-                trace: std::mem::take(&mut self.trace),
-                health_checks: std::mem::take(&mut self.health_checks),
-                cold_upstreams: std::mem::take(&mut self.cold_upstreams),
-                awaits_health_answer: false,
-            };
+            let mut notes = self.take_notes();
             let selected = self.selection(now, view, &service, share.as_ref()).select(
                 stats,
                 &service_stats,
                 &self.tried,
                 &mut notes,
             );
-            self.trace = notes.trace;
-            self.health_checks = notes.health_checks;
-            self.cold_upstreams = notes.cold_upstreams;
             if notes.awaits_health_answer {
                 max_wait = max_wait.min(HEALTH_ANSWER_WAIT);
             }
+            self.keep_notes(notes);
             selected
         };
         match selected {
@@ -69,6 +62,23 @@
         }
     }
 
+    /// What selections have left behind so far, for the next one to add to.
+    pub(crate) fn take_notes(&mut self) -> SelectionNotes {
+        SelectionNotes {
+            trace: std::mem::take(&mut self.trace),
+            health_checks: std::mem::take(&mut self.health_checks),
+            cold_upstreams: std::mem::take(&mut self.cold_upstreams),
+            awaits_health_answer: false,
+        }
+    }
+
+    /// Keeps what selections have left behind.
+    pub(crate) fn keep_notes(&mut self, notes: SelectionNotes) {
+        self.trace = notes.trace;
+        self.health_checks = notes.health_checks;
+        self.cold_upstreams = notes.cold_upstreams;
+    }
+
     /// The rules by which upstreams are selected for this request.
     pub(crate) fn selection<'a>(
         &'a self,
@@ -114,6 +124,7 @@
     ) -> NextStep {
         let Selected { upstream, slot } = selected;
         self.slot = Some(slot);
+        self.selected_at = now;
         self.call_count += 1;
         self.tried.push(upstream.instance.clone());
         self.trace.push(TraceEvent::Connecting {
--- a/crates/request-routing/src/request_state.rs
+++ b/crates/request-routing/src/request_state.rs
@@ -44,6 +44,8 @@
     pub(crate) route: Option<Arc<Route>>,
     pub(crate) service: Option<Arc<Service>>,
     pub(crate) revision: u64,
+    /// When its upstream was selected.
+    pub(crate) selected_at: Duration,
     /// Connections tried, those that never came up included.
     pub(crate) call_count: u32,
     /// How many upstreams it was written to.
@@ -87,6 +89,7 @@
             route: None,
             service: None,
             revision: 0,
+            selected_at: Duration::ZERO,
             call_count: 0,
             send_count: 0,
             written_to: None,
--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -283,6 +283,21 @@
         if !limit.is_some_and(|limit| stats.try_acquire(limit)) {
             return Err(RejectReason::NoSlot);
         }
+        let allowed = self.take_warm_up_allowance(stats, upstream, notes);
+        if allowed.is_err() {
+            stats.release();
+        }
+        allowed
+    }
+
+    /// Takes what an upstream's warmth allows: a request more, one of a health answer's, or a turn of slow start.
+    pub(crate) fn take_warm_up_allowance(
+        &self,
+        stats: &UpstreamStats,
+        upstream: &Arc<Upstream>,
+        notes: &mut SelectionNotes,
+    ) -> Result<(), RejectReason> {
+        let partition = self.partition();
         let WarmthAssessment { warmth, basis, .. } = self.warmth(stats, upstream, partition, notes);
         let allowed = match warmth {
             Warmth::Warm => Ok(()),
@@ -291,9 +306,8 @@
             }
             Warmth::WarmingUp => self.take_slow_start_turn(stats, partition),
         };
-        match allowed {
-            Ok(()) => stats.warm_up_checks.record_send(self.now, basis),
-            Err(_) => stats.release(),
+        if allowed.is_ok() {
+            stats.warm_up_checks.record_send(self.now, basis);
         }
         allowed
     }
--- a/crates/request-routing/src/upstream_calls.rs
+++ b/crates/request-routing/src/upstream_calls.rs
@@ -17,6 +17,9 @@
 /// Most connections tried for one request, those that never came up included.
 const MAX_CALLS: u32 = 4;
 
+/// A connection that took longer may have waited out a partition: what allowed a request to its upstream is void.
+const ALLOWANCE_LIFETIME: Duration = Duration::from_millis(250);
+
 /// Of the time that a request took, at least one part in so many was work, however far its upstream is.
 const MAX_WAY_DIVISOR: u32 = 4;
 
@@ -53,7 +56,9 @@
         else {
             return self.answer(now, ResultCode::DeadlineExceeded);
         };
-        let withdrawn = self.withdrawal_reason(now, view, &service, &upstream, share.as_ref());
+        let withdrawn = self
+            .withdrawal_reason(now, view, &service, &upstream, share.as_ref())
+            .or_else(|| self.renew_warm_up_allowance(now, view, &service, &upstream));
         if let Some(reason) = withdrawn {
             self.trace
                 .push(TraceEvent::SelectionWithdrawn { upstream, reason });
@@ -153,6 +158,27 @@
         share_changed.then_some(RejectReason::KeyOwnedElsewhere)
     }
 
+    /// Takes the warm-up allowance anew where connecting took long; why the upstream may not be used, where there is none.
+    fn renew_warm_up_allowance(
+        &mut self,
+        now: Duration,
+        view: &View,
+        service: &Service,
+        selected: &Upstream,
+    ) -> Option<RejectReason> {
+        if now < self.selected_at + ALLOWANCE_LIFETIME {
+            return None;
+        }
+        let upstream = view.upstreams.get(&service.name)?.get(&selected.instance)?;
+        let mut notes = self.take_notes();
+        let allowed = self.slot.as_ref().map(|slot| {
+            self.selection(now, view, service, None)
+                .take_warm_up_allowance(slot.upstream_stats(), upstream, &mut notes)
+        });
+        self.keep_notes(notes);
+        allowed?.err()
+    }
+
     /// Records the load that the upstream reported with its response; to be called before
     /// [`RequestState::on_outcome`].
     ///
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -5,12 +5,12 @@
 //! So only as much as a cold upstream tolerates is sent on the word of a heartbeat. Where an upstream gets more, from all
 //! proxies together, each proxy that sends to it asks it directly, and sends only while a recent answer said "warm".
 //!
-//! An answer is good for so many requests that what all proxies send on theirs after the upstream has turned cold is within its
-//! tolerance, together with slow start ([`ColdTolerance::allowance`]). Where few proxies send to an upstream, each may send one
+//! An answer is good for a span and for so many requests that what all proxies send on theirs after the upstream has turned cold
+//! is within its tolerance, together with slow start ([`ColdTolerance::allowance`]). Where few proxies send to an upstream, each may send one
 //! request along with its check, so that nobody waits for the answer.
 //!
-//! Where heartbeats may be missing ([`HeartbeatTrust::Missing`]), their word is good for nothing: each request is confirmed, or takes
-//! a turn of slow start where no answer is to be had.
+//! Where heartbeats may be missing ([`HeartbeatTrust::Missing`]), their word is good for nothing: each request is confirmed, by an
+//! answer that is good for a counted number, or takes a turn of slow start where no answer is to be had.
 
 use crate::cold_tolerance::{Allowance, ColdTolerance, MIN_CHECKED_OWN_RATE, RequestRate};
 use crate::recent_sends::{RecentSends, SendBasis, SendCounts};
@@ -22,8 +22,9 @@
 pub const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a request waits for the answer to a health check at most, before it goes to an upstream that is farther.
 pub(crate) const HEALTH_ANSWER_WAIT: Duration = Duration::from_millis(100);
-/// How far apart the health checks of one upstream are at least.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// How far apart the health checks of one upstream are at least: in touch, and where each request may need one.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const MIN_CHECK_INTERVAL_PER_REQUEST: Duration = Duration::from_millis(20);
 /// The next check is due after this part of an answer's span, or of its requests; the rest is for its way.
 const RENEWAL_POINT: f64 = 0.67;
 /// An upstream that says it warms up is believed for so long at most; then it is asked again.
@@ -103,7 +104,7 @@
     /// True while it is within a part of what it allows.
     fn holds(&self, now: Duration, allowance: Allowance, part: f64) -> bool {
         now < self.asked_at + allowance.validity.mul_f64(part)
-            && (self.sends as f64) < allowance.requests as f64 * part
+            && (self.sends as f64) < allowance.requests * part
     }
 }
 
@@ -130,10 +131,11 @@
 
 impl State {
     /// When the next check may be sent.
-    fn next_check_at(&self) -> Duration {
-        let interval = match self.is_pending || self.is_failing {
-            true => HEALTH_CHECK_TIMEOUT,
-            false => MIN_CHECK_INTERVAL,
+    fn next_check_at(&self, trust: HeartbeatTrust) -> Duration {
+        let interval = match trust {
+            _ if self.is_pending || self.is_failing => HEALTH_CHECK_TIMEOUT,
+            HeartbeatTrust::Current => MIN_CHECK_INTERVAL,
+            HeartbeatTrust::Missing => MIN_CHECK_INTERVAL_PER_REQUEST,
         };
         self.checked_at.map_or(Duration::ZERO, |at| at + interval)
     }
@@ -238,7 +240,7 @@
         trust: HeartbeatTrust,
     ) -> WarmthAssessment {
         let unanswered = tolerance.senders_unanswered(rate, trust);
-        let allowance = tolerance.allowance(rate, unanswered);
+        let allowance = tolerance.allowance(rate, unanswered, trust);
         let is_trusted = trust == HeartbeatTrust::Current;
         let is_tolerated = is_trusted && rate.total <= tolerance.unconfirmed_rate();
         let is_checked = !is_trusted || tolerance.is_checked(rate);
@@ -249,7 +251,7 @@
             let is_confirmed = state.is_confirmed(now, allowance, 1.0);
             let is_check_due = is_checked
                 && !state.is_confirmed(now, allowance, RENEWAL_POINT)
-                && now >= state.next_check_at();
+                && now >= state.next_check_at(trust);
             if is_check_due {
                 state.begin_check(now);
             }
--- a/crates/request-routing/tests/cold_upstreams/floods.rs
+++ b/crates/request-routing/tests/cold_upstreams/floods.rs
@@ -35,6 +35,7 @@
                         check_latency: Duration::from_millis(check_latency),
                         max_queue_wait: Duration::from_millis(150),
                         view_course,
+                        has_outage: false,
                     });
                 }
             }
@@ -57,6 +58,17 @@
     assert!(overruns.is_empty(), "{overruns:#?}");
 }
 
+/// Guards against connections that come up together after a partition, and carry requests that were allowed before it.
+#[test]
+fn a_cold_upstream_is_not_flooded_by_connections_that_waited_out_a_partition() {
+    let mut traffics = traffics_of_many(ViewCourse::Stale);
+    for traffic in &mut traffics {
+        traffic.has_outage = true;
+    }
+    let overruns = overruns(traffics);
+    assert!(overruns.is_empty(), "{overruns:#?}");
+}
+
 /// Guards against turns that proxies kept from an earlier warm-up of the same upstream, and spend at once in the next.
 #[test]
 fn a_cold_upstream_is_not_flooded_by_turns_from_an_earlier_warm_up() {
--- a/crates/request-routing/tests/cold_upstreams/harness.rs
+++ b/crates/request-routing/tests/cold_upstreams/harness.rs
@@ -8,6 +8,7 @@
     RequestState, WakeUp, WarmUpTolerance,
 };
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -73,6 +74,8 @@
     /// How long a request may wait for a slot or an answer.
     pub max_queue_wait: Duration,
     pub view_course: ViewCourse,
+    /// Whether no connection comes up from before the upstream turns cold until shortly after.
+    pub has_outage: bool,
 }
 
 /// What the proxies' view tells.
@@ -80,11 +83,15 @@
 pub enum ViewCourse {
     /// They are out of touch: the view is that of the start, in which the upstream is warm.
     Stale,
+    /// They are in touch, and the upstream is cut off from the control plane: no heartbeat says that it is cold.
+    HeartbeatsLost,
     /// They are in touch. The upstream's zone is evacuated from the start on; the end of that is known at once, and that the
     /// upstream turned cold shortly before, with its next heartbeat.
     EvacuationEnds,
 }
 
+/// The connections that are begun within this time come up at its end.
+const OUTAGE: Range<Duration> = Duration::from_millis(2500)..Duration::from_millis(4300);
 /// When an evacuation ends, after the upstream has turned cold.
 const EVACUATION_END: Duration = Duration::from_millis(4500);
 /// When the heartbeat that says that it is cold has reached the proxies.
@@ -106,6 +113,7 @@
     check_latency: Duration::from_millis(5),
     max_queue_wait: Duration::ZERO,
     view_course: ViewCourse::Stale,
+    has_outage: false,
 };
 
 /// What happens at a later moment.
@@ -119,6 +127,10 @@
         check: HealthCheck,
     },
     WaitOver(u64),
+    Connected {
+        id: u64,
+        waiting: Waiting,
+    },
 }
 
 /// A request in an admission queue.
@@ -160,7 +172,7 @@
         ..Upstream::default()
     };
     let evacuated = match traffic.view_course {
-        ViewCourse::Stale => Vec::new(),
+        ViewCourse::Stale | ViewCourse::HeartbeatsLost => Vec::new(),
         ViewCourse::EvacuationEnds => vec![LOCALITY.to_owned()],
     };
     let update = ViewUpdate {
@@ -273,6 +285,11 @@
     fn proceed(&mut self, now: Duration, id: u64, waiting: Waiting, next: NextStep) {
         let Waiting { proxy, mut request } = waiting;
         let stats = &self.proxies[proxy].1;
+        let is_connecting = matches!(next, NextStep::Connect { .. });
+        if is_connecting && self.traffic.has_outage && OUTAGE.contains(&now) {
+            let waiting = Waiting { proxy, request };
+            return self.at(OUTAGE.end, Later::Connected { id, waiting });
+        }
         let next = match next {
             NextStep::Connect { .. } => request.on_connected(now, &self.view, stats),
             next => next,
@@ -328,6 +345,9 @@
         {
             self.view.confirm(now, Some(now));
         }
+        if self.traffic.view_course == ViewCourse::HeartbeatsLost {
+            return;
+        }
         let mut update = ViewUpdate::default();
         if now == EVACUATION_END {
             update.state = Some(ClusterState {
@@ -376,6 +396,11 @@
                 stats.on_health_check(&check, now, report);
             }
             Later::WaitOver(id) => self.wake(now, id),
+            Later::Connected { id, mut waiting } => {
+                let stats = &self.proxies[waiting.proxy].1;
+                let next = waiting.request.on_connected(now, &self.view, stats);
+                self.proceed(now, id, waiting, next);
+            }
         }
     }
 
@@ -450,6 +475,7 @@
                         check_latency: Duration::from_millis(check_latency),
                         max_queue_wait: Duration::ZERO,
                         view_course: ViewCourse::Stale,
+                        has_outage: false,
                     });
                 }
             }
--- a/crates/request-routing/tests/cold_upstreams/warm_up_checks.rs
+++ b/crates/request-routing/tests/cold_upstreams/warm_up_checks.rs
@@ -1,6 +1,8 @@
 //! An upstream that turns cold, by proxies that hear nothing of it but what it says itself.
 
-use crate::harness::{COLD_FROM, FAST, LOCAL, Run, SEEDS, SLOW, SLOW_RATES, overruns, traffics};
+use crate::harness::{
+    COLD_FROM, FAST, LOCAL, Run, SEEDS, SLOW, SLOW_RATES, ViewCourse, overruns, traffics,
+};
 use std::time::Duration;
 
 /// Guards against proxies that go on sending a cold upstream all that it got while it was warm, since no heartbeat of
@@ -56,3 +58,16 @@
         "{checks} checks in twice the time of {offered} requests"
     );
 }
+
+/// The same where the proxies are in touch, and only the upstream is cut off.
+#[test]
+fn a_cold_upstream_gets_what_it_bears_though_its_heartbeats_are_lost() {
+    let senders = [(1, 1.0), (3, 0.34), (3, 0.9), (12, 0.4), (12, 0.09)];
+    let mut traffics = traffics(FAST, &[20.0, 28.0, 36.0, 60.0], &senders);
+    traffics.extend(self::traffics(SLOW, &SLOW_RATES, &[(1, 1.0)]));
+    for traffic in &mut traffics {
+        traffic.view_course = ViewCourse::HeartbeatsLost;
+    }
+    let overruns = overruns(traffics);
+    assert!(overruns.is_empty(), "{overruns:#?}");
+}
