--- a/crates/request-routing/tests/cold_upstreams/floods.rs
+++ b/crates/request-routing/tests/cold_upstreams/floods.rs
@@ -1,6 +1,6 @@
 //! Floods of a cold upstream that come from several proxies together.
 
-use crate::harness::{Profile, Traffic, ViewCourse, overruns};
+use crate::harness::{Profile, Run, Traffic, ViewCourse, overruns};
 use request_routing::{ProxyPartition, SlowStart};
 use std::time::Duration;
 
@@ -69,6 +69,22 @@
     assert!(overruns.is_empty(), "{overruns:#?}");
 }
 
+/// A broken twin: proxies that take an old view for a current one.
+#[test]
+fn proxies_that_take_an_old_view_for_current_are_caught() {
+    let caught = |traffic: Traffic| {
+        let run = Run::new(traffic).with_view_taken_for_current().play(0);
+        run.most_while_cold() as f64 > traffic.profile.most_in_a_second()
+    };
+    let traffics = traffics_of_many(ViewCourse::Stale);
+    let count = traffics.len();
+    let caught = traffics.into_iter().filter(|traffic| caught(*traffic));
+    assert!(
+        caught.count() * 10 >= count,
+        "one in ten at least, of {count}"
+    );
+}
+
 /// Guards against turns that proxies kept from an earlier warm-up of the same upstream, and spend at once in the next.
 #[test]
 fn a_cold_upstream_is_not_flooded_by_turns_from_an_earlier_warm_up() {
--- a/crates/request-routing/tests/cold_upstreams/harness.rs
+++ b/crates/request-routing/tests/cold_upstreams/harness.rs
@@ -261,6 +261,12 @@
         self
     }
 
+    /// Proxies that take their view for confirmed, however old it is.
+    pub fn with_view_taken_for_current(mut self) -> Run {
+        self.view.as_of = Some(END);
+        self
+    }
+
     fn request(&mut self, now: Duration, proxy: usize) {
         self.offered.push(now);
         self.next_id += 1;
