--- a/crates/request-routing/src/cold_tolerance.rs
+++ b/crates/request-routing/src/cold_tolerance.rs
@@ -69,6 +69,17 @@
         (self.unconfirmed_rate() - self.slow_start_rate).max(0.0)
     }
 
+    /// How long a turn of slow start may wait to be taken, so that the turns that are open at any moment, and those that come
+    /// due in the second after it, are tolerated.
+    ///
+    /// ```
+    /// # use request_routing::ColdTolerance;
+    /// assert_eq!(ColdTolerance::new(Default::default(), 10).turn_validity().as_millis(), 800, "18 of 20: 8 saved, 10 due");
+    /// ```
+    pub fn turn_validity(&self) -> Duration {
+        Duration::from_secs_f64(self.spare() / self.slow_start_rate.max(1.0))
+    }
+
     /// True where an upstream that gets so many is to be asked: it gets more than it tolerates, or may by chance.
     pub(crate) fn is_checked(&self, rate: RequestRate) -> bool {
         let by_chance = rate.total + FLUCTUATION * rate.total.sqrt();
--- a/crates/request-routing/src/selection/warm_up.rs
+++ b/crates/request-routing/src/selection/warm_up.rs
@@ -39,9 +39,11 @@
         stats: &UpstreamStats,
         partition: ProxyPartition,
     ) -> Result<(), RejectReason> {
+        let per_second = self.service.warm_up_per_second;
+        let validity = self.cold_tolerance().turn_validity();
         stats
             .slow_start
-            .try_take(self.now, self.service.warm_up_per_second, partition)
+            .try_take(self.now, per_second, partition, validity)
             .then_some(())
             .ok_or(RejectReason::WarmingUp)
     }
@@ -69,10 +71,7 @@
         let Some(path) = &self.service.health_path else {
             return WarmthAssessment::WARM_BY_HEARTBEAT;
         };
-        let tolerance = ColdTolerance::new(
-            self.proxy.warm_up_tolerance,
-            self.service.warm_up_per_second,
-        );
+        let tolerance = self.cold_tolerance();
         let rate = self.request_rate(stats, upstream, partition);
         let trust = self.heartbeat_trust(upstream);
         let assessment = stats
@@ -88,6 +87,13 @@
         assessment
     }
 
+    fn cold_tolerance(&self) -> ColdTolerance {
+        ColdTolerance::new(
+            self.proxy.warm_up_tolerance,
+            self.service.warm_up_per_second,
+        )
+    }
+
     /// Whether the view's word that an upstream is warm is good for anything.
     fn heartbeat_trust(&self, upstream: &Upstream) -> HeartbeatTrust {
         match self.view.may_lack_heartbeats(self.now, &upstream.locality) {
--- a/crates/request-routing/src/slow_start.rs
+++ b/crates/request-routing/src/slow_start.rs
@@ -4,10 +4,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// A turn that is not taken within this span is lost. So the turns that are open at any moment, and those that come due in the
-/// second after it, are one and a half times the rate at most.
-const TURN_VALIDITY: Duration = Duration::from_millis(500);
-
 /// When the next request may go to an upstream that is warming up.
 #[derive(Default)]
 pub struct SlowStart {
@@ -17,25 +13,33 @@
 
 impl SlowStart {
     /// Takes one request of the warm-up rate (`per_second`, over all proxies together), of which this proxy has its
-    /// part. The rank staggers the proxies, so that not all begin at once, in each warm-up of the same upstream anew.
+    /// part. The rank staggers the proxies, so that not all begin at once, in each warm-up of the same upstream anew: a turn
+    /// that is not taken within `validity` is lost.
     ///
     /// ```
     /// use request_routing::{ProxyPartition, SlowStart};
     /// use std::time::Duration;
     /// let (slow_start, second_of_four) = (SlowStart::default(), ProxyPartition { proxies: 4, rank: 1 });
-    /// let now = Duration::from_secs(5);
-    /// assert!(!slow_start.try_take(now, 2, second_of_four), "the second of four waits for its turn");
-    /// assert!(slow_start.try_take(now + Duration::from_millis(500), 2, second_of_four));
-    /// assert!(!slow_start.try_take(now + Duration::from_millis(600), 2, second_of_four));
-    /// assert!(slow_start.try_take(now + Duration::from_millis(2500), 2, second_of_four));
-    /// assert!(!slow_start.try_take(now + Duration::from_millis(9000), 2, second_of_four), "that turn is lost");
-    /// assert!(slow_start.try_take(now + Duration::from_millis(9500), 2, second_of_four));
+    /// let (now, validity) = (Duration::from_secs(5), Duration::from_millis(500));
+    /// assert!(!slow_start.try_take(now, 2, second_of_four, validity), "the second of four waits for its turn");
+    /// assert!(slow_start.try_take(now + Duration::from_millis(500), 2, second_of_four, validity));
+    /// assert!(!slow_start.try_take(now + Duration::from_millis(600), 2, second_of_four, validity));
+    /// assert!(slow_start.try_take(now + Duration::from_millis(2500), 2, second_of_four, validity));
+    /// assert!(!slow_start.try_take(now + Duration::from_millis(9000), 2, second_of_four, validity), "that turn is lost");
+    /// assert!(slow_start.try_take(now + Duration::from_millis(9500), 2, second_of_four, validity));
     /// ```
-    pub fn try_take(&self, now: Duration, per_second: u64, partition: ProxyPartition) -> bool {
+    pub fn try_take(
+        &self,
+        now: Duration,
+        per_second: u64,
+        partition: ProxyPartition,
+        validity: Duration,
+    ) -> bool {
         let proxies = u64::from(partition.proxies.max(1));
         let now_ms = now.as_millis() as u64;
         let interval_ms = 1000 * proxies / per_second.max(1);
-        let due_ms = self.next_turn_ms(now_ms, interval_ms, partition);
+        let validity_ms = validity.as_millis() as u64;
+        let due_ms = self.next_turn_ms(now_ms, interval_ms, partition, validity_ms);
         if now_ms < due_ms {
             return false;
         }
@@ -51,9 +55,15 @@
     }
 
     /// When the next turn comes due; where there is none, or it was lost, the first of a new series.
-    fn next_turn_ms(&self, now_ms: u64, interval_ms: u64, partition: ProxyPartition) -> u64 {
+    fn next_turn_ms(
+        &self,
+        now_ms: u64,
+        interval_ms: u64,
+        partition: ProxyPartition,
+        validity_ms: u64,
+    ) -> u64 {
         let known_ms = self.next_ms.load(Ordering::Acquire);
-        let is_open = known_ms > 0 && now_ms <= known_ms + TURN_VALIDITY.as_millis() as u64;
+        let is_open = known_ms > 0 && now_ms <= known_ms + validity_ms;
         if is_open {
             return known_ms;
         }
--- a/crates/request-routing/src/warm_up_checks.rs
+++ b/crates/request-routing/src/warm_up_checks.rs
@@ -133,8 +133,9 @@
     /// When the next check may be sent.
     fn next_check_at(&self, trust: HeartbeatTrust) -> Duration {
         let interval = match trust {
-            _ if self.is_pending || self.is_failing => HEALTH_CHECK_TIMEOUT,
+            _ if self.is_pending => HEALTH_CHECK_TIMEOUT,
             HeartbeatTrust::Current => MIN_CHECK_INTERVAL,
+            HeartbeatTrust::Missing if self.is_failing => HEALTH_CHECK_TIMEOUT,
             HeartbeatTrust::Missing => MIN_CHECK_INTERVAL_PER_REQUEST,
         };
         self.checked_at.map_or(Duration::ZERO, |at| at + interval)
--- a/crates/request-routing/tests/cold_upstreams/floods.rs
+++ b/crates/request-routing/tests/cold_upstreams/floods.rs
@@ -1,7 +1,7 @@
 //! Floods of a cold upstream that come from several proxies together.
 
 use crate::harness::{Profile, Run, Traffic, ViewCourse, overruns};
-use request_routing::{ProxyPartition, SlowStart};
+use request_routing::{ColdTolerance, ProxyPartition, SlowStart, WarmUpTolerance};
 use std::time::Duration;
 
 /// Upstreams that are fewer than the proxies that send to them.
@@ -91,6 +91,7 @@
     const PROXIES: u32 = 40;
     const PER_SECOND: u64 = 3;
     const STEP: Duration = Duration::from_millis(10);
+    let tolerance = ColdTolerance::new(WarmUpTolerance::default(), PER_SECOND);
     let proxies: Vec<SlowStart> = (0..PROXIES).map(|_| SlowStart::default()).collect();
     // All proxies have requests for it, at any time.
     let most_in_a_second = |from: Duration| {
@@ -102,7 +103,7 @@
                     proxies: PROXIES,
                     rank: rank as u32,
                 };
-                if slow_start.try_take(now, PER_SECOND, partition) {
+                if slow_start.try_take(now, PER_SECOND, partition, tolerance.turn_validity()) {
                     taken.push(now);
                 }
             }
