Selection: a proxy's partition is worked out once for each candidate

It was worked out a second time, on the path of requests, since the warm-up allowance became a step of its own.

--- a/crates/request-routing/src/selection.rs
+++ b/crates/request-routing/src/selection.rs
@@ -250,7 +250,7 @@
 
     /// This proxy's position among those that send to the service's upstreams; among all proxies, as long as it is not
     /// settled who sends.
-    fn partition(&self) -> ProxyPartition {
+    pub(crate) fn partition(&self) -> ProxyPartition {
         let senders = &self.view.senders;
         let is_settled = self.now >= senders.since + SENDERS_SETTLE;
         let among_senders = senders
@@ -283,7 +283,7 @@
         if !limit.is_some_and(|limit| stats.try_acquire(limit)) {
             return Err(RejectReason::NoSlot);
         }
-        let allowed = self.take_warm_up_allowance(stats, upstream, notes);
+        let allowed = self.take_warm_up_allowance(stats, upstream, partition, notes);
         if allowed.is_err() {
             stats.release();
         }
--- a/crates/request-routing/src/selection/warm_up.rs
+++ b/crates/request-routing/src/selection/warm_up.rs
@@ -17,9 +17,9 @@
         &self,
         stats: &UpstreamStats,
         upstream: &Arc<Upstream>,
+        partition: ProxyPartition,
         notes: &mut SelectionNotes,
     ) -> Result<(), RejectReason> {
-        let partition = self.partition();
         let WarmthAssessment { warmth, basis, .. } = self.warmth(stats, upstream, partition, notes);
         let allowed = match warmth {
             Warmth::Warm => Ok(()),
--- a/crates/request-routing/src/upstream_calls.rs
+++ b/crates/request-routing/src/upstream_calls.rs
@@ -172,8 +172,9 @@
         let upstream = view.upstreams.get(&service.name)?.get(&selected.instance)?;
         let mut notes = self.take_notes();
         let allowed = self.slot.as_ref().map(|slot| {
-            self.selection(now, view, service, None)
-                .take_warm_up_allowance(slot.upstream_stats(), upstream, &mut notes)
+            let selection = self.selection(now, view, service, None);
+            let partition = selection.partition();
+            selection.take_warm_up_allowance(slot.upstream_stats(), upstream, partition, &mut notes)
         });
         self.keep_notes(notes);
         allowed?.err()
