--- a/crates/name-directory/src/view.rs
+++ b/crates/name-directory/src/view.rs
@@ -160,7 +160,7 @@
     /// let mut view = name_directory::View::default();
     /// let seconds = Duration::from_secs;
     /// assert!(view.may_lack_heartbeats(seconds(1), "n/1"));
-    /// (1..=4).for_each(|second| view.confirm(seconds(second), Some(seconds(second))));
+    /// (1..=4).for_each(|second| drop(view.confirm(seconds(second), Some(seconds(second)))));
     /// assert!(!view.may_lack_heartbeats(seconds(4), "n/1"));
     /// assert!(view.may_lack_heartbeats(seconds(6), "n/1"), "nobody confirms it any more");
     /// view.confirm(seconds(7), Some(seconds(7)));
